--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around guavahold, a demo and a load tool.
--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,3 @@
+//! `guavahold-rig`: stand-ins, demo and load tool.
+
+fn main() {}
--- /dev/null
+++ b/src/catalog.rs
@@ -0,0 +1,23 @@
+//! What operators declared: customers, model versions, serving policies, services and trust.
+
+mod change;
+mod customer;
+mod head;
+mod model;
+mod note;
+mod policy;
+mod service;
+mod snapshot;
+mod token;
+mod trust;
+
+pub use change::{Change, Section};
+pub use customer::Customer;
+pub use head::{CatalogHead, InForce, SnapshotRef};
+pub use model::Model;
+pub use note::ReleaseNote;
+pub use policy::{Class, MeasureWeights, Policy};
+pub use service::{Route, Service};
+pub use snapshot::Catalog;
+pub use token::TokenHash;
+pub use trust::Trust;
--- /dev/null
+++ b/src/catalog/change.rs
@@ -0,0 +1,105 @@
+//! Changes of one kind of declaration.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{Customer, Model, Policy, Service, Trust};
+use crate::prelude::*;
+
+/// Declarations by name, of every kind.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Section {
+    /// Customers.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub customers: BTreeMap<Name, Customer>,
+    /// Models.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub models: BTreeMap<Name, Model>,
+    /// Serving policies.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub policies: BTreeMap<Name, Policy>,
+    /// Plain services.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub services: BTreeMap<Name, Service>,
+    /// Trust in targets.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub trust: BTreeMap<Name, Trust>,
+}
+
+/// One declaration that a note adds, changes or withdraws.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Change {
+    /// `customers`, `models`, `policies`, `services` or `trust`.
+    pub kind: Name,
+    /// Name of the declaration.
+    pub name: Name,
+}
+
+impl Section {
+    /// Tells whether nothing is declared.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.names().is_empty()
+    }
+
+    /// Kind and name of every declaration.
+    #[must_use]
+    pub fn names(&self) -> Vec<Change> {
+        fn of<'a, T>(
+            kind: &'static str,
+            map: &'a BTreeMap<Name, T>,
+        ) -> impl Iterator<Item = Change> + 'a {
+            map.keys().map(move |name| Change {
+                kind: kind.into(),
+                name: name.clone(),
+            })
+        }
+        of("customers", &self.customers)
+            .chain(of("models", &self.models))
+            .chain(of("policies", &self.policies))
+            .chain(of("services", &self.services))
+            .chain(of("trust", &self.trust))
+            .collect()
+    }
+
+    /// Tells whether a declaration exists.
+    #[must_use]
+    pub fn contains(&self, change: &Change) -> bool {
+        let name = &change.name;
+        match &*change.kind {
+            "customers" => self.customers.contains_key(name),
+            "models" => self.models.contains_key(name),
+            "policies" => self.policies.contains_key(name),
+            "services" => self.services.contains_key(name),
+            "trust" => self.trust.contains_key(name),
+            _ => false,
+        }
+    }
+
+    /// Removes a declaration.
+    pub fn remove(&mut self, change: &Change) {
+        let name = &change.name;
+        match &*change.kind {
+            "customers" => drop(self.customers.remove(name)),
+            "models" => drop(self.models.remove(name)),
+            "policies" => drop(self.policies.remove(name)),
+            "services" => drop(self.services.remove(name)),
+            "trust" => drop(self.trust.remove(name)),
+            _ => {}
+        }
+    }
+
+    /// Adds or replaces every declaration of `other`.
+    pub fn merge(&mut self, other: &Self) {
+        fn put<T: Clone>(into: &mut BTreeMap<Name, T>, from: &BTreeMap<Name, T>) {
+            into.extend(from.iter().map(|(k, v)| (k.clone(), v.clone())));
+        }
+        put(&mut self.customers, &other.customers);
+        put(&mut self.models, &other.models);
+        put(&mut self.policies, &other.policies);
+        put(&mut self.services, &other.services);
+        put(&mut self.trust, &other.trust);
+    }
+}
--- /dev/null
+++ b/src/catalog/note.rs
@@ -0,0 +1,112 @@
+//! Release notes: what operators add, change and withdraw.
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{Change, Customer, Model, Policy, Section, Service, Trust};
+use crate::prelude::*;
+use crate::settings::{Document, Fields, Findings};
+
+/// A release note written against one revision of the catalog.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ReleaseNote {
+    /// Revision that the note was written against; the note itself makes the next one.
+    pub against: u64,
+    /// Identity of this note, so that a lost answer can be resolved by reading back.
+    pub id: Name,
+    /// Operator or shift that wrote the note.
+    pub by: Name,
+    /// Reason for people.
+    pub why: Name,
+    /// Time of application, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// New declarations.
+    pub added: Section,
+    /// Replaced declarations.
+    pub changed: Section,
+    /// Withdrawn declarations.
+    pub withdrawn: Vec<Change>,
+}
+
+/// Kinds that a note may name in `withdrawn`.
+const KINDS: [&str; 5] = ["customers", "models", "policies", "services", "trust"];
+
+impl ReleaseNote {
+    /// Revision that this note makes.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.against + 1
+    }
+
+    /// Reads a note, reporting everything that is wrong together.
+    ///
+    /// The fields `id` and `at_ms` are left empty; they are set when the note is applied.
+    ///
+    /// # Errors
+    /// All findings with their places.
+    pub fn read(doc: &Document) -> Result<Self, Findings> {
+        doc.read(Self::from_fields)
+    }
+
+    fn from_fields(fields: &mut Fields<'_>) -> Option<Self> {
+        let against = fields.required_integer("revision", 0..=u64::MAX - 1);
+        let by = fields.optional_text("by").unwrap_or_else(|| "-".into());
+        let why = fields.optional_text("why").unwrap_or_else(|| "-".into());
+        let added = fields.optional_object("added", |f| Some(read_section(f)));
+        let changed = fields.optional_object("changed", |f| Some(read_section(f)));
+        let withdrawn = fields.optional_object("withdrawn", |f| Some(read_withdrawn(f)));
+        let note = Self {
+            against: against?,
+            id: "".into(),
+            by,
+            why,
+            at_ms: 0,
+            added: added.unwrap_or_default(),
+            changed: changed.unwrap_or_default(),
+            withdrawn: withdrawn.unwrap_or_default(),
+        };
+        note.reject_overlaps(fields);
+        Some(note)
+    }
+
+    fn reject_overlaps(&self, fields: &Fields<'_>) {
+        for change in self.added.names() {
+            if self.changed.contains(&change) || self.withdrawn.contains(&change) {
+                let detail = format!("{} {} stands in two parts", change.kind, change.name);
+                fields.reject_field("added", detail);
+            }
+        }
+        for change in self.changed.names() {
+            if self.withdrawn.contains(&change) {
+                let detail = format!("{} {} stands in two parts", change.kind, change.name);
+                fields.reject_field("changed", detail);
+            }
+        }
+    }
+}
+
+fn read_section(fields: &mut Fields<'_>) -> Section {
+    let customers = fields.each("customers", |_, f| Customer::from_fields(f));
+    let models = fields.each("models", |_, f| Model::from_fields(f));
+    let policies = fields.each("policies", |_, f| Policy::from_fields(f));
+    let services = fields.each("services", |_, f| Some(Service::from_fields(f)));
+    let trust = fields.each("trust", |_, f| Some(Trust::from_fields(f)));
+    Section {
+        customers: customers.into_iter().collect(),
+        models: models.into_iter().collect(),
+        policies: policies.into_iter().collect(),
+        services: services.into_iter().collect(),
+        trust: trust.into_iter().collect(),
+    }
+}
+
+fn read_withdrawn(fields: &mut Fields<'_>) -> Vec<Change> {
+    let mut out = Vec::new();
+    for kind in KINDS {
+        let names = fields.parsed_list::<String>(kind, "a name");
+        out.extend(names.into_iter().map(|name| Change {
+            kind: kind.into(),
+            name: name.into(),
+        }));
+    }
+    out
+}
--- /dev/null
+++ b/src/catalog/policy.rs
@@ -0,0 +1,148 @@
+//! Serving policies.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::settings::Fields;
+
+/// How urgently a request is served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Class {
+    /// Somebody waits for a short answer.
+    Interactive,
+    /// An ordinary request.
+    Standard,
+    /// A full answer matters more than a fast one.
+    Patient,
+}
+
+impl Class {
+    /// Priority sent to an engine; lower runs first.
+    #[must_use]
+    pub fn priority(self) -> u8 {
+        match self {
+            Self::Interactive => 0,
+            Self::Standard => 1,
+            Self::Patient => 2,
+        }
+    }
+
+    /// Name of the class.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Interactive => "interactive",
+            Self::Standard => "standard",
+            Self::Patient => "patient",
+        }
+    }
+}
+
+impl std::str::FromStr for Class {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        [Self::Interactive, Self::Standard, Self::Patient]
+            .into_iter()
+            .find(|c| c.as_str() == text)
+            .ok_or(())
+    }
+}
+
+/// How much each of the three measures matters; only the ratios count.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MeasureWeights {
+    /// Time to first token.
+    pub first_token: f64,
+    /// Share of context recomputed.
+    pub recompute: f64,
+    /// Bytes on the stores' links.
+    pub link: f64,
+}
+
+impl Default for MeasureWeights {
+    fn default() -> Self {
+        Self {
+            first_token: 1.0,
+            recompute: 1.0,
+            link: 1.0,
+        }
+    }
+}
+
+/// How requests of a model or route are served.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Policy {
+    /// Urgency.
+    pub class: Class,
+    /// Longest time from arrival to the first token, in milliseconds.
+    pub first_token_ms: u64,
+    /// Longest time from arrival to the end of the answer, in milliseconds.
+    pub total_ms: u64,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// How long the outcome of a non-idempotent request is kept, in seconds.
+    pub retention_s: u64,
+    /// Weights of the three measures.
+    pub weights: MeasureWeights,
+    /// Weight versions loaded at once over all targets.
+    pub loads_at_once: u32,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            class: Class::Standard,
+            first_token_ms: 5_000,
+            total_ms: 120_000,
+            idempotent: true,
+            retention_s: 600,
+            weights: MeasureWeights::default(),
+            loads_at_once: 2,
+        }
+    }
+}
+
+impl Policy {
+    /// Deadline of the first token after arrival.
+    #[must_use]
+    pub fn first_token(&self) -> Duration {
+        Duration::from_millis(self.first_token_ms)
+    }
+
+    /// Deadline of the whole answer after arrival.
+    #[must_use]
+    pub fn total(&self) -> Duration {
+        Duration::from_millis(self.total_ms)
+    }
+
+    pub(crate) fn from_fields(fields: &mut Fields<'_>) -> Option<Self> {
+        let defaults = Self::default();
+        let class = fields.parsed("class", "one of interactive, standard, patient");
+        let weights = fields.optional_object("weights", |f| {
+            Some(MeasureWeights {
+                first_token: f.decimal("first_token", 0.0..=1e6, 1.0),
+                recompute: f.decimal("recompute", 0.0..=1e6, 1.0),
+                link: f.decimal("link", 0.0..=1e6, 1.0),
+            })
+        });
+        let policy = Self {
+            class: class.unwrap_or(defaults.class),
+            first_token_ms: fields.integer(
+                "first_token_ms",
+                1..=3_600_000,
+                defaults.first_token_ms,
+            ),
+            total_ms: fields.integer("total_ms", 1..=86_400_000, defaults.total_ms),
+            idempotent: fields.boolean("idempotent", defaults.idempotent),
+            retention_s: fields.integer("retention_s", 1..=604_800, defaults.retention_s),
+            weights: weights.unwrap_or_default(),
+            loads_at_once: u32::try_from(fields.integer("loads_at_once", 1..=1024, 2)).ok()?,
+        };
+        if policy.total_ms < policy.first_token_ms {
+            fields.reject_field("total_ms", "expected at least first_token_ms");
+        }
+        class.map(|_| policy)
+    }
+}
--- /dev/null
+++ b/src/decide/event.rs
@@ -0,0 +1,147 @@
+//! Events that a [`Desk`](crate::decide::Desk) reacts to.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::cache::BlockKey;
+use crate::catalog::{Catalog, Policy};
+use crate::prelude::*;
+use crate::target::LoadReport;
+
+/// Number of a request within one entry process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestId(pub u64);
+
+/// A request that passed the checks of its shape.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Arrival {
+    /// Number of the request.
+    pub id: RequestId,
+    /// Customer.
+    pub customer: Name,
+    /// Model or service.
+    pub serves: Name,
+    /// Weight versions that may run the request, preferred first; empty for plain services.
+    pub weights: SmallVec<[Name; 2]>,
+    /// Serving policy.
+    pub policy: Arc<Policy>,
+    /// Hash of customer, route and body.
+    pub fingerprint: BlockKey,
+    /// Key of customer and first block, the same for all weight versions; placement hashes it.
+    pub affinity: BlockKey,
+    /// Estimated prompt tokens.
+    pub tokens: u32,
+}
+
+/// A target as the platform's list shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetInfo {
+    /// Name.
+    pub name: Name,
+    /// Failure domain.
+    pub domain: Name,
+    /// Address.
+    pub address: SocketAddr,
+    /// Model or service that it serves.
+    pub serves: Name,
+    /// Whether the list says that it is leaving.
+    pub leaving: bool,
+}
+
+/// What an entry noticed about a target by itself or from a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Signal {
+    /// The target or a peer said that it is leaving.
+    Leaving,
+    /// A new connection was refused or timed out.
+    Unreachable,
+    /// A new connection worked.
+    Reachable,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AttemptOutcome {
+    /// The whole answer was received.
+    Done,
+    /// No byte was handed to the target.
+    NotSent,
+    /// The target proved that it did not run the request; it may say when to come back.
+    Refused {
+        /// Pause asked for by the target.
+        retry_after: Option<Duration>,
+    },
+    /// The target ran another weight version than the one asked for.
+    WrongWeights,
+    /// The target received the request and its connection died or stayed silent before the answer
+    /// began.
+    Lost,
+    /// The answer began and did not end; nothing of it may be spliced with another run.
+    CutShort,
+    /// The caller left or the attempt lost against a hedge.
+    Cancelled,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Event {
+    /// A request arrived.
+    Arrive(Arrival),
+    /// The caller of a queued or running request left.
+    Left(RequestId),
+    /// A claimed request is about to be dispatched; its target is checked once more.
+    Confirm(RequestId),
+    /// The first byte of an attempt's answer arrived.
+    FirstToken {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// An attempt ended.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+        /// How it ended.
+        outcome: AttemptOutcome,
+    },
+    /// The platform's list of targets, whole.
+    Targets(Vec<TargetInfo>),
+    /// A target reported its load.
+    Report {
+        /// Name of the target.
+        target: Name,
+        /// The report.
+        report: LoadReport,
+    },
+    /// Something was noticed about a target.
+    Signal {
+        /// Name of the target.
+        target: Name,
+        /// What was noticed.
+        signal: Signal,
+    },
+    /// The catalog in force changed.
+    Catalog(Arc<Catalog>),
+    /// Number of live entries of the own failure domain, this one included.
+    Entries(u32),
+    /// A peer suspects or quarantines a request.
+    Quarantine {
+        /// Fingerprint.
+        fingerprint: BlockKey,
+        /// Targets that died while running it.
+        victims: Vec<Name>,
+        /// Remaining time of the quarantine; zero while it is only suspected.
+        ttl: Duration,
+    },
+    /// The entry is shutting down.
+    Drain,
+    /// Time passed.
+    Tick,
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,29 @@
+//! HTTP/1.1 framing around `async-h1`.
+//!
+//! Every message head is read and checked here with `httparse` before `async-h1` sees it, and
+//! every body is delimited here, so that a message cut short is an error on both sides and
+//! pipelined requests are kept (RFC 9112, sections 6 and 9.3.2).
+
+mod chunk;
+mod client;
+mod error;
+mod framing;
+mod head;
+mod limits;
+mod memory;
+mod pool;
+mod problem;
+mod response;
+mod server;
+mod sse;
+
+pub use chunk::ChunkScanner;
+pub use client::{Answer, Connection};
+pub use error::{ExchangeError, HeadError};
+pub use framing::Framing;
+pub use head::RequestHead;
+pub use limits::Limits;
+pub use pool::Pool;
+pub use problem::{Problem, RunState};
+pub use server::{Exchange, Handler, Reply, Server, ServerControl};
+pub use sse::{EventParser, EventSender, SseEvent, event_body};
--- /dev/null
+++ b/src/http/chunk.rs
@@ -0,0 +1,122 @@
+//! Scanner for the chunked transfer coding.
+
+use crate::http::HeadError;
+
+/// Longest accepted chunk-size or trailer line, in bytes.
+const MAX_LINE: usize = 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Size,
+    Data(u64),
+    DataEnd(u8),
+    Trailer,
+    Done,
+}
+
+/// Finds the end of a chunked body as its bytes pass by (RFC 9112, section 7.1).
+#[derive(Debug)]
+pub struct ChunkScanner {
+    state: State,
+    line: Vec<u8>,
+}
+
+impl Default for ChunkScanner {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ChunkScanner {
+    /// Makes a scanner placed before the first chunk-size line.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            state: State::Size,
+            line: Vec::new(),
+        }
+    }
+
+    /// Tells whether the last chunk and its trailers have passed.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Scans `buf`, appends the decoded data to `out` and returns the bytes consumed.
+    ///
+    /// Stops at the end of the body, so fewer bytes than given may be consumed.
+    ///
+    /// # Errors
+    /// [`HeadError::BadChunk`] when the coding is malformed.
+    pub fn feed(&mut self, buf: &[u8], mut out: Option<&mut Vec<u8>>) -> Result<usize, HeadError> {
+        let mut at = 0;
+        while at < buf.len() && self.state != State::Done {
+            match self.state {
+                State::Size | State::Trailer => {
+                    self.line_byte(buf[at])?;
+                    at += 1;
+                }
+                State::Data(left) => {
+                    let room = u64::try_from(buf.len() - at).unwrap_or(u64::MAX);
+                    let take = left.min(room);
+                    let end = at + usize::try_from(take).unwrap_or(usize::MAX);
+                    if let Some(out) = out.as_deref_mut() {
+                        out.extend_from_slice(&buf[at..end]);
+                    }
+                    at = end;
+                    self.state = match left - take {
+                        0 => State::DataEnd(b'\r'),
+                        rest => State::Data(rest),
+                    };
+                }
+                State::DataEnd(expected) => {
+                    if buf[at] != expected {
+                        return Err(HeadError::BadChunk);
+                    }
+                    at += 1;
+                    self.state = match expected {
+                        b'\r' => State::DataEnd(b'\n'),
+                        _ => State::Size,
+                    };
+                }
+                State::Done => {}
+            }
+        }
+        Ok(at)
+    }
+
+    fn line_byte(&mut self, byte: u8) -> Result<(), HeadError> {
+        if byte != b'\n' {
+            if self.line.len() >= MAX_LINE {
+                return Err(HeadError::BadChunk);
+            }
+            self.line.push(byte);
+            return Ok(());
+        }
+        if self.line.pop() != Some(b'\r') {
+            return Err(HeadError::BadChunk);
+        }
+        let line = std::mem::take(&mut self.line);
+        self.state = match self.state {
+            State::Size => next_after_size(&line)?,
+            _ if line.is_empty() => State::Done,
+            other => other,
+        };
+        Ok(())
+    }
+}
+
+fn next_after_size(line: &[u8]) -> Result<State, HeadError> {
+    let digits = line.split(|b| *b == b';').next().unwrap_or_default();
+    let digits = std::str::from_utf8(digits).map_err(|_| HeadError::BadChunk)?;
+    let digits = digits.trim_end();
+    if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return Err(HeadError::BadChunk);
+    }
+    match u64::from_str_radix(digits, 16) {
+        Ok(0) => Ok(State::Trailer),
+        Ok(size) => Ok(State::Data(size)),
+        Err(_) => Err(HeadError::BadChunk),
+    }
+}
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,138 @@
+//! One connection to a target or another HTTP peer.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, FutureExt};
+use http_types::{Method, Request, Response};
+
+use crate::http::response::AnswerReader;
+use crate::http::{ExchangeError, HeadError};
+
+/// A connection that carries one exchange at a time.
+#[derive(Debug)]
+pub struct Connection {
+    stream: Arc<Async<TcpStream>>,
+}
+
+impl Connection {
+    /// Connects to `addr` within `timeout`.
+    ///
+    /// # Errors
+    /// [`ExchangeError::Connect`] when no connection is made in time.
+    pub async fn open(addr: SocketAddr, timeout: Duration) -> Result<Self, ExchangeError> {
+        let connect = Async::<TcpStream>::connect(addr);
+        let late = async {
+            Timer::after(timeout).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let stream = connect.or(late).await.map_err(ExchangeError::Connect)?;
+        let _ = stream.get_ref().set_nodelay(true);
+        Ok(Self {
+            stream: Arc::new(stream),
+        })
+    }
+
+    /// Tells whether an idle connection was closed or received bytes nobody asked for.
+    #[must_use]
+    pub fn is_stale(&self) -> bool {
+        let mut byte = [0];
+        match self.stream.get_ref().peek(&mut byte) {
+            Err(err) => err.kind() != io::ErrorKind::WouldBlock,
+            Ok(_) => true,
+        }
+    }
+
+    /// Sends `req` and reads the head of the answer.
+    ///
+    /// # Errors
+    /// [`ExchangeError::Sent`] when the connection fails, [`ExchangeError::BadAnswer`] when the
+    /// answer's framing is refused.
+    pub async fn send(self, req: Request) -> Result<Answer, ExchangeError> {
+        let no_body = req.method() == Method::Head;
+        let mut encoder = async_h1::client::Encoder::new(req);
+        let mut out = &*self.stream;
+        futures_lite::io::copy(&mut encoder, &mut out)
+            .await
+            .map_err(ExchangeError::Sent)?;
+        let clean = Arc::new(AtomicBool::new(false));
+        let reader = AnswerReader::new(self.stream.clone(), no_body, false, clean.clone());
+        let res = async_h1::client::decode(reader)
+            .await
+            .map_err(answer_error)?;
+        Ok(Answer {
+            res,
+            clean,
+            stream: self.stream,
+        })
+    }
+}
+
+fn answer_error(err: http_types::Error) -> ExchangeError {
+    match err.downcast::<io::Error>() {
+        Ok(err) => match err.get_ref().and_then(|e| e.downcast_ref::<HeadError>()) {
+            Some(HeadError::CutShort) | None => ExchangeError::Sent(err),
+            Some(head) => ExchangeError::BadAnswer(*head),
+        },
+        Err(_) => ExchangeError::BadAnswer(HeadError::Malformed),
+    }
+}
+
+/// A target's answer; its body reads as an error when it is cut short.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status, headers and body.
+    pub res: Response,
+    clean: Arc<AtomicBool>,
+    stream: Arc<Async<TcpStream>>,
+}
+
+impl Answer {
+    /// Value of a header, if given.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.res.header(name).map(|v| v.last().as_str())
+    }
+
+    /// Reads the next part of the body; `0` at its clean end.
+    ///
+    /// # Errors
+    /// [`ExchangeError::Body`] when the body is cut short.
+    pub async fn read(&mut self, buf: &mut [u8]) -> Result<usize, ExchangeError> {
+        self.res.read(buf).await.map_err(ExchangeError::Body)
+    }
+
+    /// Reads the whole body of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// [`ExchangeError::Body`] when the body is cut short, [`ExchangeError::BadAnswer`] when it is
+    /// longer than `limit`.
+    pub async fn bytes(&mut self, limit: usize) -> Result<Vec<u8>, ExchangeError> {
+        let mut out = Vec::with_capacity(self.res.len().unwrap_or(0).min(limit));
+        let mut buf = vec![0; 16 * 1024];
+        loop {
+            let n = self.read(&mut buf).await?;
+            if n == 0 {
+                return Ok(out);
+            }
+            if out.len() + n > limit {
+                return Err(ExchangeError::BadAnswer(HeadError::BodyTooLarge));
+            }
+            out.extend_from_slice(&buf[..n]);
+        }
+    }
+
+    /// Gives the connection back for reuse if the exchange ended cleanly.
+    #[must_use]
+    pub fn into_connection(self) -> Option<Connection> {
+        let keep = self.header("connection") != Some("close");
+        let reusable = keep && self.clean.load(Ordering::Acquire);
+        reusable.then_some(Connection {
+            stream: self.stream,
+        })
+    }
+}
--- /dev/null
+++ b/src/http/framing.rs
@@ -0,0 +1,50 @@
+//! How a message body is delimited.
+
+use crate::http::HeadError;
+
+/// Delimitation of a message body (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Exactly this many bytes.
+    Length(u64),
+    /// The chunked transfer coding.
+    Chunked,
+    /// Neither length nor coding was given.
+    Unstated,
+}
+
+impl Framing {
+    /// Reads the framing from parsed headers.
+    ///
+    /// # Errors
+    /// [`HeadError::BadLength`] for doubled or contradictory lengths, [`HeadError::BadCoding`] for
+    /// codings other than `chunked`.
+    pub fn from_headers(headers: &[httparse::Header<'_>]) -> Result<Self, HeadError> {
+        let mut framing = Self::Unstated;
+        for header in headers {
+            let next = if header.name.eq_ignore_ascii_case("content-length") {
+                Self::Length(parse_length(header.value)?)
+            } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+                if !header.value.eq_ignore_ascii_case(b"chunked") {
+                    return Err(HeadError::BadCoding);
+                }
+                Self::Chunked
+            } else {
+                continue;
+            };
+            if framing != Self::Unstated {
+                return Err(HeadError::BadLength);
+            }
+            framing = next;
+        }
+        Ok(framing)
+    }
+}
+
+fn parse_length(value: &[u8]) -> Result<u64, HeadError> {
+    let text = std::str::from_utf8(value).map_err(|_| HeadError::BadLength)?;
+    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(HeadError::BadLength);
+    }
+    text.parse().map_err(|_| HeadError::BadLength)
+}
--- /dev/null
+++ b/src/http/head.rs
@@ -0,0 +1,97 @@
+//! Parsed head of a request.
+
+use crate::http::{Framing, HeadError, Limits};
+
+/// Most headers accepted in one message.
+pub(crate) const MAX_HEADERS: usize = 64;
+
+/// A checked request head, rewritten so that `async-h1` reads it without a body.
+#[derive(Debug)]
+pub struct RequestHead {
+    /// Head bytes without `expect` and body framing, ending in an empty line.
+    pub bytes: Vec<u8>,
+    /// How the body is delimited.
+    pub framing: Framing,
+    /// Whether the caller waits for `100 Continue`.
+    pub expects_continue: bool,
+    /// Whether the caller asked to close the connection afterwards.
+    pub close: bool,
+    /// Bytes of the original head.
+    pub consumed: usize,
+}
+
+impl RequestHead {
+    /// Parses a head from the start of `buf`; `None` when more bytes are needed.
+    ///
+    /// # Errors
+    /// A [`HeadError`] naming the rule that was broken.
+    pub fn parse(buf: &[u8], limits: &Limits) -> Result<Option<Self>, HeadError> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut req = httparse::Request::new(&mut headers);
+        let consumed = match req.parse(buf) {
+            Ok(httparse::Status::Complete(n)) if n <= limits.head_bytes => n,
+            Ok(httparse::Status::Partial) if buf.len() <= limits.head_bytes => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::HeadTooLarge),
+            Err(_) => return Err(HeadError::Malformed),
+        };
+        if req.version != Some(1) {
+            return Err(HeadError::Malformed);
+        }
+        Self::check(&req, consumed).map(Some)
+    }
+
+    fn check(req: &httparse::Request<'_, '_>, consumed: usize) -> Result<Self, HeadError> {
+        let hosts = req
+            .headers
+            .iter()
+            .filter(|h| h.name.eq_ignore_ascii_case("host"));
+        if hosts.count() != 1 {
+            return Err(HeadError::NoHost);
+        }
+        let mut head = Self {
+            bytes: Vec::with_capacity(consumed),
+            framing: Framing::from_headers(req.headers)?,
+            expects_continue: false,
+            close: false,
+            consumed,
+        };
+        head.write_line(req);
+        for header in req.headers.iter() {
+            head.write_header(header)?;
+        }
+        head.bytes.extend_from_slice(b"\r\n");
+        Ok(head)
+    }
+
+    fn write_line(&mut self, req: &httparse::Request<'_, '_>) {
+        self.bytes
+            .extend_from_slice(req.method.unwrap_or_default().as_bytes());
+        self.bytes.push(b' ');
+        self.bytes
+            .extend_from_slice(req.path.unwrap_or_default().as_bytes());
+        self.bytes.extend_from_slice(b" HTTP/1.1\r\n");
+    }
+
+    fn write_header(&mut self, header: &httparse::Header<'_>) -> Result<(), HeadError> {
+        let value = std::str::from_utf8(header.value).map_err(|_| HeadError::Malformed)?;
+        if header.name.eq_ignore_ascii_case("expect") {
+            self.expects_continue = value.eq_ignore_ascii_case("100-continue");
+            return Ok(());
+        }
+        if header.name.eq_ignore_ascii_case("connection") {
+            self.close |= value
+                .split(',')
+                .any(|v| v.trim().eq_ignore_ascii_case("close"));
+        }
+        if header.name.eq_ignore_ascii_case("content-length")
+            || header.name.eq_ignore_ascii_case("transfer-encoding")
+        {
+            return Ok(());
+        }
+        self.bytes.extend_from_slice(header.name.as_bytes());
+        self.bytes.extend_from_slice(b": ");
+        self.bytes.extend_from_slice(header.value);
+        self.bytes.extend_from_slice(b"\r\n");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/http/limits.rs
@@ -0,0 +1,30 @@
+//! Limits on what a peer may send.
+
+use std::time::Duration;
+
+/// Limits of one listener.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Longest message head, in bytes; `async-h1` itself reads at most 8 KiB.
+    pub head_bytes: usize,
+    /// Longest message body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time from the first byte of a message to its last.
+    pub message_time: Duration,
+    /// Longest time a connection may stay without a message.
+    pub idle_time: Duration,
+    /// Most connections open at once.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 8 * 1024 - 1,
+            body_bytes: 4 * 1024 * 1024,
+            message_time: Duration::from_secs(10),
+            idle_time: Duration::from_mins(2),
+            connections: 16_384,
+        }
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,390 @@
+//! Serves connections of one listener.
+
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use http_types::{Method, Request, Response};
+
+use crate::http::memory::Memory;
+use crate::http::{ChunkScanner, Framing, HeadError, Limits, Problem, RequestHead};
+
+/// Bytes read from a socket at once.
+const READ_SIZE: usize = 4 * 1024;
+/// Pause after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// One request with its whole body.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Method, URL and headers; its own body is empty.
+    pub req: Request,
+    /// The whole body, already checked against its stated length.
+    pub body: Vec<u8>,
+    /// Address of the caller's connection.
+    pub peer: SocketAddr,
+}
+
+impl Exchange {
+    /// Value of a header, if given.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.req.header(name).map(|v| v.last().as_str())
+    }
+}
+
+/// Future of a response.
+pub type Reply = Pin<Box<dyn Future<Output = Response> + Send>>;
+
+/// Answers requests; its future is dropped when the caller's connection is reset.
+pub trait Handler: Send + Sync {
+    /// Answers one request.
+    fn handle(self: Arc<Self>, exchange: Exchange) -> Reply;
+}
+
+/// Shared state through which a server is drained.
+#[derive(Debug)]
+pub struct ServerControl {
+    draining: AtomicBool,
+    connections: AtomicUsize,
+    running: AtomicUsize,
+    stop_tx: async_channel::Sender<()>,
+    stop_rx: async_channel::Receiver<()>,
+}
+
+impl Default for ServerControl {
+    fn default() -> Self {
+        let (stop_tx, stop_rx) = async_channel::bounded(1);
+        Self {
+            draining: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
+            running: AtomicUsize::new(0),
+            stop_tx,
+            stop_rx,
+        }
+    }
+}
+
+impl ServerControl {
+    /// Asks callers to close their connections after their next answer.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Stops accepting and closes connections that carry no request.
+    pub fn stop(&self) {
+        self.drain();
+        self.stop_tx.close();
+    }
+
+    /// Requests being answered now.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Acquire)
+    }
+
+    /// Connections open now.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Acquire)
+    }
+
+    async fn stopped(&self) {
+        let _ = self.stop_rx.recv().await;
+    }
+}
+
+/// Accepts connections and serves them on an executor.
+pub struct Server {
+    listener: Async<TcpListener>,
+    limits: Arc<Limits>,
+    handler: Arc<dyn Handler>,
+    control: Arc<ServerControl>,
+}
+
+impl Server {
+    /// Wraps a bound listener.
+    ///
+    /// # Errors
+    /// When the listener cannot be registered with the reactor.
+    pub fn new(
+        listener: TcpListener,
+        limits: Limits,
+        handler: Arc<dyn Handler>,
+        control: Arc<ServerControl>,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            listener: Async::new(listener)?,
+            limits: Arc::new(limits),
+            handler,
+            control,
+        })
+    }
+
+    /// Accepts until [`ServerControl::stop`] is called.
+    pub async fn run(self, ex: Arc<Executor<'static>>) {
+        loop {
+            let accept = async { Some(self.listener.accept().await) };
+            let stop = async {
+                self.control.stopped().await;
+                None
+            };
+            match accept.or(stop).await {
+                None => return,
+                Some(Ok((stream, peer))) => self.spawn(stream, peer, &ex),
+                Some(Err(err)) => {
+                    log::warn!("event=accept_failed error={:?}", err.to_string());
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn spawn(&self, stream: Async<TcpStream>, peer: SocketAddr, ex: &Executor<'static>) {
+        if self.control.connections() >= self.limits.connections {
+            return;
+        }
+        let _ = stream.get_ref().set_nodelay(true);
+        let serving = Serving {
+            stream,
+            peer,
+            buf: Vec::new(),
+            limits: self.limits.clone(),
+            handler: self.handler.clone(),
+            control: self.control.clone(),
+        };
+        self.control.connections.fetch_add(1, Ordering::AcqRel);
+        ex.spawn(serving.run()).detach();
+    }
+}
+
+/// Counts a request as running while it lives.
+struct Running(Arc<ServerControl>);
+
+impl Running {
+    fn new(control: &Arc<ServerControl>) -> Self {
+        control.running.fetch_add(1, Ordering::AcqRel);
+        Self(control.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+struct Serving {
+    stream: Async<TcpStream>,
+    peer: SocketAddr,
+    buf: Vec<u8>,
+    limits: Arc<Limits>,
+    handler: Arc<dyn Handler>,
+    control: Arc<ServerControl>,
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.control.connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Serving {
+    async fn run(mut self) {
+        loop {
+            match self.turn().await {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(err) => {
+                    log::debug!("event=connection_failed peer={} error={err:?}", self.peer);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Serves one request; `false` when the connection is to be closed.
+    async fn turn(&mut self) -> io::Result<bool> {
+        if self.buf.is_empty() && !self.wait_for_message().await? {
+            return Ok(false);
+        }
+        let running = Running::new(&self.control);
+        let limit = self.limits.message_time;
+        let late = async {
+            Timer::after(limit).await;
+            Err(HeadError::TooSlow)
+        };
+        let received = self.receive().or(late).await;
+        let (head, body) = match received {
+            Ok(Some(message)) => message,
+            Ok(None) => return Ok(false),
+            Err(err) => return self.reject(err).await,
+        };
+        let close = head.close;
+        let decoded = async_h1::server::decode(Memory::new(head.bytes)).await;
+        let Ok(Some((req, _))) = decoded else {
+            return self.reject(HeadError::Malformed).await;
+        };
+        let method = req.method();
+        let exchange = Exchange {
+            req,
+            body,
+            peer: self.peer,
+        };
+        let reply = self.handler.clone().handle(exchange);
+        let answer = async { Some(reply.await) };
+        let gone = async {
+            self.gone().await;
+            None
+        };
+        let Some(res) = answer.or(gone).await else {
+            return Ok(false);
+        };
+        let keep = self.respond(res, method, close).await?;
+        drop(running);
+        Ok(keep)
+    }
+
+    /// Waits for the first byte of a message; `false` when the connection ends or idles too long.
+    async fn wait_for_message(&mut self) -> io::Result<bool> {
+        self.buf = Vec::new();
+        let readable = async {
+            self.stream.readable().await?;
+            Ok::<_, io::Error>(true)
+        };
+        let idle = async {
+            Timer::after(self.limits.idle_time).await;
+            Ok(false)
+        };
+        let stop = async {
+            self.control.stopped().await;
+            Ok(false)
+        };
+        if !readable.or(idle).or(stop).await? {
+            return Ok(false);
+        }
+        Ok(self.fill().await.is_ok_and(|n| n > 0))
+    }
+
+    /// Reads more bytes behind those in `buf`; `0` at the end of the stream.
+    async fn fill(&mut self) -> Result<usize, HeadError> {
+        let len = self.buf.len();
+        self.buf.resize(len + READ_SIZE, 0);
+        let read = self.stream.read(&mut self.buf[len..]).await;
+        self.buf.truncate(len + *read.as_ref().unwrap_or(&0));
+        read.map_err(|_| HeadError::CutShort)
+    }
+
+    async fn receive(&mut self) -> Result<Option<(RequestHead, Vec<u8>)>, HeadError> {
+        let head = loop {
+            if let Some(head) = RequestHead::parse(&self.buf, &self.limits)? {
+                break head;
+            }
+            if self.fill().await? == 0 {
+                return Err(HeadError::CutShort);
+            }
+        };
+        self.buf.drain(..head.consumed);
+        if head.expects_continue && head.framing != Framing::Unstated {
+            let _ = self
+                .stream
+                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                .await;
+        }
+        let body = match head.framing {
+            Framing::Unstated => Vec::new(),
+            Framing::Length(len) => self.receive_length(len).await?,
+            Framing::Chunked => self.receive_chunked().await?,
+        };
+        Ok(Some((head, body)))
+    }
+
+    async fn receive_length(&mut self, len: u64) -> Result<Vec<u8>, HeadError> {
+        let len = usize::try_from(len).map_err(|_| HeadError::BodyTooLarge)?;
+        if len > self.limits.body_bytes {
+            return Err(HeadError::BodyTooLarge);
+        }
+        while self.buf.len() < len {
+            if self.fill().await? == 0 {
+                return Err(HeadError::CutShort);
+            }
+        }
+        let rest = self.buf.split_off(len);
+        Ok(std::mem::replace(&mut self.buf, rest))
+    }
+
+    async fn receive_chunked(&mut self) -> Result<Vec<u8>, HeadError> {
+        let mut scanner = ChunkScanner::new();
+        let mut body = Vec::new();
+        loop {
+            let n = scanner.feed(&self.buf, Some(&mut body))?;
+            self.buf.drain(..n);
+            if body.len() > self.limits.body_bytes {
+                return Err(HeadError::BodyTooLarge);
+            }
+            if scanner.is_done() {
+                return Ok(body);
+            }
+            if self.fill().await? == 0 {
+                return Err(HeadError::CutShort);
+            }
+        }
+    }
+
+    async fn reject(&mut self, err: HeadError) -> io::Result<bool> {
+        let res = Problem::not_run(err.status(), "bad-message", err.to_string()).into_response();
+        self.respond(res, Method::Post, true).await?;
+        self.linger().await;
+        Ok(false)
+    }
+
+    /// Reads what the peer still sends, so that the close does not reset the answer away.
+    async fn linger(&mut self) {
+        let mut stream = &self.stream;
+        let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
+        let mut chunk = [0; 512];
+        let drain = async { while matches!(stream.read(&mut chunk).await, Ok(n) if n > 0) {} };
+        let late = async {
+            Timer::after(Duration::from_secs(1)).await;
+        };
+        drain.or(late).await;
+    }
+
+    async fn respond(
+        &mut self,
+        mut res: Response,
+        method: Method,
+        close: bool,
+    ) -> io::Result<bool> {
+        let close = close || self.control.draining.load(Ordering::Acquire);
+        if close {
+            res.insert_header("connection", "close");
+        }
+        let mut encoder = async_h1::server::Encoder::new(res, method);
+        futures_lite::io::copy(&mut encoder, &mut self.stream).await?;
+        self.stream.flush().await?;
+        Ok(!close)
+    }
+
+    /// Completes when the peer resets the connection; a half-close is not a reset.
+    async fn gone(&self) {
+        let mut byte = [0];
+        loop {
+            if self.stream.readable().await.is_err() {
+                return;
+            }
+            match self.stream.get_ref().peek(&mut byte) {
+                Ok(_) => std::future::pending::<()>().await,
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,31 @@
+//! guavahold serves prompts whose callers return after long gaps.
+//!
+//! It is every process between callers and back ends: entries admit, place and relay requests,
+//! stores keep cache blocks between the visits of a caller, and operators declare customers, model
+//! versions and serving policies in release notes.
+//!
+//! ```
+//! use guavahold::catalog::{Catalog, ReleaseNote};
+//! use guavahold::settings::Document;
+//!
+//! let text = r#"{
+//!     "revision": 0, // written against the empty catalog
+//!     "added": {"policies": {"quick": {"class": "interactive", "first_token_ms": 800}}},
+//! }"#;
+//! let note = ReleaseNote::read(&Document::new("note.jsonc", text)).unwrap();
+//! let catalog = Catalog::default().apply(&note).unwrap();
+//! assert_eq!(catalog.revision, 1);
+//! ```
+
+pub mod cache;
+pub mod catalog;
+pub mod claim;
+pub mod clock;
+pub mod decide;
+pub mod http;
+pub mod peer;
+pub mod platform;
+pub mod prelude;
+pub mod settings;
+pub mod target;
+pub mod telemetry;
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,76 @@
+//! Typed messages between entries.
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{Catalog, ReleaseNote};
+use crate::claim::{ClaimError, ClaimRequest, ClaimVerdict};
+use crate::prelude::*;
+
+/// Version of the messages; a peer with another major version is refused.
+pub const PROTOCOL: u32 = 1;
+
+/// One message; unknown fields are ignored.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PeerMessage {
+    /// First message of either side.
+    Hello {
+        /// Protocol version.
+        protocol: u32,
+        /// Name of the entry.
+        name: Name,
+        /// Failure domain of the entry.
+        domain: Name,
+        /// Random number of this process, so that a restart is noticed.
+        boot: u64,
+        /// Keyed hash that proves knowledge of the shared secret.
+        proof: Name,
+    },
+    /// Sign of life.
+    Heartbeat {
+        /// Catalog revision in force.
+        revision: u64,
+        /// Time since it came into force, in milliseconds.
+        since_ms: u64,
+        /// Whether the entry is shutting down.
+        draining: bool,
+    },
+    /// Notes that bring a peer from `against` of the first note to the newest revision.
+    Notes(Vec<ReleaseNote>),
+    /// Asks for the catalog because a gap was noticed.
+    WantCatalog,
+    /// The whole catalog.
+    WholeCatalog(Arc<Catalog>),
+    /// A request that takes down the targets that run it.
+    Quarantine {
+        /// Fingerprint of customer, route and body.
+        fingerprint: Name,
+        /// Targets that died while running it, as far as known.
+        victims: Vec<Name>,
+        /// Remaining time of the quarantine, in milliseconds; zero while it is only suspected.
+        ttl_ms: u64,
+    },
+    /// A target that is leaving or dead, as seen by the sender.
+    TargetSignal {
+        /// Name of the target.
+        target: Name,
+        /// Whether the target announced that it is leaving.
+        leaving: bool,
+    },
+    /// Asks the owner of a claim shard to commit a claim.
+    Claim {
+        /// Number that the reply repeats.
+        seq: u64,
+        /// Claimant that will hold the claim.
+        claimant: Name,
+        /// The request.
+        req: ClaimRequest,
+    },
+    /// Answer to [`PeerMessage::Claim`].
+    ClaimReply {
+        /// Number of the request.
+        seq: u64,
+        /// The decision.
+        result: Result<ClaimVerdict, ClaimError>,
+    },
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,38 @@
+//! The platform's object API, behind a trait object.
+
+mod error;
+mod object;
+mod remote;
+mod vm;
+
+use futures_lite::future::Boxed;
+use futures_lite::stream;
+
+pub use error::PlatformError;
+pub use object::{Listing, Object, Version, WatchEvent};
+pub use remote::RemotePlatform;
+pub use vm::{Phase, Role, Vm};
+
+/// A stream of watch events; it ends when the watch must be set up anew.
+pub type WatchStream = stream::Boxed<Result<WatchEvent, PlatformError>>;
+
+/// Versioned objects with conditional updates and watches.
+pub trait Platform: Send + Sync {
+    /// Reads an object; `None` when it does not exist.
+    fn get(&self, kind: &str, name: &str) -> Boxed<Result<Option<Object>, PlatformError>>;
+    /// Lists all objects of a kind with the version to watch from.
+    fn list(&self, kind: &str) -> Boxed<Result<Listing, PlatformError>>;
+    /// Creates an object; [`PlatformError::Conflict`] when the name is taken.
+    fn create(&self, object: Object) -> Boxed<Result<Object, PlatformError>>;
+    /// Replaces an object if its version is still `object.version`.
+    fn update(&self, object: Object) -> Boxed<Result<Object, PlatformError>>;
+    /// Deletes an object if its version is still `version`.
+    fn delete(&self, kind: &str, name: &str, version: Version) -> Boxed<Result<(), PlatformError>>;
+    /// Watches a kind, or one named object of it, from a version on.
+    fn watch(
+        &self,
+        kind: &str,
+        name: Option<&str>,
+        from: Version,
+    ) -> Boxed<Result<WatchStream, PlatformError>>;
+}
--- /dev/null
+++ b/src/platform/remote.rs
@@ -0,0 +1,279 @@
+//! The platform over HTTP.
+//!
+//! Paths follow the Kubernetes API conventions: `/apis/guavahold.dev/v1/{kind}/{name}`, conditional
+//! PUT by `metadata.resourceVersion`, `watch=true` as JSON lines.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use async_io::Timer;
+use futures_lite::future::Boxed;
+use futures_lite::{FutureExt, stream};
+use http_types::{Method, Request, StatusCode, Url};
+use serde_json::Value;
+
+use crate::http::{Answer, Connection, ExchangeError, Pool};
+use crate::platform::{Listing, Object, Platform, PlatformError, Version, WatchEvent, WatchStream};
+use crate::prelude::*;
+
+/// Longest accepted answer, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+/// Longest accepted line of a watch, in bytes.
+const MAX_LINE: usize = 4 * 1024 * 1024;
+/// Silence after which a watch is set up anew; the platform sends bookmarks more often.
+const WATCH_SILENCE: Duration = Duration::from_secs(15);
+
+/// Client of the platform's object API.
+#[derive(Clone, Debug)]
+pub struct RemotePlatform(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    addresses: Vec<SocketAddr>,
+    current: AtomicUsize,
+    pool: Pool,
+    timeout: Duration,
+}
+
+impl RemotePlatform {
+    /// Makes a client of the given addresses; each call ends within `timeout`.
+    ///
+    /// # Panics
+    /// When `addresses` is empty.
+    #[must_use]
+    pub fn new(addresses: Vec<SocketAddr>, timeout: Duration) -> Self {
+        assert!(!addresses.is_empty(), "a platform address is required");
+        Self(Arc::new(Inner {
+            addresses,
+            current: AtomicUsize::new(0),
+            pool: Pool::new(timeout),
+            timeout,
+        }))
+    }
+}
+
+impl Inner {
+    fn address(&self) -> SocketAddr {
+        let current = self.current.load(Ordering::Relaxed);
+        self.addresses[current % self.addresses.len()]
+    }
+
+    /// Moves to the next address after a failure.
+    fn rotate(&self) {
+        self.current.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn request(&self, method: Method, path: &str, body: Option<&Value>) -> Request {
+        let text = format!("http://{}/apis/guavahold.dev/v1/{path}", self.address());
+        let url = Url::parse(&text).unwrap_or_else(|_| unreachable!("names need no escaping"));
+        let mut req = Request::new(method, url);
+        if let Some(body) = body {
+            req.set_body(body.to_string());
+            req.insert_header("content-type", "application/json");
+        }
+        req
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<(StatusCode, Value), PlatformError> {
+        let addr = self.address();
+        let req = self.request(method, path, body);
+        let exchange = async {
+            let done = self.pool.fetch(addr, req, MAX_ANSWER).await;
+            done.map_err(|err| platform_error(&err))
+        };
+        let late = async {
+            Timer::after(self.timeout).await;
+            Err(PlatformError::Unanswered("no answer in time".into()))
+        };
+        let (status, bytes) = exchange.or(late).await.inspect_err(|_| {
+            self.pool.clear(addr);
+            self.rotate();
+        })?;
+        let json = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+        check_status(status, &json)?;
+        Ok((status, json))
+    }
+
+    async fn open_watch(&self, path: &str) -> Result<Answer, PlatformError> {
+        let addr = self.address();
+        let req = self.request(Method::Get, path, None);
+        let exchange = async {
+            let conn = Connection::open(addr, self.timeout).await?;
+            conn.send(req).await
+        };
+        let late = async {
+            Timer::after(self.timeout).await;
+            Err(ExchangeError::Sent(std::io::ErrorKind::TimedOut.into()))
+        };
+        let answer = exchange.or(late).await.map_err(|err| {
+            self.rotate();
+            platform_error(&err)
+        })?;
+        check_status(answer.res.status(), &Value::Null)?;
+        Ok(answer)
+    }
+}
+
+fn platform_error(err: &ExchangeError) -> PlatformError {
+    if err.handed_over() {
+        PlatformError::Unanswered(err.to_string())
+    } else {
+        PlatformError::Unreachable(err.to_string())
+    }
+}
+
+fn check_status(status: StatusCode, json: &Value) -> Result<(), PlatformError> {
+    match u16::from(status) {
+        200..=299 => Ok(()),
+        404 => Err(PlatformError::NotFound),
+        409 => Err(PlatformError::Conflict),
+        410 => Err(PlatformError::Expired),
+        code @ (400..=499) => {
+            let why = json.get("message").and_then(Value::as_str);
+            Err(PlatformError::Rejected(format!(
+                "{code} {}",
+                why.unwrap_or_default()
+            )))
+        }
+        code => Err(PlatformError::Unanswered(format!("status {code}"))),
+    }
+}
+
+fn decode(kind: &str, json: &Value) -> Result<Object, PlatformError> {
+    let object = Object::from_json(kind, json);
+    object.ok_or_else(|| PlatformError::Unanswered("answer is not an object".into()))
+}
+
+impl Platform for RemotePlatform {
+    fn get(&self, kind: &str, name: &str) -> Boxed<Result<Option<Object>, PlatformError>> {
+        let (this, kind, name) = (self.0.clone(), Name::from(kind), Name::from(name));
+        Box::pin(async move {
+            let path = format!("{kind}/{name}");
+            match this.call(Method::Get, &path, None).await {
+                Ok((_, json)) => decode(&kind, &json).map(Some),
+                Err(PlatformError::NotFound) => Ok(None),
+                Err(err) => Err(err),
+            }
+        })
+    }
+
+    fn list(&self, kind: &str) -> Boxed<Result<Listing, PlatformError>> {
+        let (this, kind) = (self.0.clone(), Name::from(kind));
+        Box::pin(async move {
+            let (_, json) = this.call(Method::Get, &kind, None).await?;
+            let version = json["metadata"]["resourceVersion"].as_str();
+            let items = json["items"].as_array().map(Vec::as_slice);
+            let items = items.unwrap_or_default().iter();
+            Ok(Listing {
+                items: items.map(|i| decode(&kind, i)).collect::<Result<_, _>>()?,
+                version: Version(version.unwrap_or_default().to_owned()),
+            })
+        })
+    }
+
+    fn create(&self, object: Object) -> Boxed<Result<Object, PlatformError>> {
+        let this = self.0.clone();
+        Box::pin(async move {
+            let json = object.to_json();
+            let (_, json) = this.call(Method::Post, &object.kind, Some(&json)).await?;
+            decode(&object.kind, &json)
+        })
+    }
+
+    fn update(&self, object: Object) -> Boxed<Result<Object, PlatformError>> {
+        let this = self.0.clone();
+        Box::pin(async move {
+            let path = format!("{}/{}", object.kind, object.name);
+            let json = object.to_json();
+            let (_, json) = this.call(Method::Put, &path, Some(&json)).await?;
+            decode(&object.kind, &json)
+        })
+    }
+
+    fn delete(&self, kind: &str, name: &str, version: Version) -> Boxed<Result<(), PlatformError>> {
+        let this = self.0.clone();
+        let path = format!("{kind}/{name}?resourceVersion={}", version.0);
+        Box::pin(async move { this.call(Method::Delete, &path, None).await.map(|_| ()) })
+    }
+
+    fn watch(
+        &self,
+        kind: &str,
+        name: Option<&str>,
+        from: Version,
+    ) -> Boxed<Result<WatchStream, PlatformError>> {
+        let (this, kind) = (self.0.clone(), Name::from(kind));
+        let mut path = format!("{kind}?watch=true&resourceVersion={}", from.0);
+        if let Some(name) = name {
+            path.extend(["&name=", name]);
+        }
+        Box::pin(async move {
+            let answer = this.open_watch(&path).await?;
+            let reader = WatchReader {
+                answer,
+                kind,
+                buf: Vec::new(),
+            };
+            let events = stream::unfold(Some(reader), |reader| async move {
+                let mut reader = reader?;
+                let event = reader.next().await?;
+                let rest = event.is_ok().then_some(reader);
+                Some((event, rest))
+            });
+            Ok(Box::pin(events) as WatchStream)
+        })
+    }
+}
+
+/// Reads the JSON lines of a watch.
+struct WatchReader {
+    answer: Answer,
+    kind: Name,
+    buf: Vec<u8>,
+}
+
+impl WatchReader {
+    async fn next(&mut self) -> Option<Result<WatchEvent, PlatformError>> {
+        loop {
+            if let Some(end) = self.buf.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = self.buf.drain(..=end).collect();
+                return Some(self.parse(&line));
+            }
+            if self.buf.len() > MAX_LINE {
+                return Some(Err(PlatformError::Rejected("watch line too long".into())));
+            }
+            let mut chunk = vec![0; 16 * 1024];
+            let read = self.answer.read(&mut chunk);
+            let silent = async {
+                Timer::after(WATCH_SILENCE).await;
+                Err(ExchangeError::Body(std::io::ErrorKind::TimedOut.into()))
+            };
+            match read.or(silent).await {
+                Ok(0) => return None,
+                Ok(n) => self.buf.extend_from_slice(&chunk[..n]),
+                Err(err) => return Some(Err(PlatformError::Unreachable(err.to_string()))),
+            }
+        }
+    }
+
+    fn parse(&self, line: &[u8]) -> Result<WatchEvent, PlatformError> {
+        let json: Value = serde_json::from_slice(line)
+            .map_err(|err| PlatformError::Unreachable(format!("bad watch line: {err}")))?;
+        let object = &json["object"];
+        match json["type"].as_str().unwrap_or_default() {
+            "ADDED" | "MODIFIED" => decode(&self.kind, object).map(WatchEvent::Put),
+            "DELETED" => decode(&self.kind, object).map(WatchEvent::Deleted),
+            "BOOKMARK" => {
+                let version = object["metadata"]["resourceVersion"].as_str();
+                let version = Version(version.unwrap_or_default().to_owned());
+                Ok(WatchEvent::Bookmark(version))
+            }
+            _ => Err(PlatformError::Expired),
+        }
+    }
+}
--- /dev/null
+++ b/src/prelude.rs
@@ -0,0 +1,12 @@
+//! Types used throughout the crate.
+
+pub use std::sync::Arc;
+pub use std::time::Duration;
+
+pub use smallvec::SmallVec;
+
+/// Shared immutable name of a customer, model, policy, target or VM.
+pub type Name = Arc<str>;
+
+/// Monotonic time since the start of the process or of a replayed trace.
+pub type Stamp = Duration;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,15 @@
+//! Settings and other documents in JSON with comments.
+//!
+//! A document is read in one pass that collects every finding with its place.
+
+mod document;
+mod entry;
+mod fields;
+mod finding;
+mod store;
+
+pub use document::Document;
+pub use entry::{ENTRY_EXAMPLE, EntrySettings, EntrySettingsBuilder};
+pub use fields::Fields;
+pub use finding::{Finding, Findings, Place};
+pub use store::{STORE_EXAMPLE, StoreSettings};
--- /dev/null
+++ b/src/settings/entry.rs
@@ -0,0 +1,226 @@
+//! Settings of `guavahold-entry`.
+
+use std::net::SocketAddr;
+
+use crate::http::Limits;
+use crate::prelude::*;
+use crate::settings::{Document, Fields, Findings};
+
+/// Settings of one entry VM.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Name of the VM as the platform lists it.
+    pub name: Name,
+    /// Failure domain of the VM.
+    pub domain: Name,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other entry VMs.
+    pub peers: SocketAddr,
+    /// Address for readiness, liveness, metrics and administration.
+    pub admin: SocketAddr,
+    /// Addresses of the platform's object API.
+    pub platform: Vec<SocketAddr>,
+    /// Peer addresses tried before the platform's list is known.
+    pub seeds: Vec<SocketAddr>,
+    /// File holding the secret shared by entries and stores.
+    pub secret_file: Name,
+    /// Threads that serve callers.
+    pub traffic_threads: usize,
+    /// Time the balancer needs to notice that readiness is off.
+    pub balancer_lag: Duration,
+    /// Interval of heartbeats between entries.
+    pub heartbeat: Duration,
+    /// Silence after which a peer counts as lost.
+    pub peer_timeout: Duration,
+    /// Interval of load reports asked from targets.
+    pub probe_interval: Duration,
+    /// Longest time to connect to a target.
+    pub connect_timeout: Duration,
+    /// Longest time one platform call may take.
+    pub platform_timeout: Duration,
+    /// Shards of the claim table.
+    pub claim_shards: u32,
+    /// Limits on callers.
+    pub limits: Limits,
+    /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
+    pub log_level: log::LevelFilter,
+    /// File of completed spans, one JSON line each; none when not given.
+    pub span_file: Option<Name>,
+}
+
+/// A commented example of the settings.
+pub const ENTRY_EXAMPLE: &str = include_str!("entry.example.jsonc");
+
+impl EntrySettings {
+    /// Reads settings, reporting everything that is wrong together.
+    ///
+    /// # Errors
+    /// All findings with their places.
+    pub fn read(doc: &Document) -> Result<Self, Findings> {
+        doc.read(Self::from_fields)
+    }
+
+    /// Starts a builder with defaults for everything but the names and addresses.
+    #[must_use]
+    pub fn builder(name: impl Into<Name>, domain: impl Into<Name>) -> EntrySettingsBuilder {
+        EntrySettingsBuilder::new(name.into(), domain.into())
+    }
+
+    fn from_fields(fields: &mut Fields<'_>) -> Option<Self> {
+        let name = fields.name("name");
+        let domain = fields.name("domain");
+        let listen = fields.object("listen", |f| {
+            let addresses = (f.address("callers"), f.address("peers"), f.address("admin"));
+            Some((addresses.0?, addresses.1?, addresses.2?))
+        });
+        let platform = fields.addresses("platform");
+        if platform.is_empty() {
+            fields.reject_field("platform", "expected at least one address");
+        }
+        let secret_file = fields.text("secret_file");
+        let builder = EntrySettingsBuilder::new(
+            name.clone().unwrap_or_else(|| "-".into()),
+            domain.clone().unwrap_or_else(|| "-".into()),
+        );
+        let defaults = builder.cfg;
+        let cfg = Self {
+            platform,
+            seeds: fields.addresses("seeds"),
+            traffic_threads: usize::try_from(fields.integer("traffic_threads", 1..=64, 2)).ok()?,
+            balancer_lag: fields.millis("balancer_lag_ms", 0..=600_000, defaults.balancer_lag),
+            heartbeat: fields.millis("heartbeat_ms", 50..=10_000, defaults.heartbeat),
+            peer_timeout: fields.millis("peer_timeout_ms", 200..=60_000, defaults.peer_timeout),
+            probe_interval: fields.millis("probe_ms", 50..=10_000, defaults.probe_interval),
+            connect_timeout: fields.millis("connect_ms", 10..=10_000, defaults.connect_timeout),
+            platform_timeout: fields.millis("platform_ms", 50..=60_000, defaults.platform_timeout),
+            claim_shards: u32::try_from(fields.integer("claim_shards", 1..=4096, 16)).ok()?,
+            limits: read_limits(fields),
+            log_level: read_log_level(fields),
+            span_file: fields.optional_text("span_file"),
+            ..defaults
+        };
+        if cfg.peer_timeout < cfg.heartbeat * 2 {
+            fields.reject_field("peer_timeout_ms", "expected at least twice heartbeat_ms");
+        }
+        name?;
+        domain?;
+        let (callers, peers, admin) = listen?;
+        Some(Self {
+            callers,
+            peers,
+            admin,
+            secret_file: secret_file?,
+            ..cfg
+        })
+    }
+}
+
+fn read_limits(fields: &mut Fields<'_>) -> Limits {
+    let defaults = Limits::default();
+    let read = fields.optional_object("limits", |f| {
+        let body = f.integer("body_bytes", 1024..=64 * 1024 * 1024, 4 * 1024 * 1024);
+        Some(Limits {
+            head_bytes: defaults.head_bytes,
+            body_bytes: usize::try_from(body).ok()?,
+            message_time: f.millis("message_ms", 100..=600_000, defaults.message_time),
+            idle_time: f.millis("idle_ms", 100..=3_600_000, defaults.idle_time),
+            connections: usize::try_from(f.integer("connections", 1..=1_000_000, 16_384)).ok()?,
+        })
+    });
+    read.unwrap_or_default()
+}
+
+/// Reads the optional field `log_level`.
+pub(crate) fn read_log_level(fields: &mut Fields<'_>) -> log::LevelFilter {
+    if !fields.has("log_level") {
+        return log::LevelFilter::Info;
+    }
+    let level = fields.parsed("log_level", "one of error, warn, info, debug, trace");
+    level.unwrap_or(log::LevelFilter::Info)
+}
+
+/// Builds [`EntrySettings`].
+#[derive(Clone, Debug)]
+pub struct EntrySettingsBuilder {
+    cfg: EntrySettings,
+}
+
+impl EntrySettingsBuilder {
+    fn new(name: Name, domain: Name) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            cfg: EntrySettings {
+                name,
+                domain,
+                callers: any,
+                peers: any,
+                admin: any,
+                platform: Vec::new(),
+                seeds: Vec::new(),
+                secret_file: "".into(),
+                traffic_threads: 2,
+                balancer_lag: Duration::from_secs(5),
+                heartbeat: Duration::from_millis(500),
+                peer_timeout: Duration::from_secs(2),
+                probe_interval: Duration::from_millis(250),
+                connect_timeout: Duration::from_millis(500),
+                platform_timeout: Duration::from_secs(2),
+                claim_shards: 16,
+                limits: Limits::default(),
+                log_level: log::LevelFilter::Info,
+                span_file: None,
+            },
+        }
+    }
+
+    /// Sets the three listening addresses.
+    #[must_use]
+    pub fn listen(mut self, callers: SocketAddr, peers: SocketAddr, admin: SocketAddr) -> Self {
+        self.cfg.callers = callers;
+        self.cfg.peers = peers;
+        self.cfg.admin = admin;
+        self
+    }
+
+    /// Adds an address of the platform.
+    #[must_use]
+    pub fn platform(mut self, addr: SocketAddr) -> Self {
+        self.cfg.platform.push(addr);
+        self
+    }
+
+    /// Adds a peer to try at the start.
+    #[must_use]
+    pub fn seed(mut self, addr: SocketAddr) -> Self {
+        self.cfg.seeds.push(addr);
+        self
+    }
+
+    /// Sets the file of the shared secret.
+    #[must_use]
+    pub fn secret_file(mut self, path: impl Into<Name>) -> Self {
+        self.cfg.secret_file = path.into();
+        self
+    }
+
+    /// Sets the balancer's lag.
+    #[must_use]
+    pub fn balancer_lag(mut self, lag: Duration) -> Self {
+        self.cfg.balancer_lag = lag;
+        self
+    }
+
+    /// Sets the number of traffic threads.
+    #[must_use]
+    pub fn traffic_threads(mut self, threads: usize) -> Self {
+        self.cfg.traffic_threads = threads;
+        self
+    }
+
+    /// Finishes the settings.
+    #[must_use]
+    pub fn build(self) -> EntrySettings {
+        self.cfg
+    }
+}
--- /dev/null
+++ b/src/settings/fields.rs
@@ -0,0 +1,346 @@
+//! Typed reading of one object of a document.
+
+use std::collections::HashSet;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::time::Duration;
+
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::{Range, Ranged};
+
+use crate::prelude::*;
+use crate::settings::Document;
+
+/// Longest accepted name, in bytes.
+const MAX_NAME: usize = 128;
+
+/// The fields of one object; each getter records what is wrong with its field.
+#[derive(Debug)]
+pub struct Fields<'a> {
+    doc: &'a Document,
+    object: &'a Object<'a>,
+    path: String,
+    seen: HashSet<&'a str>,
+}
+
+impl<'a> Fields<'a> {
+    pub(crate) fn new(doc: &'a Document, object: &'a Object<'a>, path: String) -> Self {
+        let fields = Self {
+            doc,
+            object,
+            path,
+            seen: HashSet::new(),
+        };
+        fields.report_duplicates();
+        fields
+    }
+
+    fn report_duplicates(&self) {
+        let mut names = HashSet::new();
+        for prop in &self.object.properties {
+            if !names.insert(prop.name.as_str()) {
+                let path = self.path_of(prop.name.as_str());
+                self.doc.report(prop.name.range(), &path, "key given twice");
+            }
+        }
+    }
+
+    /// Reports every key that no getter asked for.
+    pub fn finish(&self) {
+        for prop in &self.object.properties {
+            let name = prop.name.as_str();
+            if !self.seen.contains(name) {
+                let detail = "unknown key";
+                self.doc
+                    .report(prop.name.range(), &self.path_of(name), detail);
+            }
+        }
+    }
+
+    /// Reports a finding about the whole object.
+    pub fn reject(&self, detail: impl Into<String>) {
+        self.doc.report(self.object.range, &self.path, detail);
+    }
+
+    /// Reports a finding about the field `key`, or about the object when the field is missing.
+    pub fn reject_field(&self, key: &str, detail: impl Into<String>) {
+        let prop = self.object.get(key);
+        let range = prop.map_or(self.object.range, |p| p.value.range());
+        self.doc.report(range, &self.path_of(key), detail);
+    }
+
+    /// Tells whether `key` is given.
+    #[must_use]
+    pub fn has(&self, key: &str) -> bool {
+        self.object.get(key).is_some()
+    }
+
+    /// Names of all keys, in order.
+    #[must_use]
+    pub fn keys(&self) -> Vec<Name> {
+        let props = self.object.properties.iter();
+        props.map(|p| Name::from(p.name.as_str())).collect()
+    }
+
+    /// A required name of 1 to 128 letters, digits, `-`, `_`, `.`.
+    pub fn name(&mut self, key: &'a str) -> Option<Name> {
+        let (text, range) = self.required(key).and_then(|v| self.text_of(key, v))?;
+        if is_name(&text) {
+            return Some(text.into());
+        }
+        let detail = "expected 1 to 128 letters, digits, '-', '_' or '.'";
+        self.doc.report(range, &self.path_of(key), detail);
+        None
+    }
+
+    /// A required text.
+    pub fn text(&mut self, key: &'a str) -> Option<Name> {
+        let value = self.required(key)?;
+        self.text_of(key, value).map(|(text, _)| text.into())
+    }
+
+    /// An optional text.
+    pub fn optional_text(&mut self, key: &'a str) -> Option<Name> {
+        let value = self.optional(key)?;
+        self.text_of(key, value).map(|(text, _)| text.into())
+    }
+
+    /// A required text parsed by [`FromStr`]; `expected` says what would be right.
+    pub fn parsed<T: FromStr>(&mut self, key: &'a str, expected: &str) -> Option<T> {
+        let (text, range) = self.required(key).and_then(|v| self.text_of(key, v))?;
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            let detail = format!("{text:?} is not {expected}");
+            self.doc.report(range, &self.path_of(key), detail);
+        }
+        parsed
+    }
+
+    /// A required address of the form `ip:port`.
+    pub fn address(&mut self, key: &'a str) -> Option<SocketAddr> {
+        self.parsed(key, "an address of the form IP:PORT")
+    }
+
+    /// A list of addresses, empty when not given.
+    pub fn addresses(&mut self, key: &'a str) -> Vec<SocketAddr> {
+        self.parsed_list(key, "an address of the form IP:PORT")
+    }
+
+    /// A list of texts parsed by [`FromStr`], empty when not given.
+    pub fn parsed_list<T: FromStr>(&mut self, key: &'a str, expected: &str) -> Vec<T> {
+        let path = self.path_of(key);
+        let Some(value) = self.optional(key) else {
+            return Vec::new();
+        };
+        let Value::Array(list) = value else {
+            self.doc.report(value.range(), &path, "expected a list");
+            return Vec::new();
+        };
+        let mut out = Vec::new();
+        for (n, item) in list.elements.iter().enumerate() {
+            let path = format!("{path}[{n}]");
+            let text = item.as_string_lit().map(|s| s.value.to_string());
+            match text.as_deref().map(str::parse) {
+                Some(Ok(parsed)) => out.push(parsed),
+                _ => self
+                    .doc
+                    .report(item.range(), &path, format!("expected {expected}")),
+            }
+        }
+        out
+    }
+
+    /// A whole number within `range`; `default` when not given.
+    pub fn integer(&mut self, key: &'a str, range: RangeInclusive<u64>, default: u64) -> u64 {
+        self.number_in(key, range, "a whole number")
+            .unwrap_or(default)
+    }
+
+    /// A required whole number within `range`.
+    pub fn required_integer(&mut self, key: &'a str, range: RangeInclusive<u64>) -> Option<u64> {
+        self.required(key)?;
+        self.number_in(key, range, "a whole number")
+    }
+
+    /// A number within `range`; `default` when not given.
+    pub fn decimal(&mut self, key: &'a str, range: RangeInclusive<f64>, default: f64) -> f64 {
+        self.number_in(key, range, "a number").unwrap_or(default)
+    }
+
+    /// A whole number of milliseconds within `range`; `default` when not given.
+    pub fn millis(
+        &mut self,
+        key: &'a str,
+        range: RangeInclusive<u64>,
+        default: Duration,
+    ) -> Duration {
+        let parsed = self.number_in(key, range, "a whole number of milliseconds");
+        parsed.map_or(default, Duration::from_millis)
+    }
+
+    /// A boolean; `default` when not given.
+    pub fn boolean(&mut self, key: &'a str, default: bool) -> bool {
+        match self.optional(key) {
+            None => default,
+            Some(Value::BooleanLit(lit)) => lit.value,
+            Some(other) => {
+                let path = self.path_of(key);
+                self.doc
+                    .report(other.range(), &path, "expected true or false");
+                default
+            }
+        }
+    }
+
+    /// A required object read by `f`.
+    pub fn object<T>(
+        &mut self,
+        key: &'a str,
+        f: impl FnOnce(&mut Fields<'a>) -> Option<T>,
+    ) -> Option<T> {
+        self.required(key)?;
+        self.optional_object(key, f)
+    }
+
+    /// An optional object read by `f`.
+    pub fn optional_object<T>(
+        &mut self,
+        key: &'a str,
+        f: impl FnOnce(&mut Fields<'a>) -> Option<T>,
+    ) -> Option<T> {
+        let path = self.path_of(key);
+        let value = self.optional(key)?;
+        self.nested(value, path, f)
+    }
+
+    /// Reads each member of an optional object of objects with `f(name, fields)`.
+    pub fn each<T>(
+        &mut self,
+        key: &'a str,
+        mut f: impl FnMut(&Name, &mut Fields<'a>) -> Option<T>,
+    ) -> Vec<(Name, T)> {
+        let path = self.path_of(key);
+        let Some(value) = self.optional(key) else {
+            return Vec::new();
+        };
+        let Value::Object(object) = value else {
+            self.doc.report(value.range(), &path, "expected an object");
+            return Vec::new();
+        };
+        let members = Fields::new(self.doc, object, path);
+        let mut out = Vec::new();
+        for prop in &object.properties {
+            let name = prop.name.as_str();
+            let path = members.path_of(name);
+            if !is_name(name) {
+                self.doc
+                    .report(prop.name.range(), &path, "not a valid name");
+                continue;
+            }
+            let name = Name::from(name);
+            let read = members.nested(&prop.value, path, |fields| f(&name, fields));
+            out.extend(read.map(|value| (name, value)));
+        }
+        out
+    }
+
+    /// Reads each object of an optional list with `f`.
+    pub fn each_in_list<T>(
+        &mut self,
+        key: &'a str,
+        mut f: impl FnMut(&mut Fields<'a>) -> Option<T>,
+    ) -> Vec<T> {
+        let path = self.path_of(key);
+        let Some(value) = self.optional(key) else {
+            return Vec::new();
+        };
+        let Value::Array(list) = value else {
+            self.doc.report(value.range(), &path, "expected a list");
+            return Vec::new();
+        };
+        let mut out = Vec::new();
+        for (n, item) in list.elements.iter().enumerate() {
+            out.extend(self.nested(item, format!("{path}[{n}]"), &mut f));
+        }
+        out
+    }
+
+    fn nested<T>(
+        &self,
+        value: &'a Value<'a>,
+        path: String,
+        f: impl FnOnce(&mut Fields<'a>) -> Option<T>,
+    ) -> Option<T> {
+        let Value::Object(object) = value else {
+            self.doc.report(value.range(), &path, "expected an object");
+            return None;
+        };
+        let mut fields = Fields::new(self.doc, object, path);
+        let read = f(&mut fields);
+        fields.finish();
+        read
+    }
+
+    fn number_in<T: FromStr + PartialOrd + Display>(
+        &mut self,
+        key: &'a str,
+        range: RangeInclusive<T>,
+        what: &str,
+    ) -> Option<T> {
+        let path = self.path_of(key);
+        let value = self.optional(key)?;
+        let parsed = match value {
+            Value::NumberLit(lit) => lit.value.parse().ok().filter(|n| range.contains(n)),
+            _ => None,
+        };
+        if parsed.is_none() {
+            let detail = format!("expected {what} from {} to {}", range.start(), range.end());
+            self.doc.report(value.range(), &path, detail);
+        }
+        parsed
+    }
+
+    fn text_of(&self, key: &str, value: &'a Value<'a>) -> Option<(String, Range)> {
+        match value {
+            Value::StringLit(lit) if !lit.value.is_empty() => {
+                Some((lit.value.to_string(), lit.range))
+            }
+            other => {
+                let path = self.path_of(key);
+                self.doc
+                    .report(other.range(), &path, "expected a text that is not empty");
+                None
+            }
+        }
+    }
+
+    fn required(&mut self, key: &'a str) -> Option<&'a Value<'a>> {
+        let value = self.optional(key);
+        if value.is_none() {
+            let path = self.path_of(key);
+            self.doc.report(self.object.range, &path, "missing");
+        }
+        value
+    }
+
+    fn optional(&mut self, key: &'a str) -> Option<&'a Value<'a>> {
+        self.seen.insert(key);
+        let prop: Option<&'a ObjectProp<'a>> = self.object.get(key);
+        prop.map(|p| &p.value)
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            return key.to_owned();
+        }
+        format!("{}.{key}", self.path)
+    }
+}
+
+/// Tells whether `text` may name a customer, model, policy, service or VM.
+fn is_name(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    !text.is_empty() && text.len() <= MAX_NAME && text.bytes().all(allowed)
+}
--- /dev/null
+++ b/src/target.rs
@@ -0,0 +1,12 @@
+//! Targets: model engines and plain services, met by published protocols.
+
+mod order;
+mod protocol;
+mod report;
+
+pub use order::{Order, OrderAnswer, OrderRequest};
+pub use protocol::{
+    BlockGrant, KvPlan, KvTransfer, RAN_HEADER, REQUEST_ID_HEADER, STALE_ORDER_STATUS,
+    WEIGHTS_HEADER,
+};
+pub use report::{CacheEvent, LoadReport};
--- /dev/null
+++ b/src/target/report.rs
@@ -0,0 +1,42 @@
+//! What engines report of themselves.
+
+use serde::{Deserialize, Serialize};
+
+use crate::cache::BlockKey;
+use crate::prelude::*;
+
+/// Load of an engine or service; it lags behind the truth.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LoadReport {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub queued: u32,
+    /// Prompt tokens waiting for prefill.
+    pub queued_tokens: u64,
+    /// Requests that may run at once.
+    pub slots: u32,
+    /// Prefill speed, in tokens per second; zero when unknown.
+    pub prefill_rate: u32,
+    /// Weight versions ready to run.
+    pub weights: Vec<Name>,
+    /// Weight version being loaded.
+    pub loading: Option<Name>,
+    /// Whether the target is about to leave.
+    pub leaving: bool,
+    /// Highest fencing number accepted.
+    pub fencing: u64,
+}
+
+/// A change of an engine's prefix cache; events come late and with gaps in `seq`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CacheEvent {
+    /// Number of the event.
+    pub seq: u64,
+    /// Blocks now held.
+    pub stored: Vec<BlockKey>,
+    /// Blocks no longer held.
+    pub removed: Vec<BlockKey>,
+}
--- /dev/null
+++ b/src/telemetry/logger.rs
@@ -0,0 +1,48 @@
+//! One `key=value` line for each event.
+
+use std::borrow::Cow;
+use std::fmt::{Display, Write};
+
+use log::{Level, LevelFilter};
+
+/// Sends log lines of at least `level` to standard error.
+///
+/// # Errors
+/// When a logger was set before.
+pub fn init_log(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+    fern::Dispatch::new()
+        .format(|out, message, record| {
+            let now = std::time::SystemTime::now();
+            let since = now
+                .duration_since(std::time::UNIX_EPOCH)
+                .unwrap_or_default();
+            let level = record.level().as_str().to_ascii_lowercase();
+            let at = since.as_millis();
+            out.finish(format_args!("ts_ms={at} level={level} {message}"));
+        })
+        .level(level)
+        .chain(std::io::stderr())
+        .apply()
+}
+
+/// Logs one event with its fields; values are quoted and escaped where needed.
+pub fn event(level: Level, name: &str, fields: &[(&str, &dyn Display)]) {
+    if level > log::max_level() {
+        return;
+    }
+    let mut line = format!("event={name}");
+    for (key, value) in fields {
+        let value = value.to_string();
+        let _ = write!(line, " {key}={}", quoted(&value));
+    }
+    log::log!(level, "{line}");
+}
+
+/// Quotes a value unless it is plain; control characters are escaped, so a line stays one line.
+fn quoted(value: &str) -> Cow<'_, str> {
+    let plain = |c: char| c.is_ascii_graphic() && !matches!(c, '"' | '=' | '\\');
+    if !value.is_empty() && value.chars().all(plain) {
+        return Cow::Borrowed(value);
+    }
+    Cow::Owned(format!("{value:?}"))
+}
