--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -1,5 +1,6 @@
 //! What operators declared: customers, model versions, serving policies, services and trust.
 
+mod cell;
 mod change;
 mod customer;
 mod head;
@@ -11,6 +12,7 @@
 mod token;
 mod trust;
 
+pub use cell::CatalogCell;
 pub use change::{Change, Section};
 pub use customer::Customer;
 pub use head::{CatalogHead, InForce, SnapshotRef};
