--- a/src/catalog/cell.rs
+++ b/src/catalog/cell.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Default)]
 pub struct CatalogCell {
     current: ArcSwap<Catalog>,
-    offers: Mutex<Subscribers>,
+    subscribers: Mutex<Subscribers>,
 }
 
 #[derive(Debug, Default)]
@@ -25,8 +25,14 @@
     }
 
     /// Puts `catalog` in force if it is newer; tells whether it did.
+    ///
+    /// # Panics
+    /// When a step back got past the check, which would be a defect.
     pub fn offer(&self, catalog: &Arc<Catalog>) -> bool {
-        let mut subscribers = self.offers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut subscribers = self
+            .subscribers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         if catalog.revision <= self.current.load().revision {
             return false;
         }
@@ -41,7 +47,10 @@
     /// Receives each catalog that comes into force; a slow receiver sees only the newest.
     pub fn subscribe(&self) -> async_channel::Receiver<Arc<Catalog>> {
         let (tx, rx) = async_channel::bounded(1);
-        let mut subscribers = self.offers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut subscribers = self
+            .subscribers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         let _ = tx.force_send(self.current());
         subscribers.0.push(tx);
         rx
