Add stand-ins for platform, engine, service and network

Tests, demo and measurements need the systems around the product. Each stand-in is a library type that one process can hold many of, and a subcommand; faults are switched at its admin port.

A stand-in runs on an executor of its own, so that its crash drops every connection at once as a killed VM would. Ruled out: a shared executor, on which tasks of a crashed stand-in would live on.

--- /dev/null
+++ b/rig/src/cli.rs
@@ -0,0 +1,137 @@
+//! Command line of `guavahold-rig`.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::{
+    Engine, EngineSettings, Host, PlatformSettings, PlatformStandIn, Relay, ServiceSettings,
+    ServiceStandIn, StandIn,
+};
+
+mod flags {
+    #![allow(missing_docs, clippy::pedantic)]
+
+    use std::net::SocketAddr;
+
+    xflags::xflags! {
+        /// Stand-ins, demo and load tool for guavahold.
+        cmd guavahold-rig {
+            /// Serves the platform's object API.
+            cmd platform {
+                /// Address to listen at.
+                optional --listen listen: SocketAddr
+                /// Changes kept for watches that start in the past.
+                optional --history history: usize
+            }
+            /// Serves as a model engine.
+            cmd engine {
+                /// Address to listen at.
+                optional --listen listen: SocketAddr
+                /// Name of the VM.
+                required --name name: String
+                /// Model served.
+                required --model model: String
+                /// Weight version held.
+                required --weights weights: String
+                /// Failure domain.
+                optional --domain domain: String
+                /// Runs at once.
+                optional --slots slots: usize
+                /// Prompt tokens computed per second.
+                optional --prefill-rate rate: u32
+                /// Milliseconds for each generated token.
+                optional --token-ms token_ms: u64
+                /// Blocks in the prefix cache.
+                optional --cache-blocks blocks: usize
+                /// Bytes of one exported block.
+                optional --block-bytes bytes: usize
+                /// Milliseconds by which load reports lag.
+                optional --lag-ms lag_ms: u64
+                /// Milliseconds to load a weight version.
+                optional --load-ms load_ms: u64
+                /// Ignores fencing numbers of orders.
+                optional --ignore-fencing
+            }
+            /// Serves as a plain service.
+            cmd service {
+                /// Address to listen at.
+                optional --listen listen: SocketAddr
+                /// Name of the service.
+                required --name name: String
+                /// Milliseconds that a call takes unless it is a GET.
+                optional --write-ms write_ms: u64
+            }
+            /// Relays TCP connections.
+            cmd relay {
+                /// Address to listen at.
+                optional --listen listen: SocketAddr
+                /// Address to relay to.
+                required --to to: SocketAddr
+            }
+        }
+    }
+}
+
+use flags::GuavaholdRigCmd;
+
+/// Runs the command that the arguments name.
+///
+/// # Errors
+/// When the arguments are wrong or the command fails.
+pub fn main() -> eyre::Result<()> {
+    let flags = flags::GuavaholdRig::from_env_or_exit();
+    match flags.subcommand {
+        GuavaholdRigCmd::Platform(cmd) => {
+            let defaults = PlatformSettings::default();
+            let history = cmd.history.unwrap_or(defaults.history);
+            let platform = PlatformStandIn::new(&PlatformSettings { history });
+            serve(Host::bind(platform, listen(cmd.listen))?)
+        }
+        GuavaholdRigCmd::Engine(cmd) => {
+            let listen = listen(cmd.listen);
+            serve(Host::bind(Engine::new(engine_settings(cmd)), listen)?)
+        }
+        GuavaholdRigCmd::Service(cmd) => {
+            let mut cfg = ServiceSettings::new(cmd.name);
+            cfg.write_time = cmd.write_ms.map_or(cfg.write_time, Duration::from_millis);
+            serve(Host::bind(ServiceStandIn::new(cfg), listen(cmd.listen))?)
+        }
+        GuavaholdRigCmd::Relay(cmd) => {
+            let host = Relay::bind(listen(cmd.listen), cmd.to)?;
+            let address = host.core().forwarded();
+            serve_at(host, address)
+        }
+    }
+}
+
+fn listen(addr: Option<SocketAddr>) -> SocketAddr {
+    addr.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn engine_settings(cmd: flags::Engine) -> EngineSettings {
+    let mut cfg = EngineSettings::new(cmd.name, cmd.model, cmd.weights);
+    cfg.slots = cmd.slots.unwrap_or(cfg.slots);
+    cfg.prefill_rate = cmd.prefill_rate.unwrap_or(cfg.prefill_rate);
+    cfg.token_time = cmd.token_ms.map_or(cfg.token_time, Duration::from_millis);
+    cfg.cache_blocks = cmd.cache_blocks.unwrap_or(cfg.cache_blocks);
+    cfg.block_bytes = cmd.block_bytes.unwrap_or(cfg.block_bytes);
+    cfg.report_lag = cmd.lag_ms.map_or(cfg.report_lag, Duration::from_millis);
+    cfg.load_time = cmd.load_ms.map_or(cfg.load_time, Duration::from_millis);
+    cfg.checks_fencing = !cmd.ignore_fencing;
+    cfg
+}
+
+fn serve<T: StandIn>(host: Host<T>) -> eyre::Result<()> {
+    let address = host.address();
+    serve_at(host, address)
+}
+
+/// Tells the addresses on standard output and serves.
+fn serve_at<T: StandIn>(host: Host<T>, address: SocketAddr) -> eyre::Result<()> {
+    let mut out = std::io::stdout();
+    writeln!(out, "ready address={address} admin={}", host.admin())?;
+    out.flush()?;
+    async_io::block_on(host.run())?;
+    Ok(())
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,1 +1,19 @@
 //! Stand-ins for the systems around guavahold, a demo and a load tool.
+
+pub mod body;
+pub mod cli;
+pub mod engine;
+pub mod faults;
+pub mod gate;
+pub mod host;
+pub mod platform;
+pub mod relay;
+pub mod reply;
+pub mod service;
+
+pub use engine::{Engine, EngineSettings};
+pub use faults::{FaultBox, Faults};
+pub use host::{Host, Spawner, StandIn};
+pub use platform::{PlatformSettings, PlatformStandIn};
+pub use relay::Relay;
+pub use service::{ServiceSettings, ServiceStandIn};
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,3 +1,5 @@
 //! `guavahold-rig`: stand-ins, demo and load tool.
 
-fn main() {}
+fn main() -> eyre::Result<()> {
+    guavahold_rig::cli::main()
+}
--- /dev/null
+++ b/rig/src/platform.rs
@@ -0,0 +1,211 @@
+//! Stand-in of the platform's object API.
+
+mod objects;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_io::Timer;
+use guavahold::http::{Exchange, Reply};
+use http_types::{Method, Response, StatusCode};
+use serde_json::Value;
+
+use crate::body::channel_body;
+use crate::{FaultBox, Faults, Spawner, StandIn, reply};
+
+pub use objects::{ApiError, Change, Objects};
+
+/// Start of every path.
+const BASE: &str = "/apis/guavahold.dev/v1/";
+/// Interval of the bookmarks that each watch receives.
+const BOOKMARK_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest value, in bytes.
+const MAX_VALUE: usize = 1024 * 1024;
+
+/// Settings of a [`PlatformStandIn`].
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// Changes kept for watches that start in the past.
+    pub history: usize,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self { history: 4096 }
+    }
+}
+
+#[derive(Debug)]
+struct Watcher {
+    kind: String,
+    name: Option<String>,
+    tx: async_channel::Sender<Vec<u8>>,
+}
+
+/// The platform.
+#[derive(Debug)]
+pub struct PlatformStandIn {
+    faults: FaultBox,
+    objects: Mutex<Objects>,
+    watchers: Mutex<Vec<Watcher>>,
+    calls: Mutex<BTreeMap<String, u64>>,
+}
+
+impl PlatformStandIn {
+    /// Makes an empty platform.
+    #[must_use]
+    pub fn new(cfg: &PlatformSettings) -> Self {
+        Self {
+            faults: FaultBox::default(),
+            objects: Mutex::new(Objects::new(cfg.history)),
+            watchers: Mutex::default(),
+            calls: Mutex::default(),
+        }
+    }
+
+    /// Calls so far by `kind verb`.
+    #[must_use]
+    pub fn calls(&self) -> BTreeMap<String, u64> {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.clone()
+    }
+
+    fn count(&self, kind: &str, verb: &str) {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        *calls.entry(format!("{kind} {verb}")).or_default() += 1;
+    }
+
+    /// Applies a write and tells the watches, in one step so that no watch misses it.
+    fn write(
+        &self,
+        change: impl FnOnce(&mut Objects) -> Result<Change, ApiError>,
+    ) -> Result<Value, ApiError> {
+        let mut objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
+        let change = change(&mut objects)?;
+        let line = change.line();
+        let mut watchers = self.watchers.lock().unwrap_or_else(PoisonError::into_inner);
+        watchers.retain(|w| {
+            let name = w.name.as_ref().is_none_or(|n| *n == change.name);
+            let fits = w.kind == change.kind && name;
+            !w.tx.is_closed() && (!fits || w.tx.try_send(line.clone()).is_ok())
+        });
+        Ok(change.object)
+    }
+
+    fn watch(&self, kind: &str, name: Option<String>, from: u64) -> Response {
+        let objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(past) = objects.since(kind, from) else {
+            return reply::message(StatusCode::Gone, "the version is too old");
+        };
+        let (tx, rx) = async_channel::unbounded();
+        for change in past {
+            if name.as_ref().is_none_or(|n| *n == change.name) {
+                let _ = tx.try_send(change.line());
+            }
+        }
+        let _ = tx.try_send(objects.bookmark());
+        let watcher = Watcher {
+            kind: kind.to_owned(),
+            name,
+            tx,
+        };
+        let mut watchers = self.watchers.lock().unwrap_or_else(PoisonError::into_inner);
+        watchers.push(watcher);
+        reply::stream("application/json", channel_body(rx))
+    }
+
+    fn answer(&self, exchange: &Exchange) -> Response {
+        let url = exchange.req.url();
+        let Some(path) = url.path().strip_prefix(BASE) else {
+            return reply::message(StatusCode::NotFound, "no such path");
+        };
+        let query: BTreeMap<String, String> = url.query_pairs().into_owned().collect();
+        let version = query.get("resourceVersion").map(String::as_str);
+        let (kind, name) = match path.split_once('/') {
+            Some((kind, name)) => (kind, Some(name)),
+            None => (path, None),
+        };
+        if exchange.body.len() > MAX_VALUE {
+            return reply::message(StatusCode::PayloadTooLarge, "value over a megabyte");
+        }
+        let body = serde_json::from_slice::<Value>(&exchange.body).unwrap_or(Value::Null);
+        let watch = query.get("watch").is_some_and(|w| w == "true");
+        let verb = verb(exchange.req.method(), name, watch);
+        self.count(kind, verb);
+        let lock = || self.objects.lock().unwrap_or_else(PoisonError::into_inner);
+        let done = match (verb, name) {
+            ("watch", _) => {
+                let from = version.and_then(|v| v.parse().ok()).unwrap_or(0);
+                return self.watch(kind, query.get("name").cloned(), from);
+            }
+            ("get", Some(name)) => lock().get(kind, name),
+            ("list", _) => Ok(lock().list(kind)),
+            ("create", _) => self.write(|o| o.create(kind, &body)),
+            ("update", Some(name)) => self.write(|o| o.update(kind, name, &body)),
+            ("delete", Some(name)) => self.write(|o| o.delete(kind, name, version)),
+            _ => Err(ApiError::BadRequest),
+        };
+        match done {
+            Ok(value) if verb == "create" => reply::json(StatusCode::Created, &value),
+            Ok(value) => reply::json(StatusCode::Ok, &value),
+            Err(err) => reply::message(err.status(), &format!("{err:?}")),
+        }
+    }
+}
+
+fn verb(method: Method, name: Option<&str>, watch: bool) -> &'static str {
+    match (method, name) {
+        (Method::Get, None) if watch => "watch",
+        (Method::Get, None) => "list",
+        (Method::Get, Some(_)) => "get",
+        (Method::Post, _) => "create",
+        (Method::Put, _) => "update",
+        (Method::Delete, _) => "delete",
+        _ => "other",
+    }
+}
+
+impl StandIn for PlatformStandIn {
+    fn serve(self: Arc<Self>, exchange: Exchange, _faults: Faults) -> Reply {
+        Box::pin(async move { self.answer(&exchange) })
+    }
+
+    fn administer(&self, exchange: &Exchange) -> Response {
+        match (exchange.req.url().path(), exchange.req.method()) {
+            ("/calls", Method::Delete) => {
+                let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+                let old = std::mem::take(&mut *calls);
+                reply::json(StatusCode::Ok, &old)
+            }
+            ("/calls", _) => reply::json(StatusCode::Ok, &self.calls()),
+            ("/drop-watches", _) => {
+                let mut watchers = self.watchers.lock().unwrap_or_else(PoisonError::into_inner);
+                watchers.clear();
+                reply::message(StatusCode::Ok, "watches closed")
+            }
+            _ => reply::message(StatusCode::NotFound, "no such path"),
+        }
+    }
+
+    fn faults(&self) -> &FaultBox {
+        &self.faults
+    }
+
+    fn start(self: Arc<Self>, spawner: Spawner) {
+        let this = Arc::downgrade(&self);
+        spawner.spawn(async move {
+            loop {
+                Timer::after(BOOKMARK_INTERVAL).await;
+                let Some(this) = this.upgrade() else { return };
+                if this.faults.get().freeze {
+                    continue;
+                }
+                let objects = this.objects.lock().unwrap_or_else(PoisonError::into_inner);
+                let line = objects.bookmark();
+                let mut watchers = this.watchers.lock().unwrap_or_else(PoisonError::into_inner);
+                watchers.retain(|w| w.tx.try_send(line.clone()).is_ok());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/rig/tests/stand_ins.rs
@@ -0,0 +1,286 @@
+//! The stand-ins answer as their protocols say.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::{FutureExt, StreamExt};
+use guavahold::http::{Answer, EventParser, ExchangeError, Pool};
+use guavahold::platform::{Object, Platform, PlatformError, RemotePlatform, Version, WatchEvent};
+use guavahold_rig::engine::answer_words;
+use guavahold_rig::relay::RelayState;
+use guavahold_rig::{
+    Engine, EngineSettings, Faults, Host, PlatformSettings, PlatformStandIn, Relay,
+    ServiceSettings, ServiceStandIn, StandIn,
+};
+use http_types::{Method, Request, Url};
+use serde_json::{Value, json};
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Runs `test` against a stand-in that serves beside it.
+fn beside<T: StandIn, F: Future<Output = ()>>(core: T, test: impl FnOnce(SocketAddr, Arc<T>) -> F) {
+    let host = Host::bind(core, ANY).unwrap();
+    let test = test(host.address(), host.core());
+    async_io::block_on(test.or(async {
+        host.run().await.unwrap();
+        std::future::pending::<()>().await;
+    }));
+}
+
+fn request(method: Method, addr: SocketAddr, path: &str, body: &Value) -> Request {
+    let url = Url::parse(&format!("http://{addr}{path}")).unwrap();
+    let mut req = Request::new(method, url);
+    if !body.is_null() {
+        req.set_body(body.to_string());
+    }
+    req
+}
+
+fn chat(addr: SocketAddr, id: &str, body: &Value) -> Request {
+    let mut req = request(Method::Post, addr, "/v1/chat/completions", body);
+    req.insert_header("x-request-id", id);
+    req.insert_header("guavahold-weights", "w1");
+    req
+}
+
+fn prompt(text: &str, stream: bool) -> Value {
+    json!({"messages": [{"role": "user", "content": text}], "max_tokens": 4, "stream": stream})
+}
+
+fn quick() -> EngineSettings {
+    EngineSettings::new("engine-1", "m", "w1").speed(2, 1_000_000, Duration::from_millis(5))
+}
+
+async fn send(addr: SocketAddr, req: Request) -> Result<Answer, ExchangeError> {
+    Pool::new(TIMEOUT).send_fresh(addr, req).await
+}
+
+async fn events(mut answer: Answer) -> (Vec<String>, bool) {
+    let (mut parser, mut out, mut buf) = (EventParser::default(), Vec::new(), [0; 4096]);
+    let clean = loop {
+        match answer.read(&mut buf).await {
+            Ok(0) => break true,
+            Ok(n) => parser.feed(&buf[..n], &mut out),
+            Err(_) => break false,
+        }
+    };
+    (out.into_iter().map(|e| e.data).collect(), clean)
+}
+
+fn text_of(events: &[String]) -> String {
+    let words = events.iter().map(|e| {
+        let event: Value = serde_json::from_str(e).unwrap_or_default();
+        let word = event["choices"][0]["delta"]["content"].as_str();
+        word.unwrap_or_default().to_owned()
+    });
+    words.collect()
+}
+
+#[test]
+fn engine_answers_plain_and_streamed() {
+    beside(Engine::new(quick()), |addr, _| async move {
+        let expected = answer_words("w1", "user\nhello\n", 4).concat();
+        let mut answer = send(addr, chat(addr, "r1", &prompt("hello", false)))
+            .await
+            .unwrap();
+        assert_eq!(answer.header("x-request-id"), Some("r1"));
+        assert_eq!(answer.header("guavahold-weights"), Some("w1"));
+        let body: Value = serde_json::from_slice(&answer.bytes(65536).await.unwrap()).unwrap();
+        let text = body["choices"][0]["message"]["content"].as_str().unwrap();
+        assert_eq!(text, expected.trim_end());
+        let answer = send(addr, chat(addr, "r2", &prompt("hello", true)))
+            .await
+            .unwrap();
+        let (events, clean) = events(answer).await;
+        assert!(clean);
+        assert_eq!(events.last().unwrap(), "[DONE]");
+        assert_eq!(text_of(&events), expected);
+    });
+}
+
+#[test]
+fn engine_resumes_run_after_lost_connection() {
+    beside(Engine::new(quick()), |addr, core| async move {
+        let faults = Faults {
+            close_after: Some(300),
+            next: Some(1),
+            ..Faults::default()
+        };
+        core.faults().set(faults);
+        let answer = send(addr, chat(addr, "r1", &prompt("hello", true)))
+            .await
+            .unwrap();
+        let (_, clean) = events(answer).await;
+        assert!(!clean);
+        let req = request(Method::Get, addr, "/v1/runs/r1?from=1", &Value::Null);
+        let (events, clean) = events(send(addr, req).await.unwrap()).await;
+        assert!(clean);
+        let expected = answer_words("w1", "user\nhello\n", 4)[1..].concat();
+        assert_eq!(text_of(&events), expected);
+        assert_eq!(core.stats().runs, 1);
+    });
+}
+
+#[test]
+fn engine_reuses_cached_blocks() {
+    beside(Engine::new(quick()), |addr, core| async move {
+        let text = "x".repeat(5000);
+        let key = blake3::hash(b"block").to_hex().to_string();
+        let mut body = prompt(&text, false);
+        body["kv"] = json!({"block_tokens": 1024, "keys": [key]});
+        for cached in [0, 1024] {
+            let mut answer = send(addr, chat(addr, "r", &body)).await.unwrap();
+            let body: Value = serde_json::from_slice(&answer.bytes(65536).await.unwrap()).unwrap();
+            let seen = &body["usage"]["prompt_tokens_details"]["cached_tokens"];
+            assert_eq!(seen, &json!(cached));
+        }
+        assert_eq!(core.stats().runs, 2);
+    });
+}
+
+#[test]
+fn engine_refuses_stale_order() {
+    beside(Engine::new(quick()), |addr, core| async move {
+        let order = |fencing| {
+            let order = json!({"do": "load", "weights": "w2"});
+            let body = json!({"fencing": fencing, "issuer": "e", "order": order});
+            request(Method::Post, addr, "/orders", &body)
+        };
+        let status = send(addr, order(2)).await.unwrap().res.status();
+        assert_eq!(u16::from(status), 200);
+        let status = send(addr, order(1)).await.unwrap().res.status();
+        assert_eq!(u16::from(status), 412);
+        assert_eq!(core.stats().stale_orders, 1);
+    });
+}
+
+#[test]
+fn engine_crashes_on_text() {
+    let host = Host::bind(Engine::new(quick()), ANY).unwrap();
+    let (addr, core) = (host.address(), host.core());
+    let faults = Faults {
+        crash_on: Some("poison".into()),
+        ..Faults::default()
+    };
+    core.faults().set(faults);
+    let client = std::thread::spawn(move || {
+        let sent = async_io::block_on(send(addr, chat(addr, "r", &prompt("poison", false))));
+        assert!(sent.is_err());
+    });
+    async_io::block_on(host.run()).unwrap();
+    client.join().unwrap();
+    assert!(std::net::TcpStream::connect(addr).is_err());
+}
+
+#[test]
+fn platform_refuses_old_version_and_tells_watches() {
+    let core = PlatformStandIn::new(&PlatformSettings { history: 2 });
+    beside(core, |addr, core| async move {
+        let platform = RemotePlatform::new(vec![addr], TIMEOUT);
+        let made = platform
+            .create(Object::new("vms", "a", json!(1)))
+            .await
+            .unwrap();
+        let taken = platform.create(Object::new("vms", "a", json!(1))).await;
+        assert_eq!(taken, Err(PlatformError::Conflict));
+        let mut watch = platform
+            .watch("vms", None, made.version.clone())
+            .await
+            .unwrap();
+        let put = Object {
+            spec: json!(2),
+            ..made.clone()
+        };
+        let second = platform.update(put.clone()).await.unwrap();
+        assert_eq!(platform.update(put).await, Err(PlatformError::Conflict));
+        let event = loop {
+            match watch.next().await.unwrap().unwrap() {
+                WatchEvent::Bookmark(_) => {}
+                other => break other,
+            }
+        };
+        assert_eq!(event, WatchEvent::Put(second.clone()));
+        platform.delete("vms", "a", second.version).await.unwrap();
+        assert_eq!(platform.get("vms", "a").await, Ok(None));
+        platform
+            .create(Object::new("vms", "b", json!(1)))
+            .await
+            .unwrap();
+        let old = platform.watch("vms", None, Version("1".into())).await;
+        assert_eq!(old.err(), Some(PlatformError::Expired));
+        assert_eq!(core.calls()["vms update"], 2);
+    });
+}
+
+#[test]
+fn platform_loses_answer_after_effect() {
+    let core = PlatformStandIn::new(&PlatformSettings::default());
+    beside(core, |addr, core| async move {
+        let platform = RemotePlatform::new(vec![addr], TIMEOUT);
+        let faults = Faults {
+            drop_answer: true,
+            next: Some(1),
+            ..Faults::default()
+        };
+        core.faults().set(faults);
+        let lost = platform.create(Object::new("vms", "a", json!(1))).await;
+        assert!(lost.is_err_and(|e| e.may_have_written()));
+        assert!(platform.get("vms", "a").await.unwrap().is_some());
+    });
+}
+
+#[test]
+fn service_counts_runs_by_key() {
+    beside(
+        ServiceStandIn::new(ServiceSettings::new("s")),
+        |addr, core| async move {
+            for _ in 0..2 {
+                let mut req = request(Method::Post, addr, "/bookings", &json!({"chair": 1}));
+                req.insert_header("idempotency-key", "k1");
+                send(addr, req).await.unwrap();
+            }
+            let counts = core.counts();
+            assert_eq!(counts.by_key["k1"], 2);
+            assert_eq!(counts.by_body["{\"chair\":1}"], 2);
+        },
+    );
+}
+
+#[test]
+fn relay_silences_open_connections_only() {
+    beside(
+        ServiceStandIn::new(ServiceSettings::new("s")),
+        |addr, _| async move {
+            let host = Relay::bind(ANY, addr).unwrap();
+            let (via, core) = (host.core().forwarded(), host.core());
+            let test = async move {
+                let pool = Pool::new(TIMEOUT);
+                let get = || request(Method::Get, via, "/load", &Value::Null);
+                pool.fetch(via, get(), 65536).await.unwrap();
+                core.set(RelayState {
+                    silence_open: true,
+                    ..RelayState::default()
+                });
+                let old = async { pool.fetch(via, get(), 65536).await.is_ok() };
+                let late = async {
+                    async_io::Timer::after(Duration::from_millis(200)).await;
+                    false
+                };
+                assert!(!old.or(late).await);
+                assert!(pool.send_fresh(via, get()).await.is_ok());
+                core.set(RelayState {
+                    cut: true,
+                    ..RelayState::default()
+                });
+                assert!(pool.send_fresh(via, get()).await.is_err());
+            };
+            test.or(async {
+                host.run().await.unwrap();
+                std::future::pending::<()>().await;
+            })
+            .await;
+        },
+    );
+}
