--- a/src/cache/secret.rs
+++ b/src/cache/secret.rs
@@ -3,8 +3,13 @@
 use std::fmt;
 use std::io;
 
+use crate::cache::BlockKey;
+use crate::prelude::*;
+
 /// Shortest accepted secret, in bytes.
 const MIN_BYTES: usize = 32;
+/// Hexadecimal digits of a run's code: 128 bits.
+const RUN_CODE_DIGITS: usize = 32;
 
 /// Keys derived from the shared secret (BLAKE3 key derivation).
 #[derive(Clone)]
@@ -12,6 +17,7 @@
     blocks: [u8; 32],
     tickets: [u8; 32],
     peers: [u8; 32],
+    runs: [u8; 32],
 }
 
 impl fmt::Debug for Secret {
@@ -28,6 +34,7 @@
             blocks: blake3::derive_key("guavahold 2026 block keys", bytes),
             tickets: blake3::derive_key("guavahold 2026 store tickets", bytes),
             peers: blake3::derive_key("guavahold 2026 peer handshake", bytes),
+            runs: blake3::derive_key("guavahold 2026 run ids", bytes),
         }
     }
 
@@ -63,4 +70,16 @@
         hasher.update(name.as_bytes());
         hasher.finalize().to_hex().to_string()
     }
+
+    /// Code that binds the parts of a run's identity to each other and to a request's fingerprint.
+    #[must_use]
+    pub fn run_code(&self, parts: &[&str], fingerprint: &BlockKey) -> Name {
+        let mut hasher = blake3::Hasher::new_keyed(&self.runs);
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(fingerprint.as_bytes());
+        hasher.finalize().to_hex().as_str()[..RUN_CODE_DIGITS].into()
+    }
 }
--- /dev/null
+++ b/src/caller.rs
@@ -0,0 +1,26 @@
+//! Callers' requests, from their checks to the relayed answer.
+
+mod attempt;
+mod chat;
+mod claimed;
+mod directory;
+mod engine_stream;
+mod event_id;
+mod handler;
+mod plan;
+mod queue;
+mod relay;
+mod service;
+mod shared;
+mod targets;
+mod work;
+
+pub use chat::ChatRequest;
+pub use directory::Directory;
+pub use event_id::EventId;
+pub use handler::CallerHandler;
+pub use plan::{StoreList, StorePeer};
+pub use queue::{DeskQueue, Waiter};
+pub use shared::Shared;
+pub use targets::{TargetState, TargetView};
+pub use work::{RunId, Work, WorkKind};
--- /dev/null
+++ b/src/caller/claimed.rs
@@ -0,0 +1,209 @@
+//! Serves non-idempotent requests: a claim is committed before the one dispatch.
+
+use http_types::{Response, StatusCode};
+use uuid::Uuid;
+
+use crate::caller::attempt::{Attempt, Started, WholeAnswer, start};
+use crate::caller::handler::{arrival_of, refusal_problem};
+use crate::caller::relay::Relay;
+use crate::caller::service::{event_id, whole_response};
+use crate::caller::{RunId, Shared, Waiter, Work};
+use crate::claim::{Claim, ClaimError, ClaimKey, ClaimOutcome, ClaimRequest, ClaimVerdict};
+use crate::decide::{AttemptOutcome, Effect};
+use crate::http::{Problem, RunState};
+use crate::prelude::*;
+
+/// When to ask again for the outcome of a request in progress.
+const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
+
+/// Serves a request that runs at most once; it is carried through even if its caller leaves.
+pub(crate) async fn serve_claimed(
+    shared: &Arc<Shared>,
+    work: Arc<Work>,
+    key: Uuid,
+) -> Result<Response, Problem> {
+    let (tx, rx) = async_channel::bounded(1);
+    let task = {
+        let shared = shared.clone();
+        async move {
+            let res = run(&shared, &work, key).await;
+            let _ = tx.send(res).await;
+        }
+    };
+    shared.executor.spawn(task).detach();
+    rx.recv().await.unwrap_or_else(|_| Err(outcome_unknown()))
+}
+
+async fn run(shared: &Arc<Shared>, work: &Arc<Work>, key: Uuid) -> Result<Response, Problem> {
+    let req = ClaimRequest {
+        key: ClaimKey {
+            customer: work.customer.clone(),
+            key,
+        },
+        digest: work.fingerprint.to_string().into(),
+        retention: Duration::from_secs(work.policy.retention_s),
+    };
+    let verdict = {
+        let _span = shared.spans.start(&work.trace, "claim");
+        shared.claims.claim(req).await.map_err(|err| claim_problem(&err))?
+    };
+    match verdict {
+        ClaimVerdict::Granted(claim) => dispatch(shared, work, claim).await,
+        ClaimVerdict::InProgress => Err(in_progress()),
+        ClaimVerdict::Settled(outcome) => replay(outcome),
+        ClaimVerdict::Mismatch => Err(Problem::not_run(
+            StatusCode::UnprocessableEntity,
+            "key-mismatch",
+            "the idempotency key belongs to another request",
+        )),
+        ClaimVerdict::OutOfWindow => Err(Problem::not_run(
+            StatusCode::BadRequest,
+            "key-out-of-window",
+            "the idempotency key's own time is too old or too far ahead",
+        )),
+    }
+}
+
+/// Dispatches a claimed request; after a hand-over it is never sent again.
+async fn dispatch(
+    shared: &Arc<Shared>,
+    work: &Arc<Work>,
+    claim: Claim,
+) -> Result<Response, Problem> {
+    if work.time_left().is_zero() {
+        release(shared, claim);
+        let detail = "the policy's total deadline passed before the dispatch";
+        return Err(Problem::not_run(
+            StatusCode::GatewayTimeout,
+            "deadline-passed",
+            detail,
+        ));
+    }
+    let waiter = shared.desk.arrive(arrival_of(shared, work));
+    loop {
+        let attempt = match waiter.next().await {
+            Effect::Refuse { refusal, .. } => {
+                assert_eq!(refusal.run(), RunState::NotRun, "refused after a hand-over");
+                waiter.finish();
+                release(shared, claim);
+                return Err(refusal_problem(&refusal));
+            }
+            Effect::Dispatch {
+                attempt,
+                target,
+                address,
+                weights,
+                ..
+            } => Attempt {
+                number: attempt,
+                target,
+                address,
+                weights,
+                run: RunId::random(),
+            },
+            _ => continue,
+        };
+        match start(shared, work, &attempt).await {
+            Ok(started) => return Ok(answered(shared, work, claim, waiter, &attempt, started)),
+            Err(outcome @ (AttemptOutcome::NotSent | AttemptOutcome::Refused { .. })) => {
+                waiter.ended(attempt.number, outcome);
+            }
+            Err(outcome) => {
+                waiter.ended(attempt.number, outcome);
+                waiter.finish();
+                settle(shared, claim, ClaimOutcome::Unknown);
+                return Err(outcome_unknown());
+            }
+        }
+    }
+}
+
+fn answered(
+    shared: &Arc<Shared>,
+    work: &Arc<Work>,
+    claim: Claim,
+    waiter: Waiter,
+    attempt: &Attempt,
+    started: Started,
+) -> Response {
+    waiter.first_token(attempt.number);
+    match started {
+        Started::Whole(whole) => {
+            waiter.ended(attempt.number, AttemptOutcome::Done);
+            waiter.finish();
+            settle(shared, claim, outcome_of(&whole));
+            whole_response(whole, attempt)
+        }
+        Started::Stream(stream) => Relay {
+            id: event_id(shared, work, attempt),
+            shared: shared.clone(),
+            stream: *stream,
+            trace: work.trace,
+            waiter: Some((waiter, attempt.number)),
+            claim: Some(claim),
+        }
+        .respond(),
+    }
+}
+
+fn outcome_of(whole: &WholeAnswer) -> ClaimOutcome {
+    ClaimOutcome::Answered {
+        status: whole.status.into(),
+        content_type: whole.content_type.clone(),
+        body: String::from_utf8(whole.body.clone()).ok(),
+    }
+}
+
+fn settle(shared: &Shared, claim: Claim, outcome: ClaimOutcome) {
+    let settled = shared.claims.settle(claim, outcome);
+    shared.executor.spawn(settled).detach();
+}
+
+fn release(shared: &Shared, claim: Claim) {
+    let released = shared.claims.release(claim);
+    shared.executor.spawn(released).detach();
+}
+
+/// Answers a repeated request with the outcome of the first.
+fn replay(outcome: ClaimOutcome) -> Result<Response, Problem> {
+    match outcome {
+        ClaimOutcome::Answered {
+            status,
+            content_type,
+            body: Some(body),
+        } => {
+            let status = StatusCode::try_from(status).unwrap_or(StatusCode::Ok);
+            let mut res = Response::new(status);
+            res.set_body(body);
+            res.insert_header("content-type", &*content_type);
+            res.insert_header("guavahold-replayed", "true");
+            Ok(res)
+        }
+        ClaimOutcome::Answered { .. } => {
+            let detail = "the request was run before; its answer was not kept";
+            let problem = Problem::not_run(StatusCode::Conflict, "already-ran", detail);
+            Err(problem.with_run(RunState::Ran))
+        }
+        ClaimOutcome::Unknown => Err(outcome_unknown()),
+    }
+}
+
+fn in_progress() -> Problem {
+    let detail = "another attempt with this idempotency key is in progress";
+    Problem::not_run(StatusCode::Conflict, "in-progress", detail)
+        .with_run(RunState::Unknown)
+        .with_retry_after(IN_PROGRESS_RETRY)
+}
+
+fn outcome_unknown() -> Problem {
+    let detail = "the target received the request and gave no whole answer; it is not sent again";
+    Problem::not_run(StatusCode::BadGateway, "outcome-unknown", detail)
+        .with_run(RunState::Unknown)
+}
+
+fn claim_problem(err: &ClaimError) -> Problem {
+    let (ClaimError::PlatformDown { retry_after } | ClaimError::Overloaded { retry_after }) = err;
+    let detail = format!("this attempt was not run: {err}; repeat it with the same key");
+    Problem::not_run(StatusCode::ServiceUnavailable, "claim-unavailable", detail)
+        .with_retry_after(*retry_after)
+}
--- /dev/null
+++ b/src/caller/event_id.rs
@@ -0,0 +1,94 @@
+//! Ids of streamed events, by which a caller resumes at any entry.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::cache::{BlockKey, Secret};
+use crate::caller::RunId;
+use crate::prelude::*;
+
+/// Names a run, where it runs and one of its events.
+///
+/// Its text is `run~target~weights~code~number`; the code is a keyed BLAKE3 hash that also covers the
+/// customer and the request's fingerprint, so that an id is worth nothing to another customer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventId {
+    /// The run.
+    pub run: RunId,
+    /// Target that holds the run.
+    pub target: Name,
+    /// Weight version of the run.
+    pub weights: Name,
+    /// Number of the event within the run.
+    pub number: u64,
+    code: Name,
+}
+
+impl EventId {
+    /// Makes the id of a run's event number zero.
+    #[must_use]
+    pub fn new(
+        secret: &Secret,
+        customer: &str,
+        fingerprint: &BlockKey,
+        run: &RunId,
+        target: &Name,
+        weights: &Name,
+    ) -> Self {
+        Self {
+            run: run.clone(),
+            target: target.clone(),
+            weights: weights.clone(),
+            number: 0,
+            code: secret.run_code(&[customer, run.as_str(), target, weights], fingerprint),
+        }
+    }
+
+    /// Tells whether the id was issued to `customer` for a request with this fingerprint.
+    #[must_use]
+    pub fn fits(&self, secret: &Secret, customer: &str, fingerprint: &BlockKey) -> bool {
+        let parts = [customer, self.run.as_str(), &self.target, &self.weights];
+        let expected = secret.run_code(&parts, fingerprint);
+        blake3::hash(expected.as_bytes()) == blake3::hash(self.code.as_bytes())
+    }
+
+    /// The same run's event `number`.
+    #[must_use]
+    pub fn at(&self, number: u64) -> Self {
+        Self {
+            number,
+            ..self.clone()
+        }
+    }
+}
+
+impl fmt::Display for EventId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let run = self.run.as_str();
+        let Self {
+            target,
+            weights,
+            code,
+            number,
+            ..
+        } = self;
+        write!(f, "{run}~{target}~{weights}~{code}~{number}")
+    }
+}
+
+impl FromStr for EventId {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let mut parts = text.split('~');
+        let mut next = || parts.next().ok_or(());
+        let (run, target, weights, code, number) = (next()?, next()?, next()?, next()?, next()?);
+        Ok(Self {
+            run: run.parse()?,
+            target: target.into(),
+            weights: weights.into(),
+            number: number.parse().map_err(|_| ())?,
+            code: code.into(),
+        })
+    }
+}
--- /dev/null
+++ b/src/caller/relay.rs
@@ -0,0 +1,120 @@
+//! Relays a run's events to its caller.
+
+use http_types::{Response, StatusCode};
+
+use crate::caller::engine_stream::{EngineStream, StreamFault};
+use crate::caller::{EventId, Shared, Waiter};
+use crate::claim::{Claim, ClaimOutcome};
+use crate::decide::AttemptOutcome;
+use crate::http::{EventSender, Problem, RunState, SseEvent, event_body};
+use crate::prelude::*;
+use crate::target::{REQUEST_ID_HEADER, WEIGHTS_HEADER};
+use crate::telemetry::TraceContext;
+
+/// When a caller should ask again after its run broke off.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// One relayed stream.
+pub(crate) struct Relay {
+    /// Shared state.
+    pub shared: Arc<Shared>,
+    /// Events of the run.
+    pub stream: EngineStream,
+    /// Id of the run's event number zero.
+    pub id: EventId,
+    /// Trace of the request.
+    pub trace: TraceContext,
+    /// The request at the desk with the number of its attempt; none when resumed by the caller.
+    pub waiter: Option<(Waiter, u32)>,
+    /// Claim to settle at the end.
+    pub claim: Option<Claim>,
+}
+
+impl Relay {
+    /// Starts relaying and returns the response with its streamed body.
+    pub(crate) fn respond(self) -> Response {
+        let (tx, body) = event_body();
+        let mut res = Response::new(StatusCode::Ok);
+        res.set_body(body);
+        res.insert_header("content-type", "text/event-stream");
+        res.insert_header("cache-control", "no-store");
+        res.insert_header(REQUEST_ID_HEADER, self.id.run.as_str());
+        res.insert_header(WEIGHTS_HEADER, &*self.id.weights);
+        let shared = self.shared.clone();
+        shared.executor.spawn(self.run(tx)).detach();
+        res
+    }
+
+    async fn run(mut self, tx: EventSender) {
+        let _span = self.shared.spans.start(&self.trace, "relay");
+        let mut tx = Some(tx);
+        let end = loop {
+            match self.stream.next().await {
+                Ok(Some((number, event))) => {
+                    let id = self.id.at(number).to_string();
+                    let event = SseEvent {
+                        id: Some(id),
+                        ..event
+                    };
+                    if let Some(sender) = &tx
+                        && !sender.send(&event).await
+                    {
+                        tx = None;
+                    }
+                    if tx.is_none() && self.claim.is_none() {
+                        self.shared.metrics.requests.with_label_values(&["left"]).inc();
+                        return;
+                    }
+                }
+                Ok(None) => break Ok(()),
+                Err(fault) => break Err(fault),
+            }
+        };
+        self.end(end, tx).await;
+    }
+
+    async fn end(self, end: Result<(), StreamFault>, tx: Option<EventSender>) {
+        let (label, outcome) = match end {
+            Ok(()) => ("done", AttemptOutcome::Done),
+            Err(_) => ("cut-short", AttemptOutcome::CutShort),
+        };
+        self.shared.metrics.requests.with_label_values(&[label]).inc();
+        if let Some((waiter, attempt)) = self.waiter {
+            waiter.ended(attempt, outcome);
+            waiter.finish();
+        }
+        match (end, tx) {
+            (Ok(()), Some(tx)) => tx.finish().await,
+            (Err(fault), Some(tx)) => drop(tx.send(&failure(fault)).await),
+            (_, None) => {}
+        }
+        if let Some(claim) = self.claim {
+            let outcome = match end {
+                Ok(()) => ClaimOutcome::Answered {
+                    status: StatusCode::Ok.into(),
+                    content_type: "text/event-stream".into(),
+                    body: None,
+                },
+                Err(_) => ClaimOutcome::Unknown,
+            };
+            self.shared.claims.settle(claim, outcome).await;
+        }
+    }
+}
+
+/// The event that ends a broken stream; the body is then cut, so that no client takes it as whole.
+fn failure(fault: StreamFault) -> SseEvent {
+    let detail = match fault {
+        StreamFault::Gone => "the target lost the run",
+        StreamFault::Unreachable => "the target was not reached again",
+        StreamFault::Stalled => "the run made no progress",
+    };
+    let problem = Problem::not_run(StatusCode::BadGateway, "run-broken", detail)
+        .with_run(RunState::Ran)
+        .with_retry_after(RETRY_AFTER);
+    SseEvent {
+        id: None,
+        event: Some("error".into()),
+        data: problem.to_json(),
+    }
+}
--- /dev/null
+++ b/src/caller/service.rs
@@ -0,0 +1,192 @@
+//! Serves idempotent requests: attempts, hedges and retries as the desk decides.
+
+use async_executor::Task;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use http_types::{Response, StatusCode};
+
+use crate::caller::attempt::{Attempt, Started, WholeAnswer, start};
+use crate::caller::handler::{arrival_of, refusal_problem};
+use crate::caller::relay::Relay;
+use crate::caller::{EventId, RunId, Shared, Waiter, Work};
+use crate::decide::{AttemptOutcome, Effect};
+use crate::http::{Problem, RunState};
+use crate::prelude::*;
+
+type AttemptEnd = (Attempt, Result<Started, AttemptOutcome>);
+
+/// Attempts of one request that are under way.
+struct Attempts {
+    shared: Arc<Shared>,
+    work: Arc<Work>,
+    running: SmallVec<[(u32, Task<()>); 2]>,
+    tx: async_channel::Sender<AttemptEnd>,
+    rx: async_channel::Receiver<AttemptEnd>,
+    handed_over: bool,
+}
+
+/// What happens next to a request.
+enum Next {
+    Effect(Effect),
+    Ended(AttemptEnd),
+    Late,
+}
+
+/// Serves a request that may run more than once.
+pub(crate) async fn serve(shared: &Arc<Shared>, work: Arc<Work>) -> Result<Response, Problem> {
+    let admission = shared.spans.start(&work.trace, "admission");
+    let waiter = shared.desk.arrive(arrival_of(shared, &work));
+    let mut admission = Some(admission);
+    let mut attempts = Attempts::new(shared, &work);
+    loop {
+        match attempts.next(&waiter).await {
+            Next::Effect(Effect::Refuse { refusal, .. }) => {
+                waiter.finish();
+                return Err(refusal_problem(&refusal));
+            }
+            Next::Effect(Effect::Cancel { attempt, .. }) => attempts.cancel(&waiter, attempt),
+            Next::Effect(effect) => {
+                admission.take();
+                attempts.dispatch(effect);
+            }
+            Next::Ended((attempt, Ok(started))) => {
+                return Ok(attempts.answer(waiter, &attempt, started));
+            }
+            Next::Ended((attempt, Err(outcome))) => attempts.failed(&waiter, &attempt, outcome),
+            Next::Late => return Err(attempts.late()),
+        }
+    }
+}
+
+impl Attempts {
+    fn new(shared: &Arc<Shared>, work: &Arc<Work>) -> Self {
+        let (tx, rx) = async_channel::unbounded();
+        Self {
+            shared: shared.clone(),
+            work: work.clone(),
+            running: SmallVec::new(),
+            tx,
+            rx,
+            handed_over: false,
+        }
+    }
+
+    async fn next(&self, waiter: &Waiter) -> Next {
+        let effect = async { Next::Effect(waiter.next().await) };
+        let ended = async {
+            match self.rx.recv().await {
+                Ok(end) => Next::Ended(end),
+                Err(_) => std::future::pending().await,
+            }
+        };
+        let late = async {
+            Timer::after(self.work.time_left()).await;
+            Next::Late
+        };
+        effect.or(ended).or(late).await
+    }
+
+    fn dispatch(&mut self, effect: Effect) {
+        let Effect::Dispatch {
+            attempt: number,
+            target,
+            address,
+            weights,
+            ..
+        } = effect
+        else {
+            return;
+        };
+        let attempt = Attempt {
+            number,
+            target,
+            address,
+            weights,
+            run: RunId::random(),
+        };
+        let (shared, work, tx) = (self.shared.clone(), self.work.clone(), self.tx.clone());
+        let task = self.shared.executor.spawn(async move {
+            let started = start(&shared, &work, &attempt).await;
+            let _ = tx.send((attempt, started)).await;
+        });
+        self.running.push((number, task));
+        self.handed_over = true;
+    }
+
+    fn cancel(&mut self, waiter: &Waiter, attempt: u32) {
+        let before = self.running.len();
+        self.running.retain(|(number, _)| *number != attempt);
+        if self.running.len() < before {
+            waiter.ended(attempt, AttemptOutcome::Cancelled);
+        }
+    }
+
+    fn failed(&mut self, waiter: &Waiter, attempt: &Attempt, outcome: AttemptOutcome) {
+        let before = self.running.len();
+        self.running.retain(|(number, _)| *number != attempt.number);
+        if self.running.len() < before {
+            waiter.ended(attempt.number, outcome);
+        }
+    }
+
+    fn answer(mut self, waiter: Waiter, attempt: &Attempt, started: Started) -> Response {
+        waiter.first_token(attempt.number);
+        let took = self.work.arrived.elapsed();
+        self.shared.metrics.first_token.observe(took.as_secs_f64());
+        let losers: SmallVec<[u32; 2]> = self.running.iter().map(|(n, _)| *n).collect();
+        for loser in losers.into_iter().filter(|n| *n != attempt.number) {
+            self.cancel(&waiter, loser);
+        }
+        match started {
+            Started::Whole(whole) => {
+                waiter.ended(attempt.number, AttemptOutcome::Done);
+                waiter.finish();
+                whole_response(whole, attempt)
+            }
+            Started::Stream(stream) => Relay {
+                id: event_id(&self.shared, &self.work, attempt),
+                shared: self.shared,
+                stream: *stream,
+                trace: self.work.trace,
+                waiter: Some((waiter, attempt.number)),
+                claim: None,
+            }
+            .respond(),
+        }
+    }
+
+    fn late(&self) -> Problem {
+        let run = match self.handed_over {
+            true => RunState::Unknown,
+            false => RunState::NotRun,
+        };
+        let detail = "the policy's total deadline passed";
+        Problem::not_run(StatusCode::GatewayTimeout, "deadline-passed", detail)
+            .with_run(run)
+            .with_retry_after(Duration::from_secs(1))
+    }
+}
+
+/// Id of the first event of an attempt's run.
+pub(crate) fn event_id(shared: &Shared, work: &Work, attempt: &Attempt) -> EventId {
+    EventId::new(
+        &shared.secret,
+        &work.customer,
+        &work.fingerprint,
+        &attempt.run,
+        &attempt.target,
+        &attempt.weights,
+    )
+}
+
+/// Renders a plain answer.
+pub(crate) fn whole_response(whole: WholeAnswer, attempt: &Attempt) -> Response {
+    let mut res = Response::new(whole.status);
+    res.set_body(whole.body);
+    res.insert_header("content-type", &*whole.content_type);
+    res.insert_header(crate::target::REQUEST_ID_HEADER, attempt.run.as_str());
+    if !attempt.weights.is_empty() {
+        res.insert_header(crate::target::WEIGHTS_HEADER, &*attempt.weights);
+    }
+    res
+}
--- /dev/null
+++ b/src/caller/shared.rs
@@ -0,0 +1,39 @@
+//! What all traffic threads of an entry share.
+
+use arc_swap::ArcSwap;
+use async_executor::Executor;
+
+use crate::cache::{Secret, StoreClient};
+use crate::caller::{DeskQueue, Directory, StoreList, TargetView};
+use crate::claim::Claims;
+use crate::http::Pool;
+use crate::prelude::*;
+use crate::telemetry::{Metrics, SpanSink};
+
+/// State and services shared by all requests of an entry.
+pub struct Shared {
+    /// Own failure domain.
+    pub domain: Name,
+    /// Lookups of the catalog in force.
+    pub directory: ArcSwap<Directory>,
+    /// Targets as last listed and reported.
+    pub targets: ArcSwap<TargetView>,
+    /// Admission, placement and retries.
+    pub desk: Arc<DeskQueue>,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// Claims of non-idempotent requests.
+    pub claims: Arc<dyn Claims>,
+    /// Store VMs.
+    pub stores: ArcSwap<StoreList>,
+    /// Client of the stores.
+    pub store_client: StoreClient,
+    /// The shared secret.
+    pub secret: Secret,
+    /// Executor of the traffic threads.
+    pub executor: Arc<Executor<'static>>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// Completed spans.
+    pub spans: Arc<SpanSink>,
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,14 @@
+//! The entry program: callers' traffic and the control thread of one entry VM.
+
+mod admin;
+mod build;
+mod control;
+mod handle;
+mod peers;
+mod probe;
+mod status;
+mod threads;
+mod vm_list;
+
+pub use build::{Entry, EntryAddresses};
+pub use handle::RunningEntry;
--- /dev/null
+++ b/src/entry/admin.rs
@@ -0,0 +1,90 @@
+//! The admin port: liveness, readiness, metrics, revisions in force.
+
+use http_types::{Response, StatusCode};
+
+use crate::catalog::InForce;
+use crate::entry::status::Status;
+use crate::http::{Exchange, Handler, Problem, Reply};
+use crate::peer::PeerLinks;
+use crate::prelude::*;
+use crate::telemetry::Metrics;
+
+/// Answers the admin port of an entry.
+pub(crate) struct AdminHandler {
+    /// Name of the entry.
+    pub name: Name,
+    /// Failure domain of the entry.
+    pub domain: Name,
+    /// Readiness and revision.
+    pub status: Arc<Status>,
+    /// Tells whether the catalog is known.
+    pub catalog_ready: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Live peers.
+    pub links: Arc<dyn PeerLinks>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+impl Handler for AdminHandler {
+    fn handle(self: Arc<Self>, exchange: Exchange) -> Reply {
+        Box::pin(async move {
+            match exchange.req.url().path() {
+                "/live" => text(StatusCode::Ok, "live\n"),
+                "/ready" => self.ready(),
+                "/metrics" => self.render_metrics(),
+                "/in-force" => self.in_force(),
+                _ => Problem::not_run(StatusCode::NotFound, "unknown-path", "no such path")
+                    .into_response(),
+            }
+        })
+    }
+}
+
+impl AdminHandler {
+    fn ready(&self) -> Response {
+        let unready = if self.status.is_draining() {
+            "draining\n"
+        } else if !(self.catalog_ready)() {
+            "no catalog yet\n"
+        } else if !self.status.is_listed() {
+            "no list of VMs yet\n"
+        } else {
+            return text(StatusCode::Ok, "ready\n");
+        };
+        text(StatusCode::ServiceUnavailable, unready)
+    }
+
+    fn render_metrics(&self) -> Response {
+        let mut res = Response::new(StatusCode::Ok);
+        res.set_body(self.metrics.render());
+        res.insert_header("content-type", "text/plain; version=0.0.4");
+        res
+    }
+
+    fn in_force(&self) -> Response {
+        let (revision, since_ms) = self.status.revision();
+        let own = InForce {
+            entry: self.name.clone(),
+            domain: self.domain.clone(),
+            revision,
+            since_ms,
+        };
+        let peers = self.links.live().into_iter().map(|peer| InForce {
+            entry: peer.name,
+            domain: peer.domain,
+            revision: peer.revision,
+            since_ms: peer.since_ms,
+        });
+        let all: Vec<InForce> = std::iter::once(own).chain(peers).collect();
+        let mut res = Response::new(StatusCode::Ok);
+        res.set_body(serde_json::to_string(&all).unwrap_or_default());
+        res.insert_header("content-type", "application/json");
+        res
+    }
+}
+
+fn text(status: StatusCode, body: &str) -> Response {
+    let mut res = Response::new(status);
+    res.set_body(body);
+    res
+}
--- /dev/null
+++ b/src/entry/threads.rs
@@ -0,0 +1,40 @@
+//! Threads that run an executor until they are told to stop.
+
+use std::io;
+use std::thread::JoinHandle;
+
+use async_executor::Executor;
+
+use crate::prelude::*;
+
+/// Threads of one executor.
+#[derive(Debug)]
+pub(crate) struct Threads {
+    stop: async_channel::Sender<()>,
+    handles: Vec<JoinHandle<()>>,
+}
+
+impl Threads {
+    /// Starts `count` threads named `name` that run `ex`.
+    pub(crate) fn start(name: &str, count: usize, ex: &Arc<Executor<'static>>) -> io::Result<Self> {
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let mut handles = Vec::with_capacity(count);
+        for n in 0..count {
+            let (ex, stopped) = (ex.clone(), stopped.clone());
+            let run = move || {
+                let _ = async_io::block_on(ex.run(stopped.recv()));
+            };
+            let builder = std::thread::Builder::new().name(format!("{name}-{n}"));
+            handles.push(builder.spawn(run)?);
+        }
+        Ok(Self { stop, handles })
+    }
+
+    /// Stops and joins the threads; tasks still on the executor do not go on.
+    pub(crate) fn stop(self) {
+        self.stop.close();
+        for handle in self.handles {
+            let _ = handle.join();
+        }
+    }
+}
