--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod platform;
 pub mod prelude;
 pub mod settings;
+pub mod store;
 pub mod target;
 pub mod telemetry;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,4 +12,4 @@
 pub use entry::{ENTRY_EXAMPLE, EntrySettings, EntrySettingsBuilder};
 pub use fields::Fields;
 pub use finding::{Finding, Findings, Place};
-pub use store::{STORE_EXAMPLE, StoreSettings};
+pub use store::{STORE_EXAMPLE, StoreSettings, StoreSettingsBuilder};
--- a/src/settings/store.rs
+++ b/src/settings/store.rs
@@ -28,8 +28,14 @@
     pub memory_bytes: u64,
     /// Bytes of blocks kept on disk.
     pub disk_bytes: u64,
-    /// Bytes per second of the store's link.
+    /// Longest block, in bytes.
+    pub block_bytes: u64,
+    /// Bytes per second of the store's link, both directions together.
     pub link_bytes_per_second: u64,
+    /// Threads that serve engines and entries.
+    pub traffic_threads: usize,
+    /// Time the balancer or the entries need to notice that readiness is off.
+    pub drain_lag: Duration,
     /// Log level.
     pub log_level: log::LevelFilter,
 }
@@ -43,6 +49,34 @@
         doc.read(Self::from_fields)
     }
 
+    /// Starts a builder with defaults for everything but the names and the folder; ports are free
+    /// ones of the loopback address.
+    #[must_use]
+    pub fn builder(
+        name: impl Into<Name>,
+        domain: impl Into<Name>,
+        folder: impl Into<Name>,
+    ) -> StoreSettingsBuilder {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        StoreSettingsBuilder {
+            cfg: Self {
+                name: name.into(),
+                domain: domain.into(),
+                blocks: any,
+                admin: any,
+                secret_file: "".into(),
+                folder: folder.into(),
+                memory_bytes: 1 << 30,
+                disk_bytes: 16 << 30,
+                block_bytes: 64 << 20,
+                link_bytes_per_second: 1 << 30,
+                traffic_threads: 2,
+                drain_lag: Duration::from_secs(2),
+                log_level: log::LevelFilter::Info,
+            },
+        }
+    }
+
     fn from_fields(fields: &mut Fields<'_>) -> Option<Self> {
         let name = fields.name("name");
         let domain = fields.name("domain");
@@ -52,10 +86,21 @@
         });
         let secret_file = fields.text("secret_file");
         let folder = fields.text("folder");
-        let memory_bytes = fields.integer("memory_bytes", 0..=1 << 44, 1 << 30);
-        let disk_bytes = fields.integer("disk_bytes", 0..=1 << 50, 16 << 30);
-        let link = fields.integer("link_bytes_per_second", 1024..=1 << 40, 1 << 30);
-        let log_level = read_log_level(fields);
+        let defaults = Self::builder("-", "-", "-").build();
+        let cfg = Self {
+            memory_bytes: fields.integer("memory_bytes", 0..=1 << 44, defaults.memory_bytes),
+            disk_bytes: fields.integer("disk_bytes", 0..=1 << 50, defaults.disk_bytes),
+            block_bytes: fields.integer("block_bytes", 1024..=1 << 30, defaults.block_bytes),
+            link_bytes_per_second: fields.integer(
+                "link_bytes_per_second",
+                1024..=1 << 40,
+                defaults.link_bytes_per_second,
+            ),
+            traffic_threads: usize::try_from(fields.integer("traffic_threads", 1..=64, 2)).ok()?,
+            drain_lag: fields.millis("drain_lag_ms", 0..=600_000, defaults.drain_lag),
+            log_level: read_log_level(fields),
+            ..defaults
+        };
         let (blocks, admin) = listen?;
         Some(Self {
             name: name?,
@@ -64,10 +109,65 @@
             admin,
             secret_file: secret_file?,
             folder: folder?,
-            memory_bytes,
-            disk_bytes,
-            link_bytes_per_second: link,
-            log_level,
+            ..cfg
         })
     }
 }
+
+/// Builds [`StoreSettings`].
+#[derive(Clone, Debug)]
+pub struct StoreSettingsBuilder {
+    cfg: StoreSettings,
+}
+
+impl StoreSettingsBuilder {
+    /// Sets the addresses for blocks and administration.
+    #[must_use]
+    pub fn listen(mut self, blocks: SocketAddr, admin: SocketAddr) -> Self {
+        self.cfg.blocks = blocks;
+        self.cfg.admin = admin;
+        self
+    }
+
+    /// Sets the file of the shared secret.
+    #[must_use]
+    pub fn secret_file(mut self, path: impl Into<Name>) -> Self {
+        self.cfg.secret_file = path.into();
+        self
+    }
+
+    /// Sets the bytes kept in memory and on disk.
+    #[must_use]
+    pub fn capacity(mut self, memory_bytes: u64, disk_bytes: u64) -> Self {
+        self.cfg.memory_bytes = memory_bytes;
+        self.cfg.disk_bytes = disk_bytes;
+        self
+    }
+
+    /// Sets the longest block, in bytes.
+    #[must_use]
+    pub fn block_bytes(mut self, bytes: u64) -> Self {
+        self.cfg.block_bytes = bytes;
+        self
+    }
+
+    /// Sets the speed of the link.
+    #[must_use]
+    pub fn link_bytes_per_second(mut self, rate: u64) -> Self {
+        self.cfg.link_bytes_per_second = rate;
+        self
+    }
+
+    /// Sets the time between readiness going off and the end of accepting.
+    #[must_use]
+    pub fn drain_lag(mut self, lag: Duration) -> Self {
+        self.cfg.drain_lag = lag;
+        self
+    }
+
+    /// Finishes the settings.
+    #[must_use]
+    pub fn build(self) -> StoreSettings {
+        self.cfg
+    }
+}
