Commit claims in the platform by conditional update

Cause: a non-idempotent request needs a claim that two entries cannot both hold. The claims of a shard and a five-second span of key times are one object; its resource version is the fence, so no lock or lease is needed.

Change: ShardState decides about operations without input or output, ClaimTable writes its result and reads back after a lost answer. MemoryPlatform is the platform in memory for tests, with faults.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -1,15 +1,29 @@
 //! Claims that make a non-idempotent request run at most once.
 
+mod op;
+mod record;
 mod request;
+mod shard;
+mod table;
+mod window;
 
 use futures_lite::future::Boxed;
 
+pub use op::{ClaimOp, Holder, OpResult};
+pub use record::{ClaimRecord, RecordState};
 pub use request::{Claim, ClaimError, ClaimKey, ClaimOutcome, ClaimRequest, ClaimVerdict};
+pub use shard::{Applied, ShardState};
+pub use table::ClaimTable;
+pub use window::{Window, shard_of};
 
 /// The table of claims, kept in the platform.
 pub trait Claims: Send + Sync {
     /// Commits a claim before its request is dispatched.
     fn claim(&self, req: ClaimRequest) -> Boxed<Result<ClaimVerdict, ClaimError>>;
+    /// Tells whether a granted claim is young enough to be dispatched; asked right before the first
+    /// byte is handed over, because a pause may have lasted since the grant. When `false`, release
+    /// the claim.
+    fn may_dispatch(&self, claim: &Claim) -> bool;
     /// Records what became of a dispatched claim; retried until it is stored or too old to matter.
     fn settle(&self, claim: Claim, outcome: ClaimOutcome) -> Boxed<()>;
     /// Gives up a claim whose request was never handed to a target, so that its key may be used
--- /dev/null
+++ b/src/claim/op.rs
@@ -0,0 +1,61 @@
+//! Operations on a shard's object.
+
+use crate::claim::{Claim, ClaimError, ClaimKey, ClaimOutcome, ClaimRequest, ClaimVerdict};
+use crate::prelude::*;
+
+/// One change asked of a shard's object; applying it again changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimOp {
+    /// Claim a key.
+    Claim {
+        /// Claimant, different for each attempt.
+        claimant: Name,
+        /// The request.
+        req: ClaimRequest,
+    },
+    /// Record what became of a claim.
+    Settle {
+        /// The claim.
+        claim: Claim,
+        /// What became of it.
+        outcome: ClaimOutcome,
+    },
+    /// Free a key whose request was not dispatched.
+    Release {
+        /// The claim.
+        claim: Claim,
+    },
+}
+
+impl ClaimOp {
+    /// The key concerned.
+    #[must_use]
+    pub fn key(&self) -> &ClaimKey {
+        match self {
+            Self::Claim { req, .. } => &req.key,
+            Self::Settle { claim, .. } | Self::Release { claim } => &claim.key,
+        }
+    }
+}
+
+/// Result of one operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OpResult {
+    /// Decision about a claim.
+    Verdict(ClaimVerdict),
+    /// The claim was not decided; nothing was dispatched.
+    Failed(ClaimError),
+    /// The end of a claim is recorded or no longer matters.
+    Ended,
+}
+
+/// What is known of the process that holds a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Holder {
+    /// It answers.
+    Live,
+    /// It does not answer; it may be dead, paused or cut off.
+    Silent,
+    /// It has ended for certain, or has forgotten the claim.
+    Dead,
+}
--- a/src/claim/request.rs
+++ b/src/claim/request.rs
@@ -25,6 +25,9 @@
     pub digest: Name,
     /// How long the outcome is kept after the key's own time.
     pub retention: Duration,
+    /// Longest time from dispatch to the end of the answer.
+    #[serde(default)]
+    pub total: Duration,
 }
 
 /// A granted claim: permission for its holder alone to dispatch the request once.
--- /dev/null
+++ b/src/claim/shard.rs
@@ -0,0 +1,252 @@
+//! The claims of one window, as a state machine.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::claim::record::{ClaimRecord, RecordState};
+use crate::claim::window::{in_window, millis};
+use crate::claim::{
+    Claim, ClaimError, ClaimKey, ClaimOp, ClaimOutcome, ClaimRequest, ClaimVerdict, Holder,
+    OpResult, Window,
+};
+use crate::prelude::*;
+
+/// Claims in one object at most.
+const MAX_CLAIMS: usize = 1_000;
+/// Bytes of answers kept in one object at most.
+const MAX_KEPT_BYTES: usize = 256 * 1024;
+/// Longest answer kept, in bytes.
+const MAX_BODY_BYTES: usize = 2 * 1024;
+/// Digits of a digest kept.
+const DIGEST_DIGITS: usize = 32;
+/// Given-up claimants remembered for one key.
+const MAX_GIVEN_UP: usize = 4;
+/// Longest time from a grant to its dispatch.
+pub(crate) const DISPATCH_TIME: Duration = Duration::from_secs(10);
+/// Time left for a silent claimant to record its outcome.
+const SILENT_GRACE_MS: u64 = 5_000;
+/// Time left for a claimant that answers to record its outcome.
+const LIVE_GRACE_MS: u64 = 600_000;
+/// Pause before a claim is asked again when its window is full.
+const FULL_RETRY: Duration = Duration::from_secs(5);
+
+/// The claims of one window; the `spec` of an object of kind `claims`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardState {
+    /// Time before which the object is not collected, in milliseconds since the Unix epoch.
+    pub keep_until_ms: u64,
+    /// Claims by `{key}/{customer}`.
+    pub claims: BTreeMap<Name, ClaimRecord>,
+}
+
+/// Results of a batch of operations.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// One result for each operation.
+    pub results: Vec<OpResult>,
+    /// Whether the object has to be written for the results to hold.
+    pub changed: bool,
+}
+
+impl ShardState {
+    /// Kind of the objects in the platform.
+    pub const KIND: &'static str = "claims";
+
+    /// Applies a batch of operations; the results hold once the object is written if it changed.
+    ///
+    /// # Panics
+    /// When a claim would get a second holder or leave a settled state, which would be a defect.
+    pub fn apply<'a>(
+        &mut self,
+        now_ms: u64,
+        window: Window,
+        ops: impl IntoIterator<Item = &'a ClaimOp>,
+        holder: impl Fn(&str) -> Holder,
+    ) -> Applied {
+        let before = self.clone();
+        let ops = ops.into_iter();
+        let results = ops.map(|op| self.apply_one(now_ms, window, op, &holder));
+        let results = results.collect();
+        self.check_after(&before);
+        Applied {
+            results,
+            changed: *self != before,
+        }
+    }
+
+    /// Tells whether the object may be deleted.
+    #[must_use]
+    pub fn may_collect(&self, window: Window, now_ms: u64) -> bool {
+        now_ms > self.keep_until_ms.max(window.keep_until_ms(Duration::ZERO))
+    }
+
+    fn apply_one(
+        &mut self,
+        now_ms: u64,
+        window: Window,
+        op: &ClaimOp,
+        holder: &impl Fn(&str) -> Holder,
+    ) -> OpResult {
+        match op {
+            ClaimOp::Claim { claimant, req } => {
+                match self.claim(now_ms, window, claimant, req, holder) {
+                    Ok(verdict) => OpResult::Verdict(verdict),
+                    Err(err) => OpResult::Failed(err),
+                }
+            }
+            ClaimOp::Settle { claim, outcome } => {
+                self.settle(claim, outcome);
+                OpResult::Ended
+            }
+            ClaimOp::Release { claim } => {
+                self.release(claim);
+                OpResult::Ended
+            }
+        }
+    }
+
+    fn claim(
+        &mut self,
+        now_ms: u64,
+        window: Window,
+        claimant: &Name,
+        req: &ClaimRequest,
+        holder: &impl Fn(&str) -> Holder,
+    ) -> Result<ClaimVerdict, ClaimError> {
+        if !in_window(req, now_ms) {
+            return Ok(ClaimVerdict::OutOfWindow);
+        }
+        let name = record_name(&req.key);
+        let digest: Name = short(&req.digest).into();
+        let full = self.claims.len() >= MAX_CLAIMS;
+        let ends_ms = now_ms + millis(DISPATCH_TIME) + millis(req.total);
+        let Some(record) = self.claims.get_mut(&name) else {
+            if full {
+                let retry_after = FULL_RETRY;
+                return Err(ClaimError::Overloaded { retry_after });
+            }
+            let record = ClaimRecord {
+                digest,
+                claimant: claimant.clone(),
+                ends_ms,
+                state: RecordState::Held,
+                given_up: SmallVec::new(),
+            };
+            self.claims.insert(name, record);
+            return Ok(self.grant(window, claimant, req));
+        };
+        if record.digest != digest {
+            return Ok(ClaimVerdict::Mismatch);
+        }
+        match &record.state {
+            RecordState::Settled(outcome) => Ok(ClaimVerdict::Settled(outcome.clone())),
+            RecordState::Held if record.claimant == *claimant => {
+                Ok(self.grant(window, claimant, req))
+            }
+            RecordState::Held if record.is_over(now_ms, holder) => {
+                record.state = RecordState::Settled(ClaimOutcome::Unknown);
+                Ok(ClaimVerdict::Settled(ClaimOutcome::Unknown))
+            }
+            RecordState::Held => Ok(ClaimVerdict::InProgress),
+            RecordState::Free if record.given_up.contains(claimant) => Ok(ClaimVerdict::InProgress),
+            RecordState::Free => {
+                record.claimant = claimant.clone();
+                record.ends_ms = ends_ms;
+                record.state = RecordState::Held;
+                Ok(self.grant(window, claimant, req))
+            }
+        }
+    }
+
+    fn grant(&mut self, window: Window, claimant: &Name, req: &ClaimRequest) -> ClaimVerdict {
+        let keep = window.keep_until_ms(req.retention);
+        self.keep_until_ms = self.keep_until_ms.max(keep);
+        ClaimVerdict::Granted(Claim {
+            key: req.key.clone(),
+            claimant: claimant.clone(),
+            retention: req.retention,
+        })
+    }
+
+    fn settle(&mut self, claim: &Claim, outcome: &ClaimOutcome) {
+        let room = MAX_KEPT_BYTES.saturating_sub(self.kept_bytes());
+        let Some(record) = self.claims.get_mut(&record_name(&claim.key)) else {
+            return;
+        };
+        if record.state == RecordState::Held && record.claimant == claim.claimant {
+            record.state = RecordState::Settled(trimmed(outcome, room));
+        }
+    }
+
+    fn release(&mut self, claim: &Claim) {
+        let name = record_name(&claim.key);
+        let Some(record) = self.claims.get_mut(&name) else {
+            return;
+        };
+        if record.state == RecordState::Held && record.claimant == claim.claimant {
+            record.state = RecordState::Free;
+        }
+        if !record.given_up.contains(&claim.claimant) {
+            if record.given_up.len() >= MAX_GIVEN_UP {
+                record.given_up.remove(0);
+            }
+            record.given_up.push(claim.claimant.clone());
+        }
+    }
+
+    fn kept_bytes(&self) -> usize {
+        let bodies = self.claims.values().map(|record| match &record.state {
+            RecordState::Settled(ClaimOutcome::Answered { body, .. }) => {
+                body.as_ref().map_or(0, String::len)
+            }
+            _ => 0,
+        });
+        bodies.sum()
+    }
+
+    fn check_after(&self, before: &Self) {
+        for (name, old) in &before.claims {
+            let new = self.claims.get(name);
+            let new = new.unwrap_or_else(|| panic!("claim {name} was dropped"));
+            if matches!(old.state, RecordState::Settled(_)) {
+                assert_eq!(old.state, new.state, "claim {name} left a settled state");
+                assert_eq!(old.claimant, new.claimant, "claim {name} changed hands");
+            }
+            if old.state == RecordState::Held && new.state == RecordState::Held {
+                let freed = new.given_up.contains(&old.claimant);
+                let kept = old.claimant == new.claimant;
+                assert!(kept || freed, "claim {name} has a second holder");
+            }
+        }
+    }
+}
+
+impl ClaimRecord {
+    /// Tells whether no outcome is to be expected any more and no run can start.
+    fn is_over(&self, now_ms: u64, holder: &impl Fn(&str) -> Holder) -> bool {
+        match holder(&self.claimant) {
+            Holder::Live => now_ms > self.ends_ms + LIVE_GRACE_MS,
+            Holder::Silent => now_ms > self.ends_ms + SILENT_GRACE_MS,
+            Holder::Dead => true,
+        }
+    }
+}
+
+fn record_name(key: &ClaimKey) -> Name {
+    format!("{}/{}", key.key.simple(), key.customer).into()
+}
+
+fn short(digest: &str) -> &str {
+    digest.get(..DIGEST_DIGITS).unwrap_or(digest)
+}
+
+/// Leaves out an answer that is too long to keep.
+fn trimmed(outcome: &ClaimOutcome, room: usize) -> ClaimOutcome {
+    let mut outcome = outcome.clone();
+    if let ClaimOutcome::Answered { body, .. } = &mut outcome {
+        let limit = room.min(MAX_BODY_BYTES);
+        *body = body.take().filter(|text| text.len() <= limit);
+    }
+    outcome
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Catalog, ReleaseNote};
-use crate::claim::{ClaimError, ClaimRequest, ClaimVerdict};
+use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
 use crate::prelude::*;
 
 /// Version of the messages; a peer with another major version is refused.
@@ -73,4 +73,18 @@
         /// The decision.
         result: Result<ClaimVerdict, ClaimError>,
     },
+    /// Asks the owner of a claim shard to record what became of a claim.
+    EndClaim {
+        /// Number that the reply repeats.
+        seq: u64,
+        /// The claim.
+        claim: Claim,
+        /// The outcome; `None` when the request was never dispatched and the key is free again.
+        outcome: Option<ClaimOutcome>,
+    },
+    /// Answer to [`PeerMessage::EndClaim`] once the outcome is stored.
+    ClaimEnded {
+        /// Number of the request.
+        seq: u64,
+    },
 }
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,8 @@
+//! Small fakes shared by the tests.
+#![allow(dead_code, unused_imports, clippy::mod_module_files)]
+
+mod links;
+mod platform;
+
+pub use links::NoPeers;
+pub use platform::{Calls, Fault, MemoryPlatform};
