--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -2,11 +2,14 @@
 
 pub mod body;
 pub mod cli;
+pub mod client;
 pub mod engine;
 pub mod faults;
+pub mod fleet;
 pub mod gate;
 pub mod host;
 pub mod platform;
+pub mod process;
 pub mod relay;
 pub mod reply;
 pub mod service;
@@ -14,6 +17,8 @@
 pub use engine::{Engine, EngineSettings};
 pub use faults::{FaultBox, Faults};
 pub use host::{Host, Spawner, StandIn};
+pub use fleet::Fleet;
 pub use platform::{PlatformSettings, PlatformStandIn};
+pub use process::Process;
 pub use relay::Relay;
 pub use service::{ServiceSettings, ServiceStandIn};
--- a/src/caller/plan.rs
+++ b/src/caller/plan.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddr;
 
-use crate::cache::{Operation, PrefixKeys, TOKENS_PER_BLOCK, Ticket};
+use crate::cache::{Operation, PrefixKeys, TOKENS_PER_BLOCK, grant};
 use crate::caller::{Shared, Work, WorkKind};
 use crate::clock::unix_ms;
 use crate::prelude::*;
-use crate::target::{BlockGrant, KvPlan, KvTransfer};
+use crate::target::{KvPlan, KvTransfer};
 
 /// Longest wait for a store's word on which blocks it holds.
 const PROBE_BUDGET: Duration = Duration::from_millis(20);
@@ -98,16 +98,9 @@
         let lifetime = self.work.time_left() + TICKET_MARGIN;
         let lifetime = u64::try_from(lifetime.as_millis()).unwrap_or(u64::MAX);
         let expires_ms = unix_ms().saturating_add(lifetime);
-        let customer = &self.work.customer;
-        let blocks = plan.keys[range.clone()].iter().map(|key| BlockGrant {
-            key: *key,
-            ticket: Ticket::issue(&self.shared.secret, operation, customer, key, expires_ms)
-                .to_string(),
-        });
-        Some(KvTransfer {
-            store: self.store,
-            first: u32::try_from(range.start).ok()?,
-            blocks: blocks.collect(),
-        })
+        let first = u32::try_from(range.start).ok()?;
+        let (secret, customer) = (&self.shared.secret, &self.work.customer);
+        let keys = &plan.keys[range];
+        Some(grant(secret, operation, self.store, customer, first, keys, expires_ms))
     }
 }
--- /dev/null
+++ b/src/entry/control.rs
@@ -0,0 +1,207 @@
+//! The control thread's state: VMs, probes, ticks and effects that concern no single request.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use async_executor::Executor;
+use async_io::Timer;
+use log::Level;
+
+use crate::caller::{Directory, Shared, StoreList, StorePeer, TargetState, TargetView};
+use crate::catalog::CatalogCell;
+use crate::decide::{Effect, Event, Signal, TargetInfo};
+use crate::entry::probe::{Probed, probe};
+use crate::entry::status::Status;
+use crate::peer::{PeerLinks, PeerMessage};
+use crate::platform::{Phase, Role, Vm};
+use crate::prelude::*;
+use crate::target::LoadReport;
+use crate::telemetry::event;
+
+/// Interval of the desk's ticks.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Everything that the control thread keeps up to date.
+pub(crate) struct Control {
+    /// What traffic threads see.
+    pub shared: Arc<Shared>,
+    /// Readiness and revision.
+    pub status: Arc<Status>,
+    /// Links to peers.
+    pub links: Arc<dyn PeerLinks>,
+    /// Executor of the control thread.
+    pub executor: Arc<Executor<'static>>,
+    /// Interval of probes.
+    pub probe_interval: Duration,
+    targets: Mutex<HashMap<Name, TargetState>>,
+}
+
+impl Control {
+    /// Makes the control state of an entry without targets.
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        status: Arc<Status>,
+        links: Arc<dyn PeerLinks>,
+        executor: Arc<Executor<'static>>,
+        probe_interval: Duration,
+    ) -> Self {
+        Self {
+            shared,
+            status,
+            links,
+            executor,
+            probe_interval,
+            targets: Mutex::default(),
+        }
+    }
+
+    /// Takes over a new list of VMs.
+    pub(crate) fn take_vms(&self, vms: &BTreeMap<Name, Vm>) {
+        let stores = vms.values().filter(|vm| vm.role == Role::Store && vm.phase == Phase::Live);
+        let stores = stores.map(|vm| StorePeer {
+            name: vm.name.clone(),
+            domain: vm.domain.clone(),
+            address: vm.address,
+        });
+        self.shared.stores.store(Arc::new(StoreList(stores.collect())));
+        let infos: Vec<TargetInfo> = vms.values().filter_map(target_info).collect();
+        self.take_targets(&infos);
+        self.shared.desk.submit(Event::Targets(infos));
+        self.status.set_listed();
+    }
+
+    fn take_targets(&self, infos: &[TargetInfo]) {
+        let mut targets = self.targets();
+        let mut old = std::mem::take(&mut *targets);
+        for info in infos {
+            let known = old.remove(&info.name);
+            let report = known.map(|t| t.report).unwrap_or_default();
+            let info = info.clone();
+            targets.insert(info.name.clone(), TargetState { info, report });
+        }
+        self.publish(&targets);
+    }
+
+    fn publish(&self, targets: &HashMap<Name, TargetState>) {
+        let view = TargetView::new(targets.values().cloned());
+        self.shared.targets.store(Arc::new(view));
+    }
+
+    fn targets(&self) -> MutexGuard<'_, HashMap<Name, TargetState>> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks every target for its load, for ever.
+    pub(crate) async fn run_probes(self: Arc<Self>) {
+        loop {
+            let list: Vec<TargetInfo> = self.targets().values().map(|t| t.info.clone()).collect();
+            let probes: Vec<_> = list
+                .into_iter()
+                .map(|info| self.executor.spawn(self.clone().probe_target(info)))
+                .collect();
+            Timer::after(self.probe_interval).await;
+            for probe in probes {
+                probe.await;
+            }
+            self.publish(&self.targets());
+        }
+    }
+
+    async fn probe_target(self: Arc<Self>, info: TargetInfo) {
+        let timeout = self.probe_interval.max(MIN_PROBE_TIMEOUT);
+        let target = info.name.clone();
+        match probe(&self.shared.pool, info.address, timeout).await {
+            Probed::Alive(report) => {
+                self.signal(&target, Signal::Reachable);
+                self.take_report(target, report);
+            }
+            Probed::Dead => self.signal(&target, Signal::Unreachable),
+        }
+    }
+
+    fn take_report(&self, target: Name, report: LoadReport) {
+        if let Some(state) = self.targets().get_mut(&target) {
+            if report.leaving && !state.report.leaving {
+                self.announce_leaving(&target);
+            }
+            state.report = report.clone();
+        }
+        self.shared.desk.submit(Event::Report { target, report });
+    }
+
+    fn announce_leaving(&self, target: &Name) {
+        event(Level::Info, "target_leaving", &[("target", target)]);
+        self.links.broadcast(&PeerMessage::TargetSignal {
+            target: target.clone(),
+            leaving: true,
+        });
+    }
+
+    /// Gives the desk a signal about a target.
+    pub(crate) fn signal(&self, target: &Name, signal: Signal) {
+        let target = target.clone();
+        self.shared.desk.submit(Event::Signal { target, signal });
+    }
+
+    /// Ticks the desk for ever.
+    pub(crate) async fn run_ticks(self: Arc<Self>) {
+        loop {
+            Timer::after(TICK).await;
+            self.shared.desk.submit(Event::Tick);
+            let waiting = i64::try_from(self.shared.desk.waiting()).unwrap_or(i64::MAX);
+            self.shared.metrics.queued.set(waiting);
+        }
+    }
+
+    /// Puts each catalog that comes into force before the traffic threads.
+    pub(crate) async fn run_catalog(self: Arc<Self>, cell: Arc<CatalogCell>) {
+        let catalogs = cell.subscribe();
+        while let Ok(catalog) = catalogs.recv().await {
+            let revision = catalog.revision;
+            self.shared.directory.store(Arc::new(Directory::new(catalog.clone())));
+            self.shared.desk.submit(Event::Catalog(catalog));
+            self.status.set_revision(revision);
+            self.shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+            event(Level::Info, "catalog_in_force", &[("revision", &revision)]);
+        }
+    }
+
+    /// Carries out effects that concern no single request.
+    pub(crate) async fn run_effects(self: Arc<Self>, effects: async_channel::Receiver<Effect>) {
+        while let Ok(effect) = effects.recv().await {
+            match effect {
+                Effect::Probe { target, .. } => self.probe_now(&target),
+                Effect::Quarantine {
+                    fingerprint,
+                    victims,
+                    ttl,
+                } => self.links.broadcast(&PeerMessage::Quarantine {
+                    fingerprint: fingerprint.to_string().into(),
+                    victims,
+                    ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
+                }),
+                _ => {}
+            }
+        }
+    }
+
+    fn probe_now(self: &Arc<Self>, target: &Name) {
+        let info = self.targets().get(target).map(|t| t.info.clone());
+        if let Some(info) = info {
+            self.executor.spawn(self.clone().probe_target(info)).detach();
+        }
+    }
+}
+
+/// Shortest wait for a probe's answer.
+const MIN_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+fn target_info(vm: &Vm) -> Option<TargetInfo> {
+    matches!(vm.role, Role::Engine | Role::Service).then(|| TargetInfo {
+        name: vm.name.clone(),
+        domain: vm.domain.clone(),
+        address: vm.address,
+        serves: vm.serves.clone(),
+        leaving: vm.phase == Phase::Leaving,
+    })
+}
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,63 @@
+//! What an entry does with its peers' messages.
+
+use std::sync::OnceLock;
+
+use crate::cache::BlockKey;
+use crate::catalog::CatalogSync;
+use crate::decide::{Event, Signal};
+use crate::entry::control::Control;
+use crate::peer::{PeerEvents, PeerInfo, PeerMessage};
+use crate::prelude::*;
+
+/// Routes peers' messages to the catalog and the desk.
+pub(crate) struct EntryPeers {
+    /// Own failure domain.
+    pub domain: Name,
+    /// Follower of the catalog.
+    pub sync: Arc<CatalogSync>,
+    /// The control state, once it is made.
+    pub control: OnceLock<Arc<Control>>,
+}
+
+impl PeerEvents for EntryPeers {
+    fn on_message(&self, from: &PeerInfo, message: PeerMessage) {
+        let Some(control) = self.control.get() else {
+            return;
+        };
+        match message {
+            PeerMessage::Quarantine {
+                fingerprint,
+                victims,
+                ttl_ms,
+            } => {
+                if let Ok(fingerprint) = fingerprint.parse::<BlockKey>() {
+                    control.shared.desk.submit(Event::Quarantine {
+                        fingerprint,
+                        victims,
+                        ttl: Duration::from_millis(ttl_ms),
+                    });
+                }
+            }
+            PeerMessage::TargetSignal { target, leaving } => {
+                let signal = match leaving {
+                    true => Signal::Leaving,
+                    false => Signal::Unreachable,
+                };
+                control.signal(&target, signal);
+            }
+            other => self.sync.on_message(from, other),
+        }
+    }
+
+    fn on_change(&self, live: &[PeerInfo]) {
+        self.sync.on_change(live);
+        let Some(control) = self.control.get() else {
+            return;
+        };
+        let peers = live.iter().filter(|p| p.domain == self.domain && !p.draining);
+        let entries = u32::try_from(peers.count() + 1).unwrap_or(u32::MAX);
+        control.shared.desk.submit(Event::Entries(entries));
+        let peers = i64::try_from(live.len()).unwrap_or(i64::MAX);
+        control.shared.metrics.peers.set(peers);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,10 +18,12 @@
 //! ```
 
 pub mod cache;
+pub mod caller;
 pub mod catalog;
 pub mod claim;
 pub mod clock;
 pub mod decide;
+pub mod entry;
 pub mod http;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/tests/http.rs
@@ -0,0 +1,224 @@
+//! The framing around `async-h1`, tried on raw sockets.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_executor::Executor;
+use futures_lite::FutureExt;
+use guavahold::http::{
+    Connection, Exchange, Handler, Limits, Pool, Reply, Server, ServerControl, event_body,
+};
+use http_types::{Method, Request, Response, Url};
+use serde::Deserialize;
+
+#[derive(Default)]
+struct Recorder(Mutex<Vec<String>>);
+
+impl Handler for Recorder {
+    fn handle(self: Arc<Self>, exchange: Exchange) -> Reply {
+        let body = String::from_utf8(exchange.body).unwrap();
+        self.0.lock().unwrap().push(body.clone());
+        Box::pin(async move {
+            if body == "wait" {
+                async_io::Timer::after(Duration::from_millis(200)).await;
+            }
+            let mut res = Response::new(200);
+            if body == "abort" {
+                let (tx, events) = event_body();
+                drop(tx);
+                res.set_body(events);
+            } else {
+                res.set_body(body);
+            }
+            res
+        })
+    }
+}
+
+struct Fixture {
+    addr: SocketAddr,
+    recorder: Arc<Recorder>,
+    control: Arc<ServerControl>,
+}
+
+fn serve(limits: Limits) -> Fixture {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let recorder = Arc::new(Recorder::default());
+    let control = Arc::new(ServerControl::default());
+    let server = Server::new(listener, limits, recorder.clone(), control.clone()).unwrap();
+    let ex = Arc::new(Executor::new());
+    ex.spawn(server.run(ex.clone())).detach();
+    std::thread::spawn(move || async_io::block_on(ex.run(std::future::pending::<()>())));
+    Fixture {
+        addr,
+        recorder,
+        control,
+    }
+}
+
+fn exchange(addr: SocketAddr, send: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    stream.write_all(send).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn statuses(answer: &str) -> Vec<u16> {
+    let heads = answer.split("HTTP/1.1 ").skip(1);
+    heads.map(|head| head[..3].parse().unwrap()).collect()
+}
+
+fn lines<T: for<'a> Deserialize<'a>>(text: &str) -> Vec<T> {
+    let lines = text.lines();
+    lines.map(|line| serde_json::from_str(line).unwrap()).collect()
+}
+
+#[derive(Deserialize)]
+struct RequestCase {
+    case: String,
+    send: String,
+    expect: Vec<u16>,
+    runs: Vec<String>,
+}
+
+#[test]
+fn server_requests() {
+    for case in lines::<RequestCase>(include_str!("http/requests.jsonl")) {
+        let fixture = serve(Limits::default());
+        let answer = exchange(fixture.addr, case.send.as_bytes());
+        assert_eq!(statuses(&answer), case.expect, "{}: {answer}", case.case);
+        let runs = fixture.recorder.0.lock().unwrap().clone();
+        assert_eq!(runs, case.runs, "{}", case.case);
+    }
+}
+
+#[test]
+fn server_long_head() {
+    let fixture = serve(Limits::default());
+    let filler = "x".repeat(9000);
+    let send = format!("GET / HTTP/1.1\r\nhost: x\r\nfiller: {filler}\r\n\r\n");
+    assert_eq!(statuses(&exchange(fixture.addr, send.as_bytes())), [431]);
+}
+
+#[test]
+fn server_slow_message() {
+    let limits = Limits {
+        message_time: Duration::from_millis(100),
+        ..Limits::default()
+    };
+    let fixture = serve(limits);
+    let mut stream = TcpStream::connect(fixture.addr).unwrap();
+    stream.write_all(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-").unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert_eq!(statuses(&answer), [408]);
+}
+
+#[test]
+fn server_aborted_body_has_no_clean_end() {
+    let fixture = serve(Limits::default());
+    let send = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nabort";
+    let answer = exchange(fixture.addr, send);
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer:?}");
+}
+
+#[test]
+fn server_half_close_is_answered() {
+    let fixture = serve(Limits::default());
+    let send = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nwait";
+    assert_eq!(statuses(&exchange(fixture.addr, send)), [200]);
+}
+
+#[test]
+fn server_stop_finishes_running_request() {
+    let fixture = serve(Limits::default());
+    let (addr, control) = (fixture.addr, fixture.control.clone());
+    let send = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nwait";
+    let caller = std::thread::spawn(move || exchange(addr, send));
+    while control.running() == 0 {
+        std::thread::yield_now();
+    }
+    control.stop();
+    let answer = caller.join().unwrap();
+    assert_eq!(statuses(&answer), [200]);
+    assert!(answer.contains("connection: close"));
+}
+
+#[derive(Deserialize)]
+struct AnswerCase {
+    case: String,
+    answer: String,
+    expect: Option<String>,
+}
+
+/// Answers each connection with fixed bytes once a request has come, then closes it.
+fn canned(answer: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    addr
+}
+
+fn get(addr: SocketAddr) -> Request {
+    Request::new(Method::Get, Url::parse(&format!("http://{addr}/")).unwrap())
+}
+
+fn within<T>(f: impl Future<Output = T>) -> T {
+    let late = async {
+        async_io::Timer::after(Duration::from_secs(10)).await;
+        panic!("no answer in time")
+    };
+    async_io::block_on(f.or(late))
+}
+
+#[test]
+fn client_answers() {
+    for case in lines::<AnswerCase>(include_str!("http/answers.jsonl")) {
+        let addr = canned(case.answer);
+        let body = within(async {
+            let conn = Connection::open(addr, Duration::from_secs(5)).await.unwrap();
+            let mut answer = conn.send(get(addr)).await.ok()?;
+            answer.bytes(1024).await.ok()
+        });
+        let body = body.map(|b| String::from_utf8(b).unwrap());
+        assert_eq!(body, case.expect, "{}", case.case);
+    }
+}
+
+#[test]
+fn client_surplus_bytes_are_not_pooled() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n";
+    let addr = canned(answer.to_owned());
+    within(async {
+        let conn = Connection::open(addr, Duration::from_secs(5)).await.unwrap();
+        let mut answer = conn.send(get(addr)).await.unwrap();
+        assert_eq!(answer.bytes(1024).await.unwrap(), b"abc");
+        assert!(answer.into_connection().is_none());
+    });
+}
+
+#[test]
+fn pool_replaces_closed_connection() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc";
+    let addr = canned(answer.to_owned());
+    let pool = Pool::new(Duration::from_secs(5));
+    within(async {
+        for _ in 0..3 {
+            let (status, body) = pool.fetch(addr, get(addr), 1024).await.unwrap();
+            assert_eq!((u16::from(status), body.as_slice()), (200, &b"abc"[..]));
+            async_io::Timer::after(Duration::from_millis(20)).await;
+        }
+    });
+}
