--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -16,8 +16,8 @@
 
 pub use engine::{Engine, EngineSettings};
 pub use faults::{FaultBox, Faults};
-pub use host::{Host, Spawner, StandIn};
 pub use fleet::Fleet;
+pub use host::{Host, Spawner, StandIn};
 pub use platform::{PlatformSettings, PlatformStandIn};
 pub use process::Process;
 pub use relay::Relay;
--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -1,4 +1,4 @@
-//! Chat requests in the OpenAI style.
+//! Chat requests in the style of `OpenAI`.
 
 use http_types::StatusCode;
 use serde_json::{Map, Value};
--- a/src/caller/engine_stream.rs
+++ b/src/caller/engine_stream.rs
@@ -125,7 +125,7 @@
         let started = Instant::now();
         loop {
             if let Some(event) = self.queue.pop_front() {
-                if let Some(event) = self.accept(event)? {
+                if let Some(event) = self.accept(event) {
                     return Ok(event);
                 }
                 continue;
@@ -141,21 +141,21 @@
     }
 
     /// Takes the event that is next in order; repeated ones are dropped.
-    fn accept(&mut self, event: SseEvent) -> Result<Option<SseEvent>, StreamFault> {
+    fn accept(&mut self, event: SseEvent) -> Option<SseEvent> {
         let number = event.id.as_deref().map(str::parse::<u64>);
         match number {
-            Some(Ok(number)) if number < self.next => return Ok(None),
+            Some(Ok(number)) if number < self.next => return None,
             Some(Ok(number)) if number == self.next => {}
             None if event.data == DONE => {}
             _ => {
                 self.queue.clear();
                 self.answer = None;
-                return Ok(None);
+                return None;
             }
         }
         self.next += 1;
         self.done = event.data == DONE;
-        Ok(Some(event))
+        Some(event)
     }
 
     /// Reads more events; `false` when the connection ended, failed or stayed silent.
--- a/src/caller/service.rs
+++ b/src/caller/service.rs
@@ -156,9 +156,10 @@
     }
 
     fn late(&self) -> Problem {
-        let run = match self.handed_over {
-            true => RunState::Unknown,
-            false => RunState::NotRun,
+        let run = if self.handed_over {
+            RunState::Unknown
+        } else {
+            RunState::NotRun
         };
         let detail = "the policy's total deadline passed";
         Problem::not_run(StatusCode::GatewayTimeout, "deadline-passed", detail)
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -2,11 +2,14 @@
 
 use std::sync::OnceLock;
 
+use futures_lite::future::Boxed;
+
 use crate::cache::BlockKey;
 use crate::catalog::CatalogSync;
+use crate::claim::{ClaimError, ClaimRequest, ClaimTable, ClaimVerdict};
 use crate::decide::{Event, Signal};
 use crate::entry::control::Control;
-use crate::peer::{PeerEvents, PeerInfo, PeerMessage};
+use crate::peer::{ClaimServer, PeerEvents, PeerInfo, PeerMessage};
 use crate::prelude::*;
 
 /// Routes peers' messages to the catalog and the desk.
@@ -39,9 +42,10 @@
                 }
             }
             PeerMessage::TargetSignal { target, leaving } => {
-                let signal = match leaving {
-                    true => Signal::Leaving,
-                    false => Signal::Unreachable,
+                let signal = if leaving {
+                    Signal::Leaving
+                } else {
+                    Signal::Unreachable
                 };
                 control.signal(&target, signal);
             }
@@ -54,10 +58,18 @@
         let Some(control) = self.control.get() else {
             return;
         };
-        let peers = live.iter().filter(|p| p.domain == self.domain && !p.draining);
+        let peers = live
+            .iter()
+            .filter(|p| p.domain == self.domain && !p.draining);
         let entries = u32::try_from(peers.count() + 1).unwrap_or(u32::MAX);
         control.shared.desk.submit(Event::Entries(entries));
         let peers = i64::try_from(live.len()).unwrap_or(i64::MAX);
         control.shared.metrics.peers.set(peers);
     }
 }
+
+impl ClaimServer for ClaimTable {
+    fn serve(&self, claimant: Name, req: ClaimRequest) -> Boxed<Result<ClaimVerdict, ClaimError>> {
+        Self::serve(self, claimant, req)
+    }
+}
--- a/src/entry/vm_list.rs
+++ b/src/entry/vm_list.rs
@@ -15,11 +15,14 @@
 /// First pause after a failure.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Receives the whole list with each change.
+type Publish = Box<dyn Fn(&BTreeMap<Name, Vm>) + Send + Sync>;
+
 /// A copy of the VM list that outlives outages of the platform.
 pub(crate) struct VmList {
     platform: Arc<dyn Platform>,
     vms: BTreeMap<Name, Vm>,
-    publish: Box<dyn Fn(&BTreeMap<Name, Vm>) + Send + Sync>,
+    publish: Publish,
 }
 
 impl VmList {
