Link entries by WebSocket and follow the catalog

Cause: entries had no way to hear of each other, and nothing kept the catalog cell in step with the platform.

`Heartbeat` gains `watching`, `PeerLinks` gains `announce` with an empty default.

Ruled out: polling the head object by get; at the full size its tail alone would cost a watcher about the whole control budget, while a new watch from the last version carries nothing when nothing changed.

The replica has no test of its own yet.

--- /dev/null
+++ b/src/catalog/sync.rs
@@ -0,0 +1,280 @@
+//! Keeps an entry's catalog in step with the platform and its peers.
+
+use std::sync::{Mutex, OnceLock, PoisonError};
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender};
+use async_executor::{Executor, Task};
+use async_io::Timer;
+use futures_lite::{FutureExt, StreamExt};
+use log::Level;
+
+use crate::catalog::{
+    Catalog, CatalogCell, CatalogHead, CatalogStore, InForce, Replica, ReplicaEffect, ReplicaEvent,
+    ReplicaSettings, SnapshotRef,
+};
+use crate::peer::{PeerEvents, PeerInfo, PeerLinks, PeerMessage};
+use crate::platform::{Platform, PlatformError, Version, WatchEvent, WatchStream};
+use crate::prelude::*;
+use crate::telemetry::event;
+
+/// Interval at which timeouts are looked for.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Follows the catalog for one entry.
+pub struct CatalogSync {
+    name: Name,
+    domain: Name,
+    store: CatalogStore,
+    platform: Arc<dyn Platform>,
+    cell: Arc<CatalogCell>,
+    links: OnceLock<Arc<dyn PeerLinks>>,
+    replica: Mutex<Replica>,
+    version: Mutex<Option<Version>>,
+    watch: Mutex<Option<Task<()>>>,
+    started: Instant,
+    tx: Sender<ReplicaEvent>,
+    rx: Receiver<ReplicaEvent>,
+}
+
+impl CatalogSync {
+    /// Makes the follower of an entry; it is idle until [`CatalogSync::run`].
+    #[must_use]
+    pub fn new(
+        name: impl Into<Name>,
+        domain: impl Into<Name>,
+        platform: Arc<dyn Platform>,
+        cell: Arc<CatalogCell>,
+    ) -> Arc<Self> {
+        let (name, domain) = (name.into(), domain.into());
+        let (tx, rx) = async_channel::unbounded();
+        let replica = Replica::new(ReplicaSettings {
+            name: name.clone(),
+            domain: domain.clone(),
+            seed: fastrand::u64(..),
+        });
+        Arc::new(Self {
+            name,
+            domain,
+            store: CatalogStore::new(platform.clone()),
+            platform,
+            cell,
+            links: OnceLock::new(),
+            replica: Mutex::new(replica),
+            version: Mutex::default(),
+            watch: Mutex::default(),
+            started: Instant::now(),
+            tx,
+            rx,
+        })
+    }
+
+    /// Sets the links to peers; only the first call counts.
+    pub fn connect(&self, links: Arc<dyn PeerLinks>) {
+        let _ = self.links.set(links);
+    }
+
+    /// Whether a catalog is in force that this entry may serve by.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        lock(&self.replica).is_ready()
+    }
+
+    /// What this entry and each live peer has in force.
+    #[must_use]
+    pub fn in_force(&self) -> Vec<InForce> {
+        let replica = lock(&self.replica);
+        let own = InForce {
+            entry: self.name.clone(),
+            domain: self.domain.clone(),
+            revision: replica.catalog().revision,
+            since_ms: millis(self.started.elapsed().saturating_sub(replica.since())),
+        };
+        drop(replica);
+        let peers = self.links.get().map(|l| l.live()).unwrap_or_default();
+        let peers = peers.into_iter().map(|p| InForce {
+            entry: p.name,
+            domain: p.domain,
+            revision: p.revision,
+            since_ms: p.since_ms,
+        });
+        let mut all: Vec<_> = std::iter::once(own).chain(peers).collect();
+        all.sort_by(|a, b| (&a.domain, &a.entry).cmp(&(&b.domain, &b.entry)));
+        all
+    }
+
+    /// Follows the catalog until it is dropped.
+    pub async fn run(self: Arc<Self>, executor: Arc<Executor<'static>>) {
+        let mut ticks = Timer::interval_at(Instant::now(), TICK);
+        loop {
+            let tick = async {
+                ticks.next().await;
+                ReplicaEvent::Tick
+            };
+            let received = async {
+                match self.rx.recv().await {
+                    Ok(event) => event,
+                    Err(_) => ReplicaEvent::Tick,
+                }
+            };
+            let next = received.or(tick).await;
+            self.handle(next, &executor);
+        }
+    }
+
+    fn handle(self: &Arc<Self>, next: ReplicaEvent, executor: &Arc<Executor<'static>>) {
+        let mut effects = Vec::new();
+        let now = self.started.elapsed();
+        lock(&self.replica).on(now, next, &mut effects);
+        for effect in effects {
+            self.perform(effect, executor);
+        }
+    }
+
+    fn perform(self: &Arc<Self>, effect: ReplicaEffect, executor: &Arc<Executor<'static>>) {
+        match effect {
+            ReplicaEffect::Install(catalog) => self.install(&catalog),
+            ReplicaEffect::Send { to, message } => {
+                if let Some(links) = self.links.get() {
+                    links.send(&to, message);
+                }
+            }
+            ReplicaEffect::OpenWatch => {
+                let (this, ex) = (self.clone(), executor.clone());
+                executor
+                    .spawn(async move { this.open_watch(&ex).await })
+                    .detach();
+            }
+            ReplicaEffect::CloseWatch => drop(lock(&self.watch).take()),
+            ReplicaEffect::ReadHead => *lock(&self.version) = None,
+            ReplicaEffect::ReadSnapshot(at) => {
+                let this = self.clone();
+                executor
+                    .spawn(async move { this.read_snapshot(&at).await })
+                    .detach();
+            }
+            ReplicaEffect::Announce => self.announce(),
+        }
+    }
+
+    fn install(&self, catalog: &Arc<Catalog>) {
+        self.cell.offer(catalog);
+        event(
+            Level::Info,
+            "catalog_in_force",
+            &[("revision", &catalog.revision)],
+        );
+    }
+
+    fn announce(&self) {
+        let replica = lock(&self.replica);
+        let revision = replica.catalog().revision;
+        let since = self.started.elapsed().saturating_sub(replica.since());
+        let watching = replica.is_watching();
+        drop(replica);
+        if let Some(links) = self.links.get() {
+            links.announce(revision, since, watching);
+        }
+    }
+
+    async fn read_snapshot(&self, at: &SnapshotRef) {
+        let read = self.store.read_snapshot(at).await;
+        let read = read.inspect_err(|err| warn("catalog_snapshot_failed", err));
+        self.post(ReplicaEvent::Snapshot(read.ok().map(Arc::new)));
+    }
+
+    /// Opens a watch beside the running one and replaces it.
+    async fn open_watch(self: &Arc<Self>, executor: &Arc<Executor<'static>>) {
+        match self.connect_watch().await {
+            Ok(stream) => {
+                let this = self.clone();
+                let pump = executor.spawn(async move { this.pump(stream).await });
+                drop(lock(&self.watch).replace(pump));
+                self.post(ReplicaEvent::WatchOpened);
+            }
+            Err(err) => {
+                if matches!(err, PlatformError::Expired) {
+                    *lock(&self.version) = None;
+                }
+                log::debug!("event=catalog_watch_failed error={:?}", err.to_string());
+                self.post(ReplicaEvent::WatchFailed);
+            }
+        }
+    }
+
+    async fn connect_watch(&self) -> Result<WatchStream, PlatformError> {
+        let known = lock(&self.version).clone();
+        let version = match known {
+            Some(version) => version,
+            None => self.read_head().await?,
+        };
+        let (kind, name) = (CatalogHead::KIND, CatalogHead::NAME);
+        self.platform.watch(kind, Some(name), version).await
+    }
+
+    async fn read_head(&self) -> Result<Version, PlatformError> {
+        let (head, version) = self.store.read_or_create_head().await?;
+        *lock(&self.version) = Some(version.clone());
+        self.post(ReplicaEvent::Head(head));
+        Ok(version)
+    }
+
+    async fn pump(&self, mut stream: WatchStream) {
+        while let Some(Ok(event)) = stream.next().await {
+            match event {
+                WatchEvent::Put(object) if &*object.name == CatalogHead::NAME => {
+                    *lock(&self.version) = Some(object.version.clone());
+                    match object.decode() {
+                        Ok(head) => self.post(ReplicaEvent::Head(head)),
+                        Err(err) => warn("catalog_head_unreadable", &err),
+                    }
+                }
+                WatchEvent::Bookmark(version) => *lock(&self.version) = Some(version),
+                WatchEvent::Put(_) | WatchEvent::Deleted(_) => {}
+            }
+        }
+        *lock(&self.version) = None;
+        self.post(ReplicaEvent::WatchFailed);
+    }
+
+    fn post(&self, event: ReplicaEvent) {
+        let _ = self.tx.try_send(event);
+    }
+}
+
+impl PeerEvents for CatalogSync {
+    fn on_message(&self, from: &PeerInfo, message: PeerMessage) {
+        let from = from.name.clone();
+        match message {
+            PeerMessage::Heartbeat {
+                revision, watching, ..
+            } => self.post(ReplicaEvent::Beat {
+                from,
+                revision,
+                watching,
+            }),
+            PeerMessage::Notes(notes) => self.post(ReplicaEvent::Notes { from, notes }),
+            PeerMessage::WantCatalog => self.post(ReplicaEvent::Wanted(from)),
+            PeerMessage::WholeCatalog(catalog) => {
+                self.post(ReplicaEvent::Whole { from, catalog });
+            }
+            _ => {}
+        }
+    }
+
+    fn on_change(&self, live: &[PeerInfo]) {
+        self.post(ReplicaEvent::Peers(live.to_vec()));
+    }
+}
+
+fn warn(kind: &str, err: &dyn std::fmt::Display) {
+    event(Level::Warn, kind, &[("error", err)]);
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/peer/builder.rs
@@ -0,0 +1,71 @@
+//! Construction of a mesh.
+
+use std::net::SocketAddr;
+
+use crate::cache::Secret;
+use crate::peer::{Mesh, PeerEvents};
+use crate::prelude::*;
+use crate::telemetry::Metrics;
+
+/// Settings of a [`Mesh`].
+#[derive(Clone, Debug)]
+pub struct MeshBuilder {
+    pub(crate) name: Name,
+    pub(crate) domain: Name,
+    pub(crate) boot: u64,
+    pub(crate) secret: Secret,
+    pub(crate) heartbeat: Duration,
+    pub(crate) peer_timeout: Duration,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) metrics: Option<Arc<Metrics>>,
+}
+
+impl MeshBuilder {
+    pub(crate) fn new(name: Name, domain: Name, secret: Secret) -> Self {
+        Self {
+            name,
+            domain,
+            boot: fastrand::u64(1..),
+            secret,
+            heartbeat: Duration::from_millis(500),
+            peer_timeout: Duration::from_secs(2),
+            seeds: Vec::new(),
+            metrics: None,
+        }
+    }
+
+    /// Sets the random number of this process.
+    #[must_use]
+    pub fn boot(mut self, boot: u64) -> Self {
+        self.boot = boot;
+        self
+    }
+
+    /// Sets the interval of heartbeats and the silence after which a peer counts as lost.
+    #[must_use]
+    pub fn timing(mut self, heartbeat: Duration, peer_timeout: Duration) -> Self {
+        self.heartbeat = heartbeat;
+        self.peer_timeout = peer_timeout;
+        self
+    }
+
+    /// Sets addresses that are dialled whether the platform lists them or not.
+    #[must_use]
+    pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
+    /// Counts peers and faults in `metrics`.
+    #[must_use]
+    pub fn metrics(mut self, metrics: Arc<Metrics>) -> Self {
+        self.metrics = Some(metrics);
+        self
+    }
+
+    /// Makes the mesh; it is idle until [`Mesh::run`].
+    #[must_use]
+    pub fn build(self, events: Arc<dyn PeerEvents>) -> Arc<Mesh> {
+        Mesh::with_settings(self, events)
+    }
+}
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -29,6 +29,11 @@
     fn send(&self, to: &str, message: PeerMessage) -> bool;
     /// Sends a message to every peer with a link.
     fn broadcast(&self, message: &PeerMessage);
+    /// Sets what the next heartbeats say of the catalog: its revision, the time since it came into
+    /// force, and whether this entry follows it at the platform.
+    fn announce(&self, revision: u64, since: Duration, watching: bool) {
+        let _ = (revision, since, watching);
+    }
     /// Has the owner of a shard commit a claim; `None` when the link was lost or too slow, so that
     /// the claim may or may not have been committed.
     fn claim(
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -34,6 +34,9 @@
         since_ms: u64,
         /// Whether the entry is shutting down.
         draining: bool,
+        /// Whether the entry follows the catalog at the platform and was answered lately.
+        #[serde(default)]
+        watching: bool,
     },
     /// Notes that bring a peer from `against` of the first note to the newest revision.
     Notes(Vec<ReleaseNote>),
--- /dev/null
+++ b/src/peer/rank.rs
@@ -0,0 +1,27 @@
+//! Rendezvous ranking of the entries of a failure domain.
+
+use std::cmp::Reverse;
+
+/// Entries of a domain that link to other domains.
+pub const GATEWAYS: usize = 2;
+
+/// Sort key by which the entries of a domain are ranked (highest random weight hashing).
+#[must_use]
+pub fn rank_key(domain: &str, name: &str) -> Reverse<[u8; 8]> {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(domain.len() as u64).to_le_bytes());
+    hasher.update(domain.as_bytes());
+    hasher.update(name.as_bytes());
+    let mut key = [0; 8];
+    hasher.finalize_xof().fill(&mut key);
+    Reverse(key)
+}
+
+/// Rank of `own` among itself and `others`, from zero.
+#[must_use]
+pub fn rank_of<'a>(domain: &str, own: &str, others: impl Iterator<Item = &'a str>) -> usize {
+    let key = rank_key(domain, own);
+    others
+        .filter(|name| *name != own && rank_key(domain, name) < key)
+        .count()
+}
--- /dev/null
+++ b/src/peer/traffic.rs
@@ -0,0 +1,53 @@
+//! Counts of what the links carry.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Messages and payload bytes of all links since the start.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent: AtomicU64,
+    sent_bytes: AtomicU64,
+    received: AtomicU64,
+    received_bytes: AtomicU64,
+    unreadable: AtomicU64,
+}
+
+impl Traffic {
+    /// Counts a sent frame of `bytes` bytes.
+    pub(crate) fn count_sent(&self, bytes: usize) {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Counts a received frame of `bytes` bytes.
+    pub(crate) fn count_received(&self, bytes: usize) {
+        self.received.fetch_add(1, Ordering::Relaxed);
+        self.received_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Counts a frame that could not be read.
+    pub(crate) fn count_unreadable(&self) {
+        self.unreadable.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Frames and payload bytes sent.
+    #[must_use]
+    pub fn sent(&self) -> (u64, u64) {
+        let frames = self.sent.load(Ordering::Relaxed);
+        (frames, self.sent_bytes.load(Ordering::Relaxed))
+    }
+
+    /// Frames and payload bytes received.
+    #[must_use]
+    pub fn received(&self) -> (u64, u64) {
+        let frames = self.received.load(Ordering::Relaxed);
+        (frames, self.received_bytes.load(Ordering::Relaxed))
+    }
+
+    /// Frames that could not be read; each closed its connection.
+    #[must_use]
+    pub fn unreadable(&self) -> u64 {
+        self.unreadable.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/tests/peer_mesh.rs
@@ -0,0 +1,272 @@
+//! Links between entries on real sockets.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::{Async, Timer, block_on};
+use async_tungstenite::tungstenite::Message;
+use futures_lite::future::Boxed;
+use futures_lite::{FutureExt, StreamExt};
+use guavahold::cache::Secret;
+use guavahold::claim::{ClaimError, ClaimKey, ClaimRequest, ClaimVerdict};
+use guavahold::peer::{
+    ClaimServer, Mesh, PROTOCOL, PeerEvents, PeerInfo, PeerLinks, PeerMessage, decode, encode,
+};
+use guavahold::platform::{Phase, Role, Vm};
+use guavahold::prelude::Name;
+
+const SECRET: &[u8] = b"a secret of at least thirty-two bytes";
+const HEARTBEAT: Duration = Duration::from_millis(50);
+const TIMEOUT: Duration = Duration::from_millis(300);
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[derive(Default)]
+struct Inbox(Mutex<Vec<(Name, PeerMessage)>>);
+
+impl PeerEvents for Inbox {
+    fn on_message(&self, from: &PeerInfo, message: PeerMessage) {
+        if !matches!(message, PeerMessage::Heartbeat { .. }) {
+            self.0.lock().unwrap().push((from.name.clone(), message));
+        }
+    }
+
+    fn on_change(&self, _: &[PeerInfo]) {}
+}
+
+struct Node {
+    mesh: Arc<Mesh>,
+    inbox: Arc<Inbox>,
+    addr: SocketAddr,
+}
+
+fn start(ex: &Arc<Executor<'static>>, name: &str, secret: &[u8], seeds: Vec<SocketAddr>) -> Node {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let inbox = Arc::new(Inbox::default());
+    let mesh = Mesh::builder(name, &name[..1], Secret::new(secret))
+        .timing(HEARTBEAT, TIMEOUT)
+        .seeds(seeds)
+        .build(inbox.clone());
+    let run = mesh.clone().run(listener, ex.clone());
+    ex.spawn(async move { run.await.unwrap() }).detach();
+    Node { mesh, inbox, addr }
+}
+
+fn vm(name: &str, address: SocketAddr) -> Vm {
+    Vm {
+        name: name.into(),
+        role: Role::Entry,
+        domain: name[..1].into(),
+        address,
+        serves: "".into(),
+        phase: Phase::Live,
+    }
+}
+
+/// Runs `f` beside the executor's tasks.
+fn within<T>(f: impl AsyncFnOnce(Arc<Executor<'static>>) -> T) -> T {
+    let ex = Arc::new(Executor::new());
+    block_on(ex.clone().run(f(ex)))
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let wait = async {
+        while !holds() {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        true
+    };
+    let late = async {
+        Timer::after(PATIENCE).await;
+        false
+    };
+    assert!(wait.or(late).await, "{what}");
+}
+
+fn names(node: &Node) -> Vec<String> {
+    node.mesh
+        .live()
+        .iter()
+        .map(|p| p.name.to_string())
+        .collect()
+}
+
+#[test]
+fn mesh_links_listed_entries_once() {
+    within(async |ex| {
+        let nodes: Vec<_> = ["a1", "a2", "b1"]
+            .map(|name| start(&ex, name, SECRET, Vec::new()))
+            .into();
+        let vms = nodes.iter().zip(["a1", "a2", "b1"]);
+        let vms: Vec<_> = vms.map(|(n, name)| vm(name, n.addr)).collect();
+        for node in &nodes {
+            node.mesh.set_peers(&vms);
+        }
+        until("all linked", || {
+            nodes.iter().all(|n| n.mesh.live().len() == 2)
+        })
+        .await;
+        assert_eq!(names(&nodes[0]), ["a2", "b1"]);
+        nodes[1].mesh.set_status(7, 40, true);
+        until("status seen", || {
+            let live = nodes[2].mesh.live();
+            live.iter()
+                .any(|p| &*p.name == "a2" && p.revision == 7 && p.draining)
+        })
+        .await;
+        nodes[2].mesh.broadcast(&PeerMessage::WantCatalog);
+        until("broadcast", || {
+            nodes[..2]
+                .iter()
+                .all(|n| n.inbox.0.lock().unwrap().len() == 1)
+        })
+        .await;
+    });
+}
+
+#[test]
+fn mesh_seeds_link_without_a_list() {
+    within(async |ex| {
+        let first = start(&ex, "a1", SECRET, Vec::new());
+        let second = start(&ex, "b1", SECRET, vec![first.addr]);
+        until("linked", || {
+            names(&first) == ["b1"] && names(&second) == ["a1"]
+        })
+        .await;
+        first.mesh.leave();
+        until("linked again", || {
+            names(&first) == ["b1"] && names(&second) == ["a1"]
+        })
+        .await;
+    });
+}
+
+#[test]
+fn mesh_wrong_secret_is_refused() {
+    within(async |ex| {
+        let first = start(&ex, "a1", SECRET, Vec::new());
+        let other = start(
+            &ex,
+            "a2",
+            b"another secret, just as long as that",
+            vec![first.addr],
+        );
+        Timer::after(TIMEOUT * 2).await;
+        assert!(first.mesh.live().is_empty());
+        assert!(other.mesh.live().is_empty());
+    });
+}
+
+/// Connects as a peer of the given name and says hello.
+async fn raw_peer(
+    name: &str,
+    addr: SocketAddr,
+) -> async_tungstenite::WebSocketStream<Async<std::net::TcpStream>> {
+    let stream = Async::<std::net::TcpStream>::connect(addr).await.unwrap();
+    let url = format!("ws://{addr}/peers");
+    let (mut ws, _) = async_tungstenite::client_async(url, stream).await.unwrap();
+    let hello = PeerMessage::Hello {
+        protocol: PROTOCOL,
+        name: name.into(),
+        domain: name[..1].into(),
+        boot: 5,
+        proof: Secret::new(SECRET).peer_proof(name, 5).into(),
+    };
+    ws.send(Message::Binary(encode(&hello).into()))
+        .await
+        .unwrap();
+    ws
+}
+
+#[test]
+fn mesh_unreadable_frame_closes_only_its_connection() {
+    within(async |ex| {
+        let first = start(&ex, "a1", SECRET, Vec::new());
+        let second = start(&ex, "a2", SECRET, vec![first.addr]);
+        let mut bad = raw_peer("c1", first.addr).await;
+        until("linked", || names(&first) == ["a2", "c1"]).await;
+        bad.send(Message::Binary(vec![0xff, 1, 2].into()))
+            .await
+            .unwrap();
+        until("closed", || names(&first) == ["a2"]).await;
+        while let Some(Ok(_)) = bad.next().await {}
+        assert_eq!(first.mesh.traffic().unreadable(), 1);
+        assert_eq!(names(&second), ["a1"]);
+    });
+}
+
+#[test]
+fn mesh_silent_link_is_lost_and_redialled() {
+    within(async |ex| {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let addr = listener.get_ref().local_addr().unwrap();
+        let node = start(&ex, "a1", SECRET, vec![addr]);
+        for _ in 0..2 {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut ws = async_tungstenite::accept_async(stream).await.unwrap();
+            let Some(Ok(Message::Binary(hello))) = ws.next().await else {
+                panic!("expected a greeting");
+            };
+            assert!(matches!(decode(&hello), Ok(PeerMessage::Hello { .. })));
+            let hello = PeerMessage::Hello {
+                protocol: PROTOCOL,
+                name: "b1".into(),
+                domain: "b".into(),
+                boot: 5,
+                proof: Secret::new(SECRET).peer_proof("b1", 5).into(),
+            };
+            ws.send(Message::Binary(encode(&hello).into()))
+                .await
+                .unwrap();
+            until("live", || names(&node) == ["b1"]).await;
+            until("lost", || names(&node).is_empty()).await;
+            drop(ws);
+        }
+    });
+}
+
+struct Granting;
+
+impl ClaimServer for Granting {
+    fn serve(&self, _: Name, req: ClaimRequest) -> Boxed<Result<ClaimVerdict, ClaimError>> {
+        Box::pin(async move {
+            if &*req.digest == "never" {
+                Timer::never().await;
+            }
+            Ok(ClaimVerdict::InProgress)
+        })
+    }
+}
+
+#[test]
+fn mesh_claim_is_answered_or_given_up() {
+    within(async |ex| {
+        let owner = start(&ex, "a1", SECRET, Vec::new());
+        owner.mesh.serve_claims(Arc::new(Granting));
+        let asker = start(&ex, "a2", SECRET, vec![owner.addr]);
+        until("linked", || names(&asker) == ["a1"]).await;
+        let req = |digest: &str| ClaimRequest {
+            key: ClaimKey {
+                customer: "salon".into(),
+                key: uuid::Uuid::nil(),
+            },
+            digest: digest.into(),
+            retention: Duration::from_secs(1),
+        };
+        let answered = asker.mesh.claim("a1", "a2/1".into(), req("once")).await;
+        assert_eq!(answered, Some(Ok(ClaimVerdict::InProgress)));
+        assert_eq!(
+            asker.mesh.claim("a1", "a2/2".into(), req("never")).await,
+            None
+        );
+        assert_eq!(
+            asker.mesh.claim("z9", "a2/3".into(), req("once")).await,
+            None
+        );
+        let pending = asker.mesh.claim("a1", "a2/4".into(), req("never"));
+        asker.mesh.leave();
+        assert_eq!(pending.await, None);
+    });
+}
