--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -2,10 +2,13 @@
 
 use std::io::Result;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use guavahold::catalog::{CatalogStore, ReleaseNote};
 use guavahold::platform::{Object, Phase, Platform, RemotePlatform, Role, Vm};
+use guavahold::settings::Document;
 use http_types::Method;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -192,6 +195,21 @@
         written.expect("the platform takes the VM");
     }
 
+    /// Puts a release note in force without the operators' program.
+    ///
+    /// # Panics
+    /// When the note is not valid or the platform refuses.
+    pub async fn put_note(&self, text: &str) {
+        let note = ReleaseNote::read(&Document::new("note", text)).expect("a valid note");
+        let store = CatalogStore::new(Arc::new(self.api.clone()));
+        let head = store.read_or_create_head().await;
+        let (mut head, version) = head.expect("the platform answers");
+        head.revision = note.revision();
+        head.tail.push(note);
+        let written = store.update_head(&head, version).await;
+        written.expect("the platform takes the note");
+    }
+
     /// Runs the operators' program and returns its exit status and output.
     ///
     /// # Errors
