Keep blocks on disk with a commit record, pinned readers, a paced link and predicted values

Cause: the thin store kept a map in memory; a block had no commit, no pin and no place on disk.

Change: - store::index decides without I/O: staging, commit, pins, free, eviction by hit density per byte with leaves before their parents, memory tier; invariants asserted inside. An invariant that breaks stops the store from serving and from being ready (metric invariant_violations_total). - store::disk: staging file synced, then renamed; record with length, BLAKE3 digest, customer, own hash; a tombstone for a block freed under its readers or in mid-commit; a start drops whatever has no commit record and rebuilds the index from the folder; the folder is locked. - store::link: interactive before background, customers fair by start-time fair queueing, bytes in flight bounded, wait predicted for /held. - http: Handler::admit decides on a request before its body is read (dedupe, ticket, full disk and pacing of uploads without taking the body into memory); Server::with_write_stall closes a connection whose peer acknowledges nothing. Bodies of known length are read 64 KiB at a time. - settings: transfer_bytes.

Ruled out: pacing inside the handler (the body is in memory by then); opening the file at pin time in place of a tombstone (control would wait for the disk); fsync of the folder at each commit (a lost rename after a power cut is a miss, which is safe; a lost removal after a free is not, so free syncs).

--- a/src/http.rs
+++ b/src/http.rs
@@ -6,8 +6,10 @@
 
 mod chunk;
 mod client;
+mod control;
 mod error;
 mod framing;
+mod gate;
 mod head;
 mod limits;
 mod memory;
@@ -19,11 +21,13 @@
 
 pub use chunk::ChunkScanner;
 pub use client::{Answer, Connection};
+pub use control::ServerControl;
 pub use error::{ExchangeError, HeadError};
 pub use framing::Framing;
+pub use gate::{Admission, BodyGate};
 pub use head::RequestHead;
 pub use limits::Limits;
 pub use pool::Pool;
 pub use problem::{Problem, RunState};
-pub use server::{Exchange, Handler, Reply, Server, ServerControl};
+pub use server::{Exchange, Handler, Reply, Server};
 pub use sse::{EventParser, EventSender, SseEvent, event_body};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,19 +5,25 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::{Method, Request, Response};
+use socket2::SockRef;
 
 use crate::http::memory::Memory;
-use crate::http::{ChunkScanner, Framing, HeadError, Limits, Problem, RequestHead};
+use crate::http::{
+    Admission, BodyGate, ChunkScanner, Framing, HeadError, Limits, Problem, RequestHead,
+    ServerControl,
+};
 
 /// Bytes read from a socket at once.
 const READ_SIZE: usize = 4 * 1024;
+/// Bytes of a body read from a socket at once.
+const BODY_READ_SIZE: usize = 64 * 1024;
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -30,6 +36,8 @@
     pub body: Vec<u8>,
     /// Address of the caller's connection.
     pub peer: SocketAddr,
+    /// Gate through which the body came, if its reading was gated.
+    pub gate: Option<Box<dyn BodyGate>>,
 }
 
 impl Exchange {
@@ -47,57 +55,11 @@
 pub trait Handler: Send + Sync {
     /// Answers one request.
     fn handle(self: Arc<Self>, exchange: Exchange) -> Reply;
-}
-
-/// Shared state through which a server is drained.
-#[derive(Debug)]
-pub struct ServerControl {
-    draining: AtomicBool,
-    connections: AtomicUsize,
-    running: AtomicUsize,
-    stop_tx: async_channel::Sender<()>,
-    stop_rx: async_channel::Receiver<()>,
-}
-
-impl Default for ServerControl {
-    fn default() -> Self {
-        let (stop_tx, stop_rx) = async_channel::bounded(1);
-        Self {
-            draining: AtomicBool::new(false),
-            connections: AtomicUsize::new(0),
-            running: AtomicUsize::new(0),
-            stop_tx,
-            stop_rx,
-        }
-    }
-}
-
-impl ServerControl {
-    /// Asks callers to close their connections after their next answer.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Release);
-    }
-
-    /// Stops accepting and closes connections that carry no request.
-    pub fn stop(&self) {
-        self.drain();
-        self.stop_tx.close();
-    }
-
-    /// Requests being answered now.
-    #[must_use]
-    pub fn running(&self) -> usize {
-        self.running.load(Ordering::Acquire)
-    }
 
-    /// Connections open now.
-    #[must_use]
-    pub fn connections(&self) -> usize {
-        self.connections.load(Ordering::Acquire)
-    }
-
-    async fn stopped(&self) {
-        let _ = self.stop_rx.recv().await;
+    /// Decides on a request whose head is read and whose body is not; `None` reads the body without
+    /// a gate.
+    fn admit(self: Arc<Self>, _head: &Request, _body: Framing) -> Option<Admission> {
+        None
     }
 }
 
@@ -107,6 +69,7 @@
     limits: Arc<Limits>,
     handler: Arc<dyn Handler>,
     control: Arc<ServerControl>,
+    write_stall: Option<Duration>,
 }
 
 impl Server {
@@ -125,9 +88,17 @@
             limits: Arc::new(limits),
             handler,
             control,
+            write_stall: None,
         })
     }
 
+    /// Closes connections whose peer acknowledges no byte of an answer for `time`.
+    #[must_use]
+    pub fn with_write_stall(mut self, time: Duration) -> Self {
+        self.write_stall = Some(time);
+        self
+    }
+
     /// Accepts until [`ServerControl::stop`] is called.
     pub async fn run(self, ex: Arc<Executor<'static>>) {
         loop {
@@ -152,6 +123,9 @@
             return;
         }
         let _ = stream.get_ref().set_nodelay(true);
+        if let Some(time) = self.write_stall {
+            let _ = SockRef::from(stream.get_ref()).set_tcp_user_timeout(Some(time));
+        }
         let serving = Serving {
             stream,
             peer,
@@ -217,34 +191,39 @@
         }
         let running = Running::new(&self.control);
         let limit = self.limits.message_time;
-        let late = async {
-            Timer::after(limit).await;
-            Err(HeadError::TooSlow)
-        };
-        let received = self.receive().or(late).await;
-        let (head, body) = match received {
-            Ok(Some(message)) => message,
-            Ok(None) => return Ok(false),
+        let mut head = match self.receive_head().or(late(limit)).await {
+            Ok(head) => head,
             Err(err) => return self.reject(err).await,
         };
         let close = head.close;
-        let decoded = async_h1::server::decode(Memory::new(head.bytes)).await;
+        let bytes = std::mem::take(&mut head.bytes);
+        let decoded = async_h1::server::decode(Memory::new(bytes)).await;
         let Ok(Some((req, _))) = decoded else {
             return self.reject(HeadError::Malformed).await;
         };
         let method = req.method();
+        let mut gate = None;
+        if let Some(admission) = self.handler.clone().admit(&req, head.framing) {
+            let decision = async { Some(admission.await) };
+            gate = match decision.or(self.gone()).await {
+                Some(Ok(gate)) => Some(gate),
+                Some(Err(res)) => return self.turn_away(res, method).await,
+                None => return Ok(false),
+            };
+        }
+        let body = match self.receive_body(&head, &mut gate).or(late(limit)).await {
+            Ok(body) => body,
+            Err(err) => return self.reject(err).await,
+        };
         let exchange = Exchange {
             req,
             body,
             peer: self.peer,
+            gate,
         };
         let reply = self.handler.clone().handle(exchange);
         let answer = async { Some(reply.await) };
-        let gone = async {
-            self.gone().await;
-            None
-        };
-        let Some(res) = answer.or(gone).await else {
+        let Some(res) = answer.or(self.gone()).await else {
             return Ok(false);
         };
         let keep = self.respond(res, method, close).await?;
@@ -282,44 +261,73 @@
         read.map_err(|_| HeadError::CutShort)
     }
 
-    async fn receive(&mut self) -> Result<Option<(RequestHead, Vec<u8>)>, HeadError> {
-        let head = loop {
+    async fn receive_head(&mut self) -> Result<RequestHead, HeadError> {
+        loop {
             if let Some(head) = RequestHead::parse(&self.buf, &self.limits)? {
-                break head;
+                self.buf.drain(..head.consumed);
+                return Ok(head);
             }
             if self.fill().await? == 0 {
                 return Err(HeadError::CutShort);
             }
-        };
-        self.buf.drain(..head.consumed);
+        }
+    }
+
+    async fn receive_body(
+        &mut self,
+        head: &RequestHead,
+        gate: &mut Option<Box<dyn BodyGate>>,
+    ) -> Result<Vec<u8>, HeadError> {
         if head.expects_continue && head.framing != Framing::Unstated {
             let _ = self
                 .stream
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
                 .await;
         }
-        let body = match head.framing {
-            Framing::Unstated => Vec::new(),
-            Framing::Length(len) => self.receive_length(len).await?,
-            Framing::Chunked => self.receive_chunked().await?,
-        };
-        Ok(Some((head, body)))
+        match head.framing {
+            Framing::Unstated => Ok(Vec::new()),
+            Framing::Length(len) => self.receive_length(len, gate).await,
+            Framing::Chunked => self.receive_chunked().await,
+        }
     }
 
-    async fn receive_length(&mut self, len: u64) -> Result<Vec<u8>, HeadError> {
+    async fn receive_length(
+        &mut self,
+        len: u64,
+        gate: &mut Option<Box<dyn BodyGate>>,
+    ) -> Result<Vec<u8>, HeadError> {
         let len = usize::try_from(len).map_err(|_| HeadError::BodyTooLarge)?;
         if len > self.limits.body_bytes {
             return Err(HeadError::BodyTooLarge);
         }
         while self.buf.len() < len {
-            if self.fill().await? == 0 {
-                return Err(HeadError::CutShort);
-            }
+            let left = len - self.buf.len();
+            let allowed = match gate {
+                Some(gate) => gate.next(left).await,
+                None => left,
+            };
+            self.receive_part(allowed.clamp(1, left)).await?;
         }
         let rest = self.buf.split_off(len);
         Ok(std::mem::replace(&mut self.buf, rest))
     }
 
+    /// Reads exactly `len` bytes of a body.
+    async fn receive_part(&mut self, len: usize) -> Result<(), HeadError> {
+        let end = self.buf.len() + len;
+        while self.buf.len() < end {
+            let at = self.buf.len();
+            let size = (end - at).min(BODY_READ_SIZE);
+            self.buf.resize(at + size, 0);
+            let read = self.stream.read(&mut self.buf[at..]).await;
+            self.buf.truncate(at + *read.as_ref().unwrap_or(&0));
+            if read.map_err(|_| HeadError::CutShort)? == 0 {
+                return Err(HeadError::CutShort);
+            }
+        }
+        Ok(())
+    }
+
     async fn receive_chunked(&mut self) -> Result<Vec<u8>, HeadError> {
         let mut scanner = ChunkScanner::new();
         let mut body = Vec::new();
@@ -340,7 +348,12 @@
 
     async fn reject(&mut self, err: HeadError) -> io::Result<bool> {
         let res = Problem::not_run(err.status(), "bad-message", err.to_string()).into_response();
-        self.respond(res, Method::Post, true).await?;
+        self.turn_away(res, Method::Post).await
+    }
+
+    /// Answers without having read the whole message and closes the connection.
+    async fn turn_away(&mut self, res: Response, method: Method) -> io::Result<bool> {
+        self.respond(res, method, true).await?;
         self.linger().await;
         Ok(false)
     }
@@ -374,17 +387,22 @@
     }
 
     /// Completes when the peer resets the connection; a half-close is not a reset.
-    async fn gone(&self) {
+    async fn gone<T>(&self) -> Option<T> {
         let mut byte = [0];
         loop {
             if self.stream.readable().await.is_err() {
-                return;
+                return None;
             }
             match self.stream.get_ref().peek(&mut byte) {
                 Ok(_) => std::future::pending::<()>().await,
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
+                Err(_) => return None,
             }
         }
     }
 }
+
+async fn late<T>(limit: Duration) -> Result<T, HeadError> {
+    Timer::after(limit).await;
+    Err(HeadError::TooSlow)
+}
--- a/src/settings/store.rs
+++ b/src/settings/store.rs
@@ -30,6 +30,8 @@
     pub disk_bytes: u64,
     /// Longest block, in bytes.
     pub block_bytes: u64,
+    /// Bytes of the blocks in transfer at once, which are held in memory besides `memory_bytes`.
+    pub transfer_bytes: u64,
     /// Bytes per second of the store's link, both directions together.
     pub link_bytes_per_second: u64,
     /// Threads that serve engines and entries.
@@ -69,6 +71,7 @@
                 memory_bytes: 1 << 30,
                 disk_bytes: 16 << 30,
                 block_bytes: 64 << 20,
+                transfer_bytes: 256 << 20,
                 link_bytes_per_second: 1 << 30,
                 traffic_threads: 2,
                 drain_lag: Duration::from_secs(2),
@@ -91,6 +94,11 @@
             memory_bytes: fields.integer("memory_bytes", 0..=1 << 44, defaults.memory_bytes),
             disk_bytes: fields.integer("disk_bytes", 0..=1 << 50, defaults.disk_bytes),
             block_bytes: fields.integer("block_bytes", 1024..=1 << 30, defaults.block_bytes),
+            transfer_bytes: fields.integer(
+                "transfer_bytes",
+                4096..=1 << 40,
+                defaults.transfer_bytes,
+            ),
             link_bytes_per_second: fields.integer(
                 "link_bytes_per_second",
                 1024..=1 << 40,
@@ -101,6 +109,9 @@
             log_level: read_log_level(fields),
             ..defaults
         };
+        if cfg.transfer_bytes < cfg.block_bytes.saturating_mul(2) {
+            fields.reject_field("transfer_bytes", "expected at least twice block_bytes");
+        }
         let (blocks, admin) = listen?;
         Some(Self {
             name: name?,
--- a/src/store/admin.rs
+++ b/src/store/admin.rs
@@ -6,26 +6,30 @@
 
 use crate::http::{Exchange, Handler, Reply};
 use crate::prelude::*;
-use crate::store::StoreMetrics;
+use crate::store::core::Core;
 
 /// Answers liveness, readiness and metrics.
 pub(crate) struct Admin {
     pub(crate) ready: Arc<AtomicBool>,
-    pub(crate) metrics: Arc<StoreMetrics>,
+    pub(crate) core: Arc<Core>,
 }
 
 impl Admin {
+    fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire) && self.core.is_sound()
+    }
+
     fn answer(&self, exchange: &Exchange) -> Response {
         if exchange.req.method() != Method::Get {
             return Response::new(StatusCode::MethodNotAllowed);
         }
         match exchange.req.url().path() {
             "/live" => Response::new(StatusCode::Ok),
-            "/ready" if self.ready.load(Ordering::Acquire) => Response::new(StatusCode::Ok),
+            "/ready" if self.is_ready() => Response::new(StatusCode::Ok),
             "/ready" => Response::new(StatusCode::ServiceUnavailable),
             "/metrics" => {
                 let mut res = Response::new(StatusCode::Ok);
-                res.set_body(self.metrics.render());
+                res.set_body(self.core.metrics.render());
                 res.insert_header("content-type", "text/plain; version=0.0.4");
                 res
             }
--- a/src/store/metrics.rs
+++ b/src/store/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a store.
 
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 /// Metrics of one store process, each with a bounded set of labels.
 #[derive(Debug)]
@@ -12,8 +12,14 @@
     pub bytes: IntCounterVec,
     /// Events that went wrong, by kind.
     pub faults: IntCounterVec,
+    /// Invariants found broken; each is a defect of this program.
+    pub invariants: IntCounter,
     /// Blocks held.
     pub blocks: IntGauge,
+    /// Bytes of blocks on disk.
+    pub disk_bytes: IntGauge,
+    /// Bytes of blocks in memory.
+    pub memory_bytes: IntGauge,
 }
 
 impl Default for StoreMetrics {
@@ -40,7 +46,10 @@
             requests,
             bytes: counters(&registry, "bytes_total", "Bytes of blocks", &["direction"]),
             faults: counters(&registry, "faults_total", "Faults by kind", &["kind"]),
+            invariants: counter(&registry, "invariant_violations_total", "Broken invariants"),
             blocks: gauge(&registry, "blocks", "Blocks held"),
+            disk_bytes: gauge(&registry, "disk_bytes", "Bytes of blocks on disk"),
+            memory_bytes: gauge(&registry, "memory_bytes", "Bytes of blocks in memory"),
             registry,
         }
     }
@@ -65,6 +74,14 @@
     metric
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let name = format!("guavahold_store_{name}");
+    let metric = IntCounter::new(name, help).expect("the metric's name is valid");
+    let registered = registry.register(Box::new(metric.clone()));
+    registered.expect("the metric's name is distinct");
+    metric
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let name = format!("guavahold_store_{name}");
     let metric = IntGauge::new(name, help).expect("the metric's name is valid");
--- a/src/store/server.rs
+++ b/src/store/server.rs
@@ -13,10 +13,15 @@
 use crate::settings::StoreSettings;
 use crate::store::StoreMetrics;
 use crate::store::admin::Admin;
+use crate::store::core::Core;
 use crate::store::handler::Blocks;
 
 /// Longest time one block may take to arrive.
 const MESSAGE_TIME: Duration = Duration::from_mins(2);
+/// Longest time a reader may leave sent bytes unacknowledged.
+const WRITE_STALL: Duration = Duration::from_secs(30);
+/// Interval at which failed removals are tried again.
+const TICK: Duration = Duration::from_secs(30);
 /// Interval at which a draining store looks whether its last answers are out.
 const DRAIN_CHECK: Duration = Duration::from_millis(10);
 
@@ -49,6 +54,7 @@
     admin_addr: SocketAddr,
     blocks: Server,
     admin: Server,
+    core: Arc<Core>,
     control: Arc<StoreControl>,
 }
 
@@ -61,6 +67,8 @@
         let metrics = Arc::new(StoreMetrics::new());
         let blocks_listener = TcpListener::bind(cfg.blocks)?;
         let admin_listener = TcpListener::bind(cfg.admin)?;
+        let blocks_addr = blocks_listener.local_addr()?;
+        let admin_addr = admin_listener.local_addr()?;
         let control = Arc::new(StoreControl {
             ready: Arc::new(AtomicBool::new(true)),
             blocks: Arc::default(),
@@ -72,21 +80,24 @@
             message_time: MESSAGE_TIME,
             ..Limits::default()
         };
-        let handler = Arc::new(Blocks::new(cfg, secret, metrics.clone()));
+        let core = Arc::new(Core::open(cfg, metrics)?);
+        let handler = Arc::new(Blocks {
+            secret,
+            core: core.clone(),
+        });
         let admin = Arc::new(Admin {
             ready: control.ready.clone(),
-            metrics,
+            core: core.clone(),
         });
+        let blocks = Server::new(blocks_listener, limits, handler, control.blocks.clone())?;
+        let limits = Limits::default();
+        let admin = Server::new(admin_listener, limits, admin, control.admin.clone())?;
         Ok(Self {
-            blocks_addr: blocks_listener.local_addr()?,
-            admin_addr: admin_listener.local_addr()?,
-            blocks: Server::new(blocks_listener, limits, handler, control.blocks.clone())?,
-            admin: Server::new(
-                admin_listener,
-                Limits::default(),
-                admin,
-                control.admin.clone(),
-            )?,
+            blocks_addr,
+            admin_addr,
+            blocks: blocks.with_write_stall(WRITE_STALL),
+            admin,
+            core,
             control,
         })
     }
@@ -111,8 +122,20 @@
 
     /// Serves on `ex` until [`StoreControl::shut_down`] has finished.
     pub async fn run(self, ex: Arc<Executor<'static>>) {
+        let throttle = ex.spawn(self.core.throttle.clone().run());
+        let ticks = ex.spawn(tick(self.core));
         let admin = ex.spawn(self.admin.run(ex.clone()));
         self.blocks.run(ex).await;
         admin.await;
+        throttle.cancel().await;
+        ticks.cancel().await;
+    }
+}
+
+async fn tick(core: Arc<Core>) {
+    loop {
+        Timer::after(TICK).await;
+        let core = core.clone();
+        blocking::unblock(move || core.tick()).await;
     }
 }
