Make a free survive a power cut also after an eviction

Change: free always syncs the block's folder (Effect::Sync); each start counts itself durably and takes its generations from that count.

Ruled out: syncing each eviction (a sync for each upload of a full store, for blocks nobody freed).

--- a/src/store/core.rs
+++ b/src/store/core.rs
@@ -63,7 +63,7 @@
             seed: fastrand::u64(..),
         };
         let mut effects = Vec::new();
-        let index = Index::recover(index_cfg, scan.found, &mut effects);
+        let index = Index::recover(index_cfg, scan.first, scan.found, &mut effects);
         let throttle = Throttle::new(PacerConfig {
             bytes_per_second: cfg.link_bytes_per_second,
             in_flight_bytes: cfg.transfer_bytes,
@@ -127,7 +127,7 @@
         effects
     }
 
-    /// Carries out removals and burials; blocks.
+    /// Carries out removals, burials and syncs; blocks.
     ///
     /// # Errors
     /// The first error; a failed removal is tried again later.
@@ -141,6 +141,7 @@
                     durable,
                 } => self.remove(*generation, key, *durable),
                 Effect::Bury { generation } => self.folder.bury(*generation),
+                Effect::Sync { key } => self.folder.sync(key),
                 _ => Ok(()),
             };
             if let Err(err) = done {
--- a/src/store/disk/folder.rs
+++ b/src/store/disk/folder.rs
@@ -9,6 +9,9 @@
 use crate::store::disk::{DiskError, Record, Scan};
 use crate::store::index::Generation;
 
+/// Bits of a generation that count within one start.
+const GENERATIONS_PER_START_BITS: u32 = 40;
+
 /// The folder of one store, locked against others.
 #[derive(Debug)]
 pub struct Folder {
@@ -33,7 +36,8 @@
             let detail = "another store uses this folder";
             return Err(io::Error::new(io::ErrorKind::ResourceBusy, detail));
         }
-        let scan = Scan::run(&layout)?;
+        let mut scan = Scan::run(&layout)?;
+        scan.first = Generation(count_start(&layout)? << GENERATIONS_PER_START_BITS);
         sync_dir(&layout.blocks())?;
         sync_dir(root.as_ref())?;
         let folder = Self {
@@ -104,6 +108,14 @@
         sync_dir(&self.layout.freed())
     }
 
+    /// Makes earlier removals of a block survive a power cut.
+    ///
+    /// # Errors
+    /// When the folder cannot be synced.
+    pub fn sync(&self, key: &BlockKey) -> io::Result<()> {
+        sync_dir(&self.layout.shelf(key))
+    }
+
     /// Removes a generation, staged or committed; with `durable` the removal survives a power cut.
     ///
     /// The tombstone of a freed generation goes only after the removal is durable.
@@ -125,6 +137,19 @@
     }
 }
 
+/// Counts this start durably, so that no two starts use the same generations.
+fn count_start(layout: &Layout) -> io::Result<u64> {
+    let path = layout.starts();
+    let text = fs::read_to_string(&path).unwrap_or_default();
+    let starts = text.trim().parse::<u64>().unwrap_or(0) + 1;
+    let fresh = path.with_extension("new");
+    let mut f = File::create(&fresh)?;
+    f.write_all(starts.to_string().as_bytes())?;
+    f.sync_all()?;
+    fs::rename(fresh, path)?;
+    Ok(starts)
+}
+
 /// Removes a file that may be gone already.
 pub(super) fn remove_file(path: &Path) -> io::Result<()> {
     match fs::remove_file(path) {
--- a/src/store/disk/layout.rs
+++ b/src/store/disk/layout.rs
@@ -23,6 +23,11 @@
         self.root.join("lock")
     }
 
+    /// Number of starts so far.
+    pub(super) fn starts(&self) -> PathBuf {
+        self.root.join("starts")
+    }
+
     pub(super) fn staging(&self) -> PathBuf {
         self.root.join("staging")
     }
--- a/src/store/disk/scan.rs
+++ b/src/store/disk/scan.rs
@@ -13,6 +13,8 @@
 /// Committed blocks and what was dropped.
 #[derive(Debug, Default)]
 pub struct Scan {
+    /// First generation of this start; no earlier start used it.
+    pub first: Generation,
     /// Committed blocks.
     pub found: Vec<(Generation, BlockInfo)>,
     /// Uploads without a commit.
--- a/src/store/index.rs
+++ b/src/store/index.rs
@@ -91,16 +91,18 @@
     /// Rebuilds the index from the blocks whose commit record was found after a start.
     ///
     /// The newest generation of a key wins; older ones are removed, and so is what exceeds the
-    /// disk's budget.
+    /// disk's budget. New generations count from `first`, or from behind the newest one found.
     pub fn recover(
         cfg: IndexConfig,
+        first: Generation,
         found: impl IntoIterator<Item = (Generation, BlockInfo)>,
         effects: &mut Vec<Effect>,
     ) -> Self {
         let mut index = Self::new(cfg);
         let mut found: Vec<_> = found.into_iter().collect();
         found.sort_by_key(|(generation, _)| std::cmp::Reverse(*generation));
-        index.next = found.first().map_or(0, |(newest, _)| newest.0 + 1);
+        let behind = found.first().map_or(0, |(newest, _)| newest.0 + 1);
+        index.next = behind.max(first.0);
         for (generation, info) in found {
             let duplicate = index.held.contains_key(&info.key);
             index.usage.disk += info.bytes;
--- a/src/store/index/effect.rs
+++ b/src/store/index/effect.rs
@@ -78,6 +78,11 @@
         /// The generation.
         generation: Generation,
     },
+    /// Make earlier removals of a block survive a power cut.
+    Sync {
+        /// Key of the block.
+        key: BlockKey,
+    },
     /// Remove the bytes of a generation.
     Remove {
         /// The generation.
--- a/src/store/index/free.rs
+++ b/src/store/index/free.rs
@@ -6,6 +6,9 @@
 
 impl Index {
     /// Frees every generation of a block: no reader that comes later gets it, also after a crash.
+    ///
+    /// An evicted generation may be forgotten here while a power cut could still bring its file
+    /// back, so that the removals of the key are synced in any case.
     pub(super) fn free(&mut self, key: &BlockKey, customer: &str, effects: &mut Vec<Effect>) {
         if self.readable(key, customer).is_some() {
             let generation = self.held[key];
@@ -18,6 +21,10 @@
                 self.free_hidden(generation, effects);
             }
         }
+        let synced = |e: &Effect| matches!(e, Effect::Remove { durable: true, .. });
+        if !effects.iter().any(synced) {
+            effects.push(Effect::Sync { key: *key });
+        }
     }
 
     fn free_hidden(&mut self, generation: Generation, effects: &mut Vec<Effect>) {
