--- a/tests/store_support/world.rs
+++ b/tests/store_support/world.rs
@@ -65,6 +65,8 @@
     staging: Vec<(UploadId, Generation)>,
     begun: BTreeMap<UploadId, BlockInfo>,
     readers: BTreeMap<ReaderId, Generation>,
+    /// Key and customer of the reader that asks now.
+    asked: Option<(BlockKey, Name)>,
     /// Generations that existed when a free was called, by key and customer.
     existing: BTreeMap<Generation, (BlockKey, Name)>,
     frees: BTreeMap<u64, FreeCall>,
@@ -87,6 +89,7 @@
             staging: Vec::new(),
             begun: BTreeMap::new(),
             readers: BTreeMap::new(),
+            asked: None,
             existing: BTreeMap::new(),
             frees: BTreeMap::new(),
             unlinked: BTreeSet::new(),
@@ -138,6 +141,7 @@
             Step::Read { key, customer } => {
                 let reader = ReaderId(self.number());
                 let (key, customer) = (key_of(*key), customer_of(*customer));
+                self.asked = Some((key, customer.clone()));
                 self.on(
                     Event::Pin {
                         reader,
@@ -221,10 +225,10 @@
     }
 
     fn check_serve(&self, generation: Generation) {
-        assert!(
-            self.disk.committed.contains_key(&generation),
-            "served without a commit"
-        );
+        let file = self.disk.committed.get(&generation);
+        let file = file.map(|info| (info.key, info.customer.clone()));
+        assert!(file.is_some(), "served without a commit");
+        assert_eq!(file, self.asked, "served another block or customer's");
         assert!(!self.unlinked.contains(&generation), "served a freed block");
         assert!(
             !self.freed.contains(&generation),
