--- a/src/settings/store.rs
+++ b/src/settings/store.rs
@@ -38,6 +38,8 @@
     pub traffic_threads: usize,
     /// Time the balancer or the entries need to notice that readiness is off.
     pub drain_lag: Duration,
+    /// Longest time a reader may leave sent bytes unacknowledged.
+    pub stall: Duration,
     /// Log level.
     pub log_level: log::LevelFilter,
 }
@@ -75,6 +77,7 @@
                 link_bytes_per_second: 1 << 30,
                 traffic_threads: 2,
                 drain_lag: Duration::from_secs(2),
+                stall: Duration::from_secs(30),
                 log_level: log::LevelFilter::Info,
             },
         }
@@ -106,6 +109,7 @@
             ),
             traffic_threads: usize::try_from(fields.integer("traffic_threads", 1..=64, 2)).ok()?,
             drain_lag: fields.millis("drain_lag_ms", 0..=600_000, defaults.drain_lag),
+            stall: fields.millis("stall_ms", 100..=600_000, defaults.stall),
             log_level: read_log_level(fields),
             ..defaults
         };
--- a/src/store/server.rs
+++ b/src/store/server.rs
@@ -18,8 +18,6 @@
 
 /// Longest time one block may take to arrive.
 const MESSAGE_TIME: Duration = Duration::from_mins(2);
-/// Longest time a reader may leave sent bytes unacknowledged.
-const WRITE_STALL: Duration = Duration::from_secs(30);
 /// Interval at which failed removals are tried again.
 const TICK: Duration = Duration::from_secs(30);
 /// Interval at which a draining store looks whether its last answers are out.
@@ -95,7 +93,7 @@
         Ok(Self {
             blocks_addr,
             admin_addr,
-            blocks: blocks.with_write_stall(WRITE_STALL),
+            blocks: blocks.with_write_stall(cfg.stall),
             admin,
             core,
             control,
--- a/tests/store_process.rs
+++ b/tests/store_process.rs
@@ -293,6 +293,27 @@
     assert!(program.wait().success());
 }
 
+#[test]
+fn silent_reader_is_dropped() {
+    let program = Program::start(Sizes {
+        stall_ms: 300,
+        ..Sizes::default()
+    });
+    program.put("barbers", 1, &vec![1; LARGE]).unwrap();
+    let mut silent = program.send("GET", Operation::Read, 1, "");
+    silent.read_exact(&mut [0]).unwrap();
+    program.free("barbers", 1).unwrap();
+    let mut waits = 0;
+    while !program.files().is_empty() && waits < 400 {
+        waits += 1;
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert!(
+        program.files().is_empty(),
+        "the pin of a silent reader ends"
+    );
+}
+
 #[test]
 fn second_store_on_one_folder() {
     let program = Program::start(Sizes::default());
--- a/tests/store_support/program.rs
+++ b/tests/store_support/program.rs
@@ -20,6 +20,7 @@
     pub memory: u64,
     pub disk: u64,
     pub link: u64,
+    pub stall_ms: u64,
 }
 
 impl Default for Sizes {
@@ -28,6 +29,7 @@
             memory: 0,
             disk: 1 << 30,
             link: 1 << 30,
+            stall_ms: 30_000,
         }
     }
 }
@@ -164,12 +166,13 @@
         r#"{{"name": "store-1", "domain": "a",
         "listen": {{"blocks": "127.0.0.1:0", "admin": "127.0.0.1:0"}},
         "secret_file": "{}", "folder": "{}", "memory_bytes": {}, "disk_bytes": {},
-        "link_bytes_per_second": {}, "drain_lag_ms": 0, "log_level": "error"}}"#,
+        "link_bytes_per_second": {}, "drain_lag_ms": 0, "stall_ms": {}, "log_level": "error"}}"#,
         path("secret"),
         folder.to_string_lossy(),
         sizes.memory,
         sizes.disk,
-        sizes.link
+        sizes.link,
+        sizes.stall_ms
     );
     std::fs::write(path("settings.jsonc"), settings).unwrap();
     let mut child = Command::new(env!("CARGO_BIN_EXE_guavahold-store"))
