--- a/src/store/handler.rs
+++ b/src/store/handler.rs
@@ -24,6 +24,8 @@
 pub(crate) struct Blocks {
     pub(crate) secret: Secret,
     pub(crate) core: Arc<Core>,
+    /// Longest block, in bytes.
+    pub(crate) block_bytes: u64,
 }
 
 /// What a checked block request asks for.
@@ -99,6 +101,9 @@
         if !digest_given {
             return Err(Response::new(StatusCode::BadRequest));
         }
+        if bytes > self.block_bytes {
+            return Err(Response::new(StatusCode::PayloadTooLarge));
+        }
         if let Some(why) = self.core.refusal(&block.key, &block.customer, bytes) {
             return Err(Response::new(status_of(why)));
         }
--- a/src/store/server.rs
+++ b/src/store/server.rs
@@ -82,6 +82,7 @@
         let handler = Arc::new(Blocks {
             secret,
             core: core.clone(),
+            block_bytes: cfg.block_bytes,
         });
         let admin = Arc::new(Admin {
             ready: control.ready.clone(),
