--- a/rig/src/engine/api.rs
+++ b/rig/src/engine/api.rs
@@ -11,6 +11,8 @@
 use crate::engine::run::Follower;
 use crate::{Engine, FaultBox, Faults, Spawner, StandIn, reply};
 
+/// Text by which the event behind the last token is known.
+const FINAL: &str = "\"finish_reason\":\"stop\"";
 /// Request id of a crossed answer.
 const OTHER_ID: &str = "another-request";
 
@@ -125,11 +127,16 @@
         let (this, omit_final) = (self.clone(), faults.omit_final);
         self.spawn(async move {
             let run = &follower.0;
-            let mut number = from;
+            let mut number = from.saturating_sub(1);
             let mut whole = false;
             while let Some(event) = run.event(number).await {
+                if number < from {
+                    whole = event.contains(FINAL);
+                    number += 1;
+                    continue;
+                }
                 this.faults.thawed().await;
-                whole = event.contains("\"finish_reason\":\"stop\"");
+                whole = event.contains(FINAL);
                 if !tx.send(&SseEvent::new(number.to_string(), event)).await {
                     return;
                 }
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use guavahold::catalog::{CatalogStore, ReleaseNote};
 use guavahold::platform::{Object, Phase, Platform, RemotePlatform, Role, Vm};
 use guavahold::settings::Document;
@@ -22,6 +23,8 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 /// Pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
+/// Longest time of one test.
+const TEST_LIMIT: Duration = Duration::from_secs(100);
 
 /// Processes and files of one fleet; everything ends when it is dropped.
 pub struct Fleet {
@@ -266,3 +269,15 @@
         String::from_utf8_lossy(&answer.body)
     );
 }
+
+/// Runs a test to its end, which must come within 100 s.
+///
+/// # Panics
+/// When it does not.
+pub fn within<T>(test: impl Future<Output = T>) -> T {
+    let late = async {
+        Timer::after(TEST_LIMIT).await;
+        panic!("the test did not end in time")
+    };
+    async_io::block_on(test.or(late))
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod process;
 pub mod relay;
 pub mod reply;
+pub mod scene;
 pub mod service;
 
 pub use engine::{Engine, EngineSettings};
@@ -21,4 +22,5 @@
 pub use platform::{PlatformSettings, PlatformStandIn};
 pub use process::Process;
 pub use relay::Relay;
+pub use scene::Scene;
 pub use service::{ServiceSettings, ServiceStandIn};
--- /dev/null
+++ b/rig/tests/answers.rs
@@ -0,0 +1,249 @@
+//! Whole answers to their own caller, whatever targets, connections and entries do.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use guavahold::platform::{Role, Vm};
+use guavahold_rig::client::{Call, Streamed};
+use guavahold_rig::fleet::{await_that, set_faults, within};
+use guavahold_rig::scene::{ROOFER, SALON};
+use guavahold_rig::{Process, Scene};
+use http_types::Method;
+use serde_json::json;
+
+/// Text that engines give to a prompt when nothing fails.
+async fn expected(scene: &Scene, prompt: &str, tokens: u32) -> String {
+    let call = Call::chat(SALON, "router", prompt, tokens, true);
+    let mut events = call.stream(scene.callers(0)).await.unwrap();
+    events.rest().await.unwrap().text
+}
+
+async fn engine_faults(scene: &Scene, faults: &serde_json::Value) {
+    for engine in &scene.engines {
+        set_faults(engine.address("admin"), faults.clone()).await;
+    }
+}
+
+#[test]
+fn plain_answer_crossed() {
+    within(async {
+        let scene = Scene::builder().start().await;
+        let call = Call::chat(SALON, "router", "Which chair is Mari at?", 4, false);
+        let want = call.send(scene.callers(0)).await.unwrap().text();
+        let faults = json!({"crossed": true, "next": 1, "path": "/v1/chat"});
+        set_faults(scene.engines[0].address("admin"), faults.clone()).await;
+        set_faults(scene.engines[1].address("admin"), faults).await;
+        for _ in 0..4 {
+            let answer = call.send(scene.callers(0)).await.unwrap();
+            if answer.status == 200 {
+                assert_eq!(answer.text(), want);
+            } else {
+                assert_eq!(answer.run.as_deref(), Some("unknown"));
+            }
+        }
+    });
+}
+
+#[test]
+fn plain_answer_cut_short() {
+    within(async {
+        let scene = Scene::builder().start().await;
+        let call = Call::chat(SALON, "router", "How long is a colouring?", 4, false);
+        let want = call.send(scene.callers(0)).await.unwrap().text();
+        let faults = json!({"close_after": 20, "next": 1, "path": "/v1/chat"});
+        engine_faults(&scene, &faults).await;
+        for _ in 0..4 {
+            let answer = call.send(scene.callers(0)).await.unwrap();
+            if answer.status == 200 {
+                assert_eq!(answer.text(), want);
+            } else {
+                assert_eq!(answer.run.as_deref(), Some("unknown"));
+            }
+        }
+    });
+}
+
+#[test]
+fn stream_without_final_event() {
+    within(async {
+        let scene = Scene::builder().engines(1).start().await;
+        let want = expected(&scene, "What is a flush diverter?", 5).await;
+        engine_faults(
+            &scene,
+            &json!({"omit_final": true, "next": 1, "path": "/v1/chat"}),
+        )
+        .await;
+        let call = Call::chat(SALON, "router", "What is a flush diverter?", 5, true);
+        let mut events = call.stream(scene.callers(0)).await.unwrap();
+        let streamed = events.rest().await.unwrap();
+        assert!(streamed.done);
+        assert_eq!(streamed.text, want);
+    });
+}
+
+#[test]
+fn stream_connection_cut() {
+    within(async {
+        let scene = Scene::builder()
+            .engine_args(&["--token-ms", "5"])
+            .start()
+            .await;
+        let want = expected(&scene, "Describe the whole roof.", 100).await;
+        engine_faults(
+            &scene,
+            &json!({"close_after": 4000, "next": 1, "path": "/v1/chat"}),
+        )
+        .await;
+        let call = Call::chat(SALON, "router", "Describe the whole roof.", 100, true);
+        let mut events = call.stream(scene.callers(0)).await.unwrap();
+        let streamed = events.rest().await.unwrap();
+        assert!(streamed.done);
+        assert_eq!(streamed.text, want);
+    });
+}
+
+/// A relay stands between the entries and the only engine.
+async fn scene_with_relay() -> (Scene, Process) {
+    let scene = Scene::builder()
+        .engines(1)
+        .engine_args(&["--token-ms", "20"])
+        .start()
+        .await;
+    let engine = scene.engines[0].address("address").to_string();
+    let relay = Process::start("guavahold-rig", &["relay", "--to", &engine]).unwrap();
+    let vm = Vm {
+        name: "engine-1".into(),
+        role: Role::Engine,
+        domain: "a".into(),
+        address: relay.address("address"),
+        serves: "router".into(),
+        phase: guavahold::platform::Phase::Live,
+    };
+    scene.fleet.put_vm(&vm).await;
+    Timer::after(Duration::from_millis(500)).await;
+    (scene, relay)
+}
+
+#[test]
+fn stream_silent_connection_is_resumed() {
+    within(async {
+        let (scene, relay) = scene_with_relay().await;
+        let want = expected(&scene, "List all stylists.", 100).await;
+        let call = Call::chat(SALON, "router", "List all stylists.", 100, true);
+        let mut events = call.stream(scene.callers(0)).await.unwrap();
+        let mut streamed = Streamed::default();
+        for _ in 0..10 {
+            streamed.take(events.next().await.unwrap().unwrap());
+        }
+        let silence = Call::new(Method::Post, "/state");
+        let silence = silence.body(json!({"silence_open": true}).to_string());
+        let answer = silence.send(relay.address("admin")).await.unwrap();
+        assert_eq!(answer.status, 200);
+        while let Some(event) = events.next().await.unwrap() {
+            streamed.take(event);
+        }
+        assert!(streamed.done);
+        assert_eq!(streamed.text, want);
+    });
+}
+
+#[test]
+fn stream_resumed_at_another_entry_after_kill() {
+    within(async {
+        let mut scene = Scene::builder()
+            .engine_args(&["--token-ms", "20"])
+            .start()
+            .await;
+        let want = expected(&scene, "Plan the wedding day.", 100).await;
+        let call = Call::chat(SALON, "router", "Plan the wedding day.", 100, true);
+        let mut events = call.stream(scene.callers(0)).await.unwrap();
+        let mut streamed = Streamed::default();
+        for _ in 0..10 {
+            streamed.take(events.next().await.unwrap().unwrap());
+        }
+        scene.entries[0].kill();
+        while let Ok(Some(event)) = events.next().await {
+            streamed.take(event);
+        }
+        assert!(!streamed.done);
+        let last = streamed.last_id.clone().unwrap();
+        let again = call.clone().header("last-event-id", last.clone());
+        let mut events = again.stream(scene.callers(1)).await.unwrap();
+        assert_eq!(events.status(), 200);
+        while let Some(event) = events.next().await.unwrap() {
+            streamed.take(event);
+        }
+        assert!(streamed.done);
+        assert_eq!(streamed.text, want);
+
+        let foreign = Call::chat(ROOFER, "router", "Plan the wedding day.", 100, true);
+        let foreign = foreign.header("last-event-id", last.clone());
+        assert_eq!(foreign.send(scene.callers(1)).await.unwrap().status, 403);
+        let other = Call::chat(SALON, "router", "Plan another day.", 100, true);
+        let other = other.header("last-event-id", last);
+        assert_eq!(other.send(scene.callers(1)).await.unwrap().status, 403);
+    });
+}
+
+#[test]
+fn stream_run_lost_shows_an_error() {
+    within(async {
+        let mut scene = Scene::builder()
+            .engines(1)
+            .engine_args(&["--token-ms", "20"])
+            .start()
+            .await;
+        let call = Call::chat(SALON, "router", "Plan the wedding day.", 200, true);
+        let mut events = call.stream(scene.callers(0)).await.unwrap();
+        let mut last = events.next().await.unwrap().unwrap();
+        scene.engines[0].kill();
+        let cut = loop {
+            match events.next().await {
+                Ok(Some(event)) => last = event,
+                Ok(None) => break false,
+                Err(_) => break true,
+            }
+        };
+        assert!(cut, "a broken stream has no clean end");
+        assert_eq!(last.event.as_deref(), Some("error"));
+        assert!(last.data.contains("\"run\":\"ran\""), "{}", last.data);
+    });
+}
+
+#[test]
+fn answer_late_after_caller_left() {
+    within(async {
+        let scene = Scene::builder()
+            .engines(1)
+            .engine_args(&["--token-ms", "20"])
+            .start()
+            .await;
+        let call = Call::chat(SALON, "router", "A slow question", 50, false);
+        let early =
+            futures_lite::future::or(async { Some(call.send(scene.callers(0)).await) }, async {
+                Timer::after(Duration::from_millis(200)).await;
+                None
+            });
+        assert!(early.await.is_none());
+        for n in 0..5 {
+            let prompt = format!("Question number {n}");
+            let call = Call::chat(ROOFER, "router", &prompt, 3, false);
+            let answer = call.send(scene.callers(0)).await.unwrap();
+            assert_eq!(answer.status, 200);
+            let mut alone = Call::chat(ROOFER, "router", &prompt, 3, true)
+                .stream(scene.callers(1))
+                .await
+                .unwrap();
+            assert_eq!(alone.rest().await.unwrap().text.trim_end(), answer.text());
+        }
+        await_that("the abandoned run to end", async || {
+            let load = Call::new(Method::Get, "/load");
+            let load = load
+                .send(scene.engines[0].address("address"))
+                .await
+                .unwrap();
+            load.json()["running"] == 0
+        })
+        .await;
+    });
+}
