Rebuild the desk: fair admission, indexed placement, health, quarantine and retries

Cause: the stand-in scanned all targets for each request, queued first come first served, refused at the deadline, forgot a leaving target at the next good connection and had no quarantine.

Change: targets are indexed by model and weight version (rings for affinity, sets of targets with room), customers share by start-time fair queueing with earliest deadline first inside, a request whose predicted wait passes its deadline is refused on arrival with a time to come back that is kept for it, lost exchanges are explained by a probe, and requests whose targets die run alone and are quarantined after two.

Tried and reverted: one slot in 32 kept for customers below their share. A catch-up credit after idle time is kept instead.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,12 +3,26 @@
 //! [`Desk`] is a state machine: time, events and a seeded random generator go in, typed effects come
 //! out. The programs, random tests and replayed traces all drive the same code.
 
+mod appointments;
+mod backoff;
+mod budget;
 mod desk;
 mod effect;
 mod event;
+mod ewma;
+mod fair_queue;
+mod fleet;
+mod flow;
+mod invariants;
+mod lane;
+mod quantile;
 mod refusal;
+mod request;
+mod settings;
+mod suspects;
 
-pub use desk::{Desk, DeskSettings};
+pub use desk::Desk;
 pub use effect::Effect;
 pub use event::{Arrival, AttemptOutcome, Event, RequestId, Signal, TargetInfo};
 pub use refusal::Refusal;
+pub use settings::DeskSettings;
--- /dev/null
+++ b/src/decide/budget.rs
@@ -0,0 +1,37 @@
+//! Budget of retries and hedges.
+
+/// Tokens at the start.
+const INITIAL: f64 = 2.0;
+/// Tokens kept at most.
+const CAP: f64 = 10.0;
+
+/// A token bucket filled by successes, so that retries stay a small share of the work.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RetryBudget {
+    ratio: f64,
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// Makes a budget that earns `ratio` tokens for each success.
+    pub(super) fn new(ratio: f64) -> Self {
+        Self {
+            ratio,
+            tokens: INITIAL,
+        }
+    }
+
+    /// Records a success.
+    pub(super) fn earn(&mut self) {
+        self.tokens = (self.tokens + self.ratio).min(CAP);
+    }
+
+    /// Takes one token; `false` when there is none.
+    pub(super) fn take(&mut self) -> bool {
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+}
--- /dev/null
+++ b/src/decide/ewma.rs
@@ -0,0 +1,30 @@
+//! Exponentially weighted moving averages.
+
+/// Weight of a new sample.
+const ALPHA: f64 = 0.1;
+
+/// An exponentially weighted moving average; the first samples count evenly.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Ewma {
+    value: f64,
+    samples: u32,
+}
+
+impl Ewma {
+    /// Adds a sample.
+    pub(super) fn add(&mut self, sample: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let alpha = ALPHA.max(1.0 / f64::from(self.samples));
+        self.value += alpha * (sample - self.value);
+    }
+
+    /// The average, once a sample was seen.
+    pub(super) fn get(&self) -> Option<f64> {
+        (self.samples > 0).then_some(self.value)
+    }
+
+    /// Number of samples seen.
+    pub(super) fn samples(&self) -> u32 {
+        self.samples
+    }
+}
--- /dev/null
+++ b/src/decide/fleet.rs
@@ -0,0 +1,167 @@
+//! All targets that an entry knows, indexed for placement.
+
+mod choose;
+mod free_set;
+mod group;
+mod health;
+mod list;
+mod load;
+mod pool;
+mod ring;
+mod target;
+mod wish;
+
+use std::collections::HashMap;
+
+use crate::decide::DeskSettings;
+use crate::prelude::*;
+
+pub(crate) use free_set::FreeSet;
+pub(crate) use group::Group;
+pub(crate) use health::Health;
+pub(crate) use load::Load;
+pub(crate) use pool::{Pool, PoolIx, work_units};
+pub(crate) use ring::{Ring, mix};
+pub(crate) use target::{Target, TargetIx};
+pub(crate) use wish::{Isolation, Wish};
+
+/// All targets that an entry knows; every change of one target updates the indexes in place.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    domain: Name,
+    default_slots: u32,
+    retry_ratio: f64,
+    entries: u32,
+    targets: Vec<Option<Target>>,
+    vacant: Vec<TargetIx>,
+    by_name: HashMap<Name, TargetIx>,
+    pools: Vec<Pool>,
+    by_serves: HashMap<Name, PoolIx>,
+}
+
+impl Fleet {
+    /// Makes a fleet without targets.
+    pub(crate) fn new(cfg: &DeskSettings) -> Self {
+        Self {
+            domain: cfg.domain.clone(),
+            default_slots: cfg.default_slots,
+            retry_ratio: cfg.retry_ratio,
+            entries: 1,
+            targets: Vec::new(),
+            vacant: Vec::new(),
+            by_name: HashMap::new(),
+            pools: Vec::new(),
+            by_serves: HashMap::new(),
+        }
+    }
+
+    /// The target at an index.
+    pub(crate) fn get(&self, ix: TargetIx) -> Option<&Target> {
+        self.targets.get(ix.0 as usize)?.as_ref()
+    }
+
+    /// The target at an index, to be changed; [`Fleet::refresh`] must follow.
+    pub(crate) fn get_mut(&mut self, ix: TargetIx) -> Option<&mut Target> {
+        self.targets.get_mut(ix.0 as usize)?.as_mut()
+    }
+
+    /// Finds a listed target.
+    pub(crate) fn find(&self, name: &str) -> Option<TargetIx> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Finds the pool of a model or service.
+    pub(crate) fn find_pool(&self, serves: &str) -> Option<PoolIx> {
+        self.by_serves.get(serves).copied()
+    }
+
+    /// A pool.
+    pub(crate) fn pool(&self, ix: PoolIx) -> &Pool {
+        &self.pools[ix.0]
+    }
+
+    /// A pool, to be changed.
+    pub(crate) fn pool_mut(&mut self, ix: PoolIx) -> &mut Pool {
+        &mut self.pools[ix.0]
+    }
+
+    /// Number of pools.
+    pub(crate) fn pools(&self) -> usize {
+        self.pools.len()
+    }
+
+    /// Sets the number of live entries that share the domain's targets.
+    pub(crate) fn set_entries(&mut self, now: Stamp, entries: u32) {
+        self.entries = entries.max(1);
+        self.refresh_all(now);
+    }
+
+    /// All targets.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (TargetIx, &Target)> {
+        let each = self.targets.iter().zip(0..);
+        each.filter_map(|(t, ix)| Some((TargetIx(ix), t.as_ref()?)))
+    }
+
+    /// Slots of a target that may be used now.
+    pub(crate) fn slots(&self, now: Stamp, target: &Target) -> u32 {
+        let typical = self.pools[target.pool.0].typical.get();
+        target.load.slots(now, self.default_slots, typical)
+    }
+
+    /// Recomputes whether a target has room and updates the indexes.
+    pub(crate) fn refresh(&mut self, now: Stamp, ix: TargetIx) {
+        let Some(target) = self.get(ix) else {
+            return;
+        };
+        let slots = self.slots(now, target);
+        let free = target.takes_work(now) && target.load.has_room(now, slots, self.entries);
+        if free == target.free {
+            return;
+        }
+        self.set_free(ix, free);
+    }
+
+    fn set_free(&mut self, ix: TargetIx, free: bool) {
+        let Some(target) = self.targets[ix.0 as usize].as_mut() else {
+            return;
+        };
+        target.free = free;
+        for group in &mut self.pools[target.pool.0].groups {
+            if target.has_weights(&group.weights) {
+                group.set_free(ix, target.local, free);
+            }
+        }
+    }
+
+    /// Recomputes all targets.
+    pub(crate) fn refresh_all(&mut self, now: Stamp) {
+        for n in 0..self.targets.len() {
+            self.refresh(now, TargetIx(u32::try_from(n).unwrap_or(u32::MAX)));
+        }
+    }
+
+    /// Takes a slot for an attempt.
+    pub(crate) fn take_slot(&mut self, now: Stamp, ix: TargetIx) {
+        if let Some(target) = self.get_mut(ix) {
+            target.load.add();
+            let pool = target.pool;
+            self.pools[pool.0].in_flight += 1;
+        }
+        self.refresh(now, ix);
+    }
+
+    /// Gives a slot back; `false` when none was taken.
+    pub(crate) fn free_slot(&mut self, now: Stamp, ix: TargetIx) -> bool {
+        let Some(target) = self.get_mut(ix) else {
+            return false;
+        };
+        let held = target.load.remove();
+        let pool = target.pool;
+        let pool = &mut self.pools[pool.0];
+        let counted = pool.in_flight > 0;
+        pool.in_flight = pool.in_flight.saturating_sub(1);
+        self.refresh(now, ix);
+        self.drop_unlisted(ix);
+        held && counted
+    }
+}
--- /dev/null
+++ b/src/decide/fleet/choose.rs
@@ -0,0 +1,133 @@
+//! Choice of a target with room.
+
+use crate::decide::fleet::{Fleet, Group, Isolation, PoolIx, TargetIx, Wish};
+use crate::prelude::*;
+
+impl Fleet {
+    /// Tells whether any target with one of these weight versions has room.
+    pub(crate) fn any_free(&self, pool: PoolIx, weights: &[Name]) -> bool {
+        let pool = self.pool(pool);
+        if weights.is_empty() {
+            return !pool.groups[0].free.is_empty();
+        }
+        let mut groups = weights.iter().filter_map(|w| pool.group(w));
+        groups.any(|g| !g.free.is_empty())
+    }
+
+    /// Chooses a target with room, trying the weight versions in order.
+    pub(crate) fn choose(
+        &self,
+        now: Stamp,
+        pool: PoolIx,
+        weights: &[Name],
+        wish: &Wish<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<(TargetIx, Name)> {
+        let pool = self.pool(pool);
+        let plain = [Name::from("")];
+        let weights = if weights.is_empty() { &plain } else { weights };
+        for weights in weights {
+            let Some(group) = pool.group(weights) else {
+                continue;
+            };
+            if let Some(isolation) = wish.isolate {
+                if let Some(ix) = self.isolated(now, group, isolation) {
+                    return self.alone(ix).then(|| (ix, weights.clone()));
+                }
+            } else if let Some(ix) = self.choose_in(now, group, wish, rng) {
+                return Some((ix, weights.clone()));
+            }
+        }
+        None
+    }
+
+    /// Chooses any target that takes work, with the fewest requests for its size, even without room.
+    pub(crate) fn choose_crowded(
+        &self,
+        now: Stamp,
+        pool: PoolIx,
+        weights: &[Name],
+        key: u64,
+    ) -> Option<(TargetIx, Name)> {
+        let pool = self.pool(pool);
+        let plain = [Name::from("")];
+        let weights = if weights.is_empty() { &plain } else { weights };
+        weights.iter().find_map(|weights| {
+            let candidates = pool.group(weights)?.all.candidates(key);
+            let usable = candidates.into_iter().filter(|ix| self.usable(now, *ix));
+            let best =
+                usable.min_by(|a, b| self.pressure(now, *a).total_cmp(&self.pressure(now, *b)));
+            best.map(|ix| (ix, weights.clone()))
+        })
+    }
+
+    fn usable(&self, now: Stamp, ix: TargetIx) -> bool {
+        self.get(ix).is_some_and(|t| t.takes_work(now))
+    }
+
+    fn isolated(&self, now: Stamp, group: &Group, isolation: Isolation<'_>) -> Option<TargetIx> {
+        let candidates = group.all.candidates(isolation.key);
+        candidates.into_iter().find(|ix| {
+            self.get(*ix)
+                .is_some_and(|t| t.takes_work(now) && !isolation.victims.contains(&t.info.name))
+        })
+    }
+
+    fn alone(&self, ix: TargetIx) -> bool {
+        self.get(ix).is_some_and(|t| t.free && t.suspects == 0)
+    }
+
+    fn choose_in(
+        &self,
+        now: Stamp,
+        group: &Group,
+        wish: &Wish<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<TargetIx> {
+        let allowed = |ix: &TargetIx| {
+            self.get(*ix)
+                .is_some_and(|t| t.free && t.has_weights(&group.weights))
+                && (wish.only.is_empty() || wish.only.contains(ix))
+        };
+        if !wish.only.is_empty() {
+            return wish.only.iter().copied().find(allowed);
+        }
+        let fresh = |ix: &TargetIx| allowed(ix) && !wish.avoid.contains(ix);
+        if wish.has_prefix {
+            let mut candidates = group.all.candidates(wish.key).into_iter();
+            if let Some(ix) = candidates.find(fresh) {
+                return Some(ix);
+            }
+        }
+        let local = self.two_choices(now, &group.free_local, rng);
+        let any = local
+            .filter(fresh)
+            .or_else(|| self.two_choices(now, &group.free, rng));
+        let any = any.filter(fresh);
+        any.or_else(|| group.all.candidates(wish.key).into_iter().find(fresh))
+            .or_else(|| self.two_choices(now, &group.free, rng))
+    }
+
+    /// The less loaded of two random targets (Mitzenmacher 2001).
+    fn two_choices(
+        &self,
+        now: Stamp,
+        free: &crate::decide::fleet::FreeSet,
+        rng: &mut fastrand::Rng,
+    ) -> Option<TargetIx> {
+        let a = free.random(rng)?;
+        let b = free.random(rng)?;
+        Some(if self.pressure(now, b) < self.pressure(now, a) {
+            b
+        } else {
+            a
+        })
+    }
+
+    /// Used part of a target's slots.
+    fn pressure(&self, now: Stamp, ix: TargetIx) -> f64 {
+        self.get(ix).map_or(f64::INFINITY, |t| {
+            f64::from(t.load.used(now)) / f64::from(self.slots(now, t))
+        })
+    }
+}
--- /dev/null
+++ b/src/decide/fleet/free_set.rs
@@ -0,0 +1,51 @@
+//! Targets with room for a request.
+
+use std::collections::HashMap;
+
+use crate::decide::fleet::TargetIx;
+
+/// A set with constant-time insertion, removal and random choice.
+#[derive(Debug, Default)]
+pub(crate) struct FreeSet {
+    items: Vec<TargetIx>,
+    places: HashMap<TargetIx, usize>,
+}
+
+impl FreeSet {
+    /// Adds or removes a target.
+    pub(crate) fn set(&mut self, ix: TargetIx, present: bool) {
+        if present {
+            self.insert(ix);
+        } else {
+            self.remove(ix);
+        }
+    }
+
+    fn insert(&mut self, ix: TargetIx) {
+        if self.places.contains_key(&ix) {
+            return;
+        }
+        self.places.insert(ix, self.items.len());
+        self.items.push(ix);
+    }
+
+    fn remove(&mut self, ix: TargetIx) {
+        let Some(at) = self.places.remove(&ix) else {
+            return;
+        };
+        self.items.swap_remove(at);
+        if let Some(moved) = self.items.get(at) {
+            self.places.insert(*moved, at);
+        }
+    }
+
+    /// Tells whether no target has room.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Chooses a random target.
+    pub(crate) fn random(&self, rng: &mut fastrand::Rng) -> Option<TargetIx> {
+        (!self.items.is_empty()).then(|| self.items[rng.usize(..self.items.len())])
+    }
+}
--- /dev/null
+++ b/src/decide/fleet/list.rs
@@ -0,0 +1,172 @@
+//! Changes of the fleet by lists and reports.
+
+use std::collections::HashSet;
+
+use crate::decide::TargetInfo;
+use crate::decide::fleet::{Fleet, Pool, PoolIx, Target, TargetIx};
+use crate::prelude::*;
+use crate::target::LoadReport;
+
+impl Fleet {
+    /// Takes the platform's list; returns the targets added and those that vanished.
+    pub(crate) fn take_list(&mut self, now: Stamp, list: Vec<TargetInfo>) -> ListChange {
+        let first = self.by_name.is_empty();
+        let mut change = ListChange::default();
+        let mut seen = HashSet::with_capacity(list.len());
+        for info in list {
+            if !seen.insert(info.name.clone()) {
+                continue;
+            }
+            match self.find(&info.name) {
+                Some(ix) if self.is_same(ix, &info) => self.relist(now, ix, info.leaving),
+                Some(ix) => {
+                    self.unlist(now, ix);
+                    change.gone.push(ix);
+                    change.added.push(self.add(now, info, first));
+                }
+                None => change.added.push(self.add(now, info, first)),
+            }
+        }
+        let gone = self
+            .by_name
+            .iter()
+            .filter(|(name, _)| !seen.contains(*name));
+        let gone: Vec<TargetIx> = gone.map(|(_, ix)| *ix).collect();
+        for ix in gone {
+            self.unlist(now, ix);
+            change.gone.push(ix);
+        }
+        change
+    }
+
+    fn is_same(&self, ix: TargetIx, info: &TargetInfo) -> bool {
+        self.get(ix).is_some_and(|t| {
+            t.info.address == info.address
+                && t.info.serves == info.serves
+                && t.info.domain == info.domain
+        })
+    }
+
+    fn relist(&mut self, now: Stamp, ix: TargetIx, leaving: bool) {
+        let Some(target) = self.get_mut(ix) else {
+            return;
+        };
+        if target.info.leaving != leaving {
+            target.info.leaving = leaving;
+            target.health.listed_leaving = leaving;
+            self.refresh(now, ix);
+        }
+    }
+
+    fn add(&mut self, now: Stamp, info: TargetInfo, full_at_once: bool) -> TargetIx {
+        let pool = self.ensure_pool(&info.serves);
+        let name = info.name.clone();
+        let mut target = Target::new(info, pool, &self.domain);
+        if !full_at_once {
+            target.load.ramp(now);
+        }
+        let ix = self.vacant.pop().unwrap_or_else(|| {
+            self.targets.push(None);
+            TargetIx(u32::try_from(self.targets.len() - 1).unwrap_or(u32::MAX))
+        });
+        self.targets[ix.0 as usize] = Some(target);
+        self.by_name.insert(name, ix);
+        self.regroup(now, ix);
+        ix
+    }
+
+    fn ensure_pool(&mut self, serves: &Name) -> PoolIx {
+        if let Some(ix) = self.find_pool(serves) {
+            return ix;
+        }
+        let ix = PoolIx(self.pools.len());
+        self.pools.push(Pool::new(self.retry_ratio));
+        self.by_serves.insert(serves.clone(), ix);
+        ix
+    }
+
+    fn unlist(&mut self, now: Stamp, ix: TargetIx) {
+        let Some(target) = self.get_mut(ix) else {
+            return;
+        };
+        target.listed = false;
+        let (hash, pool, name) = (target.hash, target.pool, target.info.name.clone());
+        self.refresh(now, ix);
+        for group in &mut self.pools[pool.0].groups {
+            group.remove(hash, ix);
+        }
+        self.pools[pool.0].drop_empty_groups();
+        self.by_name.remove(&name);
+        self.drop_unlisted(ix);
+    }
+
+    /// Forgets a target that is off the list and runs nothing of this entry.
+    pub(super) fn drop_unlisted(&mut self, ix: TargetIx) {
+        let done = self.get(ix).is_some_and(|t| !t.listed && t.load.own() == 0);
+        if done {
+            self.targets[ix.0 as usize] = None;
+            self.vacant.push(ix);
+        }
+    }
+
+    /// Takes a load report.
+    pub(crate) fn take_report(&mut self, now: Stamp, ix: TargetIx, report: LoadReport) {
+        let Some(target) = self.get_mut(ix) else {
+            return;
+        };
+        if report.leaving {
+            target.health.set_leaving(now);
+        } else {
+            target.health.report_staying(now);
+        }
+        let moved = target.load.report.weights != report.weights;
+        if moved {
+            self.leave_groups(ix);
+        }
+        if let Some(target) = self.get_mut(ix) {
+            target.load.take_report(now, report);
+        }
+        if moved {
+            self.regroup(now, ix);
+        } else {
+            self.refresh(now, ix);
+        }
+    }
+
+    fn leave_groups(&mut self, ix: TargetIx) {
+        self.set_free(ix, false);
+        let Some(target) = self.targets[ix.0 as usize].as_ref() else {
+            return;
+        };
+        let pool = &mut self.pools[target.pool.0];
+        for group in pool.groups.iter_mut().skip(1) {
+            group.remove(target.hash, ix);
+        }
+    }
+
+    fn regroup(&mut self, now: Stamp, ix: TargetIx) {
+        let Some(target) = self.targets[ix.0 as usize].as_ref() else {
+            return;
+        };
+        let pool = &mut self.pools[target.pool.0];
+        for weights in &target.load.report.weights {
+            pool.ensure_group(weights);
+        }
+        for group in &mut pool.groups {
+            if target.has_weights(&group.weights) {
+                group.all.insert(target.hash, ix);
+            }
+        }
+        pool.drop_empty_groups();
+        self.refresh(now, ix);
+    }
+}
+
+/// What a list changed.
+#[derive(Debug, Default)]
+pub(crate) struct ListChange {
+    /// New targets.
+    pub(crate) added: Vec<TargetIx>,
+    /// Targets that are off the list.
+    pub(crate) gone: Vec<TargetIx>,
+}
--- /dev/null
+++ b/src/decide/fleet/load.rs
@@ -0,0 +1,137 @@
+//! Estimated load of a target.
+
+use crate::decide::ewma::Ewma;
+use crate::prelude::*;
+use crate::target::LoadReport;
+
+/// Age at which a report no longer counts.
+const STALE: Duration = Duration::from_secs(5);
+/// Samples before a target's speed counts.
+const ENOUGH: u32 = 3;
+/// Slowness against the typical target that counts.
+const SLOW: f64 = 3.0;
+/// Time over which a target that came back is filled.
+const RAMP: Duration = Duration::from_secs(5);
+
+/// Estimated load of a target: own requests exactly, those of others by a lagging report.
+#[derive(Debug, Default)]
+pub(crate) struct Load {
+    /// Newest report.
+    pub(crate) report: LoadReport,
+    reported: Option<Stamp>,
+    own: u32,
+    own_at_report: u32,
+    speed: Ewma,
+    ramp_from: Option<Stamp>,
+    closed_until: Stamp,
+}
+
+impl Load {
+    /// Takes a report.
+    pub(crate) fn take_report(&mut self, now: Stamp, report: LoadReport) {
+        self.report = report;
+        self.reported = Some(now);
+        self.own_at_report = self.own;
+    }
+
+    /// Own requests at the target.
+    pub(crate) fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Records a dispatch.
+    pub(crate) fn add(&mut self) {
+        self.own += 1;
+    }
+
+    /// Records the end of an attempt; `false` when there was none.
+    pub(crate) fn remove(&mut self) -> bool {
+        let held = self.own > 0;
+        self.own = self.own.saturating_sub(1);
+        held
+    }
+
+    /// Begins to fill the target slowly.
+    pub(crate) fn ramp(&mut self, now: Stamp) {
+        self.ramp_from = Some(now);
+    }
+
+    /// Tells whether the target is being filled slowly.
+    pub(crate) fn is_ramping(&self, now: Stamp) -> bool {
+        self.ramp_from.is_some_and(|from| now < from + RAMP)
+    }
+
+    /// Stops new work until `until`.
+    pub(crate) fn close(&mut self, until: Stamp) {
+        self.closed_until = self.closed_until.max(until);
+    }
+
+    /// Adds a first-token time, in seconds for each unit of work.
+    pub(crate) fn add_speed(&mut self, seconds: f64) {
+        self.speed.add(seconds);
+    }
+
+    /// Requests of others, as far as the report tells.
+    fn others(&self, now: Stamp) -> u32 {
+        let fresh = self.reported.is_some_and(|at| now < at + STALE);
+        let total = self.report.running.saturating_add(self.report.queued);
+        if fresh {
+            total.saturating_sub(self.own_at_report)
+        } else {
+            0
+        }
+    }
+
+    /// Slots in use, own and others'.
+    pub(crate) fn used(&self, now: Stamp) -> u32 {
+        self.own.saturating_add(self.others(now))
+    }
+
+    /// Slots that may be used, fewer for a slow target and for one that came back just now.
+    pub(crate) fn slots(&self, now: Stamp, default: u32, typical: Option<f64>) -> u32 {
+        let slots = match self.report.slots {
+            0 => default,
+            n => n,
+        };
+        let scale = self.relative_speed(typical) * self.filled(now);
+        scaled(slots, scale).max(1)
+    }
+
+    /// Speed against the typical target, at most one.
+    fn relative_speed(&self, typical: Option<f64>) -> f64 {
+        let (Some(own), Some(typical)) = (self.speed.get(), typical) else {
+            return 1.0;
+        };
+        if self.speed.samples() < ENOUGH || own < SLOW * typical {
+            return 1.0;
+        }
+        typical / own
+    }
+
+    fn filled(&self, now: Stamp) -> f64 {
+        let Some(from) = self.ramp_from else {
+            return 1.0;
+        };
+        let since = now.saturating_sub(from).as_secs_f64();
+        (since / RAMP.as_secs_f64()).min(1.0)
+    }
+
+    /// Tells whether one more request fits. Entries of the domain share a contended target evenly,
+    /// and each may always use its own part.
+    pub(crate) fn has_room(&self, now: Stamp, slots: u32, entries: u32) -> bool {
+        if now < self.closed_until {
+            return false;
+        }
+        let others = self.others(now);
+        let contended = self.report.queued > 0 && others > 0;
+        if contended {
+            return self.own < slots.div_ceil(entries);
+        }
+        self.own.saturating_add(others) < slots || self.own < slots / entries
+    }
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn scaled(slots: u32, scale: f64) -> u32 {
+    (f64::from(slots) * scale.clamp(0.0, 1.0)).ceil() as u32
+}
--- /dev/null
+++ b/src/decide/request.rs
@@ -0,0 +1,121 @@
+//! State of one request.
+
+use crate::cache::{BlockKey, TOKENS_PER_BLOCK};
+use crate::decide::fleet::{PoolIx, TargetIx, mix};
+use crate::decide::flow::QueueKey;
+use crate::decide::{Arrival, RequestId};
+use crate::http::RunState;
+use crate::prelude::*;
+
+/// One attempt under way.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Attempt {
+    /// Number, from one.
+    pub(super) number: u32,
+    /// Target.
+    pub(super) target: TargetIx,
+    /// Time of the dispatch.
+    pub(super) at: Stamp,
+    /// Whether its answer began.
+    pub(super) answered: bool,
+    /// Whether the request was suspected when the attempt began.
+    pub(super) suspected: bool,
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Place {
+    /// In the queue of its lane.
+    Queued(usize, QueueKey),
+    /// Out of the queue until a timer or the end of another run brings it back.
+    Held,
+    /// At a target.
+    Running,
+}
+
+/// State of one request.
+#[derive(Debug)]
+pub(super) struct Request {
+    /// As it arrived.
+    pub(super) arrival: Arrival,
+    /// Time of its arrival.
+    pub(super) arrived: Stamp,
+    /// Latest time of the first token.
+    pub(super) deadline: Stamp,
+    /// Targets of its model or service.
+    pub(super) pool: PoolIx,
+    /// Where it is.
+    pub(super) place: Place,
+    /// Attempts under way.
+    pub(super) attempts: SmallVec<[Attempt; 2]>,
+    /// Number of the last attempt.
+    pub(super) started: u32,
+    /// Attempts that ended without being sent.
+    pub(super) unsent: u32,
+    /// Whether the first token was received.
+    pub(super) answered: bool,
+    /// Whether a target may have run it.
+    pub(super) run: RunState,
+    /// Targets that failed it.
+    pub(super) tried: SmallVec<[TargetIx; 2]>,
+}
+
+impl Request {
+    /// Makes the state of an arrival.
+    pub(super) fn new(now: Stamp, arrival: Arrival, pool: PoolIx) -> Self {
+        Self {
+            deadline: now + arrival.policy.first_token(),
+            arrived: now,
+            arrival,
+            pool,
+            place: Place::Held,
+            attempts: SmallVec::new(),
+            started: 0,
+            unsent: 0,
+            answered: false,
+            run: RunState::NotRun,
+            tried: SmallVec::new(),
+        }
+    }
+
+    /// Place in its customer's queue.
+    pub(super) fn queue_key(&self) -> QueueKey {
+        (self.deadline, self.arrival.id)
+    }
+
+    /// Cost in the fair sharing of targets, in blocks.
+    pub(super) fn cost(&self) -> u32 {
+        4 + self.arrival.tokens / TOKENS_PER_BLOCK
+    }
+
+    /// Whether the prompt has whole blocks.
+    pub(super) fn has_prefix(&self) -> bool {
+        self.arrival.tokens >= TOKENS_PER_BLOCK
+    }
+
+    /// Finds an attempt by its number.
+    pub(super) fn attempt(&self, number: u32) -> Option<Attempt> {
+        self.attempts.iter().copied().find(|a| a.number == number)
+    }
+}
+
+/// First word of a key, mixed.
+pub(super) fn word(key: &BlockKey) -> u64 {
+    let first = key.as_bytes().first_chunk::<8>().copied();
+    mix(u64::from_le_bytes(first.unwrap_or_default()))
+}
+
+/// Something that is due at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Timer {
+    /// A waiting request's deadline.
+    Expire(RequestId),
+    /// A held request may be tried again.
+    Retry(RequestId),
+    /// A running request may be hedged.
+    Hedge(RequestId),
+    /// A target is probed, or its probe is overdue.
+    Probe(TargetIx),
+    /// A target's room is computed anew.
+    Refresh(TargetIx),
+}
--- /dev/null
+++ b/src/decide/settings.rs
@@ -0,0 +1,41 @@
+//! Settings of a desk.
+
+use crate::prelude::*;
+
+/// Settings of a [`Desk`](crate::decide::Desk).
+#[derive(Clone, Debug)]
+pub struct DeskSettings {
+    /// Own failure domain.
+    pub domain: Name,
+    /// Seed of the desk's random choices.
+    pub seed: u64,
+    /// Attempts of one request at most, not counting those that were never sent.
+    pub attempts: u32,
+    /// Requests waiting for one model or service at most.
+    pub queue: usize,
+    /// Requests of one customer and class waiting for one model or service at most.
+    pub customer_queue: usize,
+    /// Retries and hedges allowed for each success.
+    pub retry_ratio: f64,
+    /// Time for which a request that took down two targets is refused.
+    pub quarantine: Duration,
+    /// Requests that a target without a load report is given at once.
+    pub default_slots: u32,
+}
+
+impl DeskSettings {
+    /// Makes settings with defaults for everything but the domain.
+    #[must_use]
+    pub fn new(domain: Name) -> Self {
+        Self {
+            domain,
+            seed: 0,
+            attempts: 3,
+            queue: 4096,
+            customer_queue: 256,
+            retry_ratio: 0.08,
+            quarantine: Duration::from_mins(10),
+            default_slots: 32,
+        }
+    }
+}
--- /dev/null
+++ b/tests/decide.rs
@@ -0,0 +1,14 @@
+//! The desk under load, faults and random events.
+
+#[path = "decide/machine.rs"]
+mod machine;
+#[path = "decide/overload.rs"]
+mod overload;
+#[path = "decide/quarantine.rs"]
+mod quarantine;
+#[path = "decide/refusals.rs"]
+mod refusals;
+#[path = "decide/traces.rs"]
+mod traces;
+#[path = "decide/world.rs"]
+mod world;
