Check the desk by random events, recorded traces and each kind of refusal

Change: a state machine of random arrivals, ends, reports, signals, lists and words of peers checks after each step that targets that leave get nothing, claimed requests run once, "not run" is true, retries stay in budget and nothing is held at the end. A suspected request waits 50 ms after a death for the words of peers, since the first trace of it ran again 5 ms after; a held request that no target can run is refused at once, not at its deadline.

--- a/src/decide/desk/timers.rs
+++ b/src/decide/desk/timers.rs
@@ -41,8 +41,15 @@
         if self.now >= req.deadline {
             let refusal = self.too_late(id);
             self.refuse(id, refusal, effects);
-        } else {
-            self.requeue(id);
+            return;
+        }
+        self.requeue(id);
+        let place = self.requests.get(&id).map(|r| (r.place, r.pool));
+        if let Some((Place::Queued(lane, _), pool)) = place
+            && !self.may_be_served(pool, lane)
+        {
+            let refusal = self.no_target();
+            self.refuse(id, refusal, effects);
         }
     }
 
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -13,6 +13,8 @@
 pub(super) const VICTIMS: usize = 2;
 /// Time after which a single death is forgotten.
 const SUSPICION: Duration = Duration::from_mins(10);
+/// Pause after a death, so that the words of peers about the same request arrive.
+const PEER_WORD: Duration = Duration::from_millis(50);
 /// Suspected and quarantined requests kept at most.
 const MOST_FLAGGED: usize = 4096;
 /// Harmless requests remembered at most.
@@ -80,7 +82,8 @@
             return Standing::Wait;
         }
         let suspected = !record.victims.is_empty() && now < record.died + SUSPICION;
-        if suspected && !record.running.is_empty() {
+        let unheard = now < record.died + PEER_WORD;
+        if suspected && (unheard || !record.running.is_empty()) {
             return Standing::Wait;
         }
         if suspected {
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -8,6 +8,8 @@
 mod quarantine;
 #[path = "decide/refusals.rs"]
 mod refusals;
+#[path = "decide/timing.rs"]
+mod timing;
 #[path = "decide/traces.rs"]
 mod traces;
 #[path = "decide/world.rs"]
--- a/tests/decide/machine.rs
+++ b/tests/decide/machine.rs
@@ -1,1 +1,555 @@
+//! Random events against the desk, with what must always hold checked after each.
 
+use std::collections::{BTreeMap, BTreeSet};
+
+use guavahold::catalog::{Class, Policy};
+use guavahold::decide::{
+    AttemptOutcome, Desk, DeskSettings, Effect, Event, Refusal, RequestId, Signal,
+};
+use guavahold::http::RunState;
+use guavahold::prelude::*;
+use guavahold::target::LoadReport;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+use crate::world::{arrival, key, ms, report, target};
+
+const TARGETS: u8 = 5;
+/// Allowed retries at the start, and for each success.
+const BUDGET: (f64, f64) = (2.0, 0.08);
+
+#[derive(Clone, Debug)]
+enum Step {
+    Advance(u64),
+    Arrive {
+        customer: u8,
+        kind: u8,
+        fingerprint: u8,
+        long: bool,
+    },
+    Confirm(u8),
+    FirstToken(u8),
+    End(u8, AttemptOutcome),
+    Left(u8),
+    List {
+        present: u8,
+        leaving: u8,
+    },
+    Report {
+        target: u8,
+        report: LoadReport,
+    },
+    Signal(u8, Signal),
+    Entries(u32),
+    Quarantine {
+        fingerprint: u8,
+        victims: u8,
+        ttl: u64,
+    },
+    Drain,
+}
+
+#[derive(Clone, Debug)]
+struct Steps;
+
+fn outcome() -> impl Strategy<Value = AttemptOutcome> {
+    prop_oneof![
+        6 => Just(AttemptOutcome::Done),
+        2 => Just(AttemptOutcome::NotSent),
+        1 => Just(AttemptOutcome::Refused { retry_after: None }),
+        1 => Just(AttemptOutcome::Refused { retry_after: Some(ms(300)) }),
+        1 => Just(AttemptOutcome::WrongWeights),
+        3 => Just(AttemptOutcome::Lost),
+        1 => Just(AttemptOutcome::CutShort),
+        1 => Just(AttemptOutcome::Cancelled),
+    ]
+}
+
+fn load_report() -> impl Strategy<Value = LoadReport> {
+    (1..4_u32, 0..6_u32, 0..3_u32, 0..20_u8, 0..8_u8).prop_map(
+        |(slots, running, queued, leaving, weights)| LoadReport {
+            running,
+            queued,
+            leaving: leaving == 0,
+            weights: match weights {
+                0 => vec![],
+                1 => vec!["v1".into(), "v2".into()],
+                2 => vec!["v2".into()],
+                _ => vec!["v1".into()],
+            },
+            ..report(slots)
+        },
+    )
+}
+
+fn signal() -> impl Strategy<Value = Signal> {
+    prop_oneof![
+        1 => Just(Signal::Leaving),
+        3 => Just(Signal::Unreachable),
+        6 => Just(Signal::Reachable),
+    ]
+}
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let any_target = 0..TARGETS;
+        prop_oneof![
+            8 => (1..400_u64).prop_map(Step::Advance),
+            1 => (400..5_000_u64).prop_map(Step::Advance),
+            12 => (0..3_u8, 0..4_u8, 0..30_u8, any::<bool>()).prop_map(
+                |(customer, kind, fingerprint, long)| Step::Arrive { customer, kind, fingerprint, long }
+            ),
+            6 => any::<u8>().prop_map(Step::Confirm),
+            5 => any::<u8>().prop_map(Step::FirstToken),
+            12 => (any::<u8>(), outcome()).prop_map(|(n, outcome)| Step::End(n, outcome)),
+            1 => any::<u8>().prop_map(Step::Left),
+            1 => (any::<u8>(), any::<u8>(), any::<u8>()).prop_map(
+                |(present, a, b)| Step::List { present: present | 7, leaving: a & b }
+            ),
+            8 => (any_target.clone(), load_report()).prop_map(
+                |(target, report)| Step::Report { target, report }
+            ),
+            6 => (any_target, signal()).prop_map(|(target, signal)| Step::Signal(target, signal)),
+            1 => (0..4_u32).prop_map(Step::Entries),
+            1 => (0..30_u8, 0..4_u8, 0..3_u64).prop_map(
+                |(fingerprint, victims, ttl)| Step::Quarantine { fingerprint, victims, ttl }
+            ),
+            1 => (0..20_u8).prop_map(|n| if n == 0 { Step::Drain } else { Step::Advance(1) }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+#[derive(Debug, Default)]
+struct Caller {
+    once: bool,
+    fingerprint: u64,
+    /// Live attempts and their targets.
+    live: BTreeMap<u32, Name>,
+    /// Whether the claim behind the live attempt was confirmed, so that it may have been sent.
+    confirmed: bool,
+    dispatches: u32,
+    unsent: u32,
+    /// Attempts that a target received.
+    handed_over: u32,
+    ended: bool,
+}
+
+#[derive(Debug)]
+struct Checked {
+    desk: Desk,
+    now: Stamp,
+    next_id: u64,
+    callers: BTreeMap<RequestId, Caller>,
+    listed: BTreeMap<Name, bool>,
+    /// Targets that said that they leave.
+    leaving: BTreeSet<Name>,
+    unreachable: BTreeSet<Name>,
+    quarantined: BTreeMap<u64, Stamp>,
+    done: u32,
+}
+
+fn name(n: u8) -> Name {
+    format!("engine-{n}").into()
+}
+
+fn kinds() -> [Arc<Policy>; 4] {
+    let make = |class, first_token_ms, idempotent| {
+        Arc::new(Policy {
+            class,
+            first_token_ms,
+            idempotent,
+            ..Policy::default()
+        })
+    };
+    [
+        make(Class::Interactive, 800, true),
+        make(Class::Standard, 3_000, true),
+        make(Class::Patient, 20_000, true),
+        make(Class::Interactive, 2_000, false),
+    ]
+}
+
+impl Checked {
+    fn new() -> Self {
+        let mut cfg = DeskSettings::new("domain-0".into());
+        cfg.customer_queue = 8;
+        cfg.queue = 16;
+        let mut checked = Self {
+            desk: Desk::new(cfg),
+            now: ms(1_000),
+            next_id: 0,
+            callers: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            unreachable: BTreeSet::new(),
+            quarantined: BTreeMap::new(),
+            done: 0,
+        };
+        checked.list(u8::MAX, 0);
+        for n in 0..TARGETS {
+            checked.tell(Event::Report {
+                target: name(n),
+                report: report(2),
+            });
+        }
+        checked
+    }
+
+    fn list(&mut self, present: u8, leaving: u8) {
+        let mut list = Vec::new();
+        for n in (0..TARGETS).filter(|n| present & (1 << n) != 0) {
+            let mut info = target(&name(n), if n < 3 { "domain-0" } else { "domain-1" });
+            info.leaving = leaving & (1 << n) != 0;
+            list.push(info);
+        }
+        self.listed = list.iter().map(|t| (t.name.clone(), t.leaving)).collect();
+        let listed = &self.listed;
+        self.leaving.retain(|name| listed.contains_key(name));
+        self.unreachable.retain(|name| listed.contains_key(name));
+        self.tell(Event::Targets(list));
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut effects = Vec::new();
+        self.desk.on(self.now, event, &mut effects);
+        for effect in effects {
+            self.check(effect);
+        }
+        assert_eq!(self.desk.broken_invariants(), 0);
+        self.check_budget();
+        self.check_slots();
+    }
+
+    fn check(&mut self, effect: Effect) {
+        match effect {
+            Effect::Dispatch {
+                id,
+                attempt,
+                target,
+                weights,
+                hedge,
+                ..
+            } => {
+                assert_eq!(&*weights, "v1");
+                self.check_dispatch(id, attempt, target, hedge);
+            }
+            Effect::Refuse { id, refusal } => self.check_refusal(id, &refusal),
+            Effect::Cancel { id, attempt } => {
+                let caller = self.callers.get_mut(&id).unwrap();
+                assert!(caller.live.remove(&attempt).is_some(), "cancelled twice");
+                assert!(!caller.live.is_empty(), "cancelled the only attempt");
+            }
+            Effect::Quarantine {
+                fingerprint,
+                ttl,
+                victims,
+            } => {
+                assert!(!victims.is_empty());
+                assert_eq!(ttl.is_zero(), victims.len() < 2, "{victims:?} for {ttl:?}");
+                let n = (0..30).find(|n| key(*n) == fingerprint).unwrap();
+                if !ttl.is_zero() {
+                    self.quarantined.insert(n, self.now + ttl);
+                }
+            }
+            Effect::Probe { target, .. } => assert!(self.listed.contains_key(&target)),
+        }
+    }
+
+    fn check_dispatch(&mut self, id: RequestId, attempt: u32, target: Name, hedge: bool) {
+        assert_eq!(
+            self.listed.get(&target),
+            Some(&false),
+            "{target} is leaving"
+        );
+        assert!(
+            !self.leaving.contains(&target),
+            "{target} said that it leaves"
+        );
+        assert!(
+            !self.unreachable.contains(&target),
+            "{target} is unreachable"
+        );
+        let caller = self.callers.get_mut(&id).unwrap();
+        assert!(!caller.ended, "dispatched after its end");
+        assert!(
+            !(caller.once && caller.handed_over > 0),
+            "a claimed request ran twice"
+        );
+        let until = self.quarantined.get(&caller.fingerprint);
+        assert!(until.is_none_or(|until| self.now >= *until), "quarantined");
+        assert!(!(hedge && caller.once));
+        let again = caller.live.contains_key(&attempt);
+        assert!(
+            hedge || again || caller.live.is_empty(),
+            "two attempts at once"
+        );
+        if !again {
+            caller.dispatches += 1;
+            caller.confirmed = !caller.once;
+        }
+        caller.live.insert(attempt, target);
+    }
+
+    fn check_refusal(&mut self, id: RequestId, refusal: &Refusal) {
+        let caller = self.callers.get_mut(&id).unwrap();
+        assert!(!caller.ended, "ended twice");
+        let sent = !caller.live.is_empty() && caller.confirmed;
+        assert!(!sent, "refused while an attempt runs");
+        let not_run = refusal.run() == RunState::NotRun;
+        assert_eq!(not_run, caller.handed_over == 0, "{refusal:?}");
+        assert!(!refusal.retry_after().is_zero());
+        caller.live.clear();
+        caller.ended = true;
+    }
+
+    fn check_budget(&self) {
+        let extra = |c: &Caller| (c.dispatches - c.unsent.min(c.dispatches)).saturating_sub(1);
+        let extra: u32 = self.callers.values().map(extra).sum();
+        let allowed = BUDGET.0 + BUDGET.1 * f64::from(self.done);
+        assert!(f64::from(extra) <= allowed, "{extra} retries of {allowed}");
+    }
+
+    fn check_slots(&self) {
+        for target in self.listed.keys() {
+            let live = self.callers.values().filter(|c| !c.ended);
+            let live = live.flat_map(|c| c.live.values()).filter(|t| *t == target);
+            // A target that vanished and came back starts anew.
+            let counted = self.desk.in_flight(target).unwrap() as usize;
+            assert!(counted <= live.count());
+        }
+    }
+
+    fn pick(&self, n: u8, claimed: bool) -> Option<(RequestId, u32)> {
+        let live = self.callers.iter().filter(|(_, c)| !c.ended);
+        let live = live.filter(|(_, c)| c.confirmed != claimed);
+        let live: Vec<_> = live
+            .flat_map(|(id, c)| c.live.keys().map(|a| (*id, *a)))
+            .collect();
+        (!live.is_empty()).then(|| live[usize::from(n) % live.len()])
+    }
+
+    fn end(&mut self, id: RequestId, attempt: u32, outcome: AttemptOutcome) {
+        let caller = self.callers.get_mut(&id).unwrap();
+        let target = caller.live.remove(&attempt).unwrap();
+        match outcome {
+            AttemptOutcome::NotSent => caller.unsent += 1,
+            AttemptOutcome::Refused { .. } => {}
+            _ => caller.handed_over += 1,
+        }
+        let over = matches!(outcome, AttemptOutcome::Done)
+            || (outcome == AttemptOutcome::Cancelled && caller.live.is_empty());
+        if over {
+            caller.ended = true;
+            caller.live.clear();
+        }
+        self.done += u32::from(outcome == AttemptOutcome::Done);
+        if outcome == AttemptOutcome::NotSent {
+            self.tell(Event::Ended {
+                id,
+                attempt,
+                outcome,
+            });
+            // The program answers the probe.
+            self.signal(target, Signal::Reachable);
+        } else {
+            self.tell(Event::Ended {
+                id,
+                attempt,
+                outcome,
+            });
+        }
+    }
+
+    fn signal(&mut self, target: Name, signal: Signal) {
+        if self.listed.contains_key(&target) {
+            match signal {
+                Signal::Leaving => self.leaving.insert(target.clone()),
+                Signal::Unreachable => self.unreachable.insert(target.clone()),
+                Signal::Reachable => self.unreachable.remove(&target),
+            };
+        }
+        self.tell(Event::Signal { target, signal });
+    }
+
+    fn arrive(&mut self, customer: u8, kind: u8, fingerprint: u8, long: bool) {
+        self.next_id += 1;
+        let policy = &kinds()[usize::from(kind)];
+        let mut req = arrival(self.next_id, ["a", "b", "c"][usize::from(customer)], policy);
+        req.fingerprint = key(u64::from(fingerprint));
+        req.affinity = key(u64::from(fingerprint / 4));
+        req.tokens = if long { 5_000 } else { 100 };
+        let caller = Caller {
+            once: !policy.idempotent,
+            confirmed: policy.idempotent,
+            fingerprint: u64::from(fingerprint),
+            ..Caller::default()
+        };
+        self.callers.insert(req.id, caller);
+        self.tell(Event::Arrive(req));
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Advance(time) => {
+                self.now += ms(time);
+                self.tell(Event::Tick);
+            }
+            Step::Arrive {
+                customer,
+                kind,
+                fingerprint,
+                long,
+            } => self.arrive(customer, kind, fingerprint, long),
+            Step::Confirm(n) => {
+                if let Some((id, _)) = self.pick(n, true) {
+                    self.tell(Event::Confirm(id));
+                    let caller = self.callers.get_mut(&id).unwrap();
+                    assert!(
+                        caller.ended || !caller.live.is_empty(),
+                        "no answer to a claim"
+                    );
+                    caller.confirmed = true;
+                }
+            }
+            Step::FirstToken(n) => {
+                if let Some((id, attempt)) = self.pick(n, false) {
+                    self.callers.get_mut(&id).unwrap().handed_over += 1;
+                    self.tell(Event::FirstToken { id, attempt });
+                }
+            }
+            Step::End(n, outcome) => {
+                if let Some((id, attempt)) = self.pick(n, false) {
+                    self.end(id, attempt, outcome);
+                }
+            }
+            Step::Left(n) => {
+                if let Some((id, _)) = self.pick(n, false) {
+                    self.callers.get_mut(&id).unwrap().ended = true;
+                    self.tell(Event::Left(id));
+                }
+            }
+            Step::List { present, leaving } => self.list(present, leaving),
+            Step::Report { target, report } => {
+                let target = name(target);
+                if report.leaving && self.listed.contains_key(&target) {
+                    self.leaving.insert(target.clone());
+                }
+                self.tell(Event::Report { target, report });
+            }
+            Step::Signal(target, signal) => self.signal(name(target), signal),
+            Step::Entries(n) => self.tell(Event::Entries(n)),
+            Step::Quarantine {
+                fingerprint,
+                victims,
+                ttl,
+            } => self.peer_quarantine(fingerprint, victims, ttl),
+            Step::Drain => self.tell(Event::Drain),
+        }
+    }
+
+    fn peer_quarantine(&mut self, fingerprint: u8, victims: u8, ttl: u64) {
+        let victims: Vec<Name> = (0..=victims % 2).map(name).collect();
+        let ttl = ms(ttl * 1_000);
+        let n = u64::from(fingerprint);
+        if !ttl.is_zero() {
+            let until = self.quarantined.entry(n).or_default();
+            *until = (*until).max(self.now + ttl);
+        }
+        self.tell(Event::Quarantine {
+            fingerprint: key(n),
+            victims,
+            ttl,
+        });
+    }
+
+    /// Lets everything end and checks that nothing is held.
+    fn finish(mut self) {
+        for _ in 0..400 {
+            self.now += ms(100);
+            self.tell(Event::Tick);
+            while let Some((id, _)) = self.pick(0, true) {
+                self.tell(Event::Confirm(id));
+                self.callers.get_mut(&id).unwrap().confirmed = true;
+            }
+            while let Some((id, attempt)) = self.pick(0, false) {
+                self.end(id, attempt, AttemptOutcome::Done);
+            }
+        }
+        assert!(
+            self.callers.values().all(|c| c.ended),
+            "no end: {:?}",
+            self.callers
+        );
+        assert_eq!((self.desk.requests(), self.desk.waiting()), (0, 0));
+        for target in self.listed.keys() {
+            assert_eq!(self.desk.in_flight(target), Some(0));
+        }
+    }
+}
+
+struct DeskMachine;
+
+impl StateMachineTest for DeskMachine {
+    type SystemUnderTest = Checked;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> Checked {
+        Checked::new()
+    }
+
+    fn apply(mut checked: Checked, (): &(), step: Step) -> Checked {
+        checked.step(step);
+        checked
+    }
+
+    fn teardown(checked: Checked, (): ()) {
+        checked.finish();
+    }
+}
+
+fn bounded() -> Config {
+    Config {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        max_shrink_iters: 20_000,
+        ..Config::default()
+    }
+}
+
+fn long() -> Config {
+    let given = std::env::var("GUAVAHOLD_SEED")
+        .ok()
+        .and_then(|s| s.parse().ok());
+    let seed = given.unwrap_or_else(|| fastrand::u64(..));
+    println!("GUAVAHOLD_SEED={seed}");
+    Config {
+        cases: 20_000,
+        rng_seed: RngSeed::Fixed(seed),
+        ..bounded()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(bounded())]
+    #[test]
+    fn random_events(sequential 1..150 => DeskMachine);
+}
+
+prop_state_machine! {
+    #![proptest_config(long())]
+    #[test]
+    #[ignore = "long run"]
+    fn random_events_long(sequential 1..400 => DeskMachine);
+}
--- /dev/null
+++ b/tests/decide/timing.rs
@@ -0,0 +1,209 @@
+//! Time of a decision and size of the state; run with `--release -- --ignored --nocapture`.
+
+use std::time::Instant;
+
+use guavahold::catalog::{Catalog, Class, Customer};
+use guavahold::decide::{AttemptOutcome, Desk, DeskSettings, Effect, Event, RequestId, TargetInfo};
+use guavahold::prelude::*;
+use guavahold::target::LoadReport;
+
+use crate::world::{arrival, key, ms, policy, report, target};
+
+const MODELS: u64 = 4;
+
+fn model(n: u64) -> Name {
+    format!("model-{}", n % MODELS).into()
+}
+
+fn fleet(targets: u64) -> Vec<TargetInfo> {
+    let info = |n| TargetInfo {
+        serves: model(n),
+        ..target(&format!("runner-{n}"), &format!("domain-{}", n % 31))
+    };
+    (0..targets).map(info).collect()
+}
+
+fn desk(targets: u64, customers: u64) -> Desk {
+    let mut desk = Desk::new(DeskSettings::new("domain-0".into()));
+    let mut effects = Vec::new();
+    let mut catalog = Catalog::default();
+    for n in 0..customers {
+        let customer = Customer {
+            share: 1,
+            tokens: SmallVec::new(),
+        };
+        catalog
+            .section
+            .customers
+            .insert(format!("customer-{n}").into(), customer);
+    }
+    desk.on(ms(0), Event::Catalog(Arc::new(catalog)), &mut effects);
+    desk.on(ms(0), Event::Targets(fleet(targets)), &mut effects);
+    for n in 0..targets {
+        let event = Event::Report {
+            target: format!("runner-{n}").into(),
+            report: report(2),
+        };
+        desk.on(ms(1), event, &mut effects);
+    }
+    desk
+}
+
+fn resident_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find(|l| l.starts_with("VmRSS")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+struct Clock {
+    name: &'static str,
+    times: Vec<u64>,
+}
+
+impl Clock {
+    fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            times: Vec::new(),
+        }
+    }
+
+    fn on(&mut self, desk: &mut Desk, now: Stamp, event: Event, effects: &mut Vec<Effect>) {
+        let start = Instant::now();
+        desk.on(now, event, effects);
+        self.times
+            .push(u64::try_from(start.elapsed().as_nanos()).unwrap());
+    }
+
+    fn print(mut self) {
+        self.times.sort_unstable();
+        let at = |part: usize| self.times[self.times.len() * part / 1000];
+        let max = self.times.last().unwrap();
+        println!(
+            "{{\"event\":\"{}\",\"n\":{},\"p50_ns\":{},\"p99_ns\":{},\"p999_ns\":{},\"max_ns\":{max}}}",
+            self.name,
+            self.times.len(),
+            at(500),
+            at(990),
+            at(999),
+        );
+    }
+}
+
+/// Requests at `load` times the number of slots, over all customers, with reports in between.
+fn measure(targets: u64, customers: u64, load: u64) {
+    println!("targets {targets}, customers {customers}, load {load}%");
+    let mut desk = desk(targets, customers);
+    let quick = policy(Class::Interactive, 800);
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut clocks = ["arrive", "first-token", "ended", "report", "tick"].map(Clock::new);
+    let mut live: Vec<(RequestId, u32)> = Vec::new();
+    let mut effects = Vec::new();
+    let wanted = usize::try_from(targets * 2 * load / 100).unwrap();
+    let mut now = ms(10_000);
+    for id in 0..200_000_u64 {
+        now += Duration::from_micros(20);
+        let mut req = arrival(id, &format!("customer-{}", rng.u64(..customers)), &quick);
+        req.serves = model(rng.u64(..));
+        req.affinity = key(rng.u64(..100_000));
+        req.tokens = rng.u32(100..8_000);
+        clocks[0].on(&mut desk, now, Event::Arrive(req), &mut effects);
+        if live.len() >= wanted.min(usize::try_from(targets * 2 - 8).unwrap()) {
+            let (id, attempt) = live.swap_remove(rng.usize(..live.len()));
+            clocks[1].on(
+                &mut desk,
+                now,
+                Event::FirstToken { id, attempt },
+                &mut effects,
+            );
+            let outcome = AttemptOutcome::Done;
+            let event = Event::Ended {
+                id,
+                attempt,
+                outcome,
+            };
+            clocks[2].on(&mut desk, now, event, &mut effects);
+        }
+        if id % 4 == 0 {
+            let n = rng.u64(..targets);
+            let target: Name = format!("runner-{n}").into();
+            let running = desk.in_flight(&target).unwrap();
+            let report = LoadReport {
+                running,
+                ..report(2)
+            };
+            clocks[3].on(
+                &mut desk,
+                now,
+                Event::Report { target, report },
+                &mut effects,
+            );
+        }
+        if id % 250 == 0 {
+            clocks[4].on(&mut desk, now, Event::Tick, &mut effects);
+        }
+        for effect in effects.drain(..) {
+            if let Effect::Dispatch { id, attempt, .. } = effect {
+                live.push((id, attempt));
+            }
+        }
+    }
+    println!("waiting {}, running {}", desk.waiting(), live.len());
+    for clock in clocks {
+        clock.print();
+    }
+}
+
+#[test]
+#[ignore = "measurement"]
+fn decision_time() {
+    measure(12_000, 8_600, 50);
+    measure(12_000, 8_600, 300);
+    measure(3_000, 8_600, 50);
+    let mut desk = desk(12_000, 8_600);
+    let mut list = Clock::new("list");
+    for n in 0..20 {
+        let mut fleet = fleet(12_000);
+        fleet.truncate(12_000 - n * 10);
+        list.on(
+            &mut desk,
+            ms(20_000),
+            Event::Targets(fleet),
+            &mut Vec::new(),
+        );
+    }
+    list.print();
+}
+
+#[test]
+#[ignore = "measurement"]
+fn state_size() {
+    // The largest first would leave freed memory behind, so sizes grow.
+    for targets in [3_000, 6_000, 12_000] {
+        let before = resident_kib();
+        let desk = desk(targets, 0);
+        let kib = resident_kib() - before;
+        println!(
+            "{{\"targets\":{targets},\"kib\":{kib},\"bytes_each\":{}}}",
+            kib * 1024 / targets
+        );
+        std::mem::forget(desk);
+    }
+    for customers in [2_150, 4_300, 8_600] {
+        let mut desk = desk(4, 0);
+        let patient = policy(Class::Patient, 60_000);
+        let before = resident_kib();
+        for id in 0..customers {
+            let mut req = arrival(id, &format!("customer-{id}"), &patient);
+            req.serves = model(id);
+            desk.on(ms(10), Event::Arrive(req), &mut Vec::new());
+        }
+        let kib = resident_kib() - before;
+        println!(
+            "{{\"customers_waiting\":{customers},\"waiting\":{},\"kib\":{kib},\"bytes_each\":{}}}",
+            desk.waiting(),
+            kib * 1024 / customers
+        );
+        std::mem::forget(desk);
+    }
+}
