Add the operators' program and places for contradictions

Cause: there was no way to put a note in force, and contradictions with what is in force were bare texts without a place in the note.

`Catalog::apply` returns typed contradictions with the path of the value that causes them, and `ReleaseNote::read_against` turns them into findings with line and column.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -2,8 +2,10 @@
 
 mod cell;
 mod change;
+mod contradiction;
 mod customer;
 mod head;
+mod kept;
 mod model;
 mod note;
 mod policy;
@@ -18,8 +20,10 @@
 
 pub use cell::CatalogCell;
 pub use change::{Change, Section};
+pub use contradiction::{Contradiction, Contradictions};
 pub use customer::Customer;
 pub use head::{CatalogHead, InForce, SnapshotRef};
+pub use kept::KeptNote;
 pub use model::Model;
 pub use note::ReleaseNote;
 pub use policy::{Class, MeasureWeights, Policy};
--- a/src/catalog/change.rs
+++ b/src/catalog/change.rs
@@ -91,6 +91,18 @@
         }
     }
 
+    /// Keeps the declarations that `other` holds as well, unchanged.
+    pub fn retain_equal(&mut self, other: &Self) {
+        self.customers
+            .retain(|k, v| other.customers.get(k) == Some(v));
+        self.models.retain(|k, v| other.models.get(k) == Some(v));
+        self.policies
+            .retain(|k, v| other.policies.get(k) == Some(v));
+        self.services
+            .retain(|k, v| other.services.get(k) == Some(v));
+        self.trust.retain(|k, v| other.trust.get(k) == Some(v));
+    }
+
     /// Adds or replaces every declaration of `other`.
     pub fn merge(&mut self, other: &Self) {
         fn put<T: Clone>(into: &mut BTreeMap<Name, T>, from: &BTreeMap<Name, T>) {
--- a/src/catalog/head.rs
+++ b/src/catalog/head.rs
@@ -29,6 +29,9 @@
     pub snapshot: SnapshotRef,
     /// Last notes, oldest first; the newest makes `revision`.
     pub tail: Vec<ReleaseNote>,
+    /// Snapshot before the newest; collected when the next one is written.
+    #[serde(default)]
+    pub retired: SnapshotRef,
 }
 
 impl CatalogHead {
@@ -38,6 +41,8 @@
     pub const NAME: &'static str = "head";
     /// Most notes kept in the head.
     pub const TAIL: usize = 16;
+    /// Notes left in the head when a new snapshot is written, for watchers that lag a little.
+    pub const KEPT: usize = 4;
     /// Longest text of one snapshot part, in bytes; the platform holds values up to a megabyte.
     pub const PART_BYTES: usize = 512 * 1024;
 
--- a/src/catalog/note.rs
+++ b/src/catalog/note.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::{Change, Customer, Model, Policy, Section, Service, Trust};
+use crate::catalog::{Catalog, Change, Customer, Model, Policy, Section, Service, Trust};
 use crate::prelude::*;
 use crate::settings::{Document, Fields, Findings};
 
@@ -37,6 +37,65 @@
         self.against + 1
     }
 
+    /// The note in the shape that operators write.
+    #[must_use]
+    pub fn to_value(&self) -> serde_json::Value {
+        let mut withdrawn = std::collections::BTreeMap::<&str, Vec<&str>>::new();
+        for change in &self.withdrawn {
+            withdrawn
+                .entry(&change.kind)
+                .or_default()
+                .push(&change.name);
+        }
+        serde_json::json!({
+            "revision": self.against,
+            "by": self.by,
+            "why": self.why,
+            "added": self.added,
+            "changed": self.changed,
+            "withdrawn": withdrawn,
+        })
+    }
+
+    /// Text of a document that [`ReleaseNote::read`] reads back.
+    #[must_use]
+    pub fn to_document(&self) -> String {
+        format!("{:#}", self.to_value())
+    }
+
+    /// Name of the part that declares `change`: `added`, `changed`; `None` when neither does.
+    pub(crate) fn part_of(&self, change: &Change) -> Option<&'static str> {
+        if self.added.contains(change) {
+            Some("added")
+        } else if self.changed.contains(change) {
+            Some("changed")
+        } else {
+            None
+        }
+    }
+
+    /// Reads a note and checks it against the catalog in force.
+    ///
+    /// # Errors
+    /// All findings with their places; contradictions are looked for when the note itself is right.
+    pub fn read_against(doc: &Document, catalog: &Catalog) -> Result<(Self, Catalog), Findings> {
+        doc.read(|fields| {
+            let note = Self::from_fields(fields)?;
+            if fields.is_rejected() {
+                return None;
+            }
+            match catalog.apply(&note) {
+                Ok(next) => Some((note, next)),
+                Err(contradictions) => {
+                    for contradiction in contradictions.0 {
+                        fields.reject_path(&contradiction.path, contradiction.detail);
+                    }
+                    None
+                }
+            }
+        })
+    }
+
     /// Reads a note, reporting everything that is wrong together.
     ///
     /// The fields `id` and `at_ms` are left empty; they are set when the note is applied.
@@ -71,14 +130,14 @@
     fn reject_overlaps(&self, fields: &Fields<'_>) {
         for change in self.added.names() {
             if self.changed.contains(&change) || self.withdrawn.contains(&change) {
-                let detail = format!("{} {} stands in two parts", change.kind, change.name);
-                fields.reject_field("added", detail);
+                let path = ["added".into(), change.kind, change.name];
+                fields.reject_path(&path, "stands in two parts; expected one");
             }
         }
         for change in self.changed.names() {
             if self.withdrawn.contains(&change) {
-                let detail = format!("{} {} stands in two parts", change.kind, change.name);
-                fields.reject_field("changed", detail);
+                let path = ["changed".into(), change.kind, change.name];
+                fields.reject_path(&path, "stands in two parts; expected one");
             }
         }
     }
@@ -103,6 +162,12 @@
     let mut out = Vec::new();
     for kind in KINDS {
         let names = fields.parsed_list::<String>(kind, "a name");
+        for (n, name) in names.iter().enumerate() {
+            if names[..n].contains(name) {
+                let path = [Name::from(kind), Name::from(name.as_str())];
+                fields.reject_path(&path, "withdrawn twice; expected once");
+            }
+        }
         out.extend(names.into_iter().map(|name| Change {
             kind: kind.into(),
             name: name.into(),
--- a/src/catalog/snapshot.rs
+++ b/src/catalog/snapshot.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::{Change, ReleaseNote, Section};
+use crate::catalog::{Change, Contradiction, Contradictions, ReleaseNote, Section};
 
 /// All declarations at one revision.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -18,26 +18,12 @@
     /// Makes the catalog that results from `note`.
     ///
     /// # Errors
-    /// One line for each contradiction: a wrong base revision, an addition that exists, a change or
-    /// withdrawal of something that does not, a reference to a policy that is not declared.
-    pub fn apply(&self, note: &ReleaseNote) -> Result<Self, Vec<String>> {
+    /// Every contradiction: a wrong base revision, an addition that exists, a change or withdrawal
+    /// of something that does not, a reference to a policy that is not declared, a token hash of two
+    /// customers.
+    pub fn apply(&self, note: &ReleaseNote) -> Result<Self, Contradictions> {
         let mut errors = Vec::new();
-        if note.against != self.revision {
-            errors.push(format!(
-                "the note was written against revision {}, in force is {}",
-                note.against, self.revision
-            ));
-        }
-        for change in note.added.names() {
-            if self.section.contains(&change) {
-                errors.push(format!("{} {} already exists", change.kind, change.name));
-            }
-        }
-        for change in note.changed.names().iter().chain(&note.withdrawn) {
-            if !self.section.contains(change) {
-                errors.push(format!("{} {} does not exist", change.kind, change.name));
-            }
-        }
+        self.check_note(note, &mut errors);
         let mut next = self.clone();
         next.revision = note.revision();
         next.section.merge(&note.added);
@@ -45,38 +31,97 @@
         for change in &note.withdrawn {
             next.section.remove(change);
         }
-        next.check_references(&mut errors);
+        next.check_policies(note, &mut errors);
+        next.check_tokens(note, &mut errors);
         if errors.is_empty() {
             Ok(next)
         } else {
-            Err(errors)
+            Err(Contradictions(errors))
         }
     }
 
-    fn check_references(&self, errors: &mut Vec<String>) {
+    fn check_note(&self, note: &ReleaseNote, errors: &mut Vec<Contradiction>) {
+        if note.against != self.revision {
+            let detail = format!(
+                "the note was written against revision {}, expected {}, which is in force",
+                note.against, self.revision
+            );
+            errors.push(Contradiction::new(&["revision"], detail));
+        }
+        for change in note.added.names() {
+            if self.section.contains(&change) {
+                let detail = "already exists; expected it under `changed`";
+                let path = ["added", &*change.kind, &*change.name];
+                errors.push(Contradiction::new(&path, detail));
+            }
+        }
+        for change in note.changed.names() {
+            if !self.section.contains(&change) {
+                let detail = "does not exist; expected it under `added`";
+                let path = ["changed", &*change.kind, &*change.name];
+                errors.push(Contradiction::new(&path, detail));
+            }
+        }
+        for change in &note.withdrawn {
+            if !self.section.contains(change) {
+                let detail = format!("does not exist; expected one of the {}", change.kind);
+                let path = ["withdrawn", &*change.kind, &*change.name];
+                errors.push(Contradiction::new(&path, detail));
+            }
+        }
+    }
+
+    fn check_policies(&self, note: &ReleaseNote, errors: &mut Vec<Contradiction>) {
         let models = self.section.models.iter();
         let services = self.section.services.iter();
-        let uses = models.map(|(name, m)| ("models", name, &m.policy)).chain(
+        let references = models.map(|(name, m)| ("models", name, &m.policy)).chain(
             services
                 .flat_map(|(name, s)| s.routes.iter().map(move |r| ("services", name, &r.policy))),
         );
-        for (kind, name, policy) in uses {
-            if !self.section.policies.contains_key(policy) {
-                errors.push(format!(
-                    "{kind} {name} names the undeclared policy {policy}"
-                ));
+        for (kind, name, policy) in references {
+            if self.section.policies.contains_key(policy) {
+                continue;
             }
+            let user = Change {
+                kind: kind.into(),
+                name: name.clone(),
+            };
+            let contradiction = match note.part_of(&user) {
+                Some(part) => Contradiction::new(
+                    &[part, kind, name, "policy"],
+                    format!("names the undeclared policy {policy}; expected a declared one"),
+                ),
+                None => Contradiction::new(
+                    &["withdrawn", "policies", policy],
+                    format!("still used by {kind} {name}; expected another policy there first"),
+                ),
+            };
+            errors.push(contradiction);
         }
-        self.check_tokens(errors);
     }
 
-    fn check_tokens(&self, errors: &mut Vec<String>) {
+    fn check_tokens(&self, note: &ReleaseNote, errors: &mut Vec<Contradiction>) {
         let mut owners = std::collections::HashMap::new();
         for (name, customer) in &self.section.customers {
             for token in &customer.tokens {
-                if let Some(other) = owners.insert(*token, name) {
-                    errors.push(format!("customers {other} and {name} share a token hash"));
-                }
+                let Some(other) = owners.insert(*token, name) else {
+                    continue;
+                };
+                let named = [name, other].map(|name| Change {
+                    kind: "customers".into(),
+                    name: name.clone(),
+                });
+                let at = named.iter().find_map(|c| Some((note.part_of(c)?, &c.name)));
+                let (part, at) = at.unwrap_or(("added", name));
+                let detail = if other == name {
+                    "token hash given twice; expected it once".to_owned()
+                } else {
+                    format!("customers {other} and {name} share a token hash; expected a new one")
+                };
+                errors.push(Contradiction::new(
+                    &[part, "customers", at, "tokens"],
+                    detail,
+                ));
             }
         }
     }
--- a/src/catalog/store.rs
+++ b/src/catalog/store.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::catalog::{Catalog, CatalogHead, ReleaseNote, SnapshotRef};
+use crate::catalog::{Catalog, CatalogHead, KeptNote, SnapshotRef};
 use crate::platform::{Object, Platform, PlatformError, Version};
 use crate::prelude::*;
 
@@ -154,9 +154,9 @@
     ///
     /// # Errors
     /// Those of the platform, but no error when the note is kept already.
-    pub async fn keep_note(&self, note: &ReleaseNote) -> Result<(), PlatformError> {
-        let spec = serde_json::to_value(note).map_err(|err| unreadable(&note.id, &err))?;
-        let object = Object::new(NOTES, note_name(note.revision()), spec);
+    pub async fn keep_note(&self, kept: &KeptNote) -> Result<(), PlatformError> {
+        let spec = serde_json::to_value(kept).map_err(|err| unreadable(&kept.note.id, &err))?;
+        let object = Object::new(NOTES, note_name(kept.note.revision()), spec);
         match self.0.create(object).await {
             Ok(_) | Err(PlatformError::Conflict) => Ok(()),
             Err(err) => Err(err),
@@ -167,7 +167,7 @@
     ///
     /// # Errors
     /// Those of the platform, or [`PlatformError::Rejected`] when the note cannot be decoded.
-    pub async fn read_note(&self, revision: u64) -> Result<Option<ReleaseNote>, PlatformError> {
+    pub async fn read_note(&self, revision: u64) -> Result<Option<KeptNote>, PlatformError> {
         let object = self.0.get(NOTES, &note_name(revision)).await?;
         let Some(object) = object else {
             return Ok(None);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod decide;
 pub mod entry;
 pub mod http;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod prelude;
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,36 @@
+//! The operators' commands on release notes: check, plan, apply, status, history, revert, key.
+//!
+//! Each command makes a report that prints as text for people or as JSON for programs and names
+//! the exit status.
+
+mod apply;
+mod apply_report;
+mod check;
+mod entries;
+mod exit;
+mod history;
+mod in_force;
+mod key;
+mod paint;
+mod plan;
+mod planned;
+mod report;
+mod revert;
+mod table;
+mod time;
+
+pub use apply::{Applier, Stamped};
+pub use apply_report::ApplyReport;
+pub use check::{CheckReport, CheckedFile, check};
+pub use entries::Entries;
+pub use exit::Exit;
+pub use history::{HistoryReport, HistoryRow, history};
+pub use in_force::{EntryRow, StatusReport, status};
+pub use key::{KeyReport, key};
+pub use paint::Paint;
+pub use plan::{PlanReport, plan};
+pub use planned::{PlannedChange, planned_changes};
+pub use report::{OperatorError, Report};
+pub use revert::{RevertReport, revert};
+pub use table::Table;
+pub use time::{age_text, utc_text};
--- /dev/null
+++ b/src/operator/in_force.rs
@@ -0,0 +1,144 @@
+//! `guavahold status`: what is in force, since when, by whom and where.
+
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use crate::catalog::{CatalogStore, InForce};
+use crate::operator::{Entries, Exit, OperatorError, Paint, Report, Table, age_text, utc_text};
+use crate::platform::{Phase, Platform, Role, Vm};
+use crate::prelude::*;
+
+/// What one entry has in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct EntryRow {
+    /// Failure domain.
+    pub domain: Name,
+    /// Entry.
+    pub entry: Name,
+    /// Revision in force there; none when the entry is listed but not heard.
+    pub revision: Option<u64>,
+    /// Time since it came into force, in milliseconds.
+    pub since_ms: Option<u64>,
+}
+
+/// What is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct StatusReport {
+    /// Revision accepted last.
+    pub revision: u64,
+    /// Identity of its note.
+    pub note: Name,
+    /// Who applied it.
+    pub by: Name,
+    /// Why.
+    pub why: Name,
+    /// When it was applied, in milliseconds since the Unix epoch; zero for the empty catalog.
+    pub at_ms: u64,
+    /// Entries by failure domain.
+    pub entries: Vec<EntryRow>,
+}
+
+/// Reads the accepted revision and asks entries for theirs.
+///
+/// # Errors
+/// When the platform fails.
+pub async fn status(
+    platform: &Arc<dyn Platform>,
+    entries: &Entries,
+) -> Result<StatusReport, OperatorError> {
+    let store = CatalogStore::new(platform.clone());
+    let head = store.read_head().await?.unwrap_or_default().0;
+    let last = head.tail.last().cloned().unwrap_or_default();
+    let listed = listed_entries(platform).await?;
+    let reported = entries.in_force().await;
+    Ok(StatusReport {
+        revision: head.revision,
+        note: last.id,
+        by: last.by,
+        why: last.why,
+        at_ms: last.at_ms,
+        entries: if entries.is_empty() {
+            Vec::new()
+        } else {
+            rows(&reported, &listed)
+        },
+    })
+}
+
+/// Entries in use by the platform's list.
+pub(crate) async fn listed_entries(platform: &Arc<dyn Platform>) -> Result<Vec<Vm>, OperatorError> {
+    let listing = platform.list(Vm::KIND).await?;
+    let vms = listing.items.iter().filter_map(|o| o.decode::<Vm>().ok());
+    let live = vms.filter(|vm| vm.role == Role::Entry && vm.phase == Phase::Live);
+    Ok(live.collect())
+}
+
+/// Joins what was heard with what is listed, sorted by domain and name.
+pub(crate) fn rows(heard: &[InForce], listed: &[Vm]) -> Vec<EntryRow> {
+    let silent = listed
+        .iter()
+        .filter(|vm| heard.iter().all(|h| h.entry != vm.name));
+    let silent = silent.map(|vm| EntryRow {
+        domain: vm.domain.clone(),
+        entry: vm.name.clone(),
+        revision: None,
+        since_ms: None,
+    });
+    let heard = heard.iter().map(|h| EntryRow {
+        domain: h.domain.clone(),
+        entry: h.entry.clone(),
+        revision: Some(h.revision),
+        since_ms: Some(h.since_ms),
+    });
+    let mut rows: Vec<_> = heard.chain(silent).collect();
+    rows.sort_by(|a, b| (&a.domain, &a.entry).cmp(&(&b.domain, &b.entry)));
+    rows
+}
+
+/// Renders entries as a table against the accepted `revision`.
+pub(crate) fn render(rows: &[EntryRow], revision: u64, paint: Paint) -> String {
+    let mut table = Table::new(&["domain", "entry", "revision", "since", "state"]);
+    for row in rows {
+        let state = match row.revision {
+            Some(r) if r >= revision => paint.good("in force"),
+            Some(r) => paint.bad(&format!("{} behind", revision - r)),
+            None => paint.bad("listed, not heard"),
+        };
+        let since = row.since_ms.map(age_text);
+        table.row([
+            row.domain.to_string(),
+            row.entry.to_string(),
+            row.revision.map_or("-".into(), |r| r.to_string()),
+            since.unwrap_or_else(|| "-".into()),
+            state,
+        ]);
+    }
+    table.render()
+}
+
+impl Report for StatusReport {
+    fn exit(&self) -> Exit {
+        Exit::Ok
+    }
+
+    fn text(&self, paint: Paint) -> String {
+        let title = format!("revision {}", self.revision);
+        let mut out = paint.strong(&title);
+        if self.revision > 0 {
+            let at = utc_text(self.at_ms);
+            let _ = write!(out, " accepted {at} by {}: {}", self.by, self.why);
+        }
+        out.push('\n');
+        if self.entries.is_empty() {
+            out.push_str("  no entry asked; name one with --entry IP:PORT\n");
+        } else {
+            out.push_str(&render(&self.entries, self.revision, paint));
+        }
+        out
+    }
+
+    fn json(&self) -> serde_json::Value {
+        serde_json::to_value(self).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/operator/revert.rs
@@ -0,0 +1,95 @@
+//! `guavahold revert`: a new note that undoes an accepted one.
+
+use crate::catalog::{Catalog, CatalogStore, Contradiction, Contradictions, ReleaseNote};
+use crate::operator::{Exit, OperatorError, Paint, Report};
+use crate::prelude::*;
+
+/// The note that undoes another one, or why there is none.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RevertReport {
+    /// Revision whose note is undone.
+    pub undone: u64,
+    /// The note, to be checked, planned and applied like any other.
+    pub note: Result<ReleaseNote, Contradictions>,
+}
+
+/// Writes the note that undoes what the note of `revision` did, against what is in force now.
+///
+/// # Errors
+/// When the platform fails or the accepted note is not kept.
+pub async fn revert(
+    store: &CatalogStore,
+    revision: u64,
+    by: Name,
+) -> Result<RevertReport, OperatorError> {
+    let head = store.read_head().await?.unwrap_or_default().0;
+    let catalog = store.read_catalog(&head).await?;
+    let kept = store.read_note(revision).await?;
+    let undo = kept.and_then(|kept| Some((kept.undo?, kept.note)));
+    let Some((undo, note)) = undo else {
+        let detail = format!("the note of revision {revision} is not kept; nothing to undo");
+        return Err(OperatorError::Other(detail));
+    };
+    let overwritten = overwritten(&note, &catalog);
+    let note = ReleaseNote {
+        against: catalog.revision,
+        by,
+        why: format!("undoes revision {revision}: {}", note.why).into(),
+        ..undo
+    };
+    let note = if overwritten.is_empty() {
+        catalog.apply(&note).map(|_| note)
+    } else {
+        Err(Contradictions(overwritten))
+    };
+    Ok(RevertReport {
+        undone: revision,
+        note,
+    })
+}
+
+/// Declarations of `note` that a later note changed.
+fn overwritten(note: &ReleaseNote, catalog: &Catalog) -> Vec<Contradiction> {
+    let mut set = note.added.clone();
+    set.merge(&note.changed);
+    let mut still = set.clone();
+    still.retain_equal(&catalog.section);
+    let lost = set.names().into_iter().filter(|c| !still.contains(c));
+    let back = note
+        .withdrawn
+        .iter()
+        .filter(|c| catalog.section.contains(c));
+    let later = lost.chain(back.cloned());
+    later
+        .map(|c| {
+            let detail = "changed again by a later note; expected that one to be undone first";
+            Contradiction::new(&[&c.kind, &c.name], detail)
+        })
+        .collect()
+}
+
+impl Report for RevertReport {
+    fn exit(&self) -> Exit {
+        match self.note {
+            Ok(_) => Exit::Ok,
+            Err(_) => Exit::Findings,
+        }
+    }
+
+    fn text(&self, _: Paint) -> String {
+        match &self.note {
+            Ok(note) => format!("{}\n", note.to_document()),
+            Err(contradictions) => format!("{contradictions}\n"),
+        }
+    }
+
+    fn json(&self) -> serde_json::Value {
+        match &self.note {
+            Ok(note) => serde_json::json!({"undone": self.undone, "note": note.to_value()}),
+            Err(Contradictions(all)) => {
+                let all: Vec<_> = all.iter().map(ToString::to_string).collect();
+                serde_json::json!({"undone": self.undone, "findings": all})
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/operator/time.rs
@@ -0,0 +1,40 @@
+//! Times as people read them.
+
+/// Seconds of a day.
+const DAY_S: u64 = 86_400;
+
+/// Renders milliseconds since the Unix epoch as UTC, such as `2026-12-03 21:04:05Z`.
+///
+/// The date is computed as in Howard Hinnant's `civil_from_days`.
+#[must_use]
+pub fn utc_text(ms: u64) -> String {
+    let seconds = ms / 1000;
+    let (days, rest) = (seconds / DAY_S, seconds % DAY_S);
+    let z = days + 719_468;
+    let (era, day_of_era) = (z / 146_097, z % 146_097);
+    let year_of_era =
+        (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * shifted + 2) / 5 + 1;
+    let month = if shifted < 10 {
+        shifted + 3
+    } else {
+        shifted - 9
+    };
+    let year = year_of_era + era * 400 + u64::from(month <= 2);
+    let (hour, minute, second) = (rest / 3600, rest / 60 % 60, rest % 60);
+    format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02}Z")
+}
+
+/// Renders a time span with its largest unit, such as `420 ms`, `12 s`, `3 min` or `2 h`.
+#[must_use]
+pub fn age_text(ms: u64) -> String {
+    match ms {
+        0..1000 => format!("{ms} ms"),
+        1000..120_000 => format!("{} s", ms / 1000),
+        120_000..7_200_000 => format!("{} min", ms / 60_000),
+        7_200_000..172_800_000 => format!("{} h", ms / 3_600_000),
+        _ => format!("{} d", ms / 86_400_000),
+    }
+}
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -85,6 +85,11 @@
         self.findings.borrow_mut().push(finding);
     }
 
+    /// Tells whether anything was found so far.
+    pub(crate) fn has_findings(&self) -> bool {
+        !self.findings.borrow().is_empty()
+    }
+
     fn place(&self, offset: usize) -> Place {
         let before = &self.text[..offset.min(self.text.len())];
         let line_start = before.rfind('\n').map_or(0, |n| n + 1);
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -71,6 +71,37 @@
         self.doc.report(range, &self.path_of(key), detail);
     }
 
+    /// Reports a finding about the value that `path` leads to, or about the deepest one on the way;
+    /// a key leads to an object's member or to the equal text of a list.
+    pub fn reject_path(&self, path: &[Name], detail: impl Into<String>) {
+        let mut range = self.object.range;
+        let mut at: Option<&Value<'_>> = None;
+        for key in path {
+            let next = match at {
+                None => self.object.get(key).map(|p| &p.value),
+                Some(Value::Object(object)) => object.get(key).map(|p| &p.value),
+                Some(Value::Array(list)) => list.elements.iter().find(|item| {
+                    let text = item.as_string_lit();
+                    text.is_some_and(|lit| *lit.value == **key)
+                }),
+                Some(_) => None,
+            };
+            let Some(value) = next else {
+                break;
+            };
+            range = value.range();
+            at = Some(value);
+        }
+        self.doc
+            .report(range, &self.path_of(&path.join(".")), detail);
+    }
+
+    /// Tells whether the document has findings so far.
+    #[must_use]
+    pub fn is_rejected(&self) -> bool {
+        self.doc.has_findings()
+    }
+
     /// Tells whether `key` is given.
     #[must_use]
     pub fn has(&self, key: &str) -> bool {
--- a/src/settings/finding.rs
+++ b/src/settings/finding.rs
@@ -2,10 +2,12 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 use crate::prelude::*;
 
 /// Position in a document; lines and columns count from one.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Place {
     /// Name of the file.
     pub file: Name,
@@ -22,7 +24,7 @@
 }
 
 /// One thing wrong with a document.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Finding {
     /// Where it stands.
     pub place: Place,
@@ -39,7 +41,7 @@
 }
 
 /// Everything wrong with a document, in the order of its places.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Findings(pub Vec<Finding>);
 
 impl Findings {
