--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -2,10 +2,14 @@
 
 use std::io::Result;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
+use futures_lite::FutureExt;
+use guavahold::catalog::{CatalogStore, ReleaseNote};
 use guavahold::platform::{Object, Phase, Platform, RemotePlatform, Role, Vm};
+use guavahold::settings::Document;
 use http_types::Method;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -19,6 +23,8 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 /// Pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
+/// Longest time of one test.
+const TEST_LIMIT: Duration = Duration::from_secs(100);
 
 /// Processes and files of one fleet; everything ends when it is dropped.
 pub struct Fleet {
@@ -192,6 +198,21 @@
         written.expect("the platform takes the VM");
     }
 
+    /// Puts a release note in force without the operators' program.
+    ///
+    /// # Panics
+    /// When the note is not valid or the platform refuses.
+    pub async fn put_note(&self, text: &str) {
+        let note = ReleaseNote::read(&Document::new("note", text)).expect("a valid note");
+        let store = CatalogStore::new(Arc::new(self.api.clone()));
+        let head = store.read_or_create_head().await;
+        let (mut head, version) = head.expect("the platform answers");
+        head.revision = note.revision();
+        head.tail.push(note);
+        let written = store.update_head(&head, version).await;
+        written.expect("the platform takes the note");
+    }
+
     /// Runs the operators' program and returns its exit status and output.
     ///
     /// # Errors
@@ -248,3 +269,15 @@
         String::from_utf8_lossy(&answer.body)
     );
 }
+
+/// Runs a test to its end, which must come within 100 s.
+///
+/// # Panics
+/// When it does not.
+pub fn within<T>(test: impl Future<Output = T>) -> T {
+    let late = async {
+        Timer::after(TEST_LIMIT).await;
+        panic!("the test did not end in time")
+    };
+    async_io::block_on(test.or(late))
+}
