--- a/tests/catalog_cluster/mod.rs
+++ b/tests/catalog_cluster/mod.rs
@@ -43,6 +43,10 @@
     CutPlatform(usize),
     /// It can again, on new connections.
     HealPlatform(usize),
+    /// A single entry cannot reach the platform.
+    CutEntry(usize),
+    /// It can again, on new connections.
+    HealEntry(usize),
     /// The platform refuses everything.
     Down,
     /// It answers again.
@@ -82,6 +86,7 @@
     domains: usize,
     cut: BTreeSet<(usize, usize)>,
     cut_platform: BTreeSet<usize>,
+    cut_entries: BTreeSet<usize>,
     down: bool,
     lossy_until: Duration,
     changed_at: Duration,
@@ -106,6 +111,7 @@
             domains,
             cut: BTreeSet::new(),
             cut_platform: BTreeSet::new(),
+            cut_entries: BTreeSet::new(),
             down: false,
             lossy_until: Duration::ZERO,
             changed_at: Duration::ZERO,
@@ -192,6 +198,13 @@
                 self.silence(domain);
             }
             Step::HealPlatform(domain) => self.fault(|c| drop(c.cut_platform.remove(&domain))),
+            Step::CutEntry(n) => {
+                self.fault(|c| drop(c.cut_entries.insert(n)));
+                if self.nodes[n].watch.is_some() {
+                    self.nodes[n].watch = Some(false);
+                }
+            }
+            Step::HealEntry(n) => self.fault(|c| drop(c.cut_entries.remove(&n))),
             Step::Down => self.go_down(),
             Step::Up => self.fault(|c| c.down = false),
             Step::Silence(domain) => self.silence(domain),
@@ -417,7 +430,7 @@
         self.opens += 1;
         if self.down {
             self.post(LATENCY, n, ReplicaEvent::WatchFailed);
-        } else if self.cut_platform.contains(&self.nodes[n].domain) {
+        } else if !self.is_served(n) {
             self.post(OPEN_TIMEOUT, n, ReplicaEvent::WatchFailed);
         } else {
             let at = (self.now + LATENCY, self.sequence);
@@ -432,7 +445,7 @@
             self.handle(n, ReplicaEvent::WatchFailed);
             return;
         }
-        self.nodes[n].watch = Some(!self.cut_platform.contains(&self.nodes[n].domain));
+        self.nodes[n].watch = Some(self.is_served(n));
         let head = self.heads.last().unwrap().clone();
         if self.nodes[n].seen != head.revision {
             self.nodes[n].seen = head.revision;
@@ -442,19 +455,22 @@
     }
 
     fn read_snapshot(&mut self, n: usize, at: &SnapshotRef) {
-        let reachable = !self.down && !self.cut_platform.contains(&self.nodes[n].domain);
+        let reachable = !self.down && self.is_served(n);
         let catalog = self.catalogs[usize::try_from(at.revision).unwrap()].clone();
         let read = reachable.then_some(catalog);
         self.post(LATENCY, n, ReplicaEvent::Snapshot(read));
     }
 
+    fn is_served(&self, n: usize) -> bool {
+        let domain = self.nodes[n].domain;
+        !self.cut_platform.contains(&domain) && !self.cut_entries.contains(&n)
+    }
+
     /// Entries with a path to the platform, through peers or directly.
     fn connected(&self) -> BTreeSet<usize> {
         let mut found: VecDeque<usize> = VecDeque::new();
         if !self.down {
-            let direct = self.nodes.iter().enumerate();
-            let direct = direct.filter(|(_, n)| !self.cut_platform.contains(&n.domain));
-            found.extend(direct.map(|(n, _)| n));
+            found.extend((0..self.nodes.len()).filter(|n| self.is_served(*n)));
         }
         let mut seen: BTreeSet<usize> = found.iter().copied().collect();
         while let Some(n) = found.pop_front() {
--- a/tests/catalog_random.rs
+++ b/tests/catalog_random.rs
@@ -33,6 +33,8 @@
             2 => (domain.clone(), domain.clone()).prop_map(|(a, b)| Step::Heal(a, b)),
             2 => domain.clone().prop_map(Step::CutPlatform),
             2 => domain.clone().prop_map(Step::HealPlatform),
+            2 => entry.clone().prop_map(Step::CutEntry),
+            2 => entry.clone().prop_map(Step::HealEntry),
             1 => Just(Step::Down),
             2 => Just(Step::Up),
             2 => domain.prop_map(Step::Silence),
--- a/tests/catalog_traces.rs
+++ b/tests/catalog_traces.rs
@@ -34,6 +34,7 @@
 traces! {
     trace_domain_cut_off_and_healed "domain-cut-off",
     trace_platform_cut_from_one_domain "platform-cut",
+    trace_watchers_cut_from_the_platform "watchers-cut",
     trace_entry_started_in_outage "outage-start",
     trace_watches_gone_silent "silent-watches",
     trace_old_event_after_newer_one "old-event",
