Commit claims in groups at the owner of a shard

Cause: one platform write for each claim and each outcome does not fit several hundred writes a second, and a platform that is down made callers wait for its timeout.

The owner (rendezvous over live entries) commits for the others; a lost link is followed by a claimant of its own that replaces the earlier one, which is released in the background. A breaker refuses at once, a queue that is too slow refuses too. Windows past their time are deleted behind a cursor.

Failed first: claim_repeat_at_another_entry_gets_the_outcome saw InProgress for a claim settled through another writer, because the cached object answered; a claim in progress is now confirmed by an object read since the question.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -1,15 +1,29 @@
 //! Claims that make a non-idempotent request run at most once.
 
+mod breaker;
+mod claimant;
+mod collect;
+mod core;
+mod counters;
+mod delivery;
+mod lane;
 mod op;
+mod owner;
+mod queue;
 mod record;
 mod request;
+mod route;
 mod shard;
 mod table;
 mod window;
 
 use futures_lite::future::Boxed;
 
+pub use breaker::Breaker;
+pub use counters::ClaimCounts;
 pub use op::{ClaimOp, Holder, OpResult};
+pub use owner::owners;
+pub use queue::{OpQueue, Queued};
 pub use record::{ClaimRecord, RecordState};
 pub use request::{Claim, ClaimError, ClaimKey, ClaimOutcome, ClaimRequest, ClaimVerdict};
 pub use shard::{Applied, ShardState};
--- a/src/claim/op.rs
+++ b/src/claim/op.rs
@@ -12,6 +12,9 @@
         claimant: Name,
         /// The request.
         req: ClaimRequest,
+        /// Earlier claimant of the same attempt, which never dispatches and whose claim may have
+        /// been committed.
+        instead_of: Option<Name>,
     },
     /// Record what became of a claim.
     Settle {
@@ -52,6 +55,8 @@
 /// What is known of the process that holds a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Holder {
+    /// It answers, and had no time yet to record outcomes after an outage of the platform.
+    Recovering,
     /// It answers.
     Live,
     /// It does not answer; it may be dead, paused or cut off.
--- a/src/claim/shard.rs
+++ b/src/claim/shard.rs
@@ -5,15 +5,17 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claim::record::{ClaimRecord, RecordState};
-use crate::claim::window::{in_window, millis};
+use crate::claim::window::{SKEW_MS, in_window, millis};
 use crate::claim::{
     Claim, ClaimError, ClaimKey, ClaimOp, ClaimOutcome, ClaimRequest, ClaimVerdict, Holder,
     OpResult, Window,
 };
 use crate::prelude::*;
 
-/// Claims in one object at most.
-const MAX_CLAIMS: usize = 1_000;
+/// Bytes of claims without their answers in one object at most.
+const MAX_CLAIM_BYTES: usize = 512 * 1024;
+/// Bytes of one claim besides its names.
+const RECORD_BYTES: usize = 110;
 /// Bytes of answers kept in one object at most.
 const MAX_KEPT_BYTES: usize = 256 * 1024;
 /// Longest answer kept, in bytes.
@@ -25,9 +27,9 @@
 /// Longest time from a grant to its dispatch.
 pub(crate) const DISPATCH_TIME: Duration = Duration::from_secs(10);
 /// Time left for a silent claimant to record its outcome.
-const SILENT_GRACE_MS: u64 = 5_000;
+const SILENT_GRACE_MS: u64 = 5_000 + SKEW_MS;
 /// Time left for a claimant that answers to record its outcome.
-const LIVE_GRACE_MS: u64 = 600_000;
+const LIVE_GRACE_MS: u64 = 60_000;
 /// Pause before a claim is asked again when its window is full.
 const FULL_RETRY: Duration = Duration::from_secs(5);
 
@@ -54,6 +56,7 @@
     pub const KIND: &'static str = "claims";
 
     /// Applies a batch of operations; the results hold once the object is written if it changed.
+    /// `exists` tells whether the object is in the platform.
     ///
     /// # Panics
     /// When a claim would get a second holder or leave a settled state, which would be a defect.
@@ -61,12 +64,17 @@
         &mut self,
         now_ms: u64,
         window: Window,
+        exists: bool,
         ops: impl IntoIterator<Item = &'a ClaimOp>,
         holder: impl Fn(&str) -> Holder,
     ) -> Applied {
         let before = self.clone();
+        let open = exists || window.may_create(now_ms);
         let ops = ops.into_iter();
-        let results = ops.map(|op| self.apply_one(now_ms, window, op, &holder));
+        let results = ops.map(|op| match op {
+            ClaimOp::Claim { .. } if !open => OpResult::Verdict(ClaimVerdict::OutOfWindow),
+            _ => self.apply_one(now_ms, window, op, &holder),
+        });
         let results = results.collect();
         self.check_after(&before);
         Applied {
@@ -89,18 +97,23 @@
         holder: &impl Fn(&str) -> Holder,
     ) -> OpResult {
         match op {
-            ClaimOp::Claim { claimant, req } => {
-                match self.claim(now_ms, window, claimant, req, holder) {
-                    Ok(verdict) => OpResult::Verdict(verdict),
-                    Err(err) => OpResult::Failed(err),
+            ClaimOp::Claim {
+                claimant,
+                req,
+                instead_of,
+            } => {
+                if let Some(earlier) = instead_of {
+                    self.give_up(&req.key, earlier);
                 }
+                let verdict = self.claim(now_ms, window, claimant, req, holder);
+                verdict.map_or_else(OpResult::Failed, OpResult::Verdict)
             }
             ClaimOp::Settle { claim, outcome } => {
                 self.settle(claim, outcome);
                 OpResult::Ended
             }
             ClaimOp::Release { claim } => {
-                self.release(claim);
+                self.give_up(&claim.key, &claim.claimant);
                 OpResult::Ended
             }
         }
@@ -119,20 +132,13 @@
         }
         let name = record_name(&req.key);
         let digest: Name = short(&req.digest).into();
-        let full = self.claims.len() >= MAX_CLAIMS;
         let ends_ms = now_ms + millis(DISPATCH_TIME) + millis(req.total);
         let Some(record) = self.claims.get_mut(&name) else {
-            if full {
+            if self.claim_bytes() > MAX_CLAIM_BYTES {
                 let retry_after = FULL_RETRY;
                 return Err(ClaimError::Overloaded { retry_after });
             }
-            let record = ClaimRecord {
-                digest,
-                claimant: claimant.clone(),
-                ends_ms,
-                state: RecordState::Held,
-                given_up: SmallVec::new(),
-            };
+            let record = ClaimRecord::held(digest, claimant.clone(), ends_ms);
             self.claims.insert(name, record);
             return Ok(self.grant(window, claimant, req));
         };
@@ -179,22 +185,30 @@
         }
     }
 
-    fn release(&mut self, claim: &Claim) {
-        let name = record_name(&claim.key);
-        let Some(record) = self.claims.get_mut(&name) else {
+    fn give_up(&mut self, key: &ClaimKey, claimant: &Name) {
+        let Some(record) = self.claims.get_mut(&record_name(key)) else {
             return;
         };
-        if record.state == RecordState::Held && record.claimant == claim.claimant {
+        if record.state == RecordState::Held && record.claimant == *claimant {
             record.state = RecordState::Free;
         }
-        if !record.given_up.contains(&claim.claimant) {
+        if !record.given_up.contains(claimant) {
             if record.given_up.len() >= MAX_GIVEN_UP {
                 record.given_up.remove(0);
             }
-            record.given_up.push(claim.claimant.clone());
+            record.given_up.push(claimant.clone());
         }
     }
 
+    /// Estimated size of the claims without their answers, in bytes.
+    fn claim_bytes(&self) -> usize {
+        let sizes = self.claims.iter().map(|(name, record)| {
+            let given_up = record.given_up.iter().map(|n| n.len() + 3);
+            RECORD_BYTES + name.len() + record.claimant.len() + given_up.sum::<usize>()
+        });
+        sizes.sum()
+    }
+
     fn kept_bytes(&self) -> usize {
         let bodies = self.claims.values().map(|record| match &record.state {
             RecordState::Settled(ClaimOutcome::Answered { body, .. }) => {
@@ -223,9 +237,20 @@
 }
 
 impl ClaimRecord {
+    fn held(digest: Name, claimant: Name, ends_ms: u64) -> Self {
+        Self {
+            digest,
+            claimant,
+            ends_ms,
+            state: RecordState::Held,
+            given_up: SmallVec::new(),
+        }
+    }
+
     /// Tells whether no outcome is to be expected any more and no run can start.
     fn is_over(&self, now_ms: u64, holder: &impl Fn(&str) -> Holder) -> bool {
         match holder(&self.claimant) {
+            Holder::Recovering => false,
             Holder::Live => now_ms > self.ends_ms + LIVE_GRACE_MS,
             Holder::Silent => now_ms > self.ends_ms + SILENT_GRACE_MS,
             Holder::Dead => true,
--- a/src/claim/table.rs
+++ b/src/claim/table.rs
@@ -1,46 +1,30 @@
-//! Claims kept in the platform.
+//! The claim table of one entry.
 
-use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
-use std::time::Instant;
+use std::sync::atomic::Ordering;
 
 use async_executor::Executor;
+use async_io::Timer;
 use futures_lite::future::Boxed;
 
+use crate::claim::collect::ROUND;
+use crate::claim::core::Core;
+use crate::claim::delivery::Delivery;
 use crate::claim::shard::DISPATCH_TIME;
 use crate::claim::{
-    Claim, ClaimError, ClaimOp, ClaimOutcome, ClaimRequest, ClaimVerdict, Claims, Holder, OpResult,
-    ShardState, Window,
+    Claim, ClaimCounts, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict, Claims,
 };
-use crate::clock::unix_ms;
-use crate::peer::PeerLinks;
-use crate::platform::{Object, Platform, PlatformError};
+use crate::peer::{PeerInfo, PeerLinks, PeerMessage};
+use crate::platform::Platform;
 use crate::prelude::*;
 
-/// Pause before a caller comes back while the platform is down.
-const DOWN_RETRY: Duration = Duration::from_secs(1);
-/// Writes tried for one operation while other writers are first.
-const MAX_TRIES: u32 = 16;
-
-/// The table of claims, kept in the platform.
+/// The table of claims, kept in the platform; clones share it.
 #[derive(Clone)]
-pub struct ClaimTable(Arc<Inner>);
-
-struct Inner {
-    platform: Arc<dyn Platform>,
-    entry: Name,
-    boot: u64,
-    counter: AtomicU64,
-    shards: u32,
-    #[allow(dead_code)]
-    links: Arc<dyn PeerLinks>,
-    executor: Arc<Executor<'static>>,
-    open: Mutex<HashMap<Name, Instant>>,
-}
+pub struct ClaimTable(Arc<Core>);
+
+type Decision = Result<ClaimVerdict, ClaimError>;
 
 impl ClaimTable {
-    /// Makes the table of one entry.
+    /// Makes the table of one entry; its writes run on `executor`.
     #[must_use]
     pub fn new(
         platform: Arc<dyn Platform>,
@@ -49,100 +33,78 @@
         links: Arc<dyn PeerLinks>,
         executor: Arc<Executor<'static>>,
     ) -> Self {
-        Self(Arc::new(Inner {
-            platform,
-            entry,
-            boot: fastrand::u64(..),
-            counter: AtomicU64::new(0),
-            shards: shards.max(1),
-            links,
-            executor,
-            open: Mutex::default(),
-        }))
+        let core = Core::new(platform, entry, shards, links, executor);
+        Self(Arc::new(core))
     }
 
     /// Commits a claim for a peer that takes this entry for the owner of the shard.
     #[must_use]
-    pub fn serve(
-        &self,
-        claimant: Name,
-        req: ClaimRequest,
-    ) -> Boxed<Result<ClaimVerdict, ClaimError>> {
-        let this = self.0.clone();
-        Box::pin(async move { this.claim(claimant, req).await })
+    pub fn serve(&self, claimant: Name, req: ClaimRequest) -> Boxed<Decision> {
+        let core = self.0.clone();
+        Box::pin(async move { core.serve(claimant, req).await })
     }
-}
 
-impl Inner {
-    fn open(&self) -> std::sync::MutexGuard<'_, HashMap<Name, Instant>> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Takes a message from a peer; `false` when it does not concern the ends of claims.
+    #[must_use]
+    pub fn on_message(&self, from: &PeerInfo, message: &PeerMessage) -> bool {
+        match message {
+            PeerMessage::EndClaim {
+                seq,
+                claim,
+                outcome,
+            } => {
+                let (core, from, seq) = (self.0.clone(), from.name.clone(), *seq);
+                let (claim, outcome) = (claim.clone(), outcome.clone());
+                let end = async move {
+                    if core.end_here(&claim, outcome.as_ref()).await {
+                        core.links.send(&from, PeerMessage::ClaimEnded { seq });
+                    }
+                };
+                self.0.executor.spawn(end).detach();
+                true
+            }
+            PeerMessage::ClaimEnded { seq } => {
+                if let Some(tx) = self.0.acks().remove(seq) {
+                    let _ = tx.try_send(());
+                }
+                true
+            }
+            _ => false,
+        }
     }
 
-    async fn claim(&self, claimant: Name, req: ClaimRequest) -> Result<ClaimVerdict, ClaimError> {
-        match self.commit(&ClaimOp::Claim { claimant, req }).await {
-            Ok(OpResult::Verdict(verdict)) => Ok(verdict),
-            Ok(OpResult::Failed(err)) => Err(err),
-            Ok(OpResult::Ended) | Err(_) => Err(ClaimError::PlatformDown {
-                retry_after: DOWN_RETRY,
-            }),
+    /// Deletes outdated claims of the shards that this entry owns, until it is dropped.
+    pub async fn run(&self) {
+        loop {
+            self.collect().await;
+            Timer::after(ROUND).await;
         }
     }
 
-    async fn commit(&self, op: &ClaimOp) -> Result<OpResult, PlatformError> {
-        let Some(window) = Window::of(op.key(), self.shards) else {
-            return Ok(OpResult::Verdict(ClaimVerdict::OutOfWindow));
-        };
-        for _ in 0..MAX_TRIES {
-            let old = self.platform.get(ShardState::KIND, &window.name()).await?;
-            let mut state: ShardState = match &old {
-                Some(object) => object
-                    .decode()
-                    .map_err(|err| PlatformError::Rejected(err.to_string()))?,
-                None => ShardState::default(),
-            };
-            if old.is_none() && !window.may_create(unix_ms()) {
-                return Ok(OpResult::Verdict(ClaimVerdict::OutOfWindow));
-            }
-            let applied = state.apply(unix_ms(), window, [op], |_| Holder::Silent);
-            let result = applied.results.into_iter().next();
-            let result = result.unwrap_or(OpResult::Ended);
-            if !applied.changed {
-                return Ok(result);
-            }
-            let spec = serde_json::to_value(&state)
-                .map_err(|err| PlatformError::Rejected(err.to_string()))?;
-            let written = if let Some(object) = old {
-                self.platform.update(Object { spec, ..object }).await
-            } else {
-                let object = Object::new(ShardState::KIND, window.name(), spec);
-                self.platform.create(object).await
-            };
-            match written {
-                Ok(_) => return Ok(result),
-                Err(PlatformError::Conflict | PlatformError::NotFound) => {}
-                Err(err) if err.may_have_written() => {}
-                Err(err) => return Err(err),
-            }
-        }
-        Err(PlatformError::Conflict)
+    /// Deletes outdated claims of the shards that this entry owns, once.
+    pub async fn collect(&self) {
+        self.0.collect().await;
     }
 
-    async fn end(self: Arc<Self>, op: ClaimOp, claimant: Name) {
-        while self.commit(&op).await.is_err() {
-            let pause = DOWN_RETRY.mul_f64(fastrand::f64());
-            async_io::Timer::after(pause).await;
-        }
-        self.open().remove(&claimant);
+    /// Leaves the shards to the peers, because this entry is shutting down.
+    pub fn drain(&self) {
+        self.0.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Work done so far.
+    #[must_use]
+    pub fn counts(&self) -> ClaimCounts {
+        self.0.counters.counts()
     }
 
-    fn spawn_end(self: &Arc<Self>, op: ClaimOp, claimant: Name) -> Boxed<()> {
-        let task = self.executor.spawn(self.clone().end(op, claimant));
+    fn end(&self, claim: Claim, outcome: Option<ClaimOutcome>) -> Boxed<()> {
         let (tx, rx) = async_channel::bounded(1);
-        let forward = async move {
-            task.await;
-            let _ = tx.send(()).await;
+        let core = self.0.clone();
+        let end = async move {
+            core.end(claim, outcome).await;
+            let _ = tx.try_send(());
         };
-        self.executor.spawn(forward).detach();
+        self.0.executor.spawn(end).detach();
         Box::pin(async move {
             let _ = rx.recv().await;
         })
@@ -150,38 +112,53 @@
 }
 
 impl Claims for ClaimTable {
-    fn claim(&self, req: ClaimRequest) -> Boxed<Result<ClaimVerdict, ClaimError>> {
-        let this = self.0.clone();
-        Box::pin(async move {
-            let number = this.counter.fetch_add(1, Ordering::Relaxed);
-            let claimant: Name = format!("{}.{:x}.{number}", this.entry, this.boot).into();
-            let started = Instant::now();
-            let verdict = this.claim(claimant.clone(), req).await?;
-            if matches!(verdict, ClaimVerdict::Granted(_)) {
-                this.open().insert(claimant, started);
+    fn claim(&self, req: ClaimRequest) -> Boxed<Decision> {
+        let undo = {
+            let this = self.clone();
+            move |decision: Decision| this.give_back(decision)
+        };
+        let (delivery, receiver) = Delivery::new(undo);
+        let this = self.clone();
+        let commit = async move {
+            let decision = this.0.claim(req).await;
+            if let Some(decision) = delivery.put(decision) {
+                this.give_back(decision);
             }
-            Ok(verdict)
+        };
+        self.0.executor.spawn(commit).detach();
+        Box::pin(async move {
+            let decision = receiver.take().await;
+            decision.unwrap_or(Err(ClaimError::PlatformDown {
+                retry_after: Duration::from_secs(1),
+            }))
         })
     }
 
     fn may_dispatch(&self, claim: &Claim) -> bool {
         let open = self.0.open();
         open.get(&claim.claimant)
-            .is_some_and(|at| at.elapsed() < DISPATCH_TIME)
+            .is_some_and(|started| started.elapsed() < DISPATCH_TIME)
     }
 
     fn settle(&self, claim: Claim, outcome: ClaimOutcome) -> Boxed<()> {
-        let claimant = claim.claimant.clone();
-        self.0
-            .spawn_end(ClaimOp::Settle { claim, outcome }, claimant)
+        self.end(claim, Some(outcome))
     }
 
     fn release(&self, claim: Claim) -> Boxed<()> {
-        let claimant = claim.claimant.clone();
-        self.0.spawn_end(ClaimOp::Release { claim }, claimant)
+        self.end(claim, None)
     }
 
     fn pending(&self) -> usize {
         self.0.open().len()
     }
 }
+
+impl ClaimTable {
+    /// Releases a claim whose caller left before it learnt of the grant.
+    fn give_back(&self, decision: Decision) {
+        if let Ok(ClaimVerdict::Granted(claim)) = decision {
+            let end = self.0.clone().end(claim, None);
+            self.0.executor.spawn(end).detach();
+        }
+    }
+}
--- a/src/claim/window.rs
+++ b/src/claim/window.rs
@@ -1,15 +1,19 @@
 //! Time windows of claim keys.
 
-use crate::claim::{ClaimKey, ClaimRequest};
+use crate::claim::{Claim, ClaimKey, ClaimRequest};
 use crate::prelude::*;
 
 /// Time covered by one object, in milliseconds.
-const WINDOW_MS: u64 = 5_000;
+const WINDOW_MS: u64 = 10_000;
+/// Start of a span in which its object is expected to be missing, in milliseconds.
+const BEGIN_MS: u64 = 500;
 /// Age of a key, in milliseconds, up to which an object may be created for its window; objects live
 /// longer, so that a collected one is never created again.
 const CREATE_MS: u64 = 3_600_000;
 /// Largest difference between the clocks of two VMs, in milliseconds.
-const SKEW_MS: u64 = 60_000;
+pub(crate) const SKEW_MS: u64 = 5_000;
+/// How far a caller's clock may be ahead, in milliseconds.
+const AHEAD_MS: u64 = 60_000;
 
 /// A span of key times within one shard; its claims are one object of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -56,6 +60,19 @@
         now_ms <= self.end_ms() + CREATE_MS
     }
 
+    /// Tells whether the span has only begun, so that its object is likely to be missing.
+    pub(crate) fn is_current(self, now_ms: u64) -> bool {
+        let begin = self.index * WINDOW_MS;
+        (begin..begin + BEGIN_MS).contains(&now_ms)
+    }
+
+    /// Tells whether a claim may be granted that created the object by `now_ms`: a writer that
+    /// paused in between may have made an object anew that was collected.
+    #[must_use]
+    pub fn may_grant(self, now_ms: u64) -> bool {
+        now_ms < self.end_ms() + CREATE_MS + SKEW_MS
+    }
+
     /// Earliest time at which the object is collected when outcomes are kept for `retention`, in
     /// milliseconds since the Unix epoch.
     #[must_use]
@@ -86,10 +103,16 @@
 /// Tells whether a key is neither older than its retention nor ahead of every clock.
 pub(crate) fn in_window(req: &ClaimRequest, now_ms: u64) -> bool {
     key_ms(&req.key).is_some_and(|at| {
-        at <= now_ms + SKEW_MS && now_ms.saturating_sub(at) <= millis(req.retention)
+        at <= now_ms + AHEAD_MS && now_ms.saturating_sub(at) <= millis(req.retention)
     })
 }
 
+/// Tells whether the claim's object is collected, so that its end no longer matters.
+pub(crate) fn is_forgotten(claim: &Claim, now_ms: u64) -> bool {
+    let kept = millis(claim.retention).max(CREATE_MS) + 4 * SKEW_MS;
+    key_ms(&claim.key).is_none_or(|at| now_ms > at + WINDOW_MS + kept)
+}
+
 /// Whole milliseconds of a duration.
 pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX / 4)
