--- a/src/caller/claimed.rs
+++ b/src/caller/claimed.rs
@@ -77,12 +77,7 @@
 ) -> Result<Response, Problem> {
     if work.time_left().is_zero() {
         release(shared, claim);
-        let detail = "the policy's total deadline passed before the dispatch";
-        return Err(Problem::not_run(
-            StatusCode::GatewayTimeout,
-            "deadline-passed",
-            detail,
-        ));
+        return Err(deadline_passed());
     }
     let waiter = shared.desk.arrive(arrival_of(shared, work));
     loop {
@@ -108,6 +103,12 @@
             },
             _ => continue,
         };
+        if !shared.claims.may_dispatch(&claim) {
+            waiter.ended(attempt.number, AttemptOutcome::Cancelled);
+            waiter.finish();
+            release(shared, claim);
+            return Err(deadline_passed());
+        }
         match start(shared, work, &attempt).await {
             Ok(started) => return Ok(answered(shared, work, claim, waiter, &attempt, started)),
             Err(outcome @ (AttemptOutcome::NotSent | AttemptOutcome::Refused { .. })) => {
@@ -193,6 +194,11 @@
     }
 }
 
+fn deadline_passed() -> Problem {
+    let detail = "the policy's total deadline passed before the dispatch";
+    Problem::not_run(StatusCode::GatewayTimeout, "deadline-passed", detail)
+}
+
 fn in_progress() -> Problem {
     let detail = "another attempt with this idempotency key is in progress";
     Problem::not_run(StatusCode::Conflict, "in-progress", detail)
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -34,9 +34,9 @@
 pub trait Claims: Send + Sync {
     /// Commits a claim before its request is dispatched.
     fn claim(&self, req: ClaimRequest) -> Boxed<Result<ClaimVerdict, ClaimError>>;
-    /// Tells whether a granted claim is young enough to be dispatched; asked right before the first
-    /// byte is handed over, because a pause may have lasted since the grant. When `false`, release
-    /// the claim.
+    /// Tells whether a granted claim is younger than its `total`, so that it may be dispatched; asked
+    /// right before the first byte is handed over, because the process may have been paused since
+    /// the grant. When `false`, release the claim.
     fn may_dispatch(&self, claim: &Claim) -> bool;
     /// Records what became of a dispatched claim; retried until it is stored or too old to matter.
     fn settle(&self, claim: Claim, outcome: ClaimOutcome) -> Boxed<()>;
--- a/src/claim/core.rs
+++ b/src/claim/core.rs
@@ -50,20 +50,23 @@
 pub(crate) struct Started {
     monotonic: Instant,
     unix_ms: u64,
+    total: Duration,
 }
 
 impl Started {
-    pub(crate) fn now() -> Self {
+    /// An attempt that starts now and whose run ends within `total`.
+    pub(crate) fn now(total: Duration) -> Self {
         Self {
             monotonic: Instant::now(),
             unix_ms: unix_ms(),
+            total,
         }
     }
 
-    /// Time since the start by the clock that is ahead.
-    pub(crate) fn elapsed(self) -> Duration {
+    /// Tells whether the attempt may still be dispatched, by the clock that is ahead.
+    pub(crate) fn may_dispatch(self) -> bool {
         let wall = unix_ms().saturating_sub(self.unix_ms);
-        self.monotonic.elapsed().max(Duration::from_millis(wall))
+        self.monotonic.elapsed().max(Duration::from_millis(wall)) < self.total
     }
 }
 
--- a/src/claim/op.rs
+++ b/src/claim/op.rs
@@ -1,10 +1,13 @@
 //! Operations on a shard's object.
 
+use serde::{Deserialize, Serialize};
+
 use crate::claim::{Claim, ClaimError, ClaimKey, ClaimOutcome, ClaimRequest, ClaimVerdict};
 use crate::prelude::*;
 
 /// One change asked of a shard's object; applying it again changes nothing.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum ClaimOp {
     /// Claim a key.
     Claim {
@@ -14,6 +17,7 @@
         req: ClaimRequest,
         /// Earlier claimant of the same attempt, which never dispatches and whose claim may have
         /// been committed.
+        #[serde(default)]
         instead_of: Option<Name>,
     },
     /// Record what became of a claim.
@@ -42,7 +46,8 @@
 }
 
 /// Result of one operation.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum OpResult {
     /// Decision about a claim.
     Verdict(ClaimVerdict),
@@ -53,7 +58,8 @@
 }
 
 /// What is known of the process that holds a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Holder {
     /// It answers, and had no time yet to record outcomes after an outage of the platform.
     Recovering,
--- a/src/claim/request.rs
+++ b/src/claim/request.rs
@@ -25,7 +25,7 @@
     pub digest: Name,
     /// How long the outcome is kept after the key's own time.
     pub retention: Duration,
-    /// Longest time from dispatch to the end of the answer.
+    /// Longest time from the claim to the end of the answer; no dispatch happens later.
     #[serde(default)]
     pub total: Duration,
 }
--- a/src/claim/route.rs
+++ b/src/claim/route.rs
@@ -56,7 +56,8 @@
         let mut earlier = None;
         for way in self.ways(window.shard) {
             let claimant = self.claimants.next();
-            self.open().insert(claimant.clone(), Started::now());
+            self.open()
+                .insert(claimant.clone(), Started::now(req.total));
             match self.attempt(way, &claimant, &req, earlier.clone()).await {
                 LaneResult::Done(result) => return self.decided(&claimant, result),
                 LaneResult::NotWritten(err) => {
--- a/src/claim/shard.rs
+++ b/src/claim/shard.rs
@@ -24,8 +24,6 @@
 const DIGEST_DIGITS: usize = 32;
 /// Given-up claimants remembered for one key.
 const MAX_GIVEN_UP: usize = 4;
-/// Longest time from a grant to its dispatch.
-pub(crate) const DISPATCH_TIME: Duration = Duration::from_secs(10);
 /// Time left for a silent claimant to record its outcome.
 const SILENT_GRACE_MS: u64 = 5_000 + SKEW_MS;
 /// Time left for a claimant that answers to record its outcome.
@@ -132,7 +130,7 @@
         }
         let name = record_name(&req.key);
         let digest: Name = short(&req.digest).into();
-        let ends_ms = now_ms + millis(DISPATCH_TIME) + millis(req.total);
+        let ends_ms = now_ms + millis(req.total);
         let Some(record) = self.claims.get_mut(&name) else {
             if self.claim_bytes() > MAX_CLAIM_BYTES {
                 let retry_after = FULL_RETRY;
--- a/src/claim/table.rs
+++ b/src/claim/table.rs
@@ -9,7 +9,6 @@
 use crate::claim::collect::ROUND;
 use crate::claim::core::Core;
 use crate::claim::delivery::Delivery;
-use crate::claim::shard::DISPATCH_TIME;
 use crate::claim::{
     Claim, ClaimCounts, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict, Claims,
 };
@@ -137,7 +136,7 @@
     fn may_dispatch(&self, claim: &Claim) -> bool {
         let open = self.0.open();
         open.get(&claim.claimant)
-            .is_some_and(|started| started.elapsed() < DISPATCH_TIME)
+            .is_some_and(|started| started.may_dispatch())
     }
 
     fn settle(&self, claim: Claim, outcome: ClaimOutcome) -> Boxed<()> {
--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -52,6 +52,7 @@
     mesh: Arc<Mesh>,
     sync: Arc<CatalogSync>,
     cell: Arc<CatalogCell>,
+    claims: ClaimTable,
     platform: Arc<dyn Platform>,
     effects: async_channel::Receiver<Effect>,
 }
@@ -128,14 +129,17 @@
         )?;
         control_ex.spawn(admin.run(control_ex.clone())).detach();
         parts.spawn(self.peers, &control_ex);
-        let mesh = parts.mesh.clone();
+        let (mesh, claims) = (parts.mesh.clone(), parts.claims.clone());
         Ok(RunningEntry {
             addresses,
             shared: parts.control.shared.clone(),
             status,
             callers,
             balancer_lag: self.cfg.balancer_lag,
-            set_draining: Box::new(move || mesh.set_draining(true)),
+            set_draining: Box::new(move || {
+                claims.drain();
+                mesh.set_draining(true);
+            }),
             traffic: Threads::start("traffic", self.cfg.traffic_threads, &traffic_ex)?,
             control: Threads::start("control", 1, &control_ex)?,
         })
@@ -163,6 +167,7 @@
         let events = Arc::new(EntryPeers {
             domain: cfg.domain.clone(),
             sync: sync.clone(),
+            claims: OnceLock::new(),
             control: OnceLock::new(),
         });
         let mesh = Mesh::builder(cfg.name.clone(), cfg.domain.clone(), self.secret.clone())
@@ -179,6 +184,7 @@
             control_ex.clone(),
         );
         mesh.serve_claims(Arc::new(claims.clone()));
+        let _ = events.claims.set(claims.clone());
         let (effects_tx, effects) = async_channel::unbounded();
         let mut desk = DeskSettings::new(cfg.domain.clone());
         desk.seed = fastrand::u64(..);
@@ -188,7 +194,7 @@
             targets: ArcSwap::default(),
             desk: Arc::new(DeskQueue::new(Desk::new(desk), effects_tx)),
             pool: Pool::new(cfg.connect_timeout),
-            claims: Arc::new(claims),
+            claims: Arc::new(claims.clone()),
             stores: ArcSwap::default(),
             store_client: StoreClient::new(self.secret.clone(), cfg.connect_timeout),
             secret: self.secret.clone(),
@@ -209,6 +215,7 @@
             mesh,
             sync,
             cell,
+            claims,
             platform,
             effects,
         })
@@ -233,6 +240,8 @@
         })
         .detach();
         ex.spawn(vms.run()).detach();
+        let claims = self.claims.clone();
+        ex.spawn(async move { claims.run().await }).detach();
         ex.spawn(self.sync.clone().run(ex.clone())).detach();
         ex.spawn(control.clone().run_probes()).detach();
         ex.spawn(control.clone().run_ticks()).detach();
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -18,12 +18,18 @@
     pub domain: Name,
     /// Follower of the catalog.
     pub sync: Arc<CatalogSync>,
+    /// The claim table, once it is made.
+    pub claims: OnceLock<ClaimTable>,
     /// The control state, once it is made.
     pub control: OnceLock<Arc<Control>>,
 }
 
 impl PeerEvents for EntryPeers {
     fn on_message(&self, from: &PeerInfo, message: PeerMessage) {
+        let claims = self.claims.get();
+        if claims.is_some_and(|claims| claims.on_message(from, &message)) {
+            return;
+        }
         let Some(control) = self.control.get() else {
             return;
         };
