--- a/src/claim/shard.rs
+++ b/src/claim/shard.rs
@@ -164,7 +164,7 @@
     }
 
     fn grant(&mut self, window: Window, claimant: &Name, req: &ClaimRequest) -> ClaimVerdict {
-        let keep = window.keep_until_ms(req.retention);
+        let keep = window.keep_until_ms(req.retention.max(req.total));
         self.keep_until_ms = self.keep_until_ms.max(keep);
         ClaimVerdict::Granted(Claim {
             key: req.key.clone(),
--- a/tests/claim_shard.rs
+++ b/tests/claim_shard.rs
@@ -2,6 +2,7 @@
 //! clocks, pauses, deaths, changed retentions and collection.
 
 use std::collections::BTreeMap;
+use std::marker::PhantomData;
 
 use guavahold::claim::{
     Claim, ClaimKey, ClaimOp, ClaimOutcome, ClaimRequest, ClaimVerdict, Holder, OpResult,
@@ -15,7 +16,9 @@
 const KEYS: usize = 2;
 /// Largest difference between two entries' clocks, in milliseconds.
 const SKEW_MS: u64 = 2_000;
-const TOTAL: Duration = Duration::from_secs(20);
+
+/// Length of a run, short and longer than an object is kept.
+const TOTALS: [Duration; 2] = [Duration::from_secs(20), Duration::from_hours(2)];
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -24,6 +27,7 @@
         entry: usize,
         key: usize,
         fresh: bool,
+        long: bool,
     },
     /// A write reaches the platform; its answer may be lost.
     Land {
@@ -43,9 +47,14 @@
     Release {
         claim: usize,
     },
+    /// An entry dies and is replaced.
     Kill {
         entry: usize,
     },
+    /// The links of an entry are lost or come back.
+    Cut {
+        entry: usize,
+    },
     Collect {
         entry: usize,
     },
@@ -57,10 +66,67 @@
     },
 }
 
+fn claims() -> impl Strategy<Value = Step> {
+    let choices = (0..ENTRIES, 0..KEYS, any::<bool>(), any::<bool>());
+    choices.prop_map(|(entry, key, fresh, long)| Step::Claim {
+        entry,
+        key,
+        fresh,
+        long,
+    })
+}
+
+fn indexed<T: 'static>(make: impl Fn(usize) -> T + 'static) -> impl Strategy<Value = T>
+where
+    T: std::fmt::Debug,
+{
+    (0..64_usize).prop_map(make)
+}
+
+fn lands() -> impl Strategy<Value = Step> {
+    (0..64_usize, any::<bool>()).prop_map(|(write, answered)| Step::Land { write, answered })
+}
+
+fn entries(make: impl Fn(usize) -> Step + 'static) -> impl Strategy<Value = Step> {
+    (0..ENTRIES).prop_map(make)
+}
+
+/// Seconds in which many writes, losses and deaths meet.
+#[derive(Clone, Debug)]
+struct Busy;
+
+impl ReferenceStateMachine for Busy {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        prop_oneof![
+            6 => claims(),
+            6 => lands(),
+            3 => indexed(|write| Step::ReadBack { write }),
+            4 => indexed(|claim| Step::Dispatch { claim }),
+            2 => indexed(|claim| Step::Settle { claim }),
+            1 => indexed(|claim| Step::Release { claim }),
+            1 => entries(|entry| Step::Kill { entry }),
+            1 => entries(|entry| Step::Cut { entry }),
+            3 => prop_oneof![Just(1_000), Just(9_000), Just(120_000)]
+                .prop_map(|ms| Step::Pass { ms }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+/// Hours in which claims are collected and operators change the retention.
 #[derive(Clone, Debug)]
-struct Steps;
+struct Aged;
 
-impl ReferenceStateMachine for Steps {
+impl ReferenceStateMachine for Aged {
     type State = ();
     type Transition = Step;
 
@@ -69,21 +135,15 @@
     }
 
     fn transitions((): &()) -> BoxedStrategy<Step> {
-        let (entry, key, index) = (0..ENTRIES, 0..KEYS, 0..64_usize);
-        let claim = (entry.clone(), key, any::<bool>());
         prop_oneof![
-            6 => claim.prop_map(|(entry, key, fresh)| Step::Claim { entry, key, fresh }),
-            6 => (index.clone(), any::<bool>())
-                .prop_map(|(write, answered)| Step::Land { write, answered }),
-            3 => index.clone().prop_map(|write| Step::ReadBack { write }),
-            4 => index.clone().prop_map(|claim| Step::Dispatch { claim }),
-            2 => index.clone().prop_map(|claim| Step::Settle { claim }),
-            1 => index.prop_map(|claim| Step::Release { claim }),
-            1 => entry.clone().prop_map(|entry| Step::Kill { entry }),
-            2 => entry.prop_map(|entry| Step::Collect { entry }),
-            1 => prop_oneof![Just(1), Just(600), Just(86_400)]
+            4 => claims(),
+            4 => lands(),
+            4 => indexed(|claim| Step::Dispatch { claim }),
+            1 => indexed(|claim| Step::Settle { claim }),
+            3 => entries(|entry| Step::Collect { entry }),
+            2 => prop_oneof![Just(1), Just(86_400)]
                 .prop_map(|seconds| Step::Retention { seconds }),
-            3 => prop_oneof![Just(1_000), Just(9_000), Just(120_000), Just(1_800_000)]
+            2 => prop_oneof![Just(600_000), Just(1_800_000), Just(3_600_000)]
                 .prop_map(|ms| Step::Pass { ms }),
         ]
         .boxed()
@@ -109,6 +169,7 @@
     claim: Claim,
     key: usize,
     started_ms: u64,
+    total: Duration,
     dispatched: bool,
 }
 
@@ -125,6 +186,7 @@
     granted: Vec<Granted>,
     claimants: u64,
     boots: [u64; ENTRIES],
+    cut: [bool; ENTRIES],
     runs: BTreeMap<usize, u32>,
     outcomes: BTreeMap<usize, ClaimOutcome>,
 }
@@ -145,6 +207,7 @@
             granted: Vec::new(),
             claimants: 0,
             boots: [0; ENTRIES],
+            cut: [false; ENTRIES],
             runs: BTreeMap::new(),
             outcomes: BTreeMap::new(),
         }
@@ -157,8 +220,12 @@
 
     fn holder(&self, claimant: &str) -> Holder {
         let name = claimant.rsplit_once('.').unwrap().0;
-        let alive = (0..ENTRIES).any(|e| name == format!("{e}.{}", self.boots[e]));
-        if alive { Holder::Live } else { Holder::Silent }
+        let live = |e: usize| !self.cut[e] && name == format!("{e}.{}", self.boots[e]);
+        if (0..ENTRIES).any(live) {
+            Holder::Live
+        } else {
+            Holder::Silent
+        }
     }
 
     fn decide(&mut self, entry: usize, fresh: bool, op: &ClaimOp) -> (OpResult, Option<Write>) {
@@ -183,14 +250,14 @@
         (result, applied.changed.then_some(write))
     }
 
-    fn claim(&mut self, entry: usize, key: usize, fresh: bool) {
+    fn claim(&mut self, entry: usize, key: usize, fresh: bool, total: Duration) {
         self.claimants += 1;
         let claimant: Name = format!("{entry}.{}.{}", self.boots[entry], self.claimants).into();
         let req = ClaimRequest {
             key: self.keys[key].clone(),
             digest: "0123".into(),
             retention: self.retention,
-            total: TOTAL,
+            total,
         };
         let op = ClaimOp::Claim {
             claimant: claimant.clone(),
@@ -235,7 +302,7 @@
             self.object = Some((self.version, write.state.clone()));
         }
         if write.alive && answered && fits {
-            self.copies[write.entry] = self.object.clone();
+            self.copies[write.entry].clone_from(&self.object);
             let late = write.version.is_none() && !self.window.may_grant(self.clock(write.entry));
             self.writes[index].alive = false;
             if !late {
@@ -282,6 +349,7 @@
             claim,
             key,
             started_ms,
+            total: req.total,
             dispatched: false,
         });
     }
@@ -291,7 +359,7 @@
             return;
         };
         let waited = self.clock(granted.entry) - granted.started_ms;
-        if granted.dispatched || u128::from(waited) >= TOTAL.as_millis() {
+        if granted.dispatched || u128::from(waited) >= granted.total.as_millis() {
             return;
         }
         self.granted[index].dispatched = true;
@@ -356,11 +424,14 @@
     }
 }
 
-struct Claims;
+struct Claims<R>(PhantomData<R>);
 
-impl StateMachineTest for Claims {
+impl<R> StateMachineTest for Claims<R>
+where
+    R: ReferenceStateMachine<State = (), Transition = Step>,
+{
     type SystemUnderTest = World;
-    type Reference = Steps;
+    type Reference = R;
 
     fn init_test((): &()) -> World {
         World::new()
@@ -368,7 +439,12 @@
 
     fn apply(mut world: World, (): &(), step: Step) -> World {
         match step {
-            Step::Claim { entry, key, fresh } => world.claim(entry, key, fresh),
+            Step::Claim {
+                entry,
+                key,
+                fresh,
+                long,
+            } => world.claim(entry, key, fresh, TOTALS[usize::from(long)]),
             Step::Land { write, answered } => {
                 let index = write % world.writes.len().max(1);
                 world.land(index, answered);
@@ -381,6 +457,7 @@
             Step::Settle { claim } => world.end(claim % world.granted.len().max(1), true),
             Step::Release { claim } => world.end(claim % world.granted.len().max(1), false),
             Step::Kill { entry } => world.kill(entry),
+            Step::Cut { entry } => world.cut[entry] = !world.cut[entry],
             Step::Collect { entry } => world.collect(entry),
             Step::Retention { seconds } => world.retention = Duration::from_secs(seconds),
             Step::Pass { ms } => world.now_ms += ms,
@@ -389,19 +466,32 @@
     }
 }
 
+fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 prop_state_machine! {
-    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(cases(256))]
 
-    /// Bounded run with the seed of `PROPTEST_RNG_SEED`.
     #[test]
-    fn shard_state_runs_at_most_once(sequential 1..120 => Claims);
+    fn shard_state_runs_at_most_once_when_busy(sequential 1..120 => Claims<Busy>);
+
+    #[test]
+    fn shard_state_runs_at_most_once_when_collected(sequential 1..80 => Claims<Aged>);
 }
 
 prop_state_machine! {
-    #![proptest_config(ProptestConfig { cases: 50_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(cases(50_000))]
+
+    #[test]
+    #[ignore = "long random run"]
+    fn shard_state_long_run_when_busy(sequential 1..200 => Claims<Busy>);
 
-    /// Long run; proptest prints the steps of a failure.
     #[test]
     #[ignore = "long random run"]
-    fn shard_state_runs_at_most_once_long(sequential 1..200 => Claims);
+    fn shard_state_long_run_when_collected(sequential 1..120 => Claims<Aged>);
 }
