--- /dev/null
+++ b/rig/src/bench.rs
@@ -0,0 +1,282 @@
+//! A whole system on loopback: stand-ins, stores and entries as threads of one process.
+
+mod members;
+mod plan;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use async_io::Timer;
+use eyre::WrapErr;
+use guavahold::cache::Secret;
+use guavahold::catalog::{CatalogHead, ReleaseNote};
+use guavahold::entry::{Entry, RunningEntry};
+use guavahold::http::Pool;
+use guavahold::platform::{Object, Phase, Platform, RemotePlatform, Role, Vm};
+use guavahold::prelude::Name;
+use guavahold::settings::{EntrySettings, StoreSettings};
+use guavahold::store::Store;
+use http_types::{Method, Request, Url};
+use tempfile::TempDir;
+
+use crate::engine::EngineStats;
+use crate::{Engine, Host, PlatformStandIn, ServiceStandIn, StandIn};
+
+pub use members::{EntryMember, Member, StoreMember};
+pub use plan::{BenchPlan, StorePlan};
+
+/// Any free port of the loopback address.
+pub const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// Longest time until every entry is ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest platform call of the bench's own set-up.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A running system.
+pub struct Bench {
+    ex: Arc<Executor<'static>>,
+    stop: async_channel::Sender<()>,
+    threads: Vec<JoinHandle<()>>,
+    folder: TempDir,
+    secret: Secret,
+    secret_file: String,
+    /// Address of the platform.
+    pub platform_address: SocketAddr,
+    /// The platform.
+    pub platform: Arc<PlatformStandIn>,
+    /// Engines in the order of their names.
+    pub engines: Vec<Member<Engine>>,
+    /// Plain services.
+    pub services: Vec<Member<ServiceStandIn>>,
+    /// Stores.
+    pub stores: Vec<StoreMember>,
+    /// Entries.
+    pub entries: Vec<EntryMember>,
+}
+
+impl Bench {
+    /// Starts everything in `plan` and waits until every entry is ready.
+    ///
+    /// # Errors
+    /// When a part cannot be started or does not become ready.
+    pub fn start(plan: BenchPlan) -> eyre::Result<Self> {
+        let name = format!(
+            "guavahold-rig-{}-{:x}",
+            std::process::id(),
+            fastrand::u64(..)
+        );
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder)?;
+        let secret_file = folder.join("secret").display().to_string();
+        std::fs::write(&secret_file, format!("{:064x}", fastrand::u128(..)))?;
+        let ex = Arc::new(Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let threads = (0..plan.stand_in_threads).map(|_| {
+            let (ex, stopped) = (ex.clone(), stopped.clone());
+            std::thread::spawn(move || {
+                let _ = async_io::block_on(ex.run(stopped.recv()));
+            })
+        });
+        let threads = threads.collect();
+        let platform = Host::bind(PlatformStandIn::new(&plan.platform), ANY)?;
+        let mut bench = Self {
+            stop,
+            threads,
+            folder,
+            secret: Secret::open(&secret_file)?,
+            secret_file,
+            platform_address: platform.address(),
+            platform: platform.core(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            stores: Vec::new(),
+            entries: Vec::new(),
+            ex,
+        };
+        bench.host(platform);
+        bench.fill(plan)?;
+        Ok(bench)
+    }
+
+    fn fill(&mut self, plan: BenchPlan) -> eyre::Result<()> {
+        for (domain, cfg) in plan.engines {
+            let (name, serves) = (cfg.name.clone(), cfg.model.clone());
+            let host = Host::bind(Engine::new(cfg), ANY)?;
+            let vm = vm(&name, Role::Engine, &domain, host.address(), &serves);
+            self.engines.push(Member::new(&host, vm));
+            self.host(host);
+        }
+        for (domain, vm_name, cfg) in plan.services {
+            let serves = cfg.name.clone();
+            let host = Host::bind(ServiceStandIn::new(cfg), ANY)?;
+            let vm = vm(&vm_name, Role::Service, &domain, host.address(), &serves);
+            self.services.push(Member::new(&host, vm));
+            self.host(host);
+        }
+        for store in plan.stores {
+            self.add_store(&store)?;
+        }
+        let vms = self.engines.iter().map(|m| m.vm.clone());
+        let vms = vms.chain(self.services.iter().map(|m| m.vm.clone()));
+        let vms: Vec<Vm> = vms
+            .chain(self.stores.iter().map(|m| m.vm.clone()))
+            .collect();
+        async_io::block_on(self.declare(&vms, plan.note))?;
+        for (domain, name) in plan.entries {
+            self.add_entry(&name, &domain, plan.traffic_threads)?;
+        }
+        async_io::block_on(self.ready())
+    }
+
+    fn host<T: StandIn>(&self, host: Host<T>) {
+        let run = async move {
+            let _ = host.run().await;
+        };
+        self.ex.spawn(run).detach();
+    }
+
+    fn add_store(&mut self, plan: &StorePlan) -> eyre::Result<()> {
+        let folder = self.folder.path().join(&*plan.name).display().to_string();
+        std::fs::create_dir_all(&folder)?;
+        let mut cfg = StoreSettings::builder(plan.name.clone(), plan.domain.clone(), folder)
+            .secret_file(self.secret_file.clone())
+            .build();
+        cfg.memory_bytes = plan.memory_bytes;
+        cfg.disk_bytes = plan.disk_bytes;
+        cfg.link_bytes_per_second = plan.link_bytes_per_second;
+        let store = Store::bind(&cfg, self.secret.clone())?;
+        let address = store.blocks_address();
+        let vm = vm(&plan.name, Role::Store, &plan.domain, address, "");
+        let ex = Arc::new(Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let serving = ex.clone();
+        let thread = std::thread::spawn(move || {
+            let task = serving.spawn(store.run(serving.clone()));
+            let _ = async_io::block_on(serving.run(stopped.recv()));
+            drop(task);
+        });
+        self.stores.push(StoreMember::new(vm, stop, thread));
+        Ok(())
+    }
+
+    fn add_entry(&mut self, name: &Name, domain: &Name, threads: usize) -> eyre::Result<()> {
+        let cfg = EntrySettings::builder(name.clone(), domain.clone())
+            .listen(ANY, ANY, ANY)
+            .platform(self.platform_address)
+            .secret_file(self.secret_file.clone())
+            .traffic_threads(threads)
+            .balancer_lag(Duration::ZERO)
+            .build();
+        let entry = Entry::bind(cfg)?;
+        let addresses = entry.addresses();
+        let vm = vm(name, Role::Entry, domain, addresses.peers, "");
+        async_io::block_on(self.client().create(vm_object(&vm)))?;
+        let running: RunningEntry = entry.start()?;
+        self.entries.push(EntryMember {
+            name: name.clone(),
+            domain: domain.clone(),
+            callers: addresses.callers,
+            admin: addresses.admin,
+            running,
+        });
+        Ok(())
+    }
+
+    /// The secret shared by entries and stores.
+    #[must_use]
+    pub fn secret(&self) -> &Secret {
+        &self.secret
+    }
+
+    /// A client of the platform.
+    #[must_use]
+    pub fn client(&self) -> RemotePlatform {
+        RemotePlatform::new(vec![self.platform_address], CALL_TIMEOUT)
+    }
+
+    async fn declare(&self, vms: &[Vm], note: ReleaseNote) -> eyre::Result<()> {
+        let platform = self.client();
+        for vm in vms {
+            platform.create(vm_object(vm)).await?;
+        }
+        let head = CatalogHead {
+            revision: note.revision(),
+            tail: vec![note],
+            ..CatalogHead::default()
+        };
+        let spec = serde_json::to_value(&head)?;
+        let object = Object::new(CatalogHead::KIND, CatalogHead::NAME, spec);
+        platform.create(object).await?;
+        Ok(())
+    }
+
+    async fn ready(&self) -> eyre::Result<()> {
+        let pool = Pool::new(CALL_TIMEOUT);
+        let started = Instant::now();
+        for entry in &self.entries {
+            loop {
+                let url = Url::parse(&format!("http://{}/ready", entry.admin))?;
+                let req = Request::new(Method::Get, url);
+                let seen = pool.fetch(entry.admin, req, 4096).await;
+                let (status, body) = seen.wrap_err("the admin port does not answer")?;
+                if status.is_success() {
+                    break;
+                }
+                let why = String::from_utf8_lossy(&body).trim().to_owned();
+                eyre::ensure!(
+                    started.elapsed() < START_TIMEOUT,
+                    "{} is not ready: {why}",
+                    entry.name
+                );
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        }
+        // The first load reports of all targets arrive within one probe interval.
+        Timer::after(Duration::from_millis(600)).await;
+        Ok(())
+    }
+
+    /// Sum of what the engines did.
+    #[must_use]
+    pub fn engine_totals(&self) -> EngineStats {
+        let mut sum = EngineStats::default();
+        for engine in &self.engines {
+            sum.add(&engine.core.stats());
+        }
+        sum
+    }
+
+    /// Drains the entries and ends every part.
+    pub fn stop(self) {
+        for entry in self.entries {
+            async_io::block_on(entry.running.drain());
+            entry.running.stop();
+        }
+        for store in self.stores {
+            store.kill();
+        }
+        self.stop.close();
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn vm(name: &Name, role: Role, domain: &Name, address: SocketAddr, serves: &str) -> Vm {
+    Vm {
+        name: name.clone(),
+        role,
+        domain: domain.clone(),
+        address,
+        serves: serves.into(),
+        phase: Phase::Live,
+    }
+}
+
+fn vm_object(vm: &Vm) -> Object {
+    let spec = serde_json::to_value(vm).unwrap_or_default();
+    Object::new(Vm::KIND, vm.name.clone(), spec)
+}
--- a/rig/src/cli.rs
+++ b/rig/src/cli.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::load::{LoadOptions, Profile};
 use crate::{
     Engine, EngineSettings, Host, PlatformSettings, PlatformStandIn, Relay, ServiceSettings,
     ServiceStandIn, StandIn,
@@ -14,6 +15,8 @@
 
     use std::net::SocketAddr;
 
+    use crate::load::{Baseline, FaultPlan};
+
     xflags::xflags! {
         /// Stand-ins, demo and load tool for guavahold.
         cmd guavahold-rig {
@@ -62,6 +65,31 @@
                 /// Milliseconds that a call takes unless it is a GET.
                 optional --write-ms write_ms: u64
             }
+            /// Shows the system with and without stores, in one process on loopback.
+            cmd demo {}
+            /// Sends an open-loop load and reports what callers saw.
+            cmd load {
+                /// `kammitsa` or `pluvial`.
+                required --profile profile: String
+                /// `system`, `system-without-store`, `least-loaded`, `affinity` or `always-fetch`.
+                optional --router router: Baseline
+                /// `none`, `slow`, `store-dead`, `engine-killed`, `domain-cut` or `platform-down`.
+                optional --fault fault: FaultPlan
+                /// Seed of the schedule.
+                optional --seed seed: u64
+                /// Length of the schedule, in seconds.
+                optional --seconds seconds: u64
+                /// Factor on the profile's rates.
+                optional --rate rate: f64
+                /// Factor on the rates of customer 0 in the second half.
+                optional --surge surge: f64
+                /// Entries.
+                optional --entries entries: usize
+                /// File for the result as JSON.
+                optional --json path: String
+                /// File for a plot as SVG.
+                optional --svg path: String
+            }
             /// Relays TCP connections.
             cmd relay {
                 /// Address to listen at.
@@ -97,6 +125,8 @@
             cfg.write_time = cmd.write_ms.map_or(cfg.write_time, Duration::from_millis);
             serve(Host::bind(ServiceStandIn::new(cfg), listen(cmd.listen))?)
         }
+        GuavaholdRigCmd::Demo(_) => crate::demo::demo(),
+        GuavaholdRigCmd::Load(cmd) => load(cmd),
         GuavaholdRigCmd::Relay(cmd) => {
             let host = Relay::bind(listen(cmd.listen), cmd.to)?;
             let address = host.core().forwarded();
@@ -105,6 +135,29 @@
     }
 }
 
+fn load(cmd: flags::Load) -> eyre::Result<()> {
+    let profile = Profile::named(&cmd.profile);
+    let profile = profile.ok_or_else(|| eyre::eyre!("unknown profile {}", cmd.profile))?;
+    let result = crate::load::run(&LoadOptions {
+        profile,
+        baseline: cmd.router.unwrap_or_default(),
+        fault: cmd.fault.unwrap_or_default(),
+        seed: cmd.seed.unwrap_or(1),
+        length: Duration::from_secs(cmd.seconds.unwrap_or(30)),
+        rate: cmd.rate.unwrap_or(1.0),
+        surge: cmd.surge.unwrap_or(1.0),
+        entries: cmd.entries.unwrap_or(4),
+    })?;
+    print!("{}", crate::load::render(&result));
+    if let Some(path) = cmd.json {
+        std::fs::write(path, serde_json::to_string_pretty(&result)?)?;
+    }
+    if let Some(path) = cmd.svg {
+        std::fs::write(path, crate::load::svg(&result))?;
+    }
+    Ok(())
+}
+
 fn listen(addr: Option<SocketAddr>) -> SocketAddr {
     addr.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
 }
--- a/rig/src/engine.rs
+++ b/rig/src/engine.rs
@@ -158,3 +158,22 @@
         })
     }
 }
+
+impl EngineStats {
+    /// Adds another engine's figures.
+    pub fn add(&mut self, other: &Self) {
+        self.runs += other.runs;
+        for (id, runs) in &other.by_request {
+            *self.by_request.entry(id.clone()).or_default() += runs;
+        }
+        self.prompt_tokens += other.prompt_tokens;
+        self.computed_tokens += other.computed_tokens;
+        self.imported_tokens += other.imported_tokens;
+        self.import_bytes += other.import_bytes;
+        self.export_bytes += other.export_bytes;
+        self.failed_imports += other.failed_imports;
+        self.wrong_blocks += other.wrong_blocks;
+        self.stale_orders += other.stale_orders;
+        self.orders += other.orders;
+    }
+}
--- a/rig/src/engine/blocks.rs
+++ b/rig/src/engine/blocks.rs
@@ -9,6 +9,8 @@
 
 /// Blocks in transfer at once.
 const PARALLEL: usize = 4;
+/// Longest answer to a transfer that carries no block, in bytes.
+const MAX_SHORT_ANSWER: usize = 64 * 1024;
 
 /// The bytes of a block, derived from its key.
 #[must_use]
@@ -44,10 +46,14 @@
         whole
     }
 
-    /// Exports blocks.
-    pub(crate) async fn export(&self, transfer: &KvTransfer) {
+    /// Exports blocks, first block first.
+    pub(crate) async fn export(&self, transfer: &KvTransfer, keys: &[BlockKey]) {
+        let parent = |key: &BlockKey| {
+            let at = keys.iter().position(|k| k == key)?;
+            keys.get(at.checked_sub(1)?).copied()
+        };
         for grants in transfer.blocks.chunks(PARALLEL) {
-            let puts = grants.iter().map(|g| self.put(transfer, g));
+            let puts = grants.iter().map(|g| self.put(transfer, g, parent(&g.key)));
             if join_all(puts).await.contains(&Moved::Failed) {
                 return;
             }
@@ -95,13 +101,32 @@
         }
     }
 
-    async fn put(&self, transfer: &KvTransfer, grant: &BlockGrant) -> Moved {
+    /// Asks whether the store wants a block and sends it.
+    async fn put(
+        &self,
+        transfer: &KvTransfer,
+        grant: &BlockGrant,
+        parent: Option<BlockKey>,
+    ) -> Moved {
+        let head = request(Method::Head, transfer, grant);
+        match self
+            .pool
+            .fetch(transfer.store, head, MAX_SHORT_ANSWER)
+            .await
+        {
+            Ok((StatusCode::Ok, _)) => return Moved::Whole,
+            Ok((StatusCode::NotFound, _)) => {}
+            _ => return Moved::Failed,
+        }
         let bytes = block_bytes(&grant.key, self.cfg.block_bytes);
         let sent = bytes.len() as u64;
         let mut req = request(Method::Put, transfer, grant);
+        if let Some(parent) = parent {
+            req.insert_header("guavahold-parent", parent.to_string());
+        }
         req.insert_header("guavahold-digest", blake3::hash(&bytes).to_hex().as_str());
         req.set_body(bytes);
-        match self.pool.fetch(transfer.store, req, 64 * 1024).await {
+        match self.pool.fetch(transfer.store, req, MAX_SHORT_ANSWER).await {
             Ok((StatusCode::Created, _)) => {
                 self.with(|s| s.stats.export_bytes += sent);
                 Moved::Whole
--- a/rig/src/engine/work.rs
+++ b/rig/src/engine/work.rs
@@ -123,8 +123,8 @@
         let Some(transfer) = job.kv.export.clone() else {
             return;
         };
-        let this = self.clone();
-        self.spawn(async move { this.export(&transfer).await });
+        let (this, keys) = (self.clone(), job.kv.keys.clone());
+        self.spawn(async move { this.export(&transfer, &keys).await });
     }
 
     async fn decode(&self, job: &Job, run: &Run, usage: Usage) {
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -124,7 +124,15 @@
     /// # Errors
     /// When it cannot be started.
     pub fn engine(&self, name: &str, model: &str, weights: &str, more: &[&str]) -> Result<Process> {
-        let mut args = vec!["engine", "--name", name, "--model", model, "--weights", weights];
+        let mut args = vec![
+            "engine",
+            "--name",
+            name,
+            "--model",
+            model,
+            "--weights",
+            weights,
+        ];
         args.extend(more);
         Process::start("guavahold-rig", &args)
     }
@@ -143,7 +151,14 @@
     ///
     /// # Panics
     /// When the platform refuses.
-    pub async fn list(&self, name: &str, role: Role, domain: &str, address: SocketAddr, serves: &str) {
+    pub async fn list(
+        &self,
+        name: &str,
+        role: Role,
+        domain: &str,
+        address: SocketAddr,
+        serves: &str,
+    ) {
         let vm = Vm {
             name: name.into(),
             role,
@@ -162,7 +177,11 @@
     pub async fn put_vm(&self, vm: &Vm) {
         let spec = serde_json::to_value(vm).expect("a VM is JSON");
         let mut object = Object::new(Vm::KIND, vm.name.clone(), spec);
-        let old = self.api.get(Vm::KIND, &vm.name).await.expect("the platform answers");
+        let old = self
+            .api
+            .get(Vm::KIND, &vm.name)
+            .await
+            .expect("the platform answers");
         let written = match old {
             Some(old) => {
                 object.version = old.version;
@@ -222,5 +241,10 @@
 pub async fn set_faults(admin: SocketAddr, faults: Value) {
     let call = Call::new(Method::Post, "/faults").body(faults.to_string());
     let answer = call.send(admin).await.expect("the stand-in answers");
-    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    assert_eq!(
+        answer.status,
+        200,
+        "{}",
+        String::from_utf8_lossy(&answer.body)
+    );
 }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,13 +1,16 @@
 //! Stand-ins for the systems around guavahold, a demo and a load tool.
 
+pub mod bench;
 pub mod body;
 pub mod cli;
 pub mod client;
+pub mod demo;
 pub mod engine;
 pub mod faults;
 pub mod fleet;
 pub mod gate;
 pub mod host;
+pub mod load;
 pub mod platform;
 pub mod process;
 pub mod relay;
@@ -16,8 +19,8 @@
 
 pub use engine::{Engine, EngineSettings};
 pub use faults::{FaultBox, Faults};
-pub use host::{Host, Spawner, StandIn};
 pub use fleet::Fleet;
+pub use host::{Host, Spawner, StandIn};
 pub use platform::{PlatformSettings, PlatformStandIn};
 pub use process::Process;
 pub use relay::Relay;
--- a/src/caller/attempt.rs
+++ b/src/caller/attempt.rs
@@ -71,7 +71,9 @@
                 |stream| Ok(Started::Stream(Box::new(stream))),
             )
         }
-        _ => receive_whole(shared, work, attempt, req).await.map(Started::Whole),
+        _ => receive_whole(shared, work, attempt, req)
+            .await
+            .map(Started::Whole),
     };
     guard.disarm();
     started
@@ -126,7 +128,10 @@
     let body = answer.bytes(MAX_ANSWER).await;
     Ok(WholeAnswer {
         status: answer.res.status(),
-        content_type: answer.header("content-type").unwrap_or("application/octet-stream").into(),
+        content_type: answer
+            .header("content-type")
+            .unwrap_or("application/octet-stream")
+            .into(),
         body: body.map_err(|_| AttemptOutcome::Lost)?,
     })
 }
@@ -211,7 +216,10 @@
 pub(crate) fn request(method: Method, address: SocketAddr, path: &str) -> Request {
     let url = Url::parse(&format!("http://{address}{path}"));
     let url = url.or_else(|_| Url::parse(&format!("http://{address}/")));
-    Request::new(method, url.unwrap_or_else(|_| unreachable!("an address makes a URL")))
+    Request::new(
+        method,
+        url.unwrap_or_else(|_| unreachable!("an address makes a URL")),
+    )
 }
 
 /// Cancels a chat run whose answer is no longer wanted when it is dropped.
--- a/src/caller/claimed.rs
+++ b/src/caller/claimed.rs
@@ -45,7 +45,11 @@
     };
     let verdict = {
         let _span = shared.spans.start(&work.trace, "claim");
-        shared.claims.claim(req).await.map_err(|err| claim_problem(&err))?
+        shared
+            .claims
+            .claim(req)
+            .await
+            .map_err(|err| claim_problem(&err))?
     };
     match verdict {
         ClaimVerdict::Granted(claim) => dispatch(shared, work, claim).await,
@@ -197,8 +201,7 @@
 
 fn outcome_unknown() -> Problem {
     let detail = "the target received the request and gave no whole answer; it is not sent again";
-    Problem::not_run(StatusCode::BadGateway, "outcome-unknown", detail)
-        .with_run(RunState::Unknown)
+    Problem::not_run(StatusCode::BadGateway, "outcome-unknown", detail).with_run(RunState::Unknown)
 }
 
 fn claim_problem(err: &ClaimError) -> Problem {
--- a/src/caller/handler.rs
+++ b/src/caller/handler.rs
@@ -38,7 +38,11 @@
                     res
                 }
                 Err(problem) => {
-                    shared.metrics.requests.with_label_values(&[problem.code]).inc();
+                    shared
+                        .metrics
+                        .requests
+                        .with_label_values(&[problem.code])
+                        .inc();
                     problem.into_response()
                 }
             }
@@ -61,7 +65,11 @@
     if let Some(rest) = path.strip_prefix(SERVICES) {
         return service(shared, exchange, customer, rest.to_owned(), arrived).await;
     }
-    Err(Problem::not_run(StatusCode::NotFound, "unknown-path", "no such path"))
+    Err(Problem::not_run(
+        StatusCode::NotFound,
+        "unknown-path",
+        "no such path",
+    ))
 }
 
 async fn chat(
@@ -138,11 +146,7 @@
     run(shared, &exchange, work).await
 }
 
-async fn run(
-    shared: &Arc<Shared>,
-    exchange: &Exchange,
-    work: Work,
-) -> Result<Response, Problem> {
+async fn run(shared: &Arc<Shared>, exchange: &Exchange, work: Work) -> Result<Response, Problem> {
     if work.policy.idempotent {
         return serve(shared, Arc::new(work)).await;
     }
@@ -150,7 +154,9 @@
         let detail = "this route needs an Idempotency-Key, a UUID of version 7";
         Problem::not_run(StatusCode::BadRequest, "missing-key", detail)
     })?;
-    let key = Uuid::parse_str(key).ok().filter(|k| k.get_version_num() == 7);
+    let key = Uuid::parse_str(key)
+        .ok()
+        .filter(|k| k.get_version_num() == 7);
     let key = key.ok_or_else(|| {
         let detail = "the Idempotency-Key is not a UUID of version 7";
         Problem::not_run(StatusCode::BadRequest, "bad-key", detail)
@@ -166,9 +172,17 @@
     })?;
     if !id.fits(&shared.secret, &work.customer, &work.fingerprint) {
         let detail = "Last-Event-ID belongs to another customer or request";
-        return Err(Problem::not_run(StatusCode::Forbidden, "foreign-event-id", detail));
+        return Err(Problem::not_run(
+            StatusCode::Forbidden,
+            "foreign-event-id",
+            detail,
+        ));
     }
-    let target = shared.targets.load().get(&id.target).map(|t| t.info.address);
+    let target = shared
+        .targets
+        .load()
+        .get(&id.target)
+        .map(|t| t.info.address);
     let address = target.ok_or_else(run_gone)?;
     let attempt = Attempt {
         number: 0,
@@ -252,7 +266,11 @@
 
 fn unknown(code: &'static str, name: &str) -> Problem {
     let what = code.strip_prefix("unknown-").unwrap_or(code);
-    Problem::not_run(StatusCode::NotFound, code, format!("no such {what}: {name:?}"))
+    Problem::not_run(
+        StatusCode::NotFound,
+        code,
+        format!("no such {what}: {name:?}"),
+    )
 }
 
 fn unknown_customer() -> Problem {
--- a/src/caller/plan.rs
+++ b/src/caller/plan.rs
@@ -101,6 +101,8 @@
         let first = u32::try_from(range.start).ok()?;
         let (secret, customer) = (&self.shared.secret, &self.work.customer);
         let keys = &plan.keys[range];
-        Some(grant(secret, operation, self.store, customer, first, keys, expires_ms))
+        Some(grant(
+            secret, operation, self.store, customer, first, keys, expires_ms,
+        ))
     }
 }
--- a/src/caller/relay.rs
+++ b/src/caller/relay.rs
@@ -62,7 +62,11 @@
                         tx = None;
                     }
                     if tx.is_none() && self.claim.is_none() {
-                        self.shared.metrics.requests.with_label_values(&["left"]).inc();
+                        self.shared
+                            .metrics
+                            .requests
+                            .with_label_values(&["left"])
+                            .inc();
                         return;
                     }
                 }
@@ -78,7 +82,11 @@
             Ok(()) => ("done", AttemptOutcome::Done),
             Err(_) => ("cut-short", AttemptOutcome::CutShort),
         };
-        self.shared.metrics.requests.with_label_values(&[label]).inc();
+        self.shared
+            .metrics
+            .requests
+            .with_label_values(&[label])
+            .inc();
         if let Some((waiter, attempt)) = self.waiter {
             waiter.ended(attempt, outcome);
             waiter.finish();
--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -120,7 +120,12 @@
             metrics: parts.control.shared.metrics.clone(),
         };
         let admin_control = Arc::new(ServerControl::default());
-        let admin = Server::new(self.admin, Limits::default(), Arc::new(admin), admin_control)?;
+        let admin = Server::new(
+            self.admin,
+            Limits::default(),
+            Arc::new(admin),
+            admin_control,
+        )?;
         control_ex.spawn(admin.run(control_ex.clone())).detach();
         parts.spawn(self.peers, &control_ex);
         let mesh = parts.mesh.clone();
@@ -143,8 +148,10 @@
         status: &Arc<Status>,
     ) -> eyre::Result<Parts> {
         let cfg = &self.cfg;
-        let platform: Arc<dyn Platform> =
-            Arc::new(RemotePlatform::new(cfg.platform.clone(), cfg.platform_timeout));
+        let platform: Arc<dyn Platform> = Arc::new(RemotePlatform::new(
+            cfg.platform.clone(),
+            cfg.platform_timeout,
+        ));
         let metrics = Arc::new(Metrics::new());
         let cell = Arc::new(CatalogCell::default());
         let sync = CatalogSync::new(
@@ -229,7 +236,9 @@
         ex.spawn(self.sync.clone().run(ex.clone())).detach();
         ex.spawn(control.clone().run_probes()).detach();
         ex.spawn(control.clone().run_ticks()).detach();
-        ex.spawn(control.clone().run_catalog(self.cell.clone())).detach();
-        ex.spawn(control.clone().run_effects(self.effects.clone())).detach();
+        ex.spawn(control.clone().run_catalog(self.cell.clone()))
+            .detach();
+        ex.spawn(control.clone().run_effects(self.effects.clone()))
+            .detach();
     }
 }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -57,13 +57,17 @@
 
     /// Takes over a new list of VMs.
     pub(crate) fn take_vms(&self, vms: &BTreeMap<Name, Vm>) {
-        let stores = vms.values().filter(|vm| vm.role == Role::Store && vm.phase == Phase::Live);
+        let stores = vms
+            .values()
+            .filter(|vm| vm.role == Role::Store && vm.phase == Phase::Live);
         let stores = stores.map(|vm| StorePeer {
             name: vm.name.clone(),
             domain: vm.domain.clone(),
             address: vm.address,
         });
-        self.shared.stores.store(Arc::new(StoreList(stores.collect())));
+        self.shared
+            .stores
+            .store(Arc::new(StoreList(stores.collect())));
         let infos: Vec<TargetInfo> = vms.values().filter_map(target_info).collect();
         self.take_targets(&infos);
         self.shared.desk.submit(Event::Targets(infos));
@@ -158,10 +162,15 @@
         let catalogs = cell.subscribe();
         while let Ok(catalog) = catalogs.recv().await {
             let revision = catalog.revision;
-            self.shared.directory.store(Arc::new(Directory::new(catalog.clone())));
+            self.shared
+                .directory
+                .store(Arc::new(Directory::new(catalog.clone())));
             self.shared.desk.submit(Event::Catalog(catalog));
             self.status.set_revision(revision);
-            self.shared.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+            self.shared
+                .metrics
+                .revision
+                .set(i64::try_from(revision).unwrap_or(i64::MAX));
             event(Level::Info, "catalog_in_force", &[("revision", &revision)]);
         }
     }
@@ -188,7 +197,9 @@
     fn probe_now(self: &Arc<Self>, target: &Name) {
         let info = self.targets().get(target).map(|t| t.info.clone());
         if let Some(info) = info {
-            self.executor.spawn(self.clone().probe_target(info)).detach();
+            self.executor
+                .spawn(self.clone().probe_target(info))
+                .detach();
         }
     }
 }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -54,7 +54,9 @@
         let Some(control) = self.control.get() else {
             return;
         };
-        let peers = live.iter().filter(|p| p.domain == self.domain && !p.draining);
+        let peers = live
+            .iter()
+            .filter(|p| p.domain == self.domain && !p.draining);
         let entries = u32::try_from(peers.count() + 1).unwrap_or(u32::MAX);
         control.shared.desk.submit(Event::Entries(entries));
         let peers = i64::try_from(live.len()).unwrap_or(i64::MAX);
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -24,7 +24,11 @@
 
 /// Asks one target on a pooled connection, and once more on a new one when that fails.
 pub(crate) async fn probe(pool: &Pool, address: SocketAddr, timeout: Duration) -> Probed {
-    let pooled = async { pool.fetch(address, load_request(address), MAX_REPORT).await.ok() };
+    let pooled = async {
+        pool.fetch(address, load_request(address), MAX_REPORT)
+            .await
+            .ok()
+    };
     if let Some((status, body)) = pooled.or(late(timeout)).await {
         return alive(status, &body);
     }
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -61,7 +61,9 @@
 
 fn exchange(addr: SocketAddr, send: &[u8]) -> String {
     let mut stream = TcpStream::connect(addr).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
     stream.write_all(send).unwrap();
     stream.shutdown(Shutdown::Write).unwrap();
     let mut answer = Vec::new();
@@ -76,7 +78,9 @@
 
 fn lines<T: for<'a> Deserialize<'a>>(text: &str) -> Vec<T> {
     let lines = text.lines();
-    lines.map(|line| serde_json::from_str(line).unwrap()).collect()
+    lines
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect()
 }
 
 #[derive(Deserialize)]
@@ -114,7 +118,9 @@
     };
     let fixture = serve(limits);
     let mut stream = TcpStream::connect(fixture.addr).unwrap();
-    stream.write_all(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-").unwrap();
+    stream
+        .write_all(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-")
+        .unwrap();
     let mut answer = String::new();
     stream.read_to_string(&mut answer).unwrap();
     assert_eq!(statuses(&answer), [408]);
@@ -188,7 +194,9 @@
     for case in lines::<AnswerCase>(include_str!("http/answers.jsonl")) {
         let addr = canned(case.answer);
         let body = within(async {
-            let conn = Connection::open(addr, Duration::from_secs(5)).await.unwrap();
+            let conn = Connection::open(addr, Duration::from_secs(5))
+                .await
+                .unwrap();
             let mut answer = conn.send(get(addr)).await.ok()?;
             answer.bytes(1024).await.ok()
         });
@@ -202,7 +210,9 @@
     let answer = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n";
     let addr = canned(answer.to_owned());
     within(async {
-        let conn = Connection::open(addr, Duration::from_secs(5)).await.unwrap();
+        let conn = Connection::open(addr, Duration::from_secs(5))
+            .await
+            .unwrap();
         let mut answer = conn.send(get(addr)).await.unwrap();
         assert_eq!(answer.bytes(1024).await.unwrap(), b"abc");
         assert!(answer.into_connection().is_none());
