--- a/src/caller/handler.rs
+++ b/src/caller/handler.rs
@@ -12,7 +12,6 @@
 use crate::caller::relay::Relay;
 use crate::caller::service::serve;
 use crate::caller::{ChatRequest, EventId, Shared, Work, WorkKind};
-use crate::catalog::Policy;
 use crate::decide::{Arrival, Refusal};
 use crate::http::{Exchange, Handler, Problem, Reply, RunState};
 use crate::prelude::*;
