--- a/rig/src/bench.rs
+++ b/rig/src/bench.rs
@@ -63,14 +63,8 @@
     /// # Errors
     /// When a part cannot be started or does not become ready.
     pub fn start(plan: BenchPlan) -> eyre::Result<Self> {
-        let name = format!(
-            "guavahold-rig-{}-{:x}",
-            std::process::id(),
-            fastrand::u64(..)
-        );
-        let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder)?;
-        let secret_file = folder.join("secret").display().to_string();
+        let folder = tempfile::tempdir()?;
+        let secret_file = folder.path().join("secret").display().to_string();
         std::fs::write(&secret_file, format!("{:064x}", fastrand::u128(..)))?;
         let ex = Arc::new(Executor::new());
         let (stop, stopped) = async_channel::bounded::<()>(1);
@@ -80,7 +74,7 @@
                 let _ = async_io::block_on(ex.run(stopped.recv()));
             })
         });
-        let threads = threads.collect();
+        let threads: Vec<JoinHandle<()>> = threads.collect();
         let platform = Host::bind(PlatformStandIn::new(&plan.platform), ANY)?;
         let mut bench = Self {
             stop,
--- a/rig/src/load/fault.rs
+++ b/rig/src/load/fault.rs
@@ -52,6 +52,7 @@
         (self == Self::DomainCut).then_some(DOMAINS[DOMAINS.len() - 1])
     }
 
+    /// Shows the fault.
     pub(crate) fn begin(self, bench: &Bench) {
         match self {
             Self::None => {}
@@ -98,7 +99,8 @@
         }
     }
 
-    pub(crate) fn end(self, bench: &Bench) {
+    /// Ends every fault.
+    pub(crate) fn end(bench: &Bench) {
         set(bench, &Faults::default(), |_, _| true);
         for service in &bench.services {
             service.core.faults().set(Faults::default());
--- a/rig/src/load/result.rs
+++ b/rig/src/load/result.rs
@@ -176,7 +176,7 @@
             returns: trace.arrivals.iter().filter(|a| a.turns.len() > 1).count(),
             good: good.len(),
             goodput: per_second(good.len(), options.length),
-            goodput_in_fault: per_second(in_fault, end - begin),
+            goodput_in_fault: per_second(in_fault, end.saturating_sub(begin)),
             ends: count_ends(samples),
             wrong: samples.iter().filter(|s| s.fate == Fate::Wrong).count(),
             attempts: ratio(engines.runs, chat_runs as u64),
--- a/rig/src/load/run.rs
+++ b/rig/src/load/run.rs
@@ -146,7 +146,7 @@
             phase = 1;
         }
         if phase == 1 && arrival.at >= end {
-            shared.fault.end(&shared.bench);
+            FaultPlan::end(&shared.bench);
             shared.lost_domain.store(false, Ordering::Relaxed);
             phase = 2;
         }
