--- a/rig/src/cli.rs
+++ b/rig/src/cli.rs
@@ -16,6 +16,7 @@
     use std::net::SocketAddr;
 
     use crate::load::{Baseline, FaultPlan};
+    use crate::slope::Dimension;
 
     xflags::xflags! {
         /// Stand-ins, demo and load tool for guavahold.
@@ -62,6 +63,8 @@
                 optional --listen listen: SocketAddr
                 /// Name of the service.
                 required --name name: String
+                /// Milliseconds that a GET takes.
+                optional --read-ms read_ms: u64
                 /// Milliseconds that a call takes unless it is a GET.
                 optional --write-ms write_ms: u64
             }
@@ -90,6 +93,18 @@
                 /// File for a plot as SVG.
                 optional --svg path: String
             }
+            /// Measures what one entry costs.
+            cmd entry-bench {
+                /// File for the result as JSON.
+                optional --json path: String
+            }
+            /// Measures how an idle entry's cost grows with one dimension.
+            cmd slope {
+                /// `peers`, `targets`, `customers` or `changes`.
+                required --of dimension: Dimension
+                /// File for the result as JSON.
+                optional --json path: String
+            }
             /// Relays TCP connections.
             cmd relay {
                 /// Address to listen at.
@@ -123,10 +138,17 @@
         GuavaholdRigCmd::Service(cmd) => {
             let mut cfg = ServiceSettings::new(cmd.name);
             cfg.write_time = cmd.write_ms.map_or(cfg.write_time, Duration::from_millis);
+            cfg.read_time = cmd.read_ms.map_or(cfg.read_time, Duration::from_millis);
             serve(Host::bind(ServiceStandIn::new(cfg), listen(cmd.listen))?)
         }
         GuavaholdRigCmd::Demo(_) => crate::demo::demo(),
         GuavaholdRigCmd::Load(cmd) => load(cmd),
+        GuavaholdRigCmd::EntryBench(cmd) => {
+            print_json(&crate::entry_bench::entry_bench()?, cmd.json.as_deref())
+        }
+        GuavaholdRigCmd::Slope(cmd) => {
+            print_json(&crate::slope::slope(cmd.of)?, cmd.json.as_deref())
+        }
         GuavaholdRigCmd::Relay(cmd) => {
             let host = Relay::bind(listen(cmd.listen), cmd.to)?;
             let address = host.core().forwarded();
@@ -158,6 +180,16 @@
     Ok(())
 }
 
+/// Prints a result as JSON and writes it to a file if one is named.
+fn print_json(result: &impl serde::Serialize, path: Option<&str>) -> eyre::Result<()> {
+    let text = serde_json::to_string_pretty(result)?;
+    println!("{text}");
+    if let Some(path) = path {
+        std::fs::write(path, text + "\n")?;
+    }
+    Ok(())
+}
+
 fn listen(addr: Option<SocketAddr>) -> SocketAddr {
     addr.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
 }
--- /dev/null
+++ b/rig/src/entry_bench.rs
@@ -0,0 +1,194 @@
+//! Cost of the entry itself: short requests, added latency and idle streams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use async_io::Timer;
+use guavahold::catalog::TokenHash;
+use guavahold::platform::Role;
+use http_types::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::Process;
+use crate::client;
+use crate::fleet::{Fleet, await_ok};
+use crate::load::{Call, Caller, Fate, Quantiles};
+use crate::usage::Usage;
+
+/// Bearer token of the only customer.
+const TOKEN: &str = "token-of-the-bench";
+/// Duration of the throughput run.
+const THROUGHPUT_TIME: Duration = Duration::from_secs(5);
+/// Pairs of requests of the latency run.
+const PAIRS: usize = 2000;
+/// Requests in flight of the throughput run.
+const IN_FLIGHT: usize = 32;
+/// Numbers of idle streams.
+const STREAMS: [usize; 3] = [250, 500, 1000];
+
+/// What the entry costs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EntryCost {
+    /// Short requests per second through one entry, closed loop.
+    pub requests_per_second: f64,
+    /// Requests that failed in the throughput run.
+    pub failed: u64,
+    /// Processor time of the entry for each request, in microseconds.
+    pub cpu_us_per_request: f64,
+    /// Requests per second that two cores' time would carry at that cost.
+    pub two_cores: f64,
+    /// Time of a direct call, in milliseconds.
+    pub direct: Quantiles,
+    /// Time of a call through the entry, in milliseconds.
+    pub through: Quantiles,
+    /// Added median, in microseconds.
+    pub added_p50_us: f64,
+    /// Idle streams and the entry's resident bytes with them.
+    pub streams: Vec<(usize, u64)>,
+    /// Bytes for each idle stream, from the largest number and none.
+    pub bytes_per_stream: f64,
+}
+
+/// Measures one entry process with two traffic threads.
+///
+/// # Errors
+/// When a process cannot be started.
+pub fn entry_bench() -> eyre::Result<EntryCost> {
+    async_io::block_on(measure())
+}
+
+async fn measure() -> eyre::Result<EntryCost> {
+    let fleet = Fleet::start()?;
+    let service = fleet.service("desk", &["--read-ms", "0"])?;
+    let engine = fleet.engine(
+        "engine-1",
+        "m",
+        "w1",
+        &["--token-ms", "600000", "--slots", "100000"],
+    )?;
+    let direct = service.address("address");
+    fleet.list("desk-1", Role::Service, "a", direct, "desk").await;
+    let address = engine.address("address");
+    fleet.list("engine-1", Role::Engine, "a", address, "m").await;
+    fleet.put_note(&note()).await;
+    let entry = fleet.entry("entry-1", "a", &json!({"traffic_threads": 2}))?;
+    await_ok(entry.address("admin"), "/ready").await;
+    Timer::after(Duration::from_secs(1)).await;
+    let callers = entry.address("callers");
+    let (near, far) = latency(direct, callers).await;
+    let (rate, failed, cpu) = throughput(callers, &entry);
+    let streams = idle_streams(callers, &entry).await?;
+    let first = streams.first().copied().unwrap_or_default();
+    let last = streams.last().copied().unwrap_or_default();
+    Ok(EntryCost {
+        requests_per_second: rate,
+        failed,
+        cpu_us_per_request: cpu,
+        two_cores: 2e6 / cpu,
+        added_p50_us: (far.p50 - near.p50) * 1000.0,
+        direct: near,
+        through: far,
+        bytes_per_stream: (float(last.1) - float(first.1)) / float((last.0 - first.0) as u64),
+        streams,
+    })
+}
+
+fn note() -> String {
+    json!({
+        "revision": 0,
+        "added": {
+            "customers": {"c": {"share": 1, "tokens": [TokenHash::of(TOKEN).to_string()]}},
+            "policies": {"p": {"class": "interactive", "first_token_ms": 60_000, "total_ms": 3_600_000}},
+            "models": {"m": {"weights": "w1", "policy": "p"}},
+            "services": {"desk": {"routes": [{"method": "GET", "path": "/", "policy": "p"}]}},
+        },
+    })
+    .to_string()
+}
+
+fn get(address: SocketAddr, path: &str) -> Call {
+    Call {
+        address,
+        method: Method::Get,
+        path: path.into(),
+        headers: vec![("authorization", format!("Bearer {TOKEN}"))],
+        body: Value::Null,
+    }
+}
+
+/// Times of direct calls and of calls through the entry, one after the other in turns.
+async fn latency(direct: SocketAddr, callers: SocketAddr) -> (Quantiles, Quantiles) {
+    let caller = Caller::default();
+    let (near, far) = (get(direct, "/x"), get(callers, "/services/desk/x"));
+    let (mut near_times, mut far_times) = (Vec::new(), Vec::new());
+    for _ in 0..PAIRS {
+        for (call, times) in [(&near, &mut near_times), (&far, &mut far_times)] {
+            let started = Instant::now();
+            if caller.send(call, started).await.1 == Fate::Done {
+                times.push(started.elapsed());
+            }
+        }
+    }
+    let of = |times: Vec<Duration>| Quantiles::of(times.into_iter());
+    (of(near_times), of(far_times))
+}
+
+/// Requests per second, failures and processor microseconds of the entry for each request.
+fn throughput(callers: SocketAddr, entry: &Process) -> (f64, u64, f64) {
+    let ex = Arc::new(Executor::new());
+    let (done, failed) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let before = Usage::of(entry.id());
+    let started = Instant::now();
+    for _ in 0..IN_FLIGHT {
+        let (done, failed) = (done.clone(), failed.clone());
+        let task = async move {
+            let (caller, call) = (Caller::default(), get(callers, "/services/desk/x"));
+            while started.elapsed() < THROUGHPUT_TIME {
+                let fate = caller.send(&call, Instant::now()).await.1;
+                let counter = if fate == Fate::Done { &done } else { &failed };
+                counter.fetch_add(1, Ordering::Relaxed);
+            }
+        };
+        ex.spawn(task).detach();
+    }
+    let threads: Vec<_> = (0..2)
+        .map(|_| {
+            let ex = ex.clone();
+            std::thread::spawn(move || async_io::block_on(ex.run(Timer::after(THROUGHPUT_TIME))))
+        })
+        .collect();
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let took = started.elapsed().as_secs_f64();
+    let cpu = Usage::of(entry.id()).cpu.saturating_sub(before.cpu);
+    let done = float(done.load(Ordering::Relaxed));
+    let per_request = cpu.as_secs_f64() * 1e6 / done.max(1.0);
+    (done / took, failed.load(Ordering::Relaxed), per_request)
+}
+
+/// Resident bytes of the entry with growing numbers of streams that wait for their next token.
+async fn idle_streams(callers: SocketAddr, entry: &Process) -> eyre::Result<Vec<(usize, u64)>> {
+    let mut open = Vec::new();
+    let mut out = vec![(0, Usage::of(entry.id()).resident)];
+    for target in STREAMS {
+        while open.len() < target {
+            let call = client::Call::chat(TOKEN, "m", "hello", 3, true);
+            let mut events = call.stream(callers).await?;
+            events.next().await?;
+            open.push(events);
+        }
+        Timer::after(Duration::from_millis(500)).await;
+        out.push((open.len(), Usage::of(entry.id()).resident));
+    }
+    Ok(out)
+}
+
+#[allow(clippy::cast_precision_loss)] // Counts of one run are far below 2^53.
+fn float(n: u64) -> f64 {
+    n as f64
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod demo;
 pub mod engine;
+pub mod entry_bench;
 pub mod faults;
 pub mod fleet;
 pub mod gate;
@@ -16,6 +17,8 @@
 pub mod relay;
 pub mod reply;
 pub mod service;
+pub mod slope;
+pub mod usage;
 
 pub use engine::{Engine, EngineSettings};
 pub use faults::{FaultBox, Faults};
--- a/rig/src/load.rs
+++ b/rig/src/load.rs
@@ -13,7 +13,7 @@
 mod trace;
 
 pub use baseline::Baseline;
-pub use caller::{Caller, Fate, Sample};
+pub use caller::{Call, Caller, Fate, Sample};
 pub use fault::FaultPlan;
 pub use floor::{Floor, floor, ratio};
 pub use plot::svg;
--- a/rig/src/process.rs
+++ b/rig/src/process.rs
@@ -61,6 +61,12 @@
         self.addresses[name]
     }
 
+    /// Number of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Asks the process to end gracefully (SIGTERM).
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -46,6 +47,7 @@
     faults: FaultBox,
     shared: Arc<Mutex<Shared>>,
     listener: Mutex<Option<TcpListener>>,
+    bytes: AtomicU64,
     address: SocketAddr,
     to: SocketAddr,
 }
@@ -62,6 +64,7 @@
             faults: FaultBox::default(),
             shared: Arc::default(),
             listener: Mutex::new(Some(listener)),
+            bytes: AtomicU64::new(0),
             address,
             to,
         };
@@ -74,6 +77,12 @@
         self.address
     }
 
+    /// Bytes forwarded so far in both directions.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     /// Changes how connections are treated.
     pub fn set(&self, state: RelayState) {
         let mut shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
@@ -148,6 +157,7 @@
                 let _ = tx.get_ref().shutdown(Shutdown::Write);
                 return;
             }
+            self.bytes.fetch_add(n as u64, Ordering::Relaxed);
             if tx.write_all(&buf[..n]).await.is_err() {
                 let _ = rx.get_ref().shutdown(Shutdown::Both);
                 return;
--- /dev/null
+++ b/rig/src/slope.rs
@@ -0,0 +1,54 @@
+//! How an idle entry's cost grows with each dimension of the system.
+
+mod changes;
+mod customers;
+mod peers;
+mod point;
+mod targets;
+
+use std::str::FromStr;
+
+pub use point::{Point, Slope};
+
+/// A dimension of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dimension {
+    /// Entries that hear of each other.
+    Peers,
+    /// Targets in the list.
+    Targets,
+    /// Customers in the catalog.
+    Customers,
+    /// Changes of the catalog per second.
+    Changes,
+}
+
+impl FromStr for Dimension {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "peers" => Ok(Self::Peers),
+            "targets" => Ok(Self::Targets),
+            "customers" => Ok(Self::Customers),
+            "changes" => Ok(Self::Changes),
+            _ => Err("expected one of peers, targets, customers, changes".into()),
+        }
+    }
+}
+
+/// Measures an idle entry at several sizes of `dimension`.
+///
+/// # Errors
+/// When a process cannot be started.
+pub fn slope(dimension: Dimension) -> eyre::Result<Slope> {
+    let points = async_io::block_on(async {
+        match dimension {
+            Dimension::Peers => peers::measure().await,
+            Dimension::Targets => targets::measure().await,
+            Dimension::Customers => customers::measure().await,
+            Dimension::Changes => changes::measure().await,
+        }
+    })?;
+    Ok(Slope::fit(format!("{dimension:?}").to_lowercase(), points))
+}
--- /dev/null
+++ b/rig/src/slope/customers.rs
@@ -0,0 +1,34 @@
+//! Cost of customers in the catalog.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use guavahold::catalog::TokenHash;
+use serde_json::{Map, json};
+
+use crate::fleet::{Fleet, await_ok};
+use crate::slope::Point;
+use crate::slope::point::observe;
+
+/// Numbers of customers.
+const SIZES: [u32; 4] = [10, 1000, 2000, 4000];
+
+pub(crate) async fn measure() -> eyre::Result<Vec<Point>> {
+    let mut points = Vec::new();
+    for size in SIZES {
+        let fleet = Fleet::start()?;
+        let customers: Map<String, _> = (0..size)
+            .map(|n| {
+                let token = TokenHash::of(&format!("token {n}")).to_string();
+                (format!("customer-{n}"), json!({"share": 1, "tokens": [token]}))
+            })
+            .collect();
+        let note = json!({"revision": 0, "added": {"customers": customers}});
+        fleet.put_note(&note.to_string()).await;
+        let entry = fleet.entry("entry-0", "a", &json!({"traffic_threads": 1}))?;
+        await_ok(entry.address("admin"), "/ready").await;
+        Timer::after(Duration::from_secs(2)).await;
+        points.push(observe(&fleet, &entry, f64::from(size), || 0, async || ()).await);
+    }
+    Ok(points)
+}
