Shut down without cutting callers that the balancer sent last

Cause: closing the listener reset connections already made but not accepted, and a connection that was idle at the stop was closed while its request was on the way. Change: accept what waits before closing, await requests on idle connections for 200 ms more.

--- a/rig/src/scene.rs
+++ b/rig/src/scene.rs
@@ -25,6 +25,7 @@
     entries: usize,
     engines: usize,
     engine_args: Vec<String>,
+    service_args: Vec<String>,
     entry_settings: Value,
     store: bool,
 }
@@ -35,6 +36,7 @@
             entries: 2,
             engines: 2,
             engine_args: Vec::new(),
+            service_args: Vec::new(),
             entry_settings: json!({}),
             store: false,
         }
@@ -64,6 +66,14 @@
         self
     }
 
+    /// Adds arguments to the plain service.
+    #[must_use]
+    pub fn service_args(mut self, args: &[&str]) -> Self {
+        self.service_args
+            .extend(args.iter().map(|a| (*a).to_owned()));
+        self
+    }
+
     /// Overrides settings of every entry.
     #[must_use]
     pub fn entry_settings(mut self, settings: Value) -> Self {
@@ -97,7 +107,7 @@
         for _ in 0..self.engines {
             scene.add_engine("w1", &self.engine_args).await;
         }
-        scene.add_service().await;
+        scene.add_service(&self.service_args).await;
         for _ in 0..self.entries {
             scene.add_entry(&self.entry_settings).await;
         }
@@ -187,10 +197,11 @@
         self.store = Some(store);
     }
 
-    async fn add_service(&mut self) {
+    async fn add_service(&mut self, args: &[String]) {
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
         let service = self
             .fleet
-            .service("booking", &[])
+            .service("booking", &args)
             .expect("a service starts");
         let address = service.address("address");
         self.fleet
--- a/src/caller/queue.rs
+++ b/src/caller/queue.rs
@@ -53,6 +53,20 @@
         self.lock().waiters.len()
     }
 
+    /// Time until the desk wants to be ticked.
+    #[must_use]
+    pub fn until_wakeup(&self) -> Option<Duration> {
+        let now = self.started.elapsed();
+        let wakeup = self.lock().desk.next_wakeup();
+        wakeup.map(|at| at.saturating_sub(now))
+    }
+
+    /// Invariants that the desk found broken.
+    #[must_use]
+    pub fn broken_invariants(&self) -> u64 {
+        self.lock().desk.broken_invariants()
+    }
+
     /// Gives the desk a new request and returns the receiver of its effects.
     #[must_use]
     pub fn arrive(self: &Arc<Self>, arrival: Arrival) -> Waiter {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -18,8 +18,10 @@
 use crate::target::LoadReport;
 use crate::telemetry::event;
 
-/// Interval of the desk's ticks.
-const TICK: Duration = Duration::from_millis(10);
+/// Longest time between two ticks of the desk.
+const MAX_TICK: Duration = Duration::from_millis(20);
+/// Shortest time between two ticks of the desk.
+const MIN_TICK: Duration = Duration::from_millis(2);
 
 /// Everything that the control thread keeps up to date.
 pub(crate) struct Control {
@@ -149,9 +151,17 @@
 
     /// Ticks the desk for ever.
     pub(crate) async fn run_ticks(self: Arc<Self>) {
+        let mut broken = 0;
         loop {
-            Timer::after(TICK).await;
+            let pause = self.shared.desk.until_wakeup().unwrap_or(MAX_TICK);
+            Timer::after(pause.clamp(MIN_TICK, MAX_TICK)).await;
             self.shared.desk.submit(Event::Tick);
+            let found = self.shared.desk.broken_invariants();
+            self.shared
+                .metrics
+                .invariants
+                .inc_by(found.saturating_sub(broken));
+            broken = found;
             let waiting = i64::try_from(self.shared.desk.waiting()).unwrap_or(i64::MAX);
             self.shared.metrics.queued.set(waiting);
         }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -28,6 +28,8 @@
 const INTERIM: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 /// Bytes of a body read from a socket at once.
 const BODY_READ_SIZE: usize = 64 * 1024;
+/// Time for which a request under way on an idle connection is awaited after the stop.
+const STOP_GRACE: Duration = Duration::from_millis(200);
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -112,7 +114,7 @@
                 None
             };
             match accept.or(stop).await {
-                None => return,
+                None => return self.accept_waiting(&ex),
                 Some(Ok((stream, peer))) => self.spawn(stream, peer, &ex),
                 Some(Err(err)) => {
                     log::warn!("event=accept_failed error={:?}", err.to_string());
@@ -122,6 +124,15 @@
         }
     }
 
+    /// Accepts connections already made, so that closing the listener does not reset them.
+    fn accept_waiting(&self, ex: &Executor<'static>) {
+        while let Ok((stream, peer)) = self.listener.get_ref().accept() {
+            if let Ok(stream) = Async::new(stream) {
+                self.spawn(stream, peer, ex);
+            }
+        }
+    }
+
     fn spawn(&self, stream: Async<TcpStream>, peer: SocketAddr, ex: &Executor<'static>) {
         if self.control.connections() >= self.limits.connections {
             return;
@@ -248,6 +259,7 @@
         };
         let stop = async {
             self.control.stopped().await;
+            Timer::after(STOP_GRACE).await;
             Ok(false)
         };
         if !readable.or(idle).or(stop).await? {
