--- a/tests/decide/overload.rs
+++ b/tests/decide/overload.rs
@@ -194,7 +194,7 @@
 #[test]
 fn cut_off_domain_costs_its_capacity() {
     let run = |cut: bool| {
-        let mut world = loaded(1.0);
+        let mut world = loaded(1.5);
         world.run_until(ms(2_500));
         if cut {
             world.cut("domain-3", true);
@@ -202,6 +202,8 @@
         world.run_until(TO + ms(10_000));
         let attempts: u32 = world.records.values().map(|r| r.attempts).sum();
         let ratio = f64::from(attempts) / f64::from(count(world.records.values()));
+        let late = world.records.values().filter(|r| r.is_late());
+        assert_eq!(count(late), 0, "answered after the deadline");
         (world.good((ms(3_000), TO)), ratio)
     };
     let (all, _) = run(false);
--- a/tests/decide/quarantine.rs
+++ b/tests/decide/quarantine.rs
@@ -27,10 +27,10 @@
             let mut req = arrival(0, "b", &quick);
             req.fingerprint = killer;
             req.affinity = key(2);
-            let id = world.arrive_at(ms(1_000 + 150 * n), req.clone());
-            // Sent twice at the same time, too.
-            world.arrive_at(ms(1_000 + 150 * n), req);
-            assert!(id.0 > 0);
+            // Several at the same time, more than one target has slots for.
+            for _ in 0..10 {
+                world.arrive_at(ms(1_000 + 150 * n), req.clone());
+            }
         }
         world.run_until(ms(40_000));
         println!("seed {seed}: killed {:?}", world.killed);
--- a/tests/decide/refusals.rs
+++ b/tests/decide/refusals.rs
@@ -303,9 +303,27 @@
     bench.refusal(1)
 }
 
+fn lost_with_its_domain() -> Refusal {
+    let mut bench = Bench::new(4);
+    bench.arrive(1, &policy(Class::Patient, 60_000));
+    let first = bench.last_target();
+    bench.end(1, 1, AttemptOutcome::Lost);
+    bench.signal(&first, Signal::Unreachable);
+    bench.wait(300);
+    let second = bench.last_target();
+    let others = ["engine-0", "engine-1", "engine-2", "engine-3"].into_iter();
+    for name in others.filter(|n| *n != first && *n != second) {
+        bench.signal(name, Signal::Unreachable);
+    }
+    bench.end(1, 2, AttemptOutcome::Lost);
+    bench.signal(&second, Signal::Unreachable);
+    bench.wait(500);
+    bench.refusal(1)
+}
+
 #[test]
 fn refusals_tell_the_truth() {
-    let cases: [(&str, Case); 19] = [
+    let cases: [(&str, Case); 20] = [
         ("draining", draining),
         ("unknown model", unknown_model),
         ("all targets leaving", all_leaving),
@@ -331,6 +349,7 @@
         ),
         ("quarantined while waiting", quarantined_while_waiting),
         ("quarantined after two deaths", quarantined_after_two_deaths),
+        ("lost with its whole domain", lost_with_its_domain),
     ];
     let mut lines = String::new();
     let mut kinds = BTreeMap::new();
--- a/tests/decide/world.rs
+++ b/tests/decide/world.rs
@@ -112,6 +112,11 @@
         matches!(self.end, Some((_, End::Done))) && self.first_token.is_some_and(in_time)
     }
 
+    /// Whether the answer came, but its first token after the deadline.
+    pub fn is_late(&self) -> bool {
+        matches!(self.end, Some((_, End::Done))) && !self.is_good()
+    }
+
     pub fn refusal(&self) -> Option<&Refusal> {
         match &self.end {
             Some((_, End::Refused(refusal))) => Some(refusal),
