--- a/tests/decide/overload.rs
+++ b/tests/decide/overload.rs
@@ -177,6 +177,9 @@
         world.stream(1, rate, (ms(0), TO), |id| arrival(id, "a", &quick));
         world.run_until(TO + ms(10_000));
         let attempts: u32 = world.records.values().map(|r| r.attempts).sum();
+        let received = |n: &str| world.engines[n].received;
+        let (slow, fast) = (received("engine-0-0"), received("engine-0-1"));
+        assert!(slowness < 2.0 || slow * 20 <= fast, "{slow} beside {fast}");
         (
             world.good((FROM, TO)),
             attempts,
--- a/tests/decide/world.rs
+++ b/tests/decide/world.rs
@@ -73,6 +73,8 @@
     pub slots: u32,
     pub slowness: f64,
     pub reachable: bool,
+    /// Attempts received.
+    pub received: u32,
     running: Vec<(RequestId, u32)>,
     waiting: VecDeque<(RequestId, u32)>,
 }
@@ -184,6 +186,7 @@
             slots,
             slowness: 1.0,
             reachable: true,
+            received: 0,
             running: Vec::new(),
             waiting: VecDeque::new(),
         };
@@ -365,6 +368,7 @@
         record.attempts += 1;
         self.dispatched += 1;
         let killer = self.killers.contains(&record.arrival.fingerprint);
+        engine.received += 1;
         engine.waiting.push_back((id, attempt));
         self.fill(target);
         if killer {
--- a/tests/decide_reuse.rs
+++ b/tests/decide_reuse.rs
@@ -227,7 +227,7 @@
     visits.sort_unstable();
     let mut memory = ReturnMemory::new(100_000);
     let mut held: BTreeSet<BlockKey> = BTreeSet::new();
-    let mut seen: BTreeMap<BlockKey, u64> = BTreeMap::new();
+    let mut visits_of: BTreeMap<BlockKey, u64> = BTreeMap::new();
     let (mut computed, mut moved) = (0_u32, 0_u32);
     for (at, (_, customer, n)) in visits.iter().enumerate() {
         let now = Stamp::from_secs(at as u64 * 60);
@@ -237,7 +237,7 @@
             .chain(keys(1_000 + n * 4..1_004 + n * 4))
             .collect();
         for key in &prompt_keys {
-            *seen.entry(*key).or_default() += 1;
+            *visits_of.entry(*key).or_default() += 1;
         }
         let has = prompt_keys.iter().take_while(|k| held.contains(*k)).count();
         let store = store(u32::try_from(has).unwrap(), 0, 500);
@@ -254,8 +254,8 @@
         }
         moved += fetched + export.map_or(0, |r| r.count);
     }
-    let unique = u32::try_from(seen.len()).unwrap();
-    let floor_moved = seen.values().filter(|v| **v > 1).sum::<u64>();
+    let unique = u32::try_from(visits_of.len()).unwrap();
+    let floor_moved = visits_of.values().filter(|v| **v > 1).sum::<u64>();
     let floor_moved = u32::try_from(floor_moved).unwrap();
     (
         f64::from(computed) / f64::from(unique),
