--- /dev/null
+++ b/rig/tests/path.rs
@@ -0,0 +1,77 @@
+//! The whole path in separate processes on loopback.
+
+use guavahold_rig::Scene;
+use guavahold_rig::client::{Call, Streamed};
+use guavahold_rig::fleet::{await_that, within};
+use guavahold_rig::scene::SALON;
+use http_types::Method;
+use uuid::Uuid;
+
+fn long_prompt(start: &str) -> String {
+    let line = format!("{start}: a cut with wash costs thirty-one euros; ");
+    line.repeat(5 * 4096 / line.len())
+}
+
+#[test]
+fn path_whole() {
+    within(async {
+        let engine = ["--token-ms", "10", "--cache-blocks", "4"];
+        let mut scene = Scene::builder().engine_args(&engine).store().start().await;
+
+        let plain = Call::chat(SALON, "router", "Is Liis free at ten?", 5, false);
+        let first = plain.send(scene.callers(0)).await.unwrap();
+        assert_eq!(first.status, 200);
+        let streamed = Call::chat(SALON, "router", "Is Liis free at ten?", 5, true);
+        let mut events = streamed.stream(scene.callers(1)).await.unwrap();
+        let second = events.rest().await.unwrap();
+        assert!(second.done);
+        assert_eq!(second.text.trim_end(), first.text());
+
+        let key = Uuid::now_v7();
+        let booking = Scene::booking(&key, r#"{"chair": 1}"#);
+        let booked = booking.send(scene.callers(0)).await.unwrap();
+        assert_eq!(booked.status, 200);
+        let again = scene.outcome(1, &booking).await;
+        assert_eq!(again.body, booked.body);
+        assert_eq!(scene.runs(&key).await, 1);
+
+        returns_from_store(&scene).await;
+        stops_in_mid_stream(&mut scene).await;
+    });
+}
+
+/// A prompt comes back after the engines forgot it: its blocks come from the store.
+async fn returns_from_store(scene: &Scene) {
+    let prompt = Call::chat(SALON, "router", &long_prompt("salon"), 3, false);
+    let first = prompt.send(scene.callers(0)).await.unwrap();
+    for engine in &scene.engines {
+        let clear = Call::new(Method::Post, "/clear");
+        clear.send(engine.address("admin")).await.unwrap();
+    }
+    await_that("a return from the store", async || {
+        let again = prompt.send(scene.callers(0)).await.unwrap();
+        assert_eq!(again.text(), first.text());
+        let cached = &again.json()["usage"]["prompt_tokens_details"]["cached_tokens"];
+        cached.as_u64().is_some_and(|n| n >= 4 * 1024)
+    })
+    .await;
+}
+
+/// An entry that gets SIGTERM in mid-stream finishes the stream and exits with 0.
+async fn stops_in_mid_stream(scene: &mut Scene) {
+    let call = Call::chat(SALON, "router", "Tell me everything.", 200, true);
+    let mut events = call.stream(scene.callers(0)).await.unwrap();
+    let mut streamed = Streamed::default();
+    for _ in 0..3 {
+        streamed.take(events.next().await.unwrap().unwrap());
+    }
+    scene.entries[0].terminate();
+    while let Some(event) = events.next().await.unwrap() {
+        streamed.take(event);
+    }
+    assert!(streamed.done);
+    assert_eq!(streamed.events, 202);
+    assert!(scene.entries[0].wait().unwrap().success());
+    let plain = Call::chat(SALON, "router", "Still there?", 2, false);
+    assert_eq!(plain.send(scene.callers(1)).await.unwrap().status, 200);
+}
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -2,24 +2,36 @@
 
 mod cell;
 mod change;
+mod contradiction;
 mod customer;
 mod head;
+mod kept;
 mod model;
 mod note;
 mod policy;
+mod replica;
+mod replica_event;
 mod service;
 mod snapshot;
+mod store;
+mod sync;
 mod token;
 mod trust;
 
 pub use cell::CatalogCell;
 pub use change::{Change, Section};
+pub use contradiction::{Contradiction, Contradictions};
 pub use customer::Customer;
 pub use head::{CatalogHead, InForce, SnapshotRef};
+pub use kept::KeptNote;
 pub use model::Model;
 pub use note::ReleaseNote;
 pub use policy::{Class, MeasureWeights, Policy};
+pub use replica::{Replica, ReplicaSettings, WATCHERS};
+pub use replica_event::{ReplicaEffect, ReplicaEvent, Source};
 pub use service::{Route, Service};
 pub use snapshot::Catalog;
+pub use store::CatalogStore;
+pub use sync::CatalogSync;
 pub use token::TokenHash;
 pub use trust::Trust;
--- a/src/claim/request.rs
+++ b/src/claim/request.rs
@@ -25,6 +25,9 @@
     pub digest: Name,
     /// How long the outcome is kept after the key's own time.
     pub retention: Duration,
+    /// Longest time from the claim to the end of the answer; no dispatch happens later.
+    #[serde(default)]
+    pub total: Duration,
 }
 
 /// A granted claim: permission for its holder alone to dispatch the request once.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,14 +18,18 @@
 //! ```
 
 pub mod cache;
+pub mod caller;
 pub mod catalog;
 pub mod claim;
 pub mod clock;
 pub mod decide;
+pub mod entry;
 pub mod http;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod prelude;
 pub mod settings;
+pub mod store;
 pub mod target;
 pub mod telemetry;
