--- /dev/null
+++ b/tests/catalog_sync.rs
@@ -0,0 +1,291 @@
+//! The catalog follows the platform and peers on real sockets.
+
+mod support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use async_io::{Timer, block_on};
+use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
+use guavahold::cache::Secret;
+use guavahold::catalog::{CatalogCell, CatalogSync};
+use guavahold::operator::{Applier, ApplyReport, Stamped};
+use guavahold::peer::{Mesh, PeerEvents, PeerInfo, PeerLinks, PeerMessage};
+use guavahold::platform::{
+    Listing, Object, Phase, Platform, PlatformError, Role, Version, Vm, WatchStream,
+};
+use guavahold::settings::Document;
+use support::{Fault, MemoryPlatform};
+
+const SECRET: &[u8] = b"a secret of at least thirty-two bytes";
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A platform that one entry may be cut off from.
+struct Gate {
+    inner: MemoryPlatform,
+    open: AtomicBool,
+}
+
+impl Gate {
+    fn pass<T: Send + 'static>(
+        &self,
+        call: Boxed<Result<T, PlatformError>>,
+    ) -> Boxed<Result<T, PlatformError>> {
+        if self.open.load(Ordering::Relaxed) {
+            return call;
+        }
+        Box::pin(async { Err(PlatformError::Unreachable("cut off".into())) })
+    }
+}
+
+impl Platform for Gate {
+    fn get(&self, kind: &str, name: &str) -> Boxed<Result<Option<Object>, PlatformError>> {
+        self.pass(self.inner.get(kind, name))
+    }
+
+    fn list(&self, kind: &str) -> Boxed<Result<Listing, PlatformError>> {
+        self.pass(self.inner.list(kind))
+    }
+
+    fn create(&self, object: Object) -> Boxed<Result<Object, PlatformError>> {
+        self.pass(self.inner.create(object))
+    }
+
+    fn update(&self, object: Object) -> Boxed<Result<Object, PlatformError>> {
+        self.pass(self.inner.update(object))
+    }
+
+    fn delete(&self, kind: &str, name: &str, at: Version) -> Boxed<Result<(), PlatformError>> {
+        self.pass(self.inner.delete(kind, name, at))
+    }
+
+    fn watch(
+        &self,
+        kind: &str,
+        name: Option<&str>,
+        from: Version,
+    ) -> Boxed<Result<WatchStream, PlatformError>> {
+        self.pass(self.inner.watch(kind, name, from))
+    }
+}
+
+struct Forward(Arc<CatalogSync>);
+
+impl PeerEvents for Forward {
+    fn on_message(&self, from: &PeerInfo, message: PeerMessage) {
+        self.0.on_message(from, message);
+    }
+
+    fn on_change(&self, live: &[PeerInfo]) {
+        self.0.on_change(live);
+    }
+}
+
+struct Entry {
+    name: String,
+    gate: Arc<Gate>,
+    cell: Arc<CatalogCell>,
+    sync: Arc<CatalogSync>,
+    mesh: Arc<Mesh>,
+    addr: SocketAddr,
+}
+
+impl Entry {
+    fn start(
+        ex: &Arc<Executor<'static>>,
+        platform: &MemoryPlatform,
+        name: &str,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        let gate = Arc::new(Gate {
+            inner: platform.clone(),
+            open: AtomicBool::new(true),
+        });
+        let cell = Arc::new(CatalogCell::default());
+        let domain = &name[..1];
+        let sync = CatalogSync::new(name, domain, gate.clone(), cell.clone());
+        let mesh = Mesh::builder(name, domain, Secret::new(SECRET))
+            .seeds(seeds)
+            .build(Arc::new(Forward(sync.clone())));
+        sync.connect(mesh.clone());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let run = mesh.clone().run(listener, ex.clone());
+        ex.spawn(async move { run.await.unwrap() }).detach();
+        ex.spawn(sync.clone().run(ex.clone())).detach();
+        Self {
+            name: name.into(),
+            gate,
+            cell,
+            sync,
+            mesh,
+            addr,
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        self.cell.current().revision
+    }
+
+    fn vm(&self) -> Vm {
+        Vm {
+            name: self.name.as_str().into(),
+            role: Role::Entry,
+            domain: self.name[..1].into(),
+            address: self.addr,
+            serves: "".into(),
+            phase: Phase::Live,
+        }
+    }
+}
+
+fn cluster(ex: &Arc<Executor<'static>>, platform: &MemoryPlatform, names: &[String]) -> Vec<Entry> {
+    let entries: Vec<_> = names
+        .iter()
+        .map(|name| Entry::start(ex, platform, name, Vec::new()))
+        .collect();
+    let vms: Vec<_> = entries.iter().map(Entry::vm).collect();
+    for entry in &entries {
+        entry.mesh.set_peers(&vms);
+    }
+    entries
+}
+
+fn names(list: &[&str]) -> Vec<String> {
+    list.iter().map(ToString::to_string).collect()
+}
+
+fn within<T>(f: impl AsyncFnOnce(Arc<Executor<'static>>) -> T) -> T {
+    let ex = Arc::new(Executor::new());
+    block_on(ex.clone().run(f(ex)))
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let wait = async {
+        while !holds() {
+            Timer::after(Duration::from_millis(2)).await;
+        }
+        true
+    };
+    let late = async {
+        Timer::after(PATIENCE).await;
+        false
+    };
+    assert!(wait.or(late).await, "{what}");
+}
+
+async fn accept(platform: &MemoryPlatform, against: u64) {
+    let text = format!(
+        r#"{{"revision": {against}, "added": {{"policies": {{"p{against}": {{"class": "patient"}}}}}}}}"#
+    );
+    let applier = Applier::new(Arc::new(platform.clone()), PATIENCE);
+    let stamped = Stamped {
+        id: format!("note-{against}").into(),
+        at_ms: against,
+    };
+    let doc = Document::new("note.jsonc", text);
+    let report = applier.apply("note.jsonc", &doc, &stamped).await.unwrap();
+    assert!(matches!(report, ApplyReport::Accepted { .. }), "{report:?}");
+}
+
+#[test]
+fn sync_note_is_in_force_everywhere() {
+    within(async |ex| {
+        let platform = MemoryPlatform::new();
+        let entries = cluster(&ex, &platform, &names(&["a1", "a2", "a3", "b1"]));
+        until("linked", || {
+            entries
+                .iter()
+                .all(|e| e.mesh.live().len() == 3 || e.name == "b1")
+        })
+        .await;
+        until("ready", || entries.iter().all(|e| e.sync.ready())).await;
+        for revision in 0..20 {
+            accept(&platform, revision).await;
+        }
+        until("in force", || entries.iter().all(|e| e.revision() == 20)).await;
+        until("reported", || {
+            entries[0].sync.in_force().iter().all(|f| f.revision == 20)
+        })
+        .await;
+    });
+}
+
+#[test]
+fn sync_entry_started_in_outage_asks_peers() {
+    within(async |ex| {
+        let platform = MemoryPlatform::new();
+        let entries = cluster(&ex, &platform, &names(&["a1", "b1"]));
+        accept(&platform, 0).await;
+        until("in force", || entries.iter().all(|e| e.revision() == 1)).await;
+        platform.set_fault(Some(Fault::Down));
+        let alone = Entry::start(&ex, &platform, "d1", Vec::new());
+        let late = Entry::start(&ex, &platform, "c1", vec![entries[0].addr]);
+        until("ready from a peer", || late.sync.ready()).await;
+        assert_eq!(late.revision(), 1);
+        assert!(!alone.sync.ready());
+        platform.set_fault(None);
+        until("ready from the platform", || alone.sync.ready()).await;
+        assert_eq!(alone.revision(), 1);
+    });
+}
+
+#[test]
+fn sync_entry_cut_from_platform_follows_peers() {
+    within(async |ex| {
+        let platform = MemoryPlatform::new();
+        let entries = cluster(&ex, &platform, &names(&["a1", "a2", "b1"]));
+        until("ready", || entries.iter().all(|e| e.sync.ready())).await;
+        let cut = &entries[2];
+        cut.gate.open.store(false, Ordering::Relaxed);
+        until("linked", || cut.mesh.live().len() == 2).await;
+        accept(&platform, 0).await;
+        accept(&platform, 1).await;
+        until("in force", || cut.revision() == 2).await;
+    });
+}
+
+/// Time from acceptance to in force over entries of one process on loopback.
+#[test]
+#[ignore = "measurement"]
+fn sync_time_to_in_force() {
+    for (domains, each) in [(2, 2), (4, 4), (6, 8)] {
+        within(async |ex| {
+            let platform = MemoryPlatform::new();
+            let all: Vec<String> = (0..domains)
+                .flat_map(|d| (0..each).map(move |n| format!("{}{n}", char::from(b'a' + d))))
+                .collect();
+            let entries = cluster(&ex, &platform, &all);
+            until("ready", || entries.iter().all(|e| e.sync.ready())).await;
+            Timer::after(Duration::from_secs(5)).await;
+            let mut took = Vec::new();
+            for against in 0..50 {
+                let started = Instant::now();
+                accept(&platform, against).await;
+                until("in force", || {
+                    entries.iter().all(|e| e.revision() > against)
+                })
+                .await;
+                took.push(started.elapsed());
+                Timer::after(Duration::from_millis(100)).await;
+            }
+            took.sort();
+            let links: usize = entries.iter().map(|e| e.mesh.live().len()).sum();
+            let line = serde_json::json!({
+                "measure": "time_to_in_force",
+                "entries": all.len(),
+                "links": links / 2,
+                "notes": took.len(),
+                "p50_us": took[25].as_micros(),
+                "p95_us": took[47].as_micros(),
+                "max_us": took[49].as_micros(),
+            });
+            println!("{line}");
+            assert!(took[49] < Duration::from_secs(3));
+        });
+    }
+}
