--- a/src/operator/planned.rs
+++ b/src/operator/planned.rs
@@ -183,7 +183,7 @@
     let loads = (u64::from(old.loads_at_once), u64::from(new.loads_at_once));
     number("loads_at_once", loads.0, loads.1);
     if old.class != new.class {
-        parts.push("another class".to_owned());
+        parts.push(format!("class {} to {}", class_name(old), class_name(new)));
     }
     if old.idempotent != new.idempotent {
         let what = if new.idempotent {
@@ -198,3 +198,8 @@
     }
     parts
 }
+
+fn class_name(policy: &Policy) -> String {
+    let value = serde_json::to_value(policy.class).unwrap_or_default();
+    value.as_str().unwrap_or_default().to_owned()
+}
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -15,6 +15,8 @@
 
 /// Longest accepted name, in bytes.
 const MAX_NAME: usize = 128;
+/// What a name looks like.
+const NAME: &str = "1 to 128 letters, digits, '-', '_' or '.'";
 
 /// The fields of one object; each getter records what is wrong with its field.
 #[derive(Debug)]
@@ -42,7 +44,8 @@
         for prop in &self.object.properties {
             if !names.insert(prop.name.as_str()) {
                 let path = self.path_of(prop.name.as_str());
-                self.doc.report(prop.name.range(), &path, "key given twice");
+                let detail = "key given twice; expected once";
+                self.doc.report(prop.name.range(), &path, detail);
             }
         }
     }
@@ -52,7 +55,9 @@
         for prop in &self.object.properties {
             let name = prop.name.as_str();
             if !self.seen.contains(name) {
-                let detail = "unknown key";
+                let mut known: Vec<_> = self.seen.iter().copied().collect();
+                known.sort_unstable();
+                let detail = format!("unknown key; expected one of {}", known.join(", "));
                 self.doc
                     .report(prop.name.range(), &self.path_of(name), detail);
             }
@@ -117,18 +122,19 @@
 
     /// A required name of 1 to 128 letters, digits, `-`, `_`, `.`.
     pub fn name(&mut self, key: &'a str) -> Option<Name> {
-        let (text, range) = self.required(key).and_then(|v| self.text_of(key, v))?;
+        let value = self.required(key, NAME)?;
+        let (text, range) = self.text_of(key, value)?;
         if is_name(&text) {
             return Some(text.into());
         }
-        let detail = "expected 1 to 128 letters, digits, '-', '_' or '.'";
+        let detail = format!("expected {NAME}");
         self.doc.report(range, &self.path_of(key), detail);
         None
     }
 
     /// A required text.
     pub fn text(&mut self, key: &'a str) -> Option<Name> {
-        let value = self.required(key)?;
+        let value = self.required(key, "a text that is not empty")?;
         self.text_of(key, value).map(|(text, _)| text.into())
     }
 
@@ -140,7 +146,8 @@
 
     /// A required text parsed by [`FromStr`]; `expected` says what would be right.
     pub fn parsed<T: FromStr>(&mut self, key: &'a str, expected: &str) -> Option<T> {
-        let (text, range) = self.required(key).and_then(|v| self.text_of(key, v))?;
+        let value = self.required(key, expected)?;
+        let (text, range) = self.text_of(key, value)?;
         let parsed = text.parse().ok();
         if parsed.is_none() {
             let detail = format!("{text:?} is not {expected}");
@@ -191,7 +198,7 @@
 
     /// A required whole number within `range`.
     pub fn required_integer(&mut self, key: &'a str, range: RangeInclusive<u64>) -> Option<u64> {
-        self.required(key)?;
+        self.required(key, "a whole number")?;
         self.number_in(key, range, "a whole number")
     }
 
@@ -231,7 +238,7 @@
         key: &'a str,
         f: impl FnOnce(&mut Fields<'a>) -> Option<T>,
     ) -> Option<T> {
-        self.required(key)?;
+        self.required(key, "an object")?;
         self.optional_object(key, f)
     }
 
@@ -267,7 +274,7 @@
             let path = members.path_of(name);
             if !is_name(name) {
                 self.doc
-                    .report(prop.name.range(), &path, "not a valid name");
+                    .report(prop.name.range(), &path, format!("expected {NAME}"));
                 continue;
             }
             let name = Name::from(name);
@@ -347,11 +354,12 @@
         }
     }
 
-    fn required(&mut self, key: &'a str) -> Option<&'a Value<'a>> {
+    fn required(&mut self, key: &'a str, expected: &str) -> Option<&'a Value<'a>> {
         let value = self.optional(key);
         if value.is_none() {
             let path = self.path_of(key);
-            self.doc.report(self.object.range, &path, "missing");
+            let detail = format!("missing; expected {expected}");
+            self.doc.report(self.object.range, &path, detail);
         }
         value
     }
--- a/tests/catalog_cluster/mod.rs
+++ b/tests/catalog_cluster/mod.rs
@@ -191,20 +191,20 @@
             }
             Step::Accept(count) => (0..count).for_each(|_| self.accept()),
             Step::Race => self.race(),
-            Step::Cut(a, b) if a != b => self.fault(|c| drop(c.cut.insert(pair(a, b)))),
-            Step::Heal(a, b) => self.fault(|c| drop(c.cut.remove(&pair(a, b)))),
+            Step::Cut(a, b) if a != b => self.fault(|c| c.cut.insert(pair(a, b))),
+            Step::Heal(a, b) => self.fault(|c| c.cut.remove(&pair(a, b))),
             Step::CutPlatform(domain) => {
-                self.fault(|c| drop(c.cut_platform.insert(domain)));
+                self.fault(|c| c.cut_platform.insert(domain));
                 self.silence(domain);
             }
-            Step::HealPlatform(domain) => self.fault(|c| drop(c.cut_platform.remove(&domain))),
+            Step::HealPlatform(domain) => self.fault(|c| c.cut_platform.remove(&domain)),
             Step::CutEntry(n) => {
-                self.fault(|c| drop(c.cut_entries.insert(n)));
+                self.fault(|c| c.cut_entries.insert(n));
                 if self.nodes[n].watch.is_some() {
                     self.nodes[n].watch = Some(false);
                 }
             }
-            Step::HealEntry(n) => self.fault(|c| drop(c.cut_entries.remove(&n))),
+            Step::HealEntry(n) => self.fault(|c| c.cut_entries.remove(&n)),
             Step::Down => self.go_down(),
             Step::Up => self.fault(|c| c.down = false),
             Step::Silence(domain) => self.silence(domain),
@@ -218,7 +218,7 @@
         }
     }
 
-    fn fault(&mut self, change: impl FnOnce(&mut Self)) {
+    fn fault<T>(&mut self, change: impl FnOnce(&mut Self) -> T) {
         change(self);
         self.changed_at = self.now;
     }
@@ -411,7 +411,7 @@
 
     fn handle(&mut self, n: usize, event: ReplicaEvent) {
         let mut effects = Vec::new();
-        let now = self.now - self.nodes[n].started;
+        let now = self.now.saturating_sub(self.nodes[n].started);
         self.nodes[n].replica.on(now, event, &mut effects);
         for effect in effects {
             match effect {
