Close a window to first claims once its object may have been collected

Cause: a late create, whose answer nobody waits for, can make a window's object anew after it was collected. Another key of that window was then claimed a second time, because only the creating write was checked.

Change: a key is claimed for the first time only up to an hour after its window; later only outcomes are told.

--- a/src/claim/lane.rs
+++ b/src/claim/lane.rs
@@ -193,7 +193,7 @@
             let exists = cached.version.is_some();
             let holder = |claimant: &str| self.holder(claimant, &live);
             let state = &mut cached.state;
-            let applied = state.apply(unix_ms(), window, exists, ops, holder);
+            let applied = state.apply(unix_ms(), window, ops, holder);
             if !applied.changed {
                 if cached.seen >= began || !may_be_outdated(&applied.results) {
                     return Ok(applied.results);
--- a/src/claim/shard.rs
+++ b/src/claim/shard.rs
@@ -54,7 +54,6 @@
     pub const KIND: &'static str = "claims";
 
     /// Applies a batch of operations; the results hold once the object is written if it changed.
-    /// `exists` tells whether the object is in the platform.
     ///
     /// # Panics
     /// When a claim would get a second holder or leave a settled state, which would be a defect.
@@ -62,17 +61,12 @@
         &mut self,
         now_ms: u64,
         window: Window,
-        exists: bool,
         ops: impl IntoIterator<Item = &'a ClaimOp>,
         holder: impl Fn(&str) -> Holder,
     ) -> Applied {
         let before = self.clone();
-        let open = exists || window.may_create(now_ms);
         let ops = ops.into_iter();
-        let results = ops.map(|op| match op {
-            ClaimOp::Claim { .. } if !open => OpResult::Verdict(ClaimVerdict::OutOfWindow),
-            _ => self.apply_one(now_ms, window, op, &holder),
-        });
+        let results = ops.map(|op| self.apply_one(now_ms, window, op, &holder));
         let results = results.collect();
         self.check_after(&before);
         Applied {
@@ -131,7 +125,11 @@
         let name = record_name(&req.key);
         let digest: Name = short(&req.digest).into();
         let ends_ms = now_ms + millis(req.total);
+        let open = window.is_open(now_ms);
         let Some(record) = self.claims.get_mut(&name) else {
+            if !open {
+                return Ok(ClaimVerdict::OutOfWindow);
+            }
             if self.claim_bytes() > MAX_CLAIM_BYTES {
                 let retry_after = FULL_RETRY;
                 return Err(ClaimError::Overloaded { retry_after });
@@ -154,6 +152,7 @@
             }
             RecordState::Held => Ok(ClaimVerdict::InProgress),
             RecordState::Free if record.given_up.contains(claimant) => Ok(ClaimVerdict::InProgress),
+            RecordState::Free if !open => Ok(ClaimVerdict::OutOfWindow),
             RecordState::Free => {
                 record.claimant = claimant.clone();
                 record.ends_ms = ends_ms;
--- a/src/claim/window.rs
+++ b/src/claim/window.rs
@@ -7,9 +7,9 @@
 const WINDOW_MS: u64 = 10_000;
 /// Start of a span in which its object is expected to be missing, in milliseconds.
 const BEGIN_MS: u64 = 500;
-/// Age of a key, in milliseconds, up to which an object may be created for its window; objects live
-/// longer, so that a collected one is never created again.
-const CREATE_MS: u64 = 3_600_000;
+/// Age of a key, in milliseconds, up to which it may be claimed for the first time; objects live
+/// longer, so that a key of a collected object is never claimed again.
+const OPEN_MS: u64 = 3_600_000;
 /// Largest difference between the clocks of two VMs, in milliseconds.
 pub(crate) const SKEW_MS: u64 = 5_000;
 /// How far a caller's clock may be ahead, in milliseconds.
@@ -37,7 +37,7 @@
     /// The newest window of a shard that may be collected at `now_ms`, if its object agrees.
     #[must_use]
     pub fn collectable(shard: u32, now_ms: u64) -> Self {
-        let end = now_ms.saturating_sub(CREATE_MS + 2 * SKEW_MS);
+        let end = now_ms.saturating_sub(OPEN_MS + 2 * SKEW_MS);
         let index = (end / WINDOW_MS).saturating_sub(1);
         Self { shard, index }
     }
@@ -54,10 +54,11 @@
         (self.index + 1) * WINDOW_MS
     }
 
-    /// Tells whether an object may be created for this window at `now_ms`.
+    /// Tells whether keys of this window may be claimed for the first time at `now_ms`. Later only
+    /// outcomes are told, since an object found then may have been made anew by a late write.
     #[must_use]
-    pub fn may_create(self, now_ms: u64) -> bool {
-        now_ms <= self.end_ms() + CREATE_MS
+    pub fn is_open(self, now_ms: u64) -> bool {
+        now_ms <= self.end_ms() + OPEN_MS
     }
 
     /// Tells whether the span has only begun, so that its object is likely to be missing.
@@ -70,14 +71,14 @@
     /// paused in between may have made an object anew that was collected.
     #[must_use]
     pub fn may_grant(self, now_ms: u64) -> bool {
-        now_ms < self.end_ms() + CREATE_MS + SKEW_MS
+        now_ms < self.end_ms() + OPEN_MS + SKEW_MS
     }
 
     /// Earliest time at which the object is collected when outcomes are kept for `retention`, in
     /// milliseconds since the Unix epoch.
     #[must_use]
     pub fn keep_until_ms(self, retention: Duration) -> u64 {
-        self.end_ms() + millis(retention).max(CREATE_MS) + 2 * SKEW_MS
+        self.end_ms() + millis(retention).max(OPEN_MS) + 2 * SKEW_MS
     }
 }
 
@@ -109,7 +110,7 @@
 
 /// Tells whether the claim's object is collected, so that its end no longer matters.
 pub(crate) fn is_forgotten(claim: &Claim, now_ms: u64) -> bool {
-    let kept = millis(claim.retention).max(CREATE_MS) + 4 * SKEW_MS;
+    let kept = millis(claim.retention).max(OPEN_MS) + 4 * SKEW_MS;
     key_ms(&claim.key).is_none_or(|at| now_ms > at + WINDOW_MS + kept)
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Small fakes shared by the tests.
 #![allow(dead_code, unused_imports, clippy::mod_module_files)]
 
+pub mod claims;
 mod links;
 mod platform;
 
