--- a/rig/src/load/result.rs
+++ b/rig/src/load/result.rs
@@ -14,6 +14,9 @@
 use crate::load::trace::Trace;
 use crate::service::RunCounts;
 
+/// Part of a schedule whose times are left out of the quantiles while caches fill.
+const WARM_UP: f64 = 0.2;
+
 /// Quantiles of a time, in milliseconds.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Quantiles {
@@ -118,7 +121,7 @@
     pub wrong_blocks: u64,
     /// Most runs of one idempotency key; must be at most one.
     pub most_runs_of_key: u64,
-    /// Time to the first token of all answered requests by kind.
+    /// Time to the first token of all answered requests after the warm-up by kind.
     pub first_token: BTreeMap<String, Quantiles>,
     /// Time to the first token of turns and questions by customer.
     pub by_customer: BTreeMap<String, Quantiles>,
@@ -140,11 +143,12 @@
         };
         let good: Vec<&Sample> = samples.iter().filter(in_time).collect();
         let chats = |s: &Sample| matches!(kind(s), Kind::Turn | Kind::Question);
+        let warm = options.length.mul_f64(WARM_UP);
         let times = |f: &dyn Fn(&Sample) -> bool| {
             Quantiles::of(
                 samples
                     .iter()
-                    .filter(|s| f(s))
+                    .filter(|s| s.at >= warm && f(s))
                     .filter_map(|s| s.first_token),
             )
         };
--- /dev/null
+++ b/rig/tests/load.rs
@@ -0,0 +1,80 @@
+//! Schedules and their lower bounds.
+
+use std::time::Duration;
+
+use guavahold_rig::load::{Arrival, Kind, Profile, Trace, chat_body, floor};
+
+const LENGTH: Duration = Duration::from_secs(10);
+
+fn turn(at: u64, conversation: u64, turns: &[usize]) -> Arrival {
+    Arrival {
+        at: Duration::from_secs(at),
+        customer: 0,
+        kind: Kind::Turn,
+        conversation,
+        turns: turns.to_vec(),
+    }
+}
+
+#[test]
+fn draw_same_seed_same_schedule() {
+    let draw = |seed| {
+        let trace = Trace::draw(&Profile::kammitsa(), seed, LENGTH, 1.0, 1.0);
+        format!("{:?}", trace.arrivals)
+    };
+    assert_eq!(draw(7), draw(7));
+    assert_ne!(draw(7), draw(8));
+}
+
+#[test]
+fn draw_surge_leaves_other_customers_alone() {
+    let others = |surge| {
+        let trace = Trace::draw(&Profile::kammitsa(), 7, LENGTH, 1.0, surge);
+        let own = trace.arrivals.iter().filter(|a| a.customer == 0).count();
+        (trace.arrivals.len() - own, own)
+    };
+    let (calm, surge) = (others(1.0), others(10.0));
+    assert!(surge.1 > 3 * calm.1, "{surge:?} {calm:?}");
+}
+
+#[test]
+fn floor_counts_shared_blocks_once() {
+    let profile = Profile::kammitsa();
+    let trace = Trace {
+        arrivals: vec![turn(0, 1, &[4096]), turn(1, 2, &[4096])],
+    };
+    let floor = floor(&profile, &trace);
+    let shared = profile.shared_blocks as u64 * 1024;
+    assert_eq!(floor.prompt_tokens - floor.computed_tokens, shared);
+    assert_eq!(floor.link_bytes, 0);
+}
+
+#[test]
+fn floor_moves_what_memory_cannot_hold() {
+    let profile = Profile {
+        engines: (1, 0),
+        cache_blocks: 14,
+        ..Profile::kammitsa()
+    };
+    let (first, second) = ([9000], [9000, 9000]);
+    let arrivals = vec![
+        turn(0, 1, &first),
+        turn(1, 2, &first),
+        turn(2, 1, &second),
+        turn(3, 2, &second),
+    ];
+    let floor = floor(&profile, &Trace { arrivals });
+    assert!(floor.link_bytes > 0);
+    assert_eq!(floor.link_bytes % profile.block_bytes as u64, 0);
+}
+
+#[test]
+fn prompt_of_later_turn_extends_earlier_one() {
+    let profile = Profile::kammitsa();
+    let text = |turns: &[usize]| {
+        let body = chat_body(&profile, &turn(0, 1, turns));
+        body["messages"].to_string()
+    };
+    let (first, second) = (text(&[100]), text(&[100, 200]));
+    assert!(second.starts_with(first.trim_end_matches(']')));
+}
