Measure the peers' slope within one failure domain

Entries of other domains link through two gateways only, so a measurement across domains saw two links at every size: peer bytes per second stayed at 232 from 1 to 7 peers (run before).

--- a/rig/src/slope/peers.rs
+++ b/rig/src/slope/peers.rs
@@ -1,4 +1,4 @@
-//! Cost of entries that hear of each other.
+//! Cost of the entries of one failure domain, which all hear of each other.
 
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use crate::{Process, Relay};
 
 /// Numbers of peers of the observed entry.
-const SIZES: [u32; 4] = [1, 3, 7, 15];
+const SIZES: [u32; 4] = [1, 5, 10, 20];
 
 pub(crate) async fn measure() -> eyre::Result<Vec<Point>> {
     let mut points = Vec::new();
@@ -35,7 +35,7 @@
     let mut relayed = None;
     for n in 1..=size {
         let name = format!("entry-{n}");
-        let other = fleet.entry(&name, "b", &cfg)?;
+        let other = fleet.entry(&name, "a", &cfg)?;
         let mut address = other.address("peers");
         if n == 1 {
             let host = Relay::bind(ANY, address)?;
@@ -44,7 +44,7 @@
             std::thread::spawn(move || async_io::block_on(host.run()));
             relayed = Some(core);
         }
-        fleet.list(&name, Role::Entry, "b", address, "").await;
+        fleet.list(&name, Role::Entry, "a", address, "").await;
         others.push(other);
     }
     await_ok(entry.address("admin"), "/ready").await;
