Plan imports and exports by the reuse decisions

The entry remembers returns, what targets likely hold (own placements and cache events) and silent stores, and asks plan_import and plan_export what to move; token counts by origin become a metric.

--- a/src/caller/attempt.rs
+++ b/src/caller/attempt.rs
@@ -9,6 +9,7 @@
 
 use crate::caller::engine_stream::EngineStream;
 use crate::caller::plan::plan_cache;
+use crate::caller::usage::count_tokens;
 use crate::caller::{RunId, Shared, Work, WorkKind};
 use crate::decide::AttemptOutcome;
 use crate::http::{Answer, ExchangeError};
@@ -59,7 +60,7 @@
     attempt: &Attempt,
 ) -> Result<Started, AttemptOutcome> {
     let span = shared.spans.start(&work.trace, "dispatch");
-    let plan = plan_cache(shared, work, &attempt.weights).await;
+    let plan = plan_cache(shared, work, attempt).await;
     let req = build_request(work, attempt, plan, &span.context.to_string());
     shared.metrics.attempts.inc();
     let mut guard = CancelGuard::new(shared, work, attempt);
@@ -90,6 +91,9 @@
         check_head(&answer, work, attempt)?;
         let whole = read_whole(&mut answer).await?;
         shared.pool.put(attempt.address, answer);
+        if matches!(work.kind, WorkKind::Chat(_)) {
+            count_tokens(&shared.metrics, &whole.body);
+        }
         Ok(whole)
     };
     let late = async {
--- a/src/caller/plan.rs
+++ b/src/caller/plan.rs
@@ -2,9 +2,15 @@
 
 use std::net::SocketAddr;
 
-use crate::cache::{Operation, PrefixKeys, TOKENS_PER_BLOCK, grant};
-use crate::caller::{Shared, Work, WorkKind};
+use crate::cache::{
+    BlockKey, Held, Operation, PrefixKeys, TOKENS_PER_BLOCK, grant, token_estimate,
+};
+use crate::caller::attempt::Attempt;
+use crate::caller::{ChatRequest, Shared, Work, WorkKind};
 use crate::clock::unix_ms;
+use crate::decide::reuse::{
+    BlockRange, PromptShape, StoreState, TargetState, plan_export, plan_import,
+};
 use crate::prelude::*;
 use crate::target::{KvPlan, KvTransfer};
 
@@ -29,80 +35,146 @@
 pub struct StoreList(pub Vec<StorePeer>);
 
 impl StoreList {
-    /// Chooses the store that keeps the prompts of an affinity key, by rendezvous hashing.
-    #[must_use]
-    pub fn choose(&self, affinity: &[u8; 32]) -> Option<&StorePeer> {
-        self.0.iter().max_by_key(|store| {
+    /// Chooses the usable store that keeps the prompts of a first block, by rendezvous hashing.
+    pub fn choose(
+        &self,
+        first: &BlockKey,
+        usable: impl Fn(&StorePeer) -> bool,
+    ) -> Option<&StorePeer> {
+        self.0.iter().filter(|s| usable(s)).max_by_key(|store| {
             let mut hasher = blake3::Hasher::new();
-            hasher.update(affinity);
+            hasher.update(first.as_bytes());
             hasher.update(store.name.as_bytes());
             *hasher.finalize().as_bytes()
         })
     }
 }
 
-/// Plans the cache transfers of one attempt; `None` when there is nothing to move.
-pub(crate) async fn plan_cache(shared: &Shared, work: &Work, weights: &str) -> Option<KvPlan> {
+/// Plans the cache transfers of one attempt; `None` for requests without whole blocks.
+pub(crate) async fn plan_cache(shared: &Shared, work: &Work, attempt: &Attempt) -> Option<KvPlan> {
     let WorkKind::Chat(chat) = &work.kind else {
         return None;
     };
-    let (customer, adapter) = (&work.customer, &chat.adapter);
-    let prefix = PrefixKeys::derive(&shared.secret, customer, weights, adapter, &chat.prompt);
-    let mut plan = KvPlan {
-        block_tokens: TOKENS_PER_BLOCK,
-        keys: prefix.keys,
-        import: None,
-        export: None,
-    };
+    let planner = Planner::new(shared, work, attempt, chat);
+    let first = planner.keys.first()?;
     let stores = shared.stores.load();
-    let first = *plan.keys.first()?;
-    let Some(store) = stores.choose(first.as_bytes()) else {
-        return Some(plan);
-    };
-    let _span = shared.spans.start(&work.trace, "store");
-    let held = shared
-        .store_client
-        .held(store.address, customer, &plan.keys, PROBE_BUDGET)
-        .await;
-    let Some(held) = held else {
-        return Some(plan);
-    };
-    let split = usize::try_from(held.blocks).unwrap_or(usize::MAX);
-    let split = split.min(plan.keys.len());
-    let grants = Grants {
-        shared,
-        work,
-        store: store.address,
-    };
-    plan.import = grants.transfer(Operation::Read, &plan, 0..split);
-    plan.export = grants.transfer(Operation::Write, &plan, split..plan.keys.len());
+    let usable = |s: &StorePeer| !shared.reuse.is_store_silent(s.address);
+    let store = stores.choose(first, usable).map(|s| s.address);
+    let plan = planner.plan(store).await;
+    shared.reuse.placed(&attempt.target, &plan.keys);
     Some(plan)
 }
 
-struct Grants<'a> {
+struct Planner<'a> {
     shared: &'a Shared,
     work: &'a Work,
-    store: SocketAddr,
+    attempt: &'a Attempt,
+    keys: Vec<BlockKey>,
+    shape: PromptShape,
+    target: TargetState,
 }
 
-impl Grants<'_> {
-    fn transfer(
+impl<'a> Planner<'a> {
+    fn new(shared: &'a Shared, work: &'a Work, attempt: &'a Attempt, chat: &ChatRequest) -> Self {
+        let (customer, weights) = (&work.customer, &attempt.weights);
+        let prompt = &chat.prompt;
+        let prefix = PrefixKeys::derive(&shared.secret, customer, weights, &chat.adapter, prompt);
+        let shape = PromptShape {
+            tokens: token_estimate(prompt.len()),
+            blocks: u32::try_from(prefix.len()).unwrap_or(u32::MAX),
+        };
+        let targets = shared.targets.load();
+        let report = targets.get(&attempt.target).map(|t| &t.report);
+        let target = TargetState {
+            held: shared.reuse.held(&attempt.target, &prefix.keys),
+            prefill_rate: report.map_or(0, |r| r.prefill_rate),
+            queued_tokens: report.map_or(0, |r| r.queued_tokens),
+        };
+        Self {
+            shared,
+            work,
+            attempt,
+            keys: prefix.keys,
+            shape,
+            target,
+        }
+    }
+
+    async fn plan(self, store: Option<SocketAddr>) -> KvPlan {
+        let mut plan = KvPlan {
+            block_tokens: TOKENS_PER_BLOCK,
+            keys: Vec::new(),
+            import: None,
+            export: None,
+        };
+        if let Some(address) = store {
+            self.plan_transfers(address, &mut plan).await;
+        }
+        plan.keys = self.keys;
+        plan
+    }
+
+    async fn plan_transfers(&self, address: SocketAddr, plan: &mut KvPlan) {
+        let visit = self.shared.reuse.visit(&self.work.customer, &self.keys);
+        let all = self.shape.blocks;
+        if self.target.held == all && visit.exported() == all {
+            return;
+        }
+        let Some(held) = self.ask(address).await else {
+            return;
+        };
+        let store = StoreState {
+            held: held.blocks,
+            queue_bytes: held.queue_bytes,
+            link_rate: held.link_bytes_per_second,
+            block_bytes: held.block_bytes,
+        };
+        let weights = self.work.policy.weights;
+        let import = plan_import(self.shape, self.target, store, weights);
+        plan.import = import.and_then(|r| self.grant(Operation::Read, address, r));
+        if self.attempt.number > 1 {
+            return;
+        }
+        let export = plan_export(self.shape, self.target, store, weights, &visit);
+        if let Some(range) = export {
+            plan.export = self.grant(Operation::Write, address, range);
+            self.shared.reuse.exported(self.keys_of(range));
+        }
+    }
+
+    async fn ask(&self, store: SocketAddr) -> Option<Held> {
+        let _span = self.shared.spans.start(&self.work.trace, "store");
+        let (client, customer) = (&self.shared.store_client, &self.work.customer);
+        let held = client.held(store, customer, &self.keys, PROBE_BUDGET).await;
+        self.shared.reuse.store_answered(store, held.is_some());
+        held
+    }
+
+    fn keys_of(&self, range: BlockRange) -> &[BlockKey] {
+        let (first, end) = (range.first as usize, range.end() as usize);
+        &self.keys[first..end.min(self.keys.len())]
+    }
+
+    fn grant(
         &self,
         operation: Operation,
-        plan: &KvPlan,
-        range: std::ops::Range<usize>,
+        store: SocketAddr,
+        range: BlockRange,
     ) -> Option<KvTransfer> {
-        if range.is_empty() {
-            return None;
-        }
+        let keys = self.keys_of(range);
         let lifetime = self.work.time_left() + TICKET_MARGIN;
         let lifetime = u64::try_from(lifetime.as_millis()).unwrap_or(u64::MAX);
         let expires_ms = unix_ms().saturating_add(lifetime);
-        let first = u32::try_from(range.start).ok()?;
         let (secret, customer) = (&self.shared.secret, &self.work.customer);
-        let keys = &plan.keys[range];
-        Some(grant(
-            secret, operation, self.store, customer, first, keys, expires_ms,
-        ))
+        let granted = grant(
+            secret,
+            operation,
+            store,
+            customer,
+            range.first,
+            keys,
+            expires_ms,
+        );
+        (!keys.is_empty()).then_some(granted)
     }
 }
--- a/src/caller/relay.rs
+++ b/src/caller/relay.rs
@@ -3,6 +3,7 @@
 use http_types::{Response, StatusCode};
 
 use crate::caller::engine_stream::{EngineStream, StreamFault};
+use crate::caller::usage::count_tokens;
 use crate::caller::{EventId, Shared, Waiter};
 use crate::claim::{Claim, ClaimOutcome};
 use crate::decide::AttemptOutcome;
@@ -51,6 +52,7 @@
         let end = loop {
             match self.stream.next().await {
                 Ok(Some((number, event))) => {
+                    count_tokens(&self.shared.metrics, event.data.as_bytes());
                     let id = self.id.at(number).to_string();
                     let event = SseEvent {
                         id: Some(id),
--- a/src/caller/shared.rs
+++ b/src/caller/shared.rs
@@ -4,7 +4,7 @@
 use async_executor::Executor;
 
 use crate::cache::{Secret, StoreClient};
-use crate::caller::{DeskQueue, Directory, StoreList, TargetView};
+use crate::caller::{DeskQueue, Directory, ReuseMemory, StoreList, TargetView};
 use crate::claim::Claims;
 use crate::http::Pool;
 use crate::prelude::*;
@@ -28,6 +28,8 @@
     pub stores: ArcSwap<StoreList>,
     /// Client of the stores.
     pub store_client: StoreClient,
+    /// Memory of prompts, targets' caches and stores.
+    pub reuse: ReuseMemory,
     /// The shared secret.
     pub secret: Secret,
     /// Executor of the traffic threads.
--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -8,7 +8,7 @@
 use eyre::WrapErr;
 
 use crate::cache::{Secret, StoreClient};
-use crate::caller::{CallerHandler, DeskQueue, Shared};
+use crate::caller::{CallerHandler, DeskQueue, ReuseMemory, Shared};
 use crate::catalog::{CatalogCell, CatalogSync};
 use crate::claim::ClaimTable;
 use crate::decide::{Desk, DeskSettings, Effect};
@@ -197,6 +197,7 @@
             claims: Arc::new(claims.clone()),
             stores: ArcSwap::default(),
             store_client: StoreClient::new(self.secret.clone(), cfg.connect_timeout),
+            reuse: ReuseMemory::new(),
             secret: self.secret.clone(),
             executor: traffic_ex.clone(),
             metrics,
@@ -244,6 +245,7 @@
         ex.spawn(async move { claims.run().await }).detach();
         ex.spawn(self.sync.clone().run(ex.clone())).detach();
         ex.spawn(control.clone().run_probes()).detach();
+        ex.spawn(control.clone().run_cache_events()).detach();
         ex.spawn(control.clone().run_ticks()).detach();
         ex.spawn(control.clone().run_catalog(self.cell.clone()))
             .detach();
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -10,7 +10,7 @@
 use crate::caller::{Directory, Shared, StoreList, StorePeer, TargetState, TargetView};
 use crate::catalog::CatalogCell;
 use crate::decide::{Effect, Event, Signal, TargetInfo};
-use crate::entry::probe::{Probed, probe};
+use crate::entry::probe::{Probed, cache_events, probe};
 use crate::entry::status::Status;
 use crate::peer::{PeerLinks, PeerMessage};
 use crate::platform::{Phase, Role, Vm};
@@ -86,6 +86,8 @@
             targets.insert(info.name.clone(), TargetState { info, report });
         }
         self.publish(&targets);
+        let listed = |name: &str| targets.contains_key(name);
+        self.shared.reuse.retain(listed);
     }
 
     fn publish(&self, targets: &HashMap<Name, TargetState>) {
@@ -143,6 +145,20 @@
         });
     }
 
+    /// Reads the cache events of the own domain's targets, for ever.
+    pub(crate) async fn run_cache_events(self: Arc<Self>) {
+        loop {
+            Timer::after(EVENT_INTERVAL).await;
+            let infos: Vec<TargetInfo> = self.targets().values().map(|t| t.info.clone()).collect();
+            let own = infos.into_iter().filter(|t| t.domain == self.shared.domain);
+            for info in own {
+                let from = self.shared.reuse.next_event(&info.name);
+                let events = cache_events(&self.shared.pool, info.address, from).await;
+                self.shared.reuse.take_events(&info.name, &events);
+            }
+        }
+    }
+
     /// Gives the desk a signal about a target.
     pub(crate) fn signal(&self, target: &Name, signal: Signal) {
         let target = target.clone();
@@ -214,6 +230,8 @@
     }
 }
 
+/// Interval at which cache events are read.
+const EVENT_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest wait for a probe's answer.
 const MIN_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
