--- a/src/claim/shard.rs
+++ b/src/claim/shard.rs
@@ -5,15 +5,17 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claim::record::{ClaimRecord, RecordState};
-use crate::claim::window::{in_window, millis};
+use crate::claim::window::{SKEW_MS, in_window, millis};
 use crate::claim::{
     Claim, ClaimError, ClaimKey, ClaimOp, ClaimOutcome, ClaimRequest, ClaimVerdict, Holder,
     OpResult, Window,
 };
 use crate::prelude::*;
 
-/// Claims in one object at most.
-const MAX_CLAIMS: usize = 1_000;
+/// Bytes of claims without their answers in one object at most.
+const MAX_CLAIM_BYTES: usize = 512 * 1024;
+/// Bytes of one claim besides its names.
+const RECORD_BYTES: usize = 110;
 /// Bytes of answers kept in one object at most.
 const MAX_KEPT_BYTES: usize = 256 * 1024;
 /// Longest answer kept, in bytes.
@@ -22,12 +24,10 @@
 const DIGEST_DIGITS: usize = 32;
 /// Given-up claimants remembered for one key.
 const MAX_GIVEN_UP: usize = 4;
-/// Longest time from a grant to its dispatch.
-pub(crate) const DISPATCH_TIME: Duration = Duration::from_secs(10);
 /// Time left for a silent claimant to record its outcome.
-const SILENT_GRACE_MS: u64 = 5_000;
+const SILENT_GRACE_MS: u64 = 5_000 + SKEW_MS;
 /// Time left for a claimant that answers to record its outcome.
-const LIVE_GRACE_MS: u64 = 600_000;
+const LIVE_GRACE_MS: u64 = 60_000;
 /// Pause before a claim is asked again when its window is full.
 const FULL_RETRY: Duration = Duration::from_secs(5);
 
@@ -89,18 +89,23 @@
         holder: &impl Fn(&str) -> Holder,
     ) -> OpResult {
         match op {
-            ClaimOp::Claim { claimant, req } => {
-                match self.claim(now_ms, window, claimant, req, holder) {
-                    Ok(verdict) => OpResult::Verdict(verdict),
-                    Err(err) => OpResult::Failed(err),
+            ClaimOp::Claim {
+                claimant,
+                req,
+                instead_of,
+            } => {
+                if let Some(earlier) = instead_of {
+                    self.give_up(&req.key, earlier);
                 }
+                let verdict = self.claim(now_ms, window, claimant, req, holder);
+                verdict.map_or_else(OpResult::Failed, OpResult::Verdict)
             }
             ClaimOp::Settle { claim, outcome } => {
                 self.settle(claim, outcome);
                 OpResult::Ended
             }
             ClaimOp::Release { claim } => {
-                self.release(claim);
+                self.give_up(&claim.key, &claim.claimant);
                 OpResult::Ended
             }
         }
@@ -119,20 +124,17 @@
         }
         let name = record_name(&req.key);
         let digest: Name = short(&req.digest).into();
-        let full = self.claims.len() >= MAX_CLAIMS;
-        let ends_ms = now_ms + millis(DISPATCH_TIME) + millis(req.total);
+        let ends_ms = now_ms + millis(req.total);
+        let open = window.is_open(now_ms);
         let Some(record) = self.claims.get_mut(&name) else {
-            if full {
+            if !open {
+                return Ok(ClaimVerdict::OutOfWindow);
+            }
+            if self.claim_bytes() > MAX_CLAIM_BYTES {
                 let retry_after = FULL_RETRY;
                 return Err(ClaimError::Overloaded { retry_after });
             }
-            let record = ClaimRecord {
-                digest,
-                claimant: claimant.clone(),
-                ends_ms,
-                state: RecordState::Held,
-                given_up: SmallVec::new(),
-            };
+            let record = ClaimRecord::held(digest, claimant.clone(), ends_ms);
             self.claims.insert(name, record);
             return Ok(self.grant(window, claimant, req));
         };
@@ -150,6 +152,7 @@
             }
             RecordState::Held => Ok(ClaimVerdict::InProgress),
             RecordState::Free if record.given_up.contains(claimant) => Ok(ClaimVerdict::InProgress),
+            RecordState::Free if !open => Ok(ClaimVerdict::OutOfWindow),
             RecordState::Free => {
                 record.claimant = claimant.clone();
                 record.ends_ms = ends_ms;
@@ -160,7 +163,7 @@
     }
 
     fn grant(&mut self, window: Window, claimant: &Name, req: &ClaimRequest) -> ClaimVerdict {
-        let keep = window.keep_until_ms(req.retention);
+        let keep = window.keep_until_ms(req.retention.max(req.total));
         self.keep_until_ms = self.keep_until_ms.max(keep);
         ClaimVerdict::Granted(Claim {
             key: req.key.clone(),
@@ -179,22 +182,30 @@
         }
     }
 
-    fn release(&mut self, claim: &Claim) {
-        let name = record_name(&claim.key);
-        let Some(record) = self.claims.get_mut(&name) else {
+    fn give_up(&mut self, key: &ClaimKey, claimant: &Name) {
+        let Some(record) = self.claims.get_mut(&record_name(key)) else {
             return;
         };
-        if record.state == RecordState::Held && record.claimant == claim.claimant {
+        if record.state == RecordState::Held && record.claimant == *claimant {
             record.state = RecordState::Free;
         }
-        if !record.given_up.contains(&claim.claimant) {
+        if !record.given_up.contains(claimant) {
             if record.given_up.len() >= MAX_GIVEN_UP {
                 record.given_up.remove(0);
             }
-            record.given_up.push(claim.claimant.clone());
+            record.given_up.push(claimant.clone());
         }
     }
 
+    /// Estimated size of the claims without their answers, in bytes.
+    fn claim_bytes(&self) -> usize {
+        let sizes = self.claims.iter().map(|(name, record)| {
+            let given_up = record.given_up.iter().map(|n| n.len() + 3);
+            RECORD_BYTES + name.len() + record.claimant.len() + given_up.sum::<usize>()
+        });
+        sizes.sum()
+    }
+
     fn kept_bytes(&self) -> usize {
         let bodies = self.claims.values().map(|record| match &record.state {
             RecordState::Settled(ClaimOutcome::Answered { body, .. }) => {
@@ -223,9 +234,20 @@
 }
 
 impl ClaimRecord {
+    fn held(digest: Name, claimant: Name, ends_ms: u64) -> Self {
+        Self {
+            digest,
+            claimant,
+            ends_ms,
+            state: RecordState::Held,
+            given_up: SmallVec::new(),
+        }
+    }
+
     /// Tells whether no outcome is to be expected any more and no run can start.
     fn is_over(&self, now_ms: u64, holder: &impl Fn(&str) -> Holder) -> bool {
         match holder(&self.claimant) {
+            Holder::Recovering => false,
             Holder::Live => now_ms > self.ends_ms + LIVE_GRACE_MS,
             Holder::Silent => now_ms > self.ends_ms + SILENT_GRACE_MS,
             Holder::Dead => true,
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,7 +1,7 @@
 //! Serves connections of one listener.
 
 use std::future::Future;
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -22,8 +22,14 @@
 
 /// Bytes read from a socket at once.
 const READ_SIZE: usize = 4 * 1024;
+/// Interval at which a half-closed connection is checked for a peer that has left.
+const HALF_CLOSE_CHECK: Duration = Duration::from_secs(2);
+/// Interim response that a peer skips.
+const INTERIM: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 /// Bytes of a body read from a socket at once.
 const BODY_READ_SIZE: usize = 64 * 1024;
+/// Time for which a request under way on an idle connection is awaited after the stop.
+const STOP_GRACE: Duration = Duration::from_millis(200);
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -108,7 +114,7 @@
                 None
             };
             match accept.or(stop).await {
-                None => return,
+                None => return self.accept_waiting(&ex),
                 Some(Ok((stream, peer))) => self.spawn(stream, peer, &ex),
                 Some(Err(err)) => {
                     log::warn!("event=accept_failed error={:?}", err.to_string());
@@ -118,6 +124,15 @@
         }
     }
 
+    /// Accepts connections already made, so that closing the listener does not reset them.
+    fn accept_waiting(&self, ex: &Executor<'static>) {
+        while let Ok((stream, peer)) = self.listener.get_ref().accept() {
+            if let Ok(stream) = Async::new(stream) {
+                self.spawn(stream, peer, ex);
+            }
+        }
+    }
+
     fn spawn(&self, stream: Async<TcpStream>, peer: SocketAddr, ex: &Executor<'static>) {
         if self.control.connections() >= self.limits.connections {
             return;
@@ -244,6 +259,7 @@
         };
         let stop = async {
             self.control.stopped().await;
+            Timer::after(STOP_GRACE).await;
             Ok(false)
         };
         if !readable.or(idle).or(stop).await? {
@@ -386,7 +402,21 @@
         Ok(!close)
     }
 
-    /// Completes when the peer resets the connection; a half-close is not a reset.
+    /// Completes when a peer that ended its side also closed the other.
+    ///
+    /// Both look alike until something is sent: an interim response (RFC 9110, section 15.2) is
+    /// skipped by a peer that still reads and answered with a reset by one that has left.
+    async fn gone_after_half_close<T>(&self) -> Option<T> {
+        loop {
+            Timer::after(HALF_CLOSE_CHECK).await;
+            match self.stream.get_ref().write(INTERIM) {
+                Err(err) if err.kind() != io::ErrorKind::WouldBlock => return None,
+                _ => {}
+            }
+        }
+    }
+
+    /// Completes when the peer has left: its connection is reset, or closed after a half-close.
     async fn gone<T>(&self) -> Option<T> {
         let mut byte = [0];
         loop {
@@ -394,6 +424,7 @@
                 return None;
             }
             match self.stream.get_ref().peek(&mut byte) {
+                Ok(0) => return self.gone_after_half_close().await,
                 Ok(_) => std::future::pending::<()>().await,
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return None,
