--- a/src/store/index.rs
+++ b/src/store/index.rs
@@ -269,6 +269,12 @@
         block.life = Life::Held;
         block.last_read = now;
         let (key, bytes) = (block.info.key, block.info.bytes);
+        let parent = block.info.parent;
+        let returns = parent.and_then(|p| self.held.get(&p)).copied();
+        if let Some(parent) = returns {
+            // A prompt that came back before adds blocks that are likely to be read again.
+            self.block_mut(generation).reuse = self.blocks[&parent].reuse;
+        }
         let hidden = self.hidden.get_mut(&key).expect("a new block is hidden");
         hidden.retain(|g| *g != generation);
         if hidden.is_empty() {
