--- a/rig/src/engine.rs
+++ b/rig/src/engine.rs
@@ -90,6 +90,7 @@
         let load = LoadReport {
             slots: u32::try_from(cfg.slots).unwrap_or(u32::MAX),
             prefill_rate: cfg.prefill_rate,
+            block_bytes: cfg.block_bytes as u64,
             weights: cfg.weights.clone(),
             ..LoadReport::default()
         };
--- a/src/caller/plan.rs
+++ b/src/caller/plan.rs
@@ -72,6 +72,7 @@
     keys: Vec<BlockKey>,
     shape: PromptShape,
     target: TargetState,
+    block_bytes: u64,
 }
 
 impl<'a> Planner<'a> {
@@ -97,6 +98,7 @@
             keys: prefix.keys,
             shape,
             target,
+            block_bytes: report.map_or(0, |r| r.block_bytes),
         }
     }
 
@@ -127,7 +129,10 @@
             held: held.blocks,
             queue_bytes: held.queue_bytes,
             link_rate: held.link_bytes_per_second,
-            block_bytes: held.block_bytes,
+            block_bytes: match self.block_bytes {
+                0 => held.block_bytes,
+                reported => reported,
+            },
         };
         let weights = self.work.policy.weights;
         let import = plan_import(self.shape, self.target, store, weights);
--- a/src/target/report.rs
+++ b/src/target/report.rs
@@ -19,6 +19,8 @@
     pub slots: u32,
     /// Prefill speed, in tokens per second; zero when unknown.
     pub prefill_rate: u32,
+    /// Size of one exported cache block, in bytes; zero when unknown.
+    pub block_bytes: u64,
     /// Weight versions ready to run.
     pub weights: Vec<Name>,
     /// Weight version being loaded.
