Expect the first token within half of what the policy allows

Cause: an answer that is not streamed shows its first token only with its end, so a long plain answer made every queued request look hopeless. The expected time is capped.

--- a/src/decide/desk/admit.rs
+++ b/src/decide/desk/admit.rs
@@ -127,11 +127,13 @@
         wait * WAIT_MARGIN <= left.as_secs_f64()
     }
 
-    /// Expected time from dispatch to the first token.
+    /// Expected time from dispatch to the first token; at most half of what the policy allows, since
+    /// an answer that is not streamed shows its first token only with its end.
     pub(super) fn expected_first_token(&self, req: &Request) -> Duration {
         let unit = self.fleet.pool(req.pool).typical.get().unwrap_or_default();
         let seconds = unit * crate::decide::fleet::work_units(req.arrival.tokens);
-        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+        let expected = Duration::try_from_secs_f64(seconds).unwrap_or_default();
+        expected.min(req.arrival.policy.first_token() / 2)
     }
 
     /// Puts a request into the queue of its lane.
