--- a/src/decide/desk/admit.rs
+++ b/src/decide/desk/admit.rs
@@ -2,13 +2,15 @@
 
 use crate::decide::fleet::PoolIx;
 use crate::decide::lane::Lane;
-use crate::decide::request::{Place, Request};
+use crate::decide::request::{Place, Request, Timer};
 use crate::decide::suspects::Standing;
 use crate::decide::{Arrival, Desk, Effect, Refusal, RequestId};
 use crate::prelude::*;
 
 /// Lanes of one model or service kept at most, unless all are in use.
 const LANES: usize = 8;
+/// Requests taken out of one queue in one call at most; the rest stays due.
+const AT_ONCE: usize = 8;
 /// Factor on a predicted wait, for the spread of service times.
 const WAIT_MARGIN: f64 = 1.1;
 
@@ -212,7 +214,10 @@
     }
 
     fn serve_lane(&mut self, pool: PoolIx, lane: usize, effects: &mut Vec<Effect>) {
-        while self.lanes[pool.0][lane].len() > 0 {
+        for _ in 0..AT_ONCE {
+            if self.lanes[pool.0][lane].len() == 0 {
+                return;
+            }
             let weights = &self.lanes[pool.0][lane].weights;
             if !self.fleet.any_free(pool, weights) {
                 return;
@@ -225,5 +230,6 @@
             }
             self.place(id, effects);
         }
+        self.timers.insert((self.now, Timer::Serve(pool)));
     }
 }
--- a/src/decide/desk/timers.rs
+++ b/src/decide/desk/timers.rs
@@ -4,7 +4,7 @@
 use crate::decide::{Desk, Effect, RequestId};
 
 /// Timers run in one call at most; the rest stays due.
-const AT_ONCE: usize = 64;
+const AT_ONCE: usize = 16;
 
 impl Desk {
     pub(super) fn run_timers(&mut self, effects: &mut Vec<Effect>) {
@@ -22,6 +22,9 @@
                 Timer::Hedge(id) => self.hedge(id, effects),
                 Timer::Probe(ix) => self.probe_due(ix, effects),
                 Timer::Refresh(ix) => self.refresh_due(ix),
+                Timer::Serve(pool) => {
+                    self.dirty.insert(pool);
+                }
             }
         }
     }
--- a/src/decide/request.rs
+++ b/src/decide/request.rs
@@ -118,4 +118,6 @@
     Probe(TargetIx),
     /// A target's room is computed anew.
     Refresh(TargetIx),
+    /// A queue has more requests for targets with room.
+    Serve(PoolIx),
 }
