Prove claims over several entries and one faulty platform

Cause: the random run of one window proves the decisions; nothing proved the part that writes, forwards and reads back.

Change: claim tables on threads of their own share one platform in memory with faults for each way to it, and links that lose replies. Callers repeat their request at any entry until they get its outcome; each is run exactly once (tests/claim_table.rs).

--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -2,29 +2,11 @@
 
 mod support;
 
-use std::time::SystemTime;
-
 use async_executor::Executor;
 use futures_lite::future::block_on;
-use guavahold::claim::{ClaimKey, ClaimOutcome, ClaimRequest, ClaimTable, ClaimVerdict, Claims};
+use guavahold::claim::{ClaimOutcome, ClaimTable, ClaimVerdict, Claims};
 use guavahold::prelude::*;
-use support::{Fault, MemoryPlatform, NoPeers};
-
-/// A request of customer `a` whose key was made `age` ago.
-fn request(age: Duration) -> ClaimRequest {
-    let made = SystemTime::now() - age;
-    let since = made.duration_since(SystemTime::UNIX_EPOCH).unwrap();
-    let at = uuid::Timestamp::from_unix(uuid::NoContext, since.as_secs(), since.subsec_nanos());
-    ClaimRequest {
-        key: ClaimKey {
-            customer: "a".into(),
-            key: uuid::Uuid::new_v7(at),
-        },
-        digest: "0123".into(),
-        retention: Duration::from_mins(10),
-        total: Duration::from_mins(1),
-    }
-}
+use support::{Fault, MemoryPlatform, NoPeers, claim_request};
 
 fn table(platform: &MemoryPlatform, entry: &str) -> (ClaimTable, Arc<Executor<'static>>) {
     let executor = Arc::new(Executor::new());
@@ -44,7 +26,7 @@
     let platform = MemoryPlatform::new();
     let (one, ex) = table(&platform, "one");
     let (two, ex_two) = table(&platform, "two");
-    let req = request(Duration::ZERO);
+    let req = claim_request(Duration::ZERO);
     block_on(ex.run(async {
         let Ok(ClaimVerdict::Granted(claim)) = one.claim(req.clone()).await else {
             panic!("not granted");
@@ -73,6 +55,6 @@
     let platform = MemoryPlatform::new();
     let (table, ex) = table(&platform, "one");
     platform.fail_writes([Some(Fault::AnswerLost)]);
-    let verdict = block_on(ex.run(table.claim(request(Duration::ZERO))));
+    let verdict = block_on(ex.run(table.claim(claim_request(Duration::ZERO))));
     assert!(matches!(verdict, Ok(ClaimVerdict::Granted(_))));
 }
--- /dev/null
+++ b/tests/claim_table.rs
@@ -0,0 +1,356 @@
+//! Claim tables of several entries over one platform with faults.
+
+mod support;
+
+use std::sync::Mutex;
+use std::time::Instant;
+
+use async_executor::Executor;
+use async_io::Timer;
+use futures_lite::future::block_on;
+use guavahold::claim::{
+    Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimTable, ClaimVerdict, Claims, ShardState,
+};
+use guavahold::platform::{Object, Platform};
+use guavahold::prelude::*;
+use support::{Fault, LocalNet, MemoryPlatform, Node, claim_request};
+
+struct Fleet {
+    platform: MemoryPlatform,
+    net: Arc<LocalNet>,
+    nodes: Vec<Node>,
+}
+
+fn fleet(entries: usize) -> Fleet {
+    let (platform, net) = (MemoryPlatform::new(), Arc::new(LocalNet::default()));
+    let start = |n| Node::start(&net, &platform, &format!("entry-{n}"), &format!("d{n}"));
+    let nodes = (0..entries).map(start).collect();
+    Fleet {
+        platform,
+        net,
+        nodes,
+    }
+}
+
+fn claim(node: &Node, req: &ClaimRequest) -> Result<ClaimVerdict, ClaimError> {
+    block_on(node.table.claim(req.clone()))
+}
+
+fn granted(verdict: Result<ClaimVerdict, ClaimError>) -> Claim {
+    match verdict {
+        Ok(ClaimVerdict::Granted(claim)) => claim,
+        other => panic!("not granted: {other:?}"),
+    }
+}
+
+/// Claims again until the key is granted; fails after a long time.
+fn granted_at_last(node: &Node, req: &ClaimRequest) -> Claim {
+    let started = Instant::now();
+    loop {
+        let verdict = claim(node, req);
+        if let Ok(ClaimVerdict::Granted(claim)) = verdict {
+            return claim;
+        }
+        let waited = started.elapsed();
+        assert!(
+            waited < Duration::from_secs(30),
+            "the key is lost: {verdict:?}"
+        );
+        block_on(Timer::after(Duration::from_millis(20)));
+    }
+}
+
+fn answer(text: &str) -> ClaimOutcome {
+    ClaimOutcome::Answered {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: Some(text.into()),
+    }
+}
+
+#[test]
+fn claim_while_the_platform_is_down_is_refused_without_calls() {
+    let fleet = fleet(1);
+    fleet.nodes[0].platform.set_fault(Some(Fault::Down));
+    for _ in 0..100 {
+        let verdict = claim(&fleet.nodes[0], &claim_request(Duration::ZERO));
+        assert!(matches!(verdict, Err(ClaimError::PlatformDown { .. })));
+    }
+    let calls = fleet.platform.calls();
+    assert!(calls.reads + calls.writes < 10, "{calls:?}");
+    assert_eq!(fleet.nodes[0].table.pending(), 0);
+    fleet.nodes[0].platform.set_fault(None);
+    granted_at_last(&fleet.nodes[0], &claim_request(Duration::ZERO));
+}
+
+#[test]
+fn claim_of_an_old_key_is_out_of_window_without_calls() {
+    let fleet = fleet(1);
+    let old = claim_request(Duration::from_mins(11));
+    let verdict = claim(&fleet.nodes[0], &old);
+    assert_eq!(verdict, Ok(ClaimVerdict::OutOfWindow));
+    assert_eq!(fleet.platform.calls(), support::Calls::default());
+}
+
+#[test]
+fn claim_written_after_the_refusal_is_released() {
+    let fleet = fleet(1);
+    let (node, req) = (&fleet.nodes[0], claim_request(Duration::ZERO));
+    node.platform.set_fault(Some(Fault::EffectLate));
+    let verdict = claim(node, &req);
+    assert!(matches!(verdict, Err(ClaimError::PlatformDown { .. })));
+    fleet.platform.land();
+    node.platform.set_fault(None);
+    let claim = granted_at_last(node, &req);
+    assert!(node.table.may_dispatch(&claim));
+}
+
+#[test]
+fn claim_whose_forwarded_reply_is_lost_is_granted_once() {
+    let fleet = fleet(4);
+    for _ in 0..8 {
+        let req = claim_request(Duration::ZERO);
+        fleet.net.lose_replies(1);
+        let first = granted(claim(&fleet.nodes[0], &req));
+        for node in &fleet.nodes[1..] {
+            assert_eq!(claim(node, &req), Ok(ClaimVerdict::InProgress));
+        }
+        block_on(fleet.nodes[0].table.settle(first, answer("one")));
+        for node in &fleet.nodes {
+            let settled = ClaimVerdict::Settled(answer("one"));
+            assert_eq!(claim(node, &req), Ok(settled));
+        }
+    }
+}
+
+#[test]
+fn claim_forwarded_to_a_frozen_owner_is_granted_once() {
+    let fleet = fleet(4);
+    for node in &fleet.nodes[1..] {
+        node.freeze(Duration::from_millis(1_500));
+    }
+    let reqs: Vec<_> = (0..8).map(|_| claim_request(Duration::ZERO)).collect();
+    let first: Vec<_> = reqs
+        .iter()
+        .map(|req| granted(claim(&fleet.nodes[0], req)))
+        .collect();
+    block_on(Timer::after(Duration::from_secs(2)));
+    for (req, claimed) in reqs.iter().zip(first) {
+        for node in &fleet.nodes {
+            assert_eq!(claim(node, req), Ok(ClaimVerdict::InProgress));
+        }
+        assert!(fleet.nodes[0].table.may_dispatch(&claimed));
+        block_on(fleet.nodes[0].table.settle(claimed, answer("one")));
+        let settled = ClaimVerdict::Settled(answer("one"));
+        assert_eq!(claim(&fleet.nodes[1], req), Ok(settled));
+    }
+    assert_eq!(fleet.nodes[0].table.pending(), 0);
+}
+
+#[test]
+fn claim_whose_caller_left_is_released() {
+    let fleet = fleet(2);
+    let req = claim_request(Duration::ZERO);
+    for node in &fleet.nodes {
+        let slow = Fault::Slow(Duration::from_millis(50));
+        node.platform.set_fault(Some(slow));
+    }
+    drop(fleet.nodes[0].table.claim(req.clone()));
+    granted_at_last(&fleet.nodes[1], &req);
+}
+
+#[test]
+fn claim_of_an_entry_cut_off_from_the_platform_goes_through_a_peer() {
+    let fleet = fleet(3);
+    fleet.nodes[0].platform.set_fault(Some(Fault::Down));
+    for _ in 0..8 {
+        let req = claim_request(Duration::ZERO);
+        let claimed = granted_at_last(&fleet.nodes[0], &req);
+        assert_eq!(claim(&fleet.nodes[1], &req), Ok(ClaimVerdict::InProgress));
+        block_on(fleet.nodes[0].table.settle(claimed, answer("one")));
+    }
+}
+
+#[test]
+fn claim_with_another_digest_is_a_mismatch() {
+    let fleet = fleet(2);
+    let req = claim_request(Duration::ZERO);
+    granted(claim(&fleet.nodes[0], &req));
+    let other = ClaimRequest {
+        digest: "4567".into(),
+        ..req
+    };
+    assert_eq!(claim(&fleet.nodes[1], &other), Ok(ClaimVerdict::Mismatch));
+}
+
+#[test]
+fn claim_of_another_customer_is_apart() {
+    let fleet = fleet(2);
+    let mut req = claim_request(Duration::ZERO);
+    granted(claim(&fleet.nodes[0], &req));
+    req.key.customer = "b".into();
+    granted(claim(&fleet.nodes[1], &req));
+}
+
+#[test]
+fn settle_outlives_an_outage() {
+    let fleet = fleet(1);
+    let (node, req) = (&fleet.nodes[0], claim_request(Duration::ZERO));
+    let claimed = granted(claim(node, &req));
+    node.platform.set_fault(Some(Fault::Down));
+    let settled = node.table.settle(claimed, answer("one"));
+    block_on(Timer::after(Duration::from_millis(300)));
+    assert_eq!(node.table.pending(), 1);
+    node.platform.set_fault(None);
+    block_on(settled);
+    assert_eq!(node.table.pending(), 0);
+    assert_eq!(claim(node, &req), Ok(ClaimVerdict::Settled(answer("one"))));
+}
+
+#[test]
+fn settle_of_a_long_answer_keeps_its_status() {
+    let fleet = fleet(1);
+    let (node, req) = (&fleet.nodes[0], claim_request(Duration::ZERO));
+    let claimed = granted(claim(node, &req));
+    block_on(node.table.settle(claimed, answer(&"x".repeat(100_000))));
+    let Ok(ClaimVerdict::Settled(ClaimOutcome::Answered { status, body, .. })) = claim(node, &req)
+    else {
+        panic!("not settled");
+    };
+    assert_eq!((status, body), (200, None));
+}
+
+#[test]
+fn collect_deletes_only_windows_past_their_time() {
+    let fleet = fleet(1);
+    let now_ms = guavahold::clock::unix_ms();
+    let old = (now_ms - 3 * 3_600_000) / 10_000;
+    let put = |name: String, spec| {
+        let object = Object::new(ShardState::KIND, name, spec);
+        block_on(fleet.platform.create(object)).unwrap();
+    };
+    for shard in 0..4 {
+        put(
+            format!("collected-{shard}"),
+            serde_json::json!({"next": old}),
+        );
+    }
+    let state = |keep_until_ms| serde_json::json!({"keep_until_ms": keep_until_ms, "claims": {}});
+    put(format!("0-{old}"), state(now_ms - 1));
+    put(format!("0-{}", old + 1), state(now_ms + 60_000));
+    put(format!("1-{}", old + 1), state(now_ms - 1));
+    block_on(fleet.nodes[0].table.collect());
+    let names: Vec<_> = fleet.platform.objects(ShardState::KIND);
+    let names: Vec<_> = names.iter().map(|o| o.name.to_string()).collect();
+    assert!(!names.contains(&format!("0-{old}")));
+    assert!(names.contains(&format!("0-{}", old + 1)));
+    assert!(!names.contains(&format!("1-{}", old + 1)));
+}
+
+/// One caller that repeats its request until it gets the outcome.
+async fn book(tables: Vec<ClaimTable>, mut rng: fastrand::Rng, until: Instant) -> u32 {
+    let req = claim_request(Duration::ZERO);
+    let text = req.key.key.to_string();
+    let mut runs = 0;
+    loop {
+        let table = &tables[rng.usize(..tables.len())];
+        match table.claim(req.clone()).await {
+            Ok(ClaimVerdict::Granted(claim)) if rng.u8(..4) == 0 => {
+                table.release(claim).await;
+            }
+            Ok(ClaimVerdict::Granted(claim)) => {
+                assert!(table.may_dispatch(&claim));
+                runs += 1;
+                assert_eq!(runs, 1, "a second run");
+                Timer::after(Duration::from_millis(rng.u64(..20))).await;
+                let settled = table.settle(claim, answer(&text));
+                if rng.bool() {
+                    settled.await;
+                }
+            }
+            Ok(ClaimVerdict::Settled(outcome)) => {
+                assert_eq!(
+                    (outcome, runs),
+                    (answer(&text), 1),
+                    "an outcome without its run"
+                );
+                return runs;
+            }
+            Ok(ClaimVerdict::InProgress) | Err(_) => {}
+            Ok(verdict) => panic!("{verdict:?}"),
+        }
+        assert!(Instant::now() < until, "the request is lost");
+        Timer::after(Duration::from_millis(rng.u64(5..40))).await;
+    }
+}
+
+/// Switches faults for a while and heals everything at the end.
+async fn disturb(fleet: &Fleet, rng: &mut fastrand::Rng, steps: u32) {
+    for _ in 0..steps {
+        let node = &fleet.nodes[rng.usize(..fleet.nodes.len())];
+        let fault = match rng.u8(..9) {
+            0 => Some(Fault::Down),
+            1 => Some(Fault::Slow(Duration::from_millis(30))),
+            2 => Some(Fault::AnswerLost),
+            3 => Some(Fault::CallLost),
+            4 => Some(Fault::EffectLate),
+            _ => None,
+        };
+        match rng.u8(..8) {
+            0 => node.freeze(Duration::from_millis(rng.u64(10..200))),
+            1 => fleet.net.cut(&node.name, true),
+            2 => fleet.net.cut(&node.name, false),
+            3 => fleet.net.lose_replies(rng.u32(1..4)),
+            4 => fleet.platform.land(),
+            5 => node.platform.fail_writes([fault, fault]),
+            _ => node.platform.set_fault(fault),
+        }
+        Timer::after(Duration::from_millis(rng.u64(5..40))).await;
+    }
+    fleet.platform.land();
+    for node in &fleet.nodes {
+        node.platform.set_fault(None);
+        fleet.net.cut(&node.name, false);
+    }
+}
+
+/// Callers repeat their requests at several entries while faults come and go.
+fn random_run(seed: u64, callers: usize, steps: u32) {
+    println!("seed {seed}");
+    let fleet = fleet(4);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let until = Instant::now() + Duration::from_mins(1);
+    let tables: Vec<_> = fleet.nodes.iter().map(|n| n.table.clone()).collect();
+    let ex = Executor::new();
+    let failed = Mutex::new(0);
+    block_on(ex.run(async {
+        let callers: Vec<_> = (0..callers)
+            .map(|_| ex.spawn(book(tables.clone(), rng.fork(), until)))
+            .collect();
+        disturb(&fleet, &mut rng, steps).await;
+        for caller in callers {
+            if caller.await != 1 {
+                *failed.lock().unwrap() += 1;
+            }
+        }
+    }));
+    assert_eq!(
+        *failed.lock().unwrap(),
+        0,
+        "requests without exactly one run"
+    );
+}
+
+#[test]
+fn claims_under_random_faults_run_exactly_once() {
+    random_run(1, 24, 60);
+}
+
+#[test]
+#[ignore = "long random run"]
+fn claims_under_random_faults_run_exactly_once_long() {
+    let first = fastrand::u64(..);
+    for seed in first..first + 60 {
+        random_run(seed, 64, 200);
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,7 +3,9 @@
 
 pub mod claims;
 mod links;
+mod node;
 mod platform;
 
-pub use links::NoPeers;
+pub use links::{LocalLinks, LocalNet, NoPeers};
+pub use node::{Node, claim_request};
 pub use platform::{Calls, Fault, MemoryPlatform};
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -48,15 +48,22 @@
     objects: BTreeMap<Key, Object>,
     log: Vec<(u64, WatchEvent)>,
     watchers: Vec<Sender<WatchEvent>>,
-    standing: Option<Fault>,
-    next_writes: VecDeque<Option<Fault>>,
     late: Vec<Write>,
     calls: Calls,
 }
 
-/// The platform in memory; clones share their objects.
+#[derive(Default)]
+struct Faults {
+    standing: Option<Fault>,
+    next_writes: VecDeque<Option<Fault>>,
+}
+
+/// The platform in memory; clones share their objects and faults.
 #[derive(Clone, Default)]
-pub struct MemoryPlatform(Arc<Mutex<State>>);
+pub struct MemoryPlatform {
+    state: Arc<Mutex<State>>,
+    faults: Arc<Mutex<Faults>>,
+}
 
 impl MemoryPlatform {
     /// Makes an empty platform.
@@ -64,14 +71,22 @@
         Self::default()
     }
 
+    /// The same objects seen over another way with faults of its own.
+    pub fn another_way(&self) -> Self {
+        Self {
+            state: self.state.clone(),
+            faults: Arc::default(),
+        }
+    }
+
     /// Applies a fault to every call, or none.
     pub fn set_fault(&self, fault: Option<Fault>) {
-        self.state().standing = fault;
+        self.faults().standing = fault;
     }
 
     /// Applies faults to the next writes, in order; they go before the standing fault.
     pub fn fail_writes(&self, faults: impl IntoIterator<Item = Option<Fault>>) {
-        self.state().next_writes.extend(faults);
+        self.faults().next_writes.extend(faults);
     }
 
     /// Lets writes of [`Fault::EffectLate`] take effect now.
@@ -95,15 +110,16 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap()
+        self.state.lock().unwrap()
+    }
+
+    fn faults(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().unwrap()
     }
 
     async fn read<T>(&self, read: impl FnOnce(&mut State) -> T) -> Result<T, PlatformError> {
-        let fault = {
-            let mut state = self.state();
-            state.calls.reads += 1;
-            state.standing
-        };
+        self.state().calls.reads += 1;
+        let fault = self.faults().standing;
         match fault {
             Some(Fault::Down) => return Err(PlatformError::Unreachable("down".into())),
             Some(Fault::Slow(delay)) => drop(async_io::Timer::after(delay).await),
@@ -114,11 +130,11 @@
     }
 
     async fn write(&self, write: Write) -> Result<Option<Object>, PlatformError> {
+        self.state().calls.writes += 1;
         let fault = {
-            let mut state = self.state();
-            state.calls.writes += 1;
-            let next = state.next_writes.pop_front();
-            next.unwrap_or(state.standing)
+            let mut faults = self.faults();
+            let next = faults.next_writes.pop_front();
+            next.unwrap_or(faults.standing)
         };
         let lost = Err(PlatformError::Unanswered("lost".into()));
         match fault {
@@ -244,7 +260,7 @@
             let rx = {
                 let mut state = this.state();
                 state.calls.watches += 1;
-                if state.standing == Some(Fault::Down) {
+                if this.faults().standing == Some(Fault::Down) {
                     return Err(PlatformError::Unreachable("down".into()));
                 }
                 let from: u64 = from.0.parse().unwrap_or_default();
