Measure platform calls for each claim

The test of a write that lands after the refusal now decides by itself which call is lost; in a trial without the background release it failed with "the key is lost", as did a trial without the replacing claimant, without giving back an abandoned grant, and without the breaker.

--- a/src/claim/core.rs
+++ b/src/claim/core.rs
@@ -194,6 +194,7 @@
         let spec = serde_json::to_value(&cached.state);
         let spec = spec.map_err(|err| PlatformError::Rejected(err.to_string()))?;
         count(&self.counters.writes, 1);
+        count(&self.counters.bytes, cached.state.estimated_bytes());
         let mut object = Object::new(ShardState::KIND, window.name(), spec);
         let written = if let Some(version) = cached.version {
             object.version = version;
--- a/src/claim/shard.rs
+++ b/src/claim/shard.rs
@@ -81,6 +81,12 @@
         now_ms > self.keep_until_ms.max(window.keep_until_ms(Duration::ZERO))
     }
 
+    /// Estimated size of the object, in bytes.
+    #[must_use]
+    pub fn estimated_bytes(&self) -> usize {
+        self.claim_bytes() + self.kept_bytes()
+    }
+
     fn apply_one(
         &mut self,
         now_ms: u64,
--- a/tests/claim_table.rs
+++ b/tests/claim_table.rs
@@ -10,10 +10,11 @@
 use futures_lite::future::block_on;
 use guavahold::claim::{
     Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimTable, ClaimVerdict, Claims, ShardState,
+    Window,
 };
 use guavahold::platform::{Object, Platform};
 use guavahold::prelude::*;
-use support::{Fault, LocalNet, MemoryPlatform, Node, claim_request};
+use support::{Fault, LocalNet, MemoryPlatform, Node, SHARDS, claim_request};
 
 struct Fleet {
     platform: MemoryPlatform,
@@ -23,7 +24,15 @@
 
 fn fleet(entries: usize) -> Fleet {
     let (platform, net) = (MemoryPlatform::new(), Arc::new(LocalNet::default()));
-    let start = |n| Node::start(&net, &platform, &format!("entry-{n}"), &format!("d{n}"));
+    let start = |n| {
+        Node::start(
+            &net,
+            &platform,
+            &format!("entry-{n}"),
+            &format!("d{n}"),
+            SHARDS,
+        )
+    };
     let nodes = (0..entries).map(start).collect();
     Fleet {
         platform,
@@ -95,8 +104,13 @@
 #[test]
 fn claim_written_after_the_refusal_is_released() {
     let fleet = fleet(1);
-    let (node, req) = (&fleet.nodes[0], claim_request(Duration::ZERO));
-    node.platform.set_fault(Some(Fault::EffectLate));
+    let (node, other) = (&fleet.nodes[0], claim_request(Duration::ZERO));
+    granted(claim(node, &other));
+    let window = |req: &ClaimRequest| Window::of(&req.key, SHARDS);
+    let req = std::iter::repeat_with(|| claim_request(Duration::ZERO));
+    let req = { req }.find(|req| window(req) == window(&other)).unwrap();
+    node.platform.fail_writes([Some(Fault::EffectLate)]);
+    node.platform.set_fault(Some(Fault::CallLost));
     let verdict = claim(node, &req);
     assert!(matches!(verdict, Err(ClaimError::PlatformDown { .. })));
     fleet.platform.land();
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -21,7 +21,13 @@
 
 impl Node {
     /// Starts an entry with a way of its own to the platform.
-    pub fn start(net: &Arc<LocalNet>, platform: &MemoryPlatform, name: &str, domain: &str) -> Self {
+    pub fn start(
+        net: &Arc<LocalNet>,
+        platform: &MemoryPlatform,
+        name: &str,
+        domain: &str,
+        shards: u32,
+    ) -> Self {
         let platform = platform.another_way();
         let executor = Arc::new(Executor::new());
         let links = LocalLinks {
@@ -31,7 +37,7 @@
         let table = ClaimTable::new(
             Arc::new(platform.clone()),
             name.into(),
-            SHARDS,
+            shards,
             Arc::new(links),
             executor.clone(),
         );
@@ -55,8 +61,8 @@
     }
 }
 
-/// Shards of the tables in tests.
-const SHARDS: u32 = 4;
+/// Shards of the tables in tests of faults.
+pub const SHARDS: u32 = 4;
 
 /// A request of customer `a` whose key was made `age` ago.
 pub fn claim_request(age: Duration) -> ClaimRequest {
