Link many domains by chords and shorten heartbeats

Cause: at 31 domains two gateways linked with all others hold 80 links, and a heartbeat was 58 bytes of payload; beats alone would pass the control budget of 10 KB/s.

Ruled out: slower heartbeats between domains, since repair by heartbeat has to finish within 3 s.

Change: up to 8 domains stay meshed; more link at distances of powers of two on the ring of names, and with all again while fewer than two are linked. Keys of the heartbeat are one letter.

--- a/rig/src/entry_bench.rs
+++ b/rig/src/entry_bench.rs
@@ -71,9 +71,13 @@
         &["--token-ms", "600000", "--slots", "100000"],
     )?;
     let direct = service.address("address");
-    fleet.list("desk-1", Role::Service, "a", direct, "desk").await;
+    fleet
+        .list("desk-1", Role::Service, "a", direct, "desk")
+        .await;
     let address = engine.address("address");
-    fleet.list("engine-1", Role::Engine, "a", address, "m").await;
+    fleet
+        .list("engine-1", Role::Engine, "a", address, "m")
+        .await;
     fleet.put_note(&note()).await;
     let entry = fleet.entry("entry-1", "a", &json!({"traffic_threads": 2}))?;
     await_ok(entry.address("admin"), "/ready").await;
--- a/rig/src/slope/customers.rs
+++ b/rig/src/slope/customers.rs
@@ -20,7 +20,10 @@
         let customers: Map<String, _> = (0..size)
             .map(|n| {
                 let token = TokenHash::of(&format!("token {n}")).to_string();
-                (format!("customer-{n}"), json!({"share": 1, "tokens": [token]}))
+                (
+                    format!("customer-{n}"),
+                    json!({"share": 1, "tokens": [token]}),
+                )
             })
             .collect();
         let note = json!({"revision": 0, "added": {"customers": customers}});
--- a/rig/src/usage.rs
+++ b/rig/src/usage.rs
@@ -36,7 +36,9 @@
     let mut fields = rest.split(' ').skip(UTIME);
     let user: u64 = fields.next()?.parse().ok()?;
     let system: u64 = fields.next()?.parse().ok()?;
-    Some(Duration::from_millis((user + system) * 1000 / TICKS_PER_SECOND))
+    Some(Duration::from_millis(
+        (user + system) * 1000 / TICKS_PER_SECOND,
+    ))
 }
 
 fn parse_resident(status: &str) -> Option<u64> {
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -12,6 +12,10 @@
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
 /// Longest pause before an address is dialled again.
 const BACKOFF_CAP: Duration = Duration::from_secs(5);
+/// Most failure domains that are all linked with each other; more form a ring with chords.
+const MESHED_DOMAINS: usize = 8;
+/// Linked failure domains below which a gateway tries all the others.
+const FEW_DOMAINS: usize = 2;
 /// How long an entry that is no gateway any more keeps its links to other domains.
 const SURPLUS_GRACE: Duration = Duration::from_secs(10);
 
@@ -274,17 +278,50 @@
     /// Addresses to dial now or after their pause.
     fn wanted(&self, now: Stamp) -> Vec<SocketAddr> {
         let mut wanted = self.wanted_seeds();
-        let gateway = self.is_gateway();
-        for (domain, names) in &self.candidates {
-            if *domain == self.cfg.domain {
-                wanted.extend(self.wanted_near(now, names));
-            } else if gateway {
-                wanted.extend(self.wanted_far(now, domain, names));
+        if let Some(names) = self.candidates.get(&self.cfg.domain) {
+            wanted.extend(self.wanted_near(now, names));
+        }
+        if self.is_gateway() {
+            for domain in self.neighbours(now) {
+                wanted.extend(self.wanted_far(now, domain, &self.candidates[domain]));
             }
         }
         wanted
     }
 
+    /// Failure domains to link to: all of a few; of many those at distances of powers of two on the
+    /// ring of their names, as in Chord, or all again while too few of these are linked.
+    fn neighbours(&self, now: Stamp) -> Vec<&Name> {
+        let own = &self.cfg.domain;
+        let others = self.candidates.keys().filter(|domain| *domain != own);
+        let mut ring: Vec<&Name> = others.chain([own]).collect();
+        ring.sort();
+        let len = ring.len();
+        let at = ring.iter().position(|domain| *domain == own);
+        let at = at.unwrap_or_default();
+        let mut linked: Vec<_> = self.links.values().map(|l| &l.opened.domain).collect();
+        linked.retain(|domain| *domain != own);
+        linked.sort();
+        linked.dedup();
+        let few = linked.len() < FEW_DOMAINS && now >= self.listed_at + self.cfg.peer_timeout;
+        if len <= MESHED_DOMAINS || few {
+            ring.retain(|domain| *domain != own);
+            return ring;
+        }
+        let distances = (0..).map(|k| 1 << k).take_while(|distance| *distance < len);
+        let mut chords: Vec<_> = distances
+            .flat_map(|distance| {
+                [
+                    ring[(at + distance) % len],
+                    ring[(at + len - distance) % len],
+                ]
+            })
+            .collect();
+        chords.sort();
+        chords.dedup();
+        chords
+    }
+
     fn wanted_seeds(&self) -> Vec<SocketAddr> {
         let seeds = self.cfg.seeds.iter().copied();
         let unlinked = seeds.filter(|addr| {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -26,16 +26,20 @@
         /// Keyed hash that proves knowledge of the shared secret.
         proof: Name,
     },
-    /// Sign of life.
+    /// Sign of life; its keys are short because it is sent most often.
+    #[serde(rename = "b")]
     Heartbeat {
         /// Catalog revision in force.
+        #[serde(rename = "r")]
         revision: u64,
         /// Time since it came into force, in milliseconds.
+        #[serde(rename = "s")]
         since_ms: u64,
         /// Whether the entry is shutting down.
+        #[serde(rename = "d")]
         draining: bool,
         /// Whether the entry follows the catalog at the platform and was answered lately.
-        #[serde(default)]
+        #[serde(rename = "w", default)]
         watching: bool,
     },
     /// Notes that bring a peer from `against` of the first note to the newest revision.
--- /dev/null
+++ b/tests/peer_measure.rs
@@ -0,0 +1,194 @@
+//! Slopes for the capacity page: one JSON line for each point.
+//!
+//! Run with `cargo test --release --test peer_measure -- --ignored --nocapture --test-threads 1`.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use async_io::{Timer, block_on};
+use guavahold::cache::Secret;
+use guavahold::catalog::{Catalog, CatalogHead, Customer, Policy, ReleaseNote, TokenHash};
+use guavahold::peer::{Mesh, PeerEvents, PeerInfo, PeerLinks, PeerMessage, decode, encode};
+use guavahold::platform::{Phase, Role, Vm};
+use guavahold::prelude::Name;
+use serde_json::{Value, json};
+
+/// Clock ticks of a second in `/proc/self/stat`.
+const TICKS: f64 = 100.0;
+/// Bytes of a page in `/proc/self/statm`.
+const PAGE: u64 = 4096;
+
+struct Ignore;
+
+impl PeerEvents for Ignore {
+    fn on_message(&self, _: &PeerInfo, _: PeerMessage) {}
+
+    fn on_change(&self, _: &[PeerInfo]) {}
+}
+
+fn report(value: &Value) {
+    println!("{value}");
+}
+
+/// Processor time of this process, in seconds.
+fn processor_time() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap();
+    let fields: Vec<_> = stat
+        .rsplit(')')
+        .next()
+        .unwrap()
+        .split_whitespace()
+        .collect();
+    let ticks: f64 = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
+    ticks / TICKS
+}
+
+fn float(n: u64) -> f64 {
+    f64::from(u32::try_from(n).unwrap())
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap();
+    statm.split(' ').nth(1).unwrap().parse::<u64>().unwrap() * PAGE
+}
+
+fn customer(n: u64) -> Customer {
+    Customer {
+        share: 1,
+        tokens: [TokenHash::of(&n.to_string())].into_iter().collect(),
+    }
+}
+
+fn catalog(customers: u64) -> Catalog {
+    let mut catalog = Catalog::default();
+    let all = (0..customers).map(|n| (Name::from(format!("customer-{n:05}")), customer(n)));
+    catalog.section.customers = all.collect();
+    catalog.section.policies = [("chat".into(), Policy::default())].into();
+    catalog
+}
+
+fn note(against: u64, customers: u64) -> ReleaseNote {
+    let name = format!("customer-{:05}", against % customers);
+    let mut note = ReleaseNote {
+        against,
+        id: uuid::Uuid::nil().to_string().into(),
+        by: "night shift".into(),
+        why: "raises a share".into(),
+        at_ms: 1_796_330_000_000,
+        ..ReleaseNote::default()
+    };
+    let mut changed = customer(against % customers);
+    changed.share = u32::try_from(against).unwrap() + 2;
+    note.changed.customers = [(name.into(), changed)].into();
+    note
+}
+
+#[test]
+#[ignore = "measurement"]
+fn measure_heartbeats() {
+    for peers in [3, 11, 23] {
+        let ex = Arc::new(Executor::new());
+        block_on(ex.clone().run(async {
+            let meshes: Vec<_> = (0..=peers).map(|n| start(&ex, n)).collect();
+            let vms: Vec<_> = meshes.iter().map(|(_, vm)| vm.clone()).collect();
+            for (mesh, _) in &meshes {
+                mesh.set_peers(&vms);
+            }
+            while meshes.iter().any(|(mesh, _)| mesh.live().len() < peers) {
+                Timer::after(Duration::from_millis(10)).await;
+            }
+            let before = (processor_time(), count(&meshes));
+            Timer::after(Duration::from_secs(10)).await;
+            let (frames, bytes) = count(&meshes);
+            let frames = frames - before.1.0;
+            let spent = processor_time() - before.0;
+            report(&json!({
+                "measure": "heartbeat",
+                "peers": peers,
+                "beats": frames,
+                "payload_bytes_per_beat": (bytes - before.1.1) / frames,
+                "processor_us_per_beat": spent * 1e6 / float(frames),
+                "processor_share_per_entry": spent / 10.0 / float(peers as u64 + 1),
+            }));
+        }));
+    }
+}
+
+fn start(ex: &Arc<Executor<'static>>, n: usize) -> (Arc<Mesh>, Vm) {
+    let name = Name::from(format!("entry-a{n:02}"));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let vm = Vm {
+        name: name.clone(),
+        role: Role::Entry,
+        domain: "a".into(),
+        address: listener.local_addr().unwrap(),
+        serves: "".into(),
+        phase: Phase::Live,
+    };
+    let secret = Secret::new(b"a secret of at least thirty-two bytes");
+    let mesh = Mesh::builder(name, "a", secret).build(Arc::new(Ignore));
+    mesh.set_status(76_000, 1_000, false);
+    let run = mesh.clone().run(listener, ex.clone());
+    ex.spawn(async move { run.await.unwrap() }).detach();
+    (mesh, vm)
+}
+
+fn count(meshes: &[(Arc<Mesh>, Vm)]) -> (u64, u64) {
+    let sent = meshes.iter().map(|(mesh, _)| mesh.traffic().sent());
+    sent.fold((0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1))
+}
+
+#[test]
+#[ignore = "measurement"]
+fn measure_notes() {
+    for notes in [1, 10, 100] {
+        let message = PeerMessage::Notes((0..notes).map(|n| note(n, 8600)).collect());
+        let frame = encode(&message);
+        let started = Instant::now();
+        for _ in 0..100 {
+            assert_eq!(decode(&encode(&message)).unwrap(), message);
+        }
+        report(&json!({
+            "measure": "notes_message",
+            "notes": notes,
+            "bytes": frame.len(),
+            "encode_decode_us": started.elapsed().as_micros() / 100,
+        }));
+    }
+    for notes in [1, 8, 16] {
+        let head = CatalogHead {
+            revision: notes,
+            tail: (0..notes).map(|n| note(n, 8600)).collect(),
+            ..CatalogHead::default()
+        };
+        let bytes = serde_json::to_string(&head).unwrap().len();
+        report(&json!({"measure": "head_object", "notes": notes, "bytes": bytes}));
+    }
+}
+
+#[test]
+#[ignore = "measurement"]
+fn measure_catalog() {
+    for customers in [10, 1000, 8600] {
+        let before = resident();
+        let held: Vec<_> = (0..8).map(|_| Arc::new(catalog(customers))).collect();
+        let memory = (resident() - before) / 8;
+        let mut current = held[0].clone();
+        let started = Instant::now();
+        for _ in 0..100 {
+            let note = note(current.revision, customers);
+            current = Arc::new(current.apply(&note).unwrap());
+        }
+        report(&json!({
+            "measure": "catalog",
+            "customers": customers,
+            "apply_us": started.elapsed().as_micros() / 100,
+            "memory_bytes": memory,
+            "cbor_bytes": encode(&PeerMessage::WholeCatalog(current.clone())).len(),
+            "json_bytes": serde_json::to_string(&*current).unwrap().len(),
+        }));
+    }
+}
