--- a/src/operator/in_force.rs
+++ b/src/operator/in_force.rs
@@ -101,7 +101,8 @@
     let mut table = Table::new(&["domain", "entry", "revision", "since", "state"]);
     for row in rows {
         let state = match row.revision {
-            Some(r) if r >= revision => paint.good("in force"),
+            Some(r) if r > revision => paint.bad(&format!("{} ahead", r - revision)),
+            Some(r) if r == revision => paint.good("in force"),
             Some(r) => paint.bad(&format!("{} behind", revision - r)),
             None => paint.bad("listed, not heard"),
         };
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -382,12 +382,15 @@
     for name in ["a1", "a2", "b1"] {
         list_entry(&desk, name);
     }
-    let rows = [("b1", 1, 900), ("a1", 0, 130_000)].map(|(entry, revision, since_ms)| InForce {
-        entry: entry.into(),
-        domain: entry[..1].into(),
-        revision,
-        since_ms,
-    });
+    let rows =
+        [("b1", 1, 900), ("a1", 0, 130_000), ("c1", 3, 5)].map(|(entry, revision, since_ms)| {
+            InForce {
+                entry: entry.into(),
+                domain: entry[..1].into(),
+                revision,
+                since_ms,
+            }
+        });
     let admin = serve(serde_json::to_string(&rows).unwrap());
     let platform: Arc<dyn Platform> = Arc::new(desk.platform.clone());
     let report = block_on(status(&platform, &Entries::new(vec![admin]))).unwrap();
@@ -416,3 +419,14 @@
     let ages = [999, 1_000, 119_999, 120_000, 7_200_000, 172_800_000].map(age_text);
     assert_eq!(ages, ["999 ms", "1 s", "119 s", "2 min", "2 h", "2 d"]);
 }
+
+#[test]
+fn release_notes_page_example_is_valid() {
+    let page = include_str!("../docs/RELEASE-NOTES.md");
+    let start = page.split_once("```jsonc\n").unwrap().1;
+    let example = start.split_once("```").unwrap().0;
+    let note = ReleaseNote::read(&Document::new("RELEASE-NOTES.md", example)).unwrap();
+    assert_eq!(note.revision(), 13);
+    let again = ReleaseNote::read(&Document::new("note.jsonc", note.to_document())).unwrap();
+    assert_eq!(again, note);
+}
--- a/tests/peer_membership.rs
+++ b/tests/peer_membership.rs
@@ -53,6 +53,8 @@
     conns: BTreeMap<u64, Conn>,
     cut: BTreeSet<(usize, usize)>,
     unlisted: BTreeSet<(usize, usize)>,
+    accepted: Vec<(usize, Opened)>,
+    dialled: Vec<(usize, Opened)>,
     boots: u64,
 }
 
@@ -65,6 +67,8 @@
             conns: BTreeMap::new(),
             cut: BTreeSet::new(),
             unlisted: BTreeSet::new(),
+            accepted: Vec::new(),
+            dialled: Vec::new(),
             boots: 0,
         };
         for n in 0..domains * each {
@@ -137,6 +141,7 @@
     fn pass(&mut self) {
         self.now += STEP;
         self.steps += 1;
+        self.open();
         for n in 0..self.nodes.len() {
             self.handle(n, MemberEvent::Tick);
             if (self.steps + u32::try_from(n).unwrap()).is_multiple_of(BEAT) {
@@ -206,8 +211,22 @@
                 silent: false,
             },
         );
-        self.handle(to, MemberEvent::Opened(near));
-        self.handle(n, MemberEvent::Opened(far));
+        self.accepted.push((to, near));
+        self.dialled.push((n, far));
+    }
+
+    /// Both ends hear of a new connection one step later, so that dialling may cross.
+    fn open(&mut self) {
+        let accepted = std::mem::take(&mut self.accepted);
+        let dialled = std::mem::take(&mut self.dialled);
+        for (n, opened) in accepted.into_iter().chain(dialled) {
+            let conn = &self.conns[&opened.conn];
+            if !conn.silent && self.other(conn, n).is_some() {
+                self.handle(n, MemberEvent::Opened(opened));
+            } else if let Some(addr) = opened.dialled {
+                self.handle(n, MemberEvent::DialFailed(addr));
+            }
+        }
     }
 
     /// The other end notices unless the connection is silent or cut.
@@ -228,8 +247,19 @@
         live.into_iter().map(|p| p.name).collect()
     }
 
-    /// Every pair of a domain is linked, links are known at both ends, and all domains hang together.
+    /// No dead connection counts as a link, every pair of a domain is linked, links are known at both ends, and all domains hang together.
     fn check_settled(&self) {
+        for (conn, c) in &self.conns {
+            for n in [c.ends.0, c.ends.1] {
+                let kept = self.nodes[n].state.peer(*conn, self.now).is_some();
+                let works = !c.silent && self.other(c, n).is_some();
+                assert!(
+                    !kept || works,
+                    "{} keeps a dead connection",
+                    self.nodes[n].name
+                );
+            }
+        }
         for (n, node) in self.nodes.iter().enumerate() {
             let live = self.live(n);
             for (o, other) in self.nodes.iter().enumerate() {
