--- a/src/catalog/sync.rs
+++ b/src/catalog/sync.rs
@@ -10,7 +10,7 @@
 use log::Level;
 
 use crate::catalog::{
-    Catalog, CatalogCell, CatalogHead, CatalogStore, InForce, Replica, ReplicaEffect, ReplicaEvent,
+    CatalogCell, CatalogHead, CatalogStore, InForce, Replica, ReplicaEffect, ReplicaEvent,
     ReplicaSettings, SnapshotRef,
 };
 use crate::peer::{PeerEvents, PeerInfo, PeerLinks, PeerMessage};
@@ -133,7 +133,9 @@
 
     fn perform(self: &Arc<Self>, effect: ReplicaEffect, executor: &Arc<Executor<'static>>) {
         match effect {
-            ReplicaEffect::Install(catalog) => self.install(&catalog),
+            ReplicaEffect::Install(catalog) => {
+                self.cell.offer(&catalog);
+            }
             ReplicaEffect::Send { to, message } => {
                 if let Some(links) = self.links.get() {
                     links.send(&to, message);
@@ -157,15 +159,6 @@
         }
     }
 
-    fn install(&self, catalog: &Arc<Catalog>) {
-        self.cell.offer(catalog);
-        event(
-            Level::Info,
-            "catalog_in_force",
-            &[("revision", &catalog.revision)],
-        );
-    }
-
     fn announce(&self) {
         let replica = lock(&self.replica);
         let revision = replica.catalog().revision;
--- a/src/operator/in_force.rs
+++ b/src/operator/in_force.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::catalog::{CatalogStore, InForce};
+use crate::catalog::{CatalogHead, CatalogStore, InForce};
 use crate::operator::{Entries, Exit, OperatorError, Paint, Report, Table, age_text, utc_text};
 use crate::platform::{Phase, Platform, Role, Vm};
 use crate::prelude::*;
@@ -37,33 +37,53 @@
     pub at_ms: u64,
     /// Entries by failure domain.
     pub entries: Vec<EntryRow>,
+    /// Why the platform was not read; `revision` is then the newest that an entry reports.
+    pub platform_error: Option<String>,
 }
 
-/// Reads the accepted revision and asks entries for theirs.
+/// Reads the accepted revision and asks entries for theirs, which also works without the platform.
 ///
 /// # Errors
-/// When the platform fails.
+/// When the platform fails and no entry answers.
 pub async fn status(
     platform: &Arc<dyn Platform>,
     entries: &Entries,
 ) -> Result<StatusReport, OperatorError> {
-    let store = CatalogStore::new(platform.clone());
-    let head = store.read_head().await?.unwrap_or_default().0;
-    let last = head.tail.last().cloned().unwrap_or_default();
-    let listed = listed_entries(platform).await?;
     let reported = entries.in_force().await;
-    Ok(StatusReport {
+    let read = async {
+        let head = CatalogStore::new(platform.clone()).read_head().await?;
+        Ok((head.unwrap_or_default().0, listed_entries(platform).await?))
+    };
+    match read.await {
+        Ok((head, listed)) => Ok(accepted(&head, &listed, &reported, !entries.is_empty())),
+        Err(err) if reported.is_empty() => Err(err),
+        Err(err) => Ok(StatusReport {
+            revision: reported.iter().map(|r| r.revision).max().unwrap_or(0),
+            note: "".into(),
+            by: "".into(),
+            why: "".into(),
+            at_ms: 0,
+            entries: rows(&reported, &[]),
+            platform_error: Some(err.to_string()),
+        }),
+    }
+}
+
+fn accepted(head: &CatalogHead, listed: &[Vm], reported: &[InForce], asked: bool) -> StatusReport {
+    let last = head.tail.last().cloned().unwrap_or_default();
+    StatusReport {
         revision: head.revision,
         note: last.id,
         by: last.by,
         why: last.why,
         at_ms: last.at_ms,
-        entries: if entries.is_empty() {
-            Vec::new()
+        entries: if asked {
+            rows(reported, listed)
         } else {
-            rows(&reported, &listed)
+            Vec::new()
         },
-    })
+        platform_error: None,
+    }
 }
 
 /// Entries in use by the platform's list.
@@ -120,13 +140,18 @@
 
 impl Report for StatusReport {
     fn exit(&self) -> Exit {
-        Exit::Ok
+        match self.platform_error {
+            None => Exit::Ok,
+            Some(_) => Exit::Unreachable,
+        }
     }
 
     fn text(&self, paint: Paint) -> String {
         let title = format!("revision {}", self.revision);
         let mut out = paint.strong(&title);
-        if self.revision > 0 {
+        if let Some(err) = &self.platform_error {
+            let _ = write!(out, " is the newest reported; {}", paint.bad(err));
+        } else if self.revision > 0 {
             let at = utc_text(self.at_ms);
             let _ = write!(out, " accepted {at} by {}: {}", self.by, self.why);
         }
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -398,6 +398,11 @@
     let limit = Duration::ZERO;
     let waited = block_on(desk.applier.wait(1, &Entries::new(vec![admin]), limit));
     assert!(!waited.1);
+    desk.platform.set_fault(Some(Fault::Down));
+    let down = block_on(status(&platform, &Entries::new(vec![admin]))).unwrap();
+    assert_eq!(down.exit(), Exit::Unreachable);
+    insta::assert_snapshot!("status_without_platform", down.text(PLAIN));
+    desk.platform.set_fault(None);
     let unasked = block_on(status(&platform, &Entries::new(Vec::new()))).unwrap();
     insta::assert_snapshot!("status_without_entry", unasked.text(PLAIN));
 }
--- a/tests/peer_membership.rs
+++ b/tests/peer_membership.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use guavahold::peer::{
-    GATEWAYS, MemberEffect, MemberEvent, Membership, MembershipSettings, Opened, rank_key,
+    CloseReason, GATEWAYS, MemberEffect, MemberEvent, Membership, MembershipSettings, Opened,
+    rank_key,
 };
 use guavahold::platform::{Phase, Role, Vm};
 use guavahold::prelude::Name;
@@ -390,3 +391,88 @@
         );
     }
 }
+
+/// One end of a pair of entries `d00-0` and `d01-0`.
+struct End {
+    state: Membership,
+    other: Name,
+}
+
+impl End {
+    fn new(n: usize) -> Self {
+        let domain = format!("d0{n}");
+        Self {
+            state: Membership::new(settings(&format!("{domain}-0"), &domain, 1)),
+            other: format!("d0{}-0", 1 - n).into(),
+        }
+    }
+
+    /// Opens a connection to the other entry and tells which are closed for it.
+    fn open(&mut self, at_ms: u64, conn: u64, boot: u64, dialled: bool) -> Vec<MemberEffect> {
+        let opened = Opened {
+            conn,
+            peer: self.other.clone(),
+            domain: self.other[..3].into(),
+            boot,
+            dialled: dialled.then(|| address(1)),
+        };
+        let mut effects = Vec::new();
+        let now = Duration::from_millis(at_ms);
+        self.state
+            .on(now, MemberEvent::Opened(opened), &mut effects);
+        effects.retain(|e| matches!(e, MemberEffect::Close { .. }));
+        effects
+    }
+
+    fn keeps(&self, conn: u64) -> bool {
+        self.state.peer(conn, Duration::ZERO).is_some()
+    }
+}
+
+#[test]
+fn membership_crossed_dials_keep_the_lower_names_connection() {
+    let (by_lower, by_higher) = (1, 2);
+    for order in [[by_lower, by_higher], [by_higher, by_lower]] {
+        let (mut lower, mut higher) = (End::new(0), End::new(1));
+        for conn in order {
+            lower.open(0, conn, 1, conn == by_lower);
+            higher.open(0, conn, 1, conn == by_higher);
+        }
+        assert!(
+            lower.keeps(by_lower) && !lower.keeps(by_higher),
+            "{order:?}"
+        );
+        assert!(
+            higher.keeps(by_lower) && !higher.keeps(by_higher),
+            "{order:?}"
+        );
+    }
+}
+
+#[test]
+fn membership_restarted_peer_replaces_its_link_at_once() {
+    let mut lower = End::new(0);
+    lower.open(0, 1, 5, true);
+    let reason = CloseReason::Restarted;
+    assert_eq!(
+        lower.open(10, 2, 6, false),
+        [MemberEffect::Close { conn: 1, reason }]
+    );
+    assert!(lower.keeps(2));
+}
+
+#[test]
+fn membership_quiet_link_gives_way() {
+    let mut lower = End::new(0);
+    lower.open(0, 1, 5, true);
+    let reason = CloseReason::Duplicate;
+    assert_eq!(
+        lower.open(500, 2, 5, false),
+        [MemberEffect::Close { conn: 2, reason }]
+    );
+    assert_eq!(
+        lower.open(1200, 3, 5, false),
+        [MemberEffect::Close { conn: 1, reason }]
+    );
+    assert!(lower.keeps(3));
+}
