--- a/tests/catalog_cluster/mod.rs
+++ b/tests/catalog_cluster/mod.rs
@@ -23,6 +23,8 @@
 const IN_FORCE: Duration = Duration::from_secs(3);
 /// Time after a change of faults until links and watchers have settled.
 const SETTLED: Duration = Duration::from_secs(5);
+/// Time that a slow platform takes to answer.
+const SLOW_ANSWER: Duration = Duration::from_millis(1500);
 const ENTRIES: usize = 3;
 
 /// Something that operators, faults or the clock do.
@@ -51,6 +53,10 @@
     Down,
     /// It answers again.
     Up,
+    /// The platform takes long to answer calls.
+    Slow,
+    /// It answers fast again.
+    Fast,
     /// Open watches of a domain go silent, new ones work.
     Silence(usize),
     /// An entry's process is replaced.
@@ -88,6 +94,7 @@
     cut_platform: BTreeSet<usize>,
     cut_entries: BTreeSet<usize>,
     down: bool,
+    slow: bool,
     lossy_until: Duration,
     changed_at: Duration,
     heads: Vec<CatalogHead>,
@@ -113,6 +120,7 @@
             cut_platform: BTreeSet::new(),
             cut_entries: BTreeSet::new(),
             down: false,
+            slow: false,
             lossy_until: Duration::ZERO,
             changed_at: Duration::ZERO,
             heads: vec![CatalogHead::default()],
@@ -207,6 +215,8 @@
             Step::HealEntry(n) => self.fault(|c| c.cut_entries.remove(&n)),
             Step::Down => self.go_down(),
             Step::Up => self.fault(|c| c.down = false),
+            Step::Slow => self.fault(|c| c.slow = true),
+            Step::Fast => self.fault(|c| c.slow = false),
             Step::Silence(domain) => self.silence(domain),
             Step::Restart(n) => self.restart(n),
             Step::OldEvent(n, back) => self.old_event(n, back),
@@ -433,7 +443,8 @@
         } else if !self.is_served(n) {
             self.post(OPEN_TIMEOUT, n, ReplicaEvent::WatchFailed);
         } else {
-            let at = (self.now + LATENCY, self.sequence);
+            let answer = if self.slow { SLOW_ANSWER } else { LATENCY };
+            let at = (self.now + answer, self.sequence);
             let seed = self.incarnation(n);
             self.queue.insert(at, Delivery::Opened(n, seed));
             self.sequence += 1;
--- a/tests/catalog_random.rs
+++ b/tests/catalog_random.rs
@@ -37,6 +37,8 @@
             2 => entry.clone().prop_map(Step::HealEntry),
             1 => Just(Step::Down),
             2 => Just(Step::Up),
+            1 => Just(Step::Slow),
+            2 => Just(Step::Fast),
             2 => domain.prop_map(Step::Silence),
             2 => entry.clone().prop_map(Step::Restart),
             2 => (entry, 0..20_u8).prop_map(|(n, back)| Step::OldEvent(n, back)),
