--- a/rig/src/engine/api.rs
+++ b/rig/src/engine/api.rs
@@ -11,8 +11,6 @@
 use crate::engine::run::Follower;
 use crate::{Engine, FaultBox, Faults, Spawner, StandIn, reply};
 
-/// Text by which the event behind the last token is known.
-const FINAL: &str = "\"finish_reason\":\"stop\"";
 /// Request id of a crossed answer.
 const OTHER_ID: &str = "another-request";
 
@@ -60,6 +58,16 @@
 
 impl Engine {
     async fn chat(self: &Arc<Self>, exchange: &Exchange, faults: &Faults) -> Response {
+        let mut res = self.answer_chat(exchange, faults).await;
+        if let Some(id) = exchange.header(REQUEST_ID_HEADER)
+            && res.header(REQUEST_ID_HEADER).is_none()
+        {
+            res.insert_header(REQUEST_ID_HEADER, id);
+        }
+        res
+    }
+
+    async fn answer_chat(self: &Arc<Self>, exchange: &Exchange, faults: &Faults) -> Response {
         let Some(job) = Job::parse(exchange, &self.cfg) else {
             return not_run(StatusCode::BadRequest, "not a chat completion");
         };
@@ -127,22 +135,15 @@
         let (this, omit_final) = (self.clone(), faults.omit_final);
         self.spawn(async move {
             let run = &follower.0;
-            let mut number = from.saturating_sub(1);
-            let mut whole = false;
+            let mut number = from;
             while let Some(event) = run.event(number).await {
-                if number < from {
-                    whole = event.contains(FINAL);
-                    number += 1;
-                    continue;
-                }
                 this.faults.thawed().await;
-                whole = event.contains(FINAL);
                 if !tx.send(&SseEvent::new(number.to_string(), event)).await {
                     return;
                 }
                 number += 1;
             }
-            if !whole {
+            if !run.is_whole() {
                 return;
             }
             if !omit_final {
--- a/rig/src/engine/run.rs
+++ b/rig/src/engine/run.rs
@@ -9,6 +9,8 @@
 
 /// Pause between two looks for a reading connection.
 const POLL: Duration = Duration::from_millis(50);
+/// Text by which the event behind the last token is known.
+const FINAL: &str = "\"finish_reason\":\"stop\"";
 
 #[derive(Debug, Default)]
 struct Log {
@@ -62,6 +64,13 @@
         self.log.lock().unwrap_or_else(PoisonError::into_inner).done
     }
 
+    /// Whether the event behind the last token was the last.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.events.last().is_some_and(|event| event.contains(FINAL))
+    }
+
     /// Cancels the run.
     pub fn cancel(&self) {
         self.cancelled.store(true, Ordering::Release);
--- /dev/null
+++ b/rig/tests/targets.rs
@@ -0,0 +1,123 @@
+//! Leaving targets, dead targets and requests that crash the targets that run them.
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use guavahold::platform::{Phase, Role, Vm};
+use guavahold_rig::client::Call;
+use guavahold_rig::fleet::{set_faults, within};
+use guavahold_rig::scene::SALON;
+use guavahold_rig::{Process, Scene};
+use http_types::Method;
+use serde_json::json;
+
+/// Time after its first signal at which a leaving target gets no new work any more.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+
+async fn runs(engine: &Process) -> u64 {
+    let stats = Call::new(Method::Get, "/stats")
+        .send(engine.address("admin"))
+        .await;
+    stats.unwrap().json()["runs"].as_u64().unwrap()
+}
+
+/// Sends short prompts at every entry for a while; all must be answered.
+async fn load(scene: &Scene, time: Duration) {
+    let started = Instant::now();
+    let mut n = 0;
+    while started.elapsed() < time {
+        let call = Call::chat(SALON, "router", &format!("question {n}"), 2, false);
+        let answer = call
+            .send(scene.callers(n % scene.entries.len()))
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 200, "{:?}", answer.json());
+        n += 1;
+    }
+}
+
+async fn gets_no_work(scene: &Scene, engine: usize) {
+    load(scene, LEAVE_LIMIT).await;
+    let before = runs(&scene.engines[engine]).await;
+    assert!(before > 0, "the engine got work before it left");
+    load(scene, Duration::from_secs(1)).await;
+    assert_eq!(runs(&scene.engines[engine]).await, before);
+}
+
+#[test]
+fn leaving_target_reported_by_itself() {
+    within(async {
+        let scene = Scene::builder().start().await;
+        load(&scene, Duration::from_millis(500)).await;
+        let leave = Call::new(Method::Post, "/leave");
+        leave.send(scene.engines[0].address("admin")).await.unwrap();
+        gets_no_work(&scene, 0).await;
+    });
+}
+
+#[test]
+fn leaving_target_listed() {
+    within(async {
+        let scene = Scene::builder().start().await;
+        load(&scene, Duration::from_millis(500)).await;
+        let vm = Vm {
+            name: "engine-1".into(),
+            role: Role::Engine,
+            domain: "a".into(),
+            address: scene.engines[0].address("address"),
+            serves: "router".into(),
+            phase: Phase::Leaving,
+        };
+        scene.fleet.put_vm(&vm).await;
+        gets_no_work(&scene, 0).await;
+    });
+}
+
+#[test]
+fn leaving_target_reported_while_platform_is_down() {
+    within(async {
+        let scene = Scene::builder().start().await;
+        load(&scene, Duration::from_millis(500)).await;
+        set_faults(
+            scene.fleet.platform.address("admin"),
+            json!({"freeze": true}),
+        )
+        .await;
+        let leave = Call::new(Method::Post, "/leave");
+        leave.send(scene.engines[1].address("admin")).await.unwrap();
+        gets_no_work(&scene, 1).await;
+    });
+}
+
+#[test]
+fn dead_target_costs_no_answer() {
+    within(async {
+        let mut scene = Scene::builder().engines(3).start().await;
+        load(&scene, Duration::from_millis(300)).await;
+        scene.engines[1].kill();
+        load(&scene, Duration::from_secs(1)).await;
+        scene.engines[2].pause();
+        load(&scene, Duration::from_secs(3)).await;
+        scene.engines[2].resume();
+    });
+}
+
+#[test]
+fn crashing_request_takes_down_two_targets_at_most() {
+    within(async {
+        let mut scene = Scene::builder().entries(4).engines(6).start().await;
+        for engine in &scene.engines {
+            set_faults(engine.address("admin"), json!({"crash_on": "poison"})).await;
+        }
+        let poison = Call::chat(SALON, "router", "a poisonous prompt: poison", 5, false);
+        for n in 0..12 {
+            let answer = poison.send(scene.callers(n % 4)).await.unwrap();
+            assert_ne!(answer.status, 200);
+            assert!(answer.run.is_some(), "{answer:?}");
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        let dead = scene.engines.iter_mut().filter_map(Process::ended).count();
+        assert!((1..=2).contains(&dead), "{dead} engines are down");
+        load(&scene, Duration::from_millis(500)).await;
+    });
+}
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -15,6 +15,7 @@
 mod shared;
 mod targets;
 mod usage;
+mod watchdog;
 mod work;
 
 pub use chat::ChatRequest;
--- a/src/caller/attempt.rs
+++ b/src/caller/attempt.rs
@@ -10,6 +10,7 @@
 use crate::caller::engine_stream::EngineStream;
 use crate::caller::plan::plan_cache;
 use crate::caller::usage::count_tokens;
+use crate::caller::watchdog::silent_for_good;
 use crate::caller::{RunId, Shared, Work, WorkKind};
 use crate::decide::AttemptOutcome;
 use crate::http::{Answer, ExchangeError};
@@ -81,7 +82,7 @@
 }
 
 async fn receive_whole(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     work: &Work,
     attempt: &Attempt,
     req: Request,
@@ -101,7 +102,11 @@
         shared.pool.clear(attempt.address);
         Err(AttemptOutcome::Lost)
     };
-    exchange.or(late).await
+    let silent = async {
+        Box::pin(silent_for_good(shared, work, attempt)).await;
+        Err(AttemptOutcome::Lost)
+    };
+    exchange.or(silent).or(late).await
 }
 
 /// Sends on a new connection when the request must not be repeated, else on a pooled one.
@@ -147,13 +152,14 @@
     attempt: &Attempt,
 ) -> Result<(), AttemptOutcome> {
     let chat = matches!(work.kind, WorkKind::Chat(_));
+    let status = u16::from(answer.res.status());
+    let refused = answer.header(RAN_HEADER) == Some("not-run") && status >= 400;
     match answer.header(REQUEST_ID_HEADER) {
         Some(id) if id == attempt.run.as_str() => {}
-        None if !chat => {}
+        None if !chat || (refused && work.policy.idempotent) => {}
         _ => return Err(AttemptOutcome::Lost),
     }
-    let status = u16::from(answer.res.status());
-    if answer.header(RAN_HEADER) == Some("not-run") && status >= 400 {
+    if refused {
         let seconds = answer.header("retry-after").and_then(|v| v.parse().ok());
         let retry_after = seconds.map(Duration::from_secs);
         return Err(AttemptOutcome::Refused { retry_after });
--- a/src/caller/engine_stream.rs
+++ b/src/caller/engine_stream.rs
@@ -20,7 +20,7 @@
 /// Longest time without a new event once the answer has begun.
 const STALL_LIMIT: Duration = Duration::from_secs(30);
 /// Connections tried in a row to resume a run.
-const RESUME_TRIES: u32 = 5;
+const RESUME_TRIES: u32 = 3;
 /// Pause before the second try; it doubles with each further one.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 /// Data of the event that ends a stream.
@@ -216,6 +216,21 @@
         (answer.res.status() == StatusCode::Ok && fits).then_some(Ok(answer))
     }
 
+    /// Waits for the end of the run without taking events; `false` when the connection died.
+    pub(crate) async fn at_end(&mut self) -> bool {
+        let Some(answer) = &mut self.answer else {
+            return false;
+        };
+        let mut buf = [0; 1024];
+        loop {
+            match answer.read(&mut buf).await {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(_) => return false,
+            }
+        }
+    }
+
     /// Reads the clean end of the answer and keeps its connection for reuse.
     async fn recycle(&mut self) {
         let Some(mut answer) = self.answer.take() else {
