Fail over from targets that fell silent, and keep retries ahead of hedges

Causes, from a trace of the desk's events while one engine was killed and one paused: a plain request at the paused engine waited for its total deadline, since only streams test a silent connection by a new one; when it was told lost, hedges had spent the budget, so it was refused with 502; and an engine's refusal without the request id counted as lost. Ruled out: the probes (they called the target unreachable after 1.2 s). Before: dead_target_costs_no_answer ended in its time limit (100 s), then with a 502; leaving_target_reported_by_itself with a 502. After: all five tests of targets pass.

--- a/src/decide/budget.rs
+++ b/src/decide/budget.rs
@@ -2,6 +2,8 @@
 
 /// Tokens at the start.
 const INITIAL: f64 = 2.0;
+/// Tokens that hedges leave to retries, which a request needs to be answered at all.
+const RESERVE: f64 = 2.0;
 /// Tokens kept at most.
 const CAP: f64 = 10.0;
 
@@ -26,6 +28,11 @@
         self.tokens = (self.tokens + self.ratio).min(CAP);
     }
 
+    /// Takes one token beyond those reserved for retries; `false` when there is none.
+    pub(super) fn take_spare(&mut self) -> bool {
+        self.tokens >= RESERVE + 1.0 && self.take()
+    }
+
     /// Takes one token; `false` when there is none.
     pub(super) fn take(&mut self) -> bool {
         let enough = self.tokens >= 1.0;
--- a/src/decide/desk.rs
+++ b/src/decide/desk.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod dispatch;
+mod failover;
 mod hedge;
 mod outcome;
 mod refuse;
--- a/src/decide/desk/hedge.rs
+++ b/src/decide/desk/hedge.rs
@@ -32,7 +32,7 @@
         let Some((target, weights)) = chosen else {
             return;
         };
-        if self.fleet.pool_mut(pool).budget.take() {
+        if self.fleet.pool_mut(pool).budget.take_spare() {
             self.start(id, target, weights, true, effects);
         }
     }
--- a/src/decide/desk/signal.rs
+++ b/src/decide/desk/signal.rs
@@ -100,6 +100,7 @@
             self.forgive_lost_domain(&domain);
             self.refuse_stranded(effects);
         }
+        self.fail_over(ix, effects);
     }
 
     fn explain_death(&mut self, ix: TargetIx, effects: &mut Vec<Effect>) {
