--- a/src/decide/desk/admit.rs
+++ b/src/decide/desk/admit.rs
@@ -33,6 +33,9 @@
         let appointed = self.appointments.redeem(self.now, &arrival.fingerprint);
         let req = Request::new(self.now, arrival, pool);
         self.requests.insert(id, req);
+        if self.serve_at_once(id, pool, effects) {
+            return;
+        }
         self.enqueue(id);
         self.serve(pool, effects);
         let Some(Place::Queued(lane, _)) = self.requests.get(&id).map(|r| r.place) else {
@@ -44,6 +47,24 @@
         }
     }
 
+    /// Places a request without queueing when nothing waits and a target has room.
+    fn serve_at_once(&mut self, id: RequestId, pool: PoolIx, effects: &mut Vec<Effect>) -> bool {
+        let lane = self.lane(pool, id);
+        let queue = &self.lanes[pool.0][lane];
+        if queue.len() > 0 || !self.fleet.any_free(pool, &queue.weights) {
+            return false;
+        }
+        let Some(req) = self.requests.get(&id) else {
+            return true;
+        };
+        let (class, customer) = (req.arrival.policy.class, req.arrival.customer.clone());
+        let (weight, cost) = (self.share(&customer), req.cost());
+        let queue = &mut self.lanes[pool.0][lane];
+        queue.charge(self.now, class, &customer, weight, cost);
+        self.place(id, effects);
+        true
+    }
+
     fn refuse_at_door(&mut self, arrival: &Arrival) -> Option<Refusal> {
         if self.draining {
             let retry_after = self.jittered(super::refuse::ELSEWHERE);
--- a/src/decide/fair_queue.rs
+++ b/src/decide/fair_queue.rs
@@ -88,6 +88,18 @@
         Some(key)
     }
 
+    /// Counts a request that is served without waiting.
+    pub(super) fn charge(&mut self, now: Stamp, customer: &Name, weight: u32, cost: u32) {
+        self.sweep(now);
+        let flow = self.flows.entry(customer.clone()).or_default();
+        flow.weight = weight.max(1);
+        let credit = UNIT * CREDIT / u64::from(flow.weight);
+        let start = flow.start.max(self.virtual_time.saturating_sub(credit));
+        self.virtual_time = self.virtual_time.max(start);
+        let advance = UNIT * u64::from(cost) / u64::from(flow.weight);
+        flow.start = start.saturating_add(advance.max(1));
+    }
+
     /// Takes one request out of turn; `false` when it does not wait here.
     pub(super) fn remove(&mut self, customer: &Name, key: QueueKey) -> bool {
         let Some(flow) = self.flows.get_mut(customer) else {
--- a/src/decide/lane.rs
+++ b/src/decide/lane.rs
@@ -62,6 +62,22 @@
         self.classes[n].pop()
     }
 
+    /// Counts a request that is served without waiting, while nothing waits.
+    pub(super) fn charge(
+        &mut self,
+        now: Stamp,
+        class: Class,
+        customer: &Name,
+        weight: u32,
+        cost: u32,
+    ) {
+        self.wake(class);
+        let n = usize::from(class.priority());
+        self.pass = self.passes[n];
+        self.passes[n] += STRIDE / u64::from(CLASS_WEIGHTS[n]);
+        self.classes[n].charge(now, customer, weight, cost);
+    }
+
     /// Part of the rate that a class gets while all classes that wait now go on waiting.
     pub(super) fn class_part(&self, class: Class) -> f64 {
         let own = usize::from(class.priority());
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -4,6 +4,8 @@
 mod machine;
 #[path = "decide/overload.rs"]
 mod overload;
+#[path = "decide/placement.rs"]
+mod placement;
 #[path = "decide/quarantine.rs"]
 mod quarantine;
 #[path = "decide/refusals.rs"]
--- /dev/null
+++ b/tests/decide/placement.rs
@@ -0,0 +1,162 @@
+//! Where requests are placed.
+
+use std::collections::BTreeMap;
+
+use guavahold::catalog::Class;
+use guavahold::decide::{Arrival, Desk, DeskSettings, Effect, Event};
+use guavahold::prelude::*;
+use guavahold::target::LoadReport;
+
+use crate::world::{World, arrival, count, key, ms, policy, report, target};
+
+/// Targets chosen by an entry of `domain` for prompts with and without whole blocks.
+fn placements(domain: &str, seed: u64, tokens: u32) -> Vec<Name> {
+    let mut cfg = DeskSettings::new(domain.into());
+    cfg.seed = seed;
+    let mut desk = Desk::new(cfg);
+    let names = (0..16).map(|n| (format!("engine-{n}"), format!("domain-{}", n % 4)));
+    let list: Vec<_> = names.map(|(name, domain)| target(&name, &domain)).collect();
+    let names: Vec<Name> = list.iter().map(|t| t.name.clone()).collect();
+    let mut effects = Vec::new();
+    desk.on(ms(0), Event::Targets(list), &mut effects);
+    for target in names {
+        let report = report(16);
+        desk.on(ms(0), Event::Report { target, report }, &mut effects);
+    }
+    for id in 0..40 {
+        let req = Arrival {
+            tokens,
+            ..arrival(id, "a", &policy(Class::Standard, 5_000))
+        };
+        desk.on(ms(10), Event::Arrive(req), &mut effects);
+    }
+    let dispatched = effects.into_iter().filter_map(|e| match e {
+        Effect::Dispatch { target, .. } => Some(target),
+        _ => None,
+    });
+    dispatched.collect()
+}
+
+#[test]
+fn prefix_has_one_home_at_all_entries() {
+    let one = placements("domain-0", 1, 5_000);
+    assert_eq!(one.len(), 40);
+    assert_eq!(one, placements("domain-1", 2, 5_000));
+    let mut homes = one;
+    homes.sort_unstable();
+    homes.dedup();
+    assert!(homes.len() >= 10, "prefixes spread: {homes:?}");
+}
+
+#[test]
+fn short_prompt_stays_in_its_domain() {
+    let local = ["engine-0", "engine-4", "engine-8", "engine-12"];
+    for target in placements("domain-0", 1, 200) {
+        assert!(local.contains(&&*target), "{target}");
+    }
+}
+
+#[test]
+fn hot_prefix_spills_within_its_order() {
+    let mut world = World::new(DeskSettings::new("domain-0".into()), World::fleet(4, 2, 4));
+    let quick = policy(Class::Interactive, 2_000);
+    // One prefix at half the capacity of all targets: more than its home can run.
+    world.stream(1, 40.0, (ms(0), ms(10_000)), |id| Arrival {
+        affinity: key(9),
+        tokens: 3_000,
+        ..arrival(id, "a", &quick)
+    });
+    world.run_until(ms(15_000));
+    let mut received: Vec<u32> = world.engines.values().map(|e| e.received).collect();
+    received.sort_unstable_by(|a, b| b.cmp(a));
+    println!("received {received:?}");
+    assert_eq!(count(world.records.values().filter(|r| !r.is_good())), 0);
+    assert!(received[0] > received[7] * 3, "{received:?}");
+    world.assert_at_rest();
+}
+
+#[test]
+fn preferred_weights_come_first() {
+    let mut desk = Desk::new(DeskSettings::new("domain-0".into()));
+    let mut effects = Vec::new();
+    let list = vec![target("old", "domain-0"), target("new", "domain-0")];
+    desk.on(ms(0), Event::Targets(list), &mut effects);
+    for (name, weights) in [("old", "v1"), ("new", "v2")] {
+        let report = LoadReport {
+            weights: vec![weights.into()],
+            ..report(2)
+        };
+        let target = name.into();
+        desk.on(ms(0), Event::Report { target, report }, &mut effects);
+    }
+    for id in 0..4 {
+        let mut req = arrival(id, "a", &policy(Class::Standard, 5_000));
+        req.weights = ["v2".into(), "v1".into()].into_iter().collect();
+        desk.on(ms(1), Event::Arrive(req), &mut effects);
+    }
+    let ran = effects.iter().filter_map(|e| match e {
+        Effect::Dispatch {
+            weights, target, ..
+        } => Some((&**weights, &**target)),
+        _ => None,
+    });
+    let ran: Vec<_> = ran.collect();
+    assert_eq!(
+        ran,
+        [("v2", "new"), ("v2", "new"), ("v1", "old"), ("v1", "old")]
+    );
+}
+
+#[test]
+fn late_first_tokens_are_hedged_within_the_budget() {
+    let mut fleet = World::fleet(4, 2, 4);
+    fleet[3].slowness = 2.9;
+    let mut world = World::new(DeskSettings::new("domain-3".into()), fleet);
+    let quick = policy(Class::Interactive, 2_000);
+    world.stream(1, 60.0, (ms(0), ms(20_000)), |id| Arrival {
+        tokens: 3_000,
+        ..arrival(id, "a", &quick)
+    });
+    world.run_until(ms(25_000));
+    let requests = count(world.records.values());
+    let attempts: u32 = world.records.values().map(|r| r.attempts).sum();
+    println!(
+        "requests {requests}, hedges {}, attempts {attempts}",
+        world.hedges
+    );
+    assert!(world.hedges > 0);
+    assert!(attempts * 10 <= requests * 11);
+    assert_eq!(world.cancelled, world.hedges, "each race has one loser");
+    world.assert_at_rest();
+}
+
+#[test]
+fn entries_share_a_contended_target() {
+    let mut desk = Desk::new(DeskSettings::new("domain-0".into()));
+    let mut effects = Vec::new();
+    desk.on(
+        ms(0),
+        Event::Targets(vec![target("engine", "domain-0")]),
+        &mut effects,
+    );
+    desk.on(ms(0), Event::Entries(2), &mut effects);
+    // Another entry has filled the target and more waits there.
+    let report = LoadReport {
+        running: 8,
+        queued: 3,
+        ..report(8)
+    };
+    let target = "engine".into();
+    desk.on(ms(0), Event::Report { target, report }, &mut effects);
+    for id in 0..10 {
+        let req = arrival(id, "a", &policy(Class::Patient, 60_000));
+        desk.on(ms(1), Event::Arrive(req), &mut effects);
+    }
+    let mut sent = BTreeMap::new();
+    for effect in effects {
+        if let Effect::Dispatch { target, .. } = effect {
+            *sent.entry(target).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(sent.get("engine"), Some(&4), "half of eight slots");
+}
--- a/tests/decide/world.rs
+++ b/tests/decide/world.rs
@@ -141,7 +141,10 @@
     pub killed: Vec<Name>,
     /// Whether refused callers come back as told.
     pub obedient: bool,
-    pub dispatched: u64,
+    /// Attempts that raced an earlier one.
+    pub hedges: u32,
+    /// Attempts cancelled.
+    pub cancelled: u32,
     arrivals: Vec<Arrival>,
     happenings: BinaryHeap<Reverse<(Stamp, u64, Happening)>>,
     seq: u64,
@@ -160,7 +163,8 @@
             killers: Vec::new(),
             killed: Vec::new(),
             obedient: false,
-            dispatched: 0,
+            hedges: 0,
+            cancelled: 0,
             arrivals: Vec::new(),
             happenings: BinaryHeap::new(),
             seq: 0,
@@ -329,8 +333,12 @@
                 id,
                 attempt,
                 target,
+                hedge,
                 ..
-            } => self.dispatch(id, attempt, &target),
+            } => {
+                self.hedges += u32::from(hedge);
+                self.dispatch(id, attempt, &target);
+            }
             Effect::Refuse { id, refusal } => {
                 if self.obedient && refusal.run() == guavahold::http::RunState::NotRun {
                     let again = self.records[&id].arrival.clone();
@@ -339,6 +347,7 @@
                 self.end(id, End::Refused(refusal));
             }
             Effect::Cancel { id, attempt } => {
+                self.cancelled += 1;
                 for engine in self.engines.values_mut() {
                     engine.running.retain(|r| *r != (id, attempt));
                     engine.waiting.retain(|r| *r != (id, attempt));
@@ -366,7 +375,6 @@
             return;
         }
         record.attempts += 1;
-        self.dispatched += 1;
         let killer = self.killers.contains(&record.arrival.fingerprint);
         engine.received += 1;
         engine.waiting.push_back((id, attempt));
