--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,8 +1,11 @@
 //! Small fakes shared by the tests.
 #![allow(dead_code, unused_imports, clippy::mod_module_files)]
 
+pub mod claims;
 mod links;
+mod node;
 mod platform;
 
-pub use links::NoPeers;
+pub use links::{LocalLinks, LocalNet, NoPeers};
+pub use node::{Node, SHARDS, claim_request};
 pub use platform::{Calls, Fault, MemoryPlatform};
