--- a/tests/decide/world.rs
+++ b/tests/decide/world.rs
@@ -73,6 +73,8 @@
     pub slots: u32,
     pub slowness: f64,
     pub reachable: bool,
+    /// Attempts received.
+    pub received: u32,
     running: Vec<(RequestId, u32)>,
     waiting: VecDeque<(RequestId, u32)>,
 }
@@ -112,6 +114,11 @@
         matches!(self.end, Some((_, End::Done))) && self.first_token.is_some_and(in_time)
     }
 
+    /// Whether the answer came, but its first token after the deadline.
+    pub fn is_late(&self) -> bool {
+        matches!(self.end, Some((_, End::Done))) && !self.is_good()
+    }
+
     pub fn refusal(&self) -> Option<&Refusal> {
         match &self.end {
             Some((_, End::Refused(refusal))) => Some(refusal),
@@ -179,6 +186,7 @@
             slots,
             slowness: 1.0,
             reachable: true,
+            received: 0,
             running: Vec::new(),
             waiting: VecDeque::new(),
         };
@@ -360,6 +368,7 @@
         record.attempts += 1;
         self.dispatched += 1;
         let killer = self.killers.contains(&record.arrival.fingerprint);
+        engine.received += 1;
         engine.waiting.push_back((id, attempt));
         self.fill(target);
         if killer {
