--- a/rig/src/cli.rs
+++ b/rig/src/cli.rs
@@ -100,7 +100,7 @@
             }
             /// Measures how an idle entry's cost grows with one dimension.
             cmd slope {
-                /// `peers`, `targets`, `customers` or `changes`.
+                /// `peers`, `targets`, `customers`, `changes`, `claims` or `blocks`.
                 required --of dimension: Dimension
                 /// File for the result as JSON.
                 optional --json path: String
--- a/rig/src/slope.rs
+++ b/rig/src/slope.rs
@@ -1,6 +1,8 @@
 //! How an idle entry's cost grows with each dimension of the system.
 
+mod blocks;
 mod changes;
+mod claims;
 mod customers;
 mod peers;
 mod point;
@@ -21,6 +23,10 @@
     Customers,
     /// Changes of the catalog per second.
     Changes,
+    /// Calls per second that may run once only.
+    Claims,
+    /// Blocks put into a store, which is observed in place of an entry.
+    Blocks,
 }
 
 impl FromStr for Dimension {
@@ -32,7 +38,9 @@
             "targets" => Ok(Self::Targets),
             "customers" => Ok(Self::Customers),
             "changes" => Ok(Self::Changes),
-            _ => Err("expected one of peers, targets, customers, changes".into()),
+            "claims" => Ok(Self::Claims),
+            "blocks" => Ok(Self::Blocks),
+            _ => Err("expected one of peers, targets, customers, changes, claims, blocks".into()),
         }
     }
 }
@@ -48,6 +56,8 @@
             Dimension::Targets => targets::measure().await,
             Dimension::Customers => customers::measure().await,
             Dimension::Changes => changes::measure().await,
+            Dimension::Claims => claims::measure().await,
+            Dimension::Blocks => blocks::measure().await,
         }
     })?;
     Ok(Slope::fit(format!("{dimension:?}").to_lowercase(), points))
