--- a/rig/src/cli.rs
+++ b/rig/src/cli.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::load::{LoadOptions, Profile};
+use crate::load::{LoadOptions, Profile, Trace};
 use crate::{
     Engine, EngineSettings, Host, PlatformSettings, PlatformStandIn, Relay, ServiceSettings,
     ServiceStandIn, StandIn,
@@ -93,6 +93,15 @@
                 /// File for a plot as SVG.
                 optional --svg path: String
             }
+            /// Computes the lower bounds of a schedule without running it.
+            cmd floor {
+                /// `kammitsa` or `pluvial`.
+                required --profile profile: String
+                /// Seed of the schedule.
+                optional --seed seed: u64
+                /// Length of the schedule, in seconds.
+                optional --seconds seconds: u64
+            }
             /// Measures what one entry costs.
             cmd entry-bench {
                 /// File for the result as JSON.
@@ -143,6 +152,12 @@
         }
         GuavaholdRigCmd::Demo(_) => crate::demo::demo(),
         GuavaholdRigCmd::Load(cmd) => load(cmd),
+        GuavaholdRigCmd::Floor(cmd) => {
+            let profile = profile(&cmd.profile)?;
+            let length = Duration::from_secs(cmd.seconds.unwrap_or(30));
+            let trace = Trace::draw(&profile, cmd.seed.unwrap_or(1), length, 1.0, 1.0);
+            print_json(&crate::load::floor(&profile, &trace), None)
+        }
         GuavaholdRigCmd::EntryBench(cmd) => {
             print_json(&crate::entry_bench::entry_bench()?, cmd.json.as_deref())
         }
@@ -157,11 +172,13 @@
     }
 }
 
+fn profile(name: &str) -> eyre::Result<Profile> {
+    Profile::named(name).ok_or_else(|| eyre::eyre!("unknown profile {name}"))
+}
+
 fn load(cmd: flags::Load) -> eyre::Result<()> {
-    let profile = Profile::named(&cmd.profile);
-    let profile = profile.ok_or_else(|| eyre::eyre!("unknown profile {}", cmd.profile))?;
     let result = crate::load::run(&LoadOptions {
-        profile,
+        profile: profile(&cmd.profile)?,
         baseline: cmd.router.unwrap_or_default(),
         fault: cmd.fault.unwrap_or_default(),
         seed: cmd.seed.unwrap_or(1),
--- a/rig/src/load/floor.rs
+++ b/rig/src/load/floor.rs
@@ -22,6 +22,10 @@
     /// next use is farthest (Belady, 1966), nothing is computed twice, and each block that has to
     /// come back was sent once.
     pub link_bytes: u64,
+    /// Bytes on the stores' links when no engine remembers a conversation until its caller returns,
+    /// the blocks shared by a customer's prompts never leave memory, and each other block is sent
+    /// once and fetched once for each return.
+    pub return_bytes: u64,
 }
 
 impl Floor {
@@ -46,6 +50,7 @@
     let mut out = Floor::default();
     let mut known: HashSet<BlockKey> = HashSet::new();
     let mut uses: Vec<BlockKey> = Vec::new();
+    let (mut fetched, mut sent) = (0, HashSet::new());
     let secret = Secret::new(&[0; 32]);
     let chats = trace
         .arrivals
@@ -57,7 +62,11 @@
         let customer = Profile::customer(arrival.customer);
         let keys = PrefixKeys::derive(&secret, &customer, "w1", "", prompt.as_bytes()).keys;
         let tokens = u64::from(token_estimate(prompt.len()));
-        let held = keys.iter().take_while(|k| known.contains(*k)).count() as u64;
+        let held = keys.iter().take_while(|k| known.contains(*k)).count();
+        let own = keys.get(profile.shared_blocks..held).unwrap_or_default();
+        fetched += own.len();
+        sent.extend(own.iter().copied());
+        let held = held as u64;
         out.prompt_tokens += tokens;
         out.computed_tokens += tokens - (held * u64::from(TOKENS_PER_BLOCK)).min(tokens);
         known.extend(keys.iter().copied());
@@ -66,6 +75,7 @@
     let engines = profile.engines.0 + profile.engines.1;
     let moved = returning_blocks(&uses, engines * profile.cache_blocks);
     out.link_bytes = moved * profile.block_bytes as u64;
+    out.return_bytes = ((fetched + sent.len()) * profile.block_bytes) as u64;
     out
 }
 
--- a/rig/src/load/report.rs
+++ b/rig/src/load/report.rs
@@ -30,11 +30,13 @@
     );
     let _ = writeln!(
         out,
-        "recomputed {:.3} (floor {:.3})  link {} MB (floor {} MB)",
+        "recomputed {:.3} (floor {:.3})  link {} MB (floors: pooled memory {} MB, \
+         no memory until a return {} MB)",
         r.recomputed,
         r.recomputed_floor,
         r.link_bytes / MEGABYTE,
-        r.link_floor / MEGABYTE
+        r.link_floor / MEGABYTE,
+        r.return_floor / MEGABYTE
     );
     let _ = writeln!(
         out,
--- a/rig/tests/load.rs
+++ b/rig/tests/load.rs
@@ -65,6 +65,8 @@
     ];
     let floor = floor(&profile, &Trace { arrivals });
     assert!(floor.link_bytes > 0);
+    // Each second turn fetches the two whole blocks of the first, which were sent once.
+    assert_eq!(floor.return_bytes, 8 * profile.block_bytes as u64);
     assert_eq!(floor.link_bytes % profile.block_bytes as u64, 0);
 }
 
