--- a/rig/src/slope/point.rs
+++ b/rig/src/slope/point.rs
@@ -24,8 +24,9 @@
     pub cpu_us_per_s: f64,
     /// Resident memory of the entry, in bytes.
     pub resident: f64,
-    /// Bytes per second of the link to one peer; zero where not measured.
-    pub peer_bytes_per_s: f64,
+    /// Bytes per second of the link to one peer, or of all links to targets where targets are the
+    /// dimension; zero where not measured.
+    pub link_bytes_per_s: f64,
     /// Platform calls of all entries per second, by kind and verb.
     pub platform_calls_per_s: BTreeMap<String, f64>,
 }
@@ -41,8 +42,8 @@
     pub cpu_us_per_s: (f64, f64),
     /// Resident bytes: at size zero and for each unit.
     pub resident: (f64, f64),
-    /// Bytes per second of one peer link: at size zero and for each unit.
-    pub peer_bytes_per_s: (f64, f64),
+    /// Bytes per second of the observed links: at size zero and for each unit.
+    pub link_bytes_per_s: (f64, f64),
 }
 
 impl Slope {
@@ -54,7 +55,7 @@
             dimension,
             cpu_us_per_s: line(|p| p.cpu_us_per_s),
             resident: line(|p| p.resident),
-            peer_bytes_per_s: line(|p| p.peer_bytes_per_s),
+            link_bytes_per_s: line(|p| p.link_bytes_per_s),
             points,
         }
     }
@@ -76,12 +77,12 @@
     fleet: &Fleet,
     entry: &Process,
     size: f64,
-    peer_bytes: impl Fn() -> u64,
+    link_bytes: impl Fn() -> u64,
     during: impl AsyncFnOnce(),
 ) -> Point {
     let admin = fleet.platform.address("admin");
     let _ = Call::new(Method::Delete, "/calls").send(admin).await;
-    let (before, bytes) = (Usage::of(entry.id()), peer_bytes());
+    let (before, bytes) = (Usage::of(entry.id()), link_bytes());
     let started = Instant::now();
     during().await;
     Timer::at(started + WINDOW).await;
@@ -98,7 +99,7 @@
         size,
         cpu_us_per_s: after.cpu.saturating_sub(before.cpu).as_secs_f64() * 1e6 / seconds,
         resident: float(after.resident),
-        peer_bytes_per_s: float(peer_bytes() - bytes) / seconds,
+        link_bytes_per_s: float(link_bytes() - bytes) / seconds,
         platform_calls_per_s: calls
             .into_iter()
             .map(|(call, n)| (call, float(n) / seconds))
--- a/rig/src/slope/targets.rs
+++ b/rig/src/slope/targets.rs
@@ -6,6 +6,8 @@
 use guavahold::platform::Role;
 use serde_json::json;
 
+use crate::Relay;
+use crate::bench::ANY;
 use crate::fleet::{Fleet, await_ok};
 use crate::slope::Point;
 use crate::slope::point::observe;
@@ -17,6 +19,9 @@
     let fleet = Fleet::start()?;
     fleet.put_note(r#"{"revision": 0}"#).await;
     let engine = fleet.engine("engine", "m", "w1", &[])?;
+    let host = Relay::bind(ANY, engine.address("address"))?;
+    let relay = host.core();
+    std::thread::spawn(move || async_io::block_on(host.run()));
     let cfg = json!({"probe_ms": 250, "traffic_threads": 1});
     let entry = fleet.entry("entry-0", "a", &cfg)?;
     let mut points = Vec::new();
@@ -24,13 +29,22 @@
     for size in SIZES {
         while listed < size {
             let name = format!("engine-{listed}");
-            let address = engine.address("address");
+            let address = relay.forwarded();
             fleet.list(&name, Role::Engine, "a", address, "m").await;
             listed += 1;
         }
         await_ok(entry.address("admin"), "/ready").await;
         Timer::after(Duration::from_secs(2)).await;
-        points.push(observe(&fleet, &entry, f64::from(size), || 0, async || ()).await);
+        points.push(
+            observe(
+                &fleet,
+                &entry,
+                f64::from(size),
+                || relay.bytes(),
+                async || (),
+            )
+            .await,
+        );
     }
     Ok(points)
 }
