--- a/rig/tests/path.rs
+++ b/rig/tests/path.rs
@@ -1,10 +1,12 @@
 //! The whole path in separate processes on loopback.
 
+use guavahold::catalog::TokenHash;
 use guavahold_rig::Scene;
 use guavahold_rig::client::{Call, Streamed};
 use guavahold_rig::fleet::{await_that, within};
 use guavahold_rig::scene::SALON;
 use http_types::Method;
+use serde_json::json;
 use uuid::Uuid;
 
 fn long_prompt(start: &str) -> String {
@@ -35,11 +37,39 @@
         assert_eq!(again.body, booked.body);
         assert_eq!(scene.runs(&key).await, 1);
 
+        applies_note(&scene).await;
         returns_from_store(&scene).await;
         stops_in_mid_stream(&mut scene).await;
     });
 }
 
+/// A release note applied by the operators' program is in force at every entry.
+async fn applies_note(scene: &Scene) {
+    let token = "token-of-bride";
+    let note = json!({
+        "revision": 1,
+        "by": "day shift",
+        "added": {"customers": {"bride": {"tokens": [TokenHash::of(token).to_string()]}}},
+    });
+    let file = scene.fleet.write("note.jsonc", &note.to_string()).unwrap();
+    let entry = scene.admin(1).to_string();
+    let operator = |args: &[&str]| scene.fleet.operator(args).unwrap();
+    let (code, out) = operator(&["apply", &file, "--wait", "--entry", &entry]);
+    assert_eq!(code, 0, "{out}");
+    for entry in 0..2 {
+        let call = Call::chat(token, "router", "Is my stylist coming?", 2, false);
+        assert_eq!(call.send(scene.callers(entry)).await.unwrap().status, 200);
+    }
+    let (code, out) = operator(&["apply", &file]);
+    assert_eq!(
+        code, 3,
+        "the note was written against an older revision: {out}"
+    );
+    let (code, out) = operator(&["status", "--entry", &entry]);
+    assert_eq!(code, 0, "{out}");
+    assert!(out.contains("entry-1") && out.contains("entry-2"), "{out}");
+}
+
 /// A prompt comes back after the engines forgot it: its blocks come from the store.
 async fn returns_from_store(scene: &Scene) {
     let prompt = Call::chat(SALON, "router", &long_prompt("salon"), 3, false);
