Test pairs of failures with bookings and streams under way

Seven pairs over platform, entries, engines, store and service; every booking's answer is compared with the service's own count of runs, every stream with the text of its question.

--- /dev/null
+++ b/rig/tests/faults.rs
@@ -0,0 +1,262 @@
+//! Two failures at once: whatever is answered is whole and true.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use async_io::Timer;
+use guavahold_rig::Scene;
+use guavahold_rig::client::{Call, Whole};
+use guavahold_rig::fleet::{set_faults, within};
+use guavahold_rig::scene::{ROOFER, SALON};
+use http_types::Method;
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+/// Time for which both failures last.
+const FAULT_TIME: Duration = Duration::from_secs(2);
+/// Pause between two requests of one caller.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// A booking and what its caller was told.
+struct Booked {
+    key: Uuid,
+    answer: Option<Whole>,
+}
+
+/// Callers that go on while things fail.
+struct Load {
+    stop: Arc<AtomicBool>,
+    bookings: Vec<JoinHandle<Vec<Booked>>>,
+    chats: Vec<JoinHandle<usize>>,
+}
+
+impl Load {
+    fn start(scene: &Scene) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let addrs: Vec<SocketAddr> = (0..scene.entries.len()).map(|n| scene.callers(n)).collect();
+        let bookings = addrs.iter().map(|addr| {
+            let (addr, stop) = (*addr, stop.clone());
+            std::thread::spawn(move || async_io::block_on(book(addr, &stop)))
+        });
+        let chats = [SALON, ROOFER].into_iter().enumerate().map(|(n, token)| {
+            let (addrs, stop) = (addrs.clone(), stop.clone());
+            std::thread::spawn(move || async_io::block_on(chat(&addrs, token, n, &stop)))
+        });
+        Self {
+            bookings: bookings.collect(),
+            chats: chats.collect(),
+            stop,
+        }
+    }
+
+    /// Stops the callers and checks every booking against the service's own count.
+    async fn check(self, scene: &Scene) {
+        self.stop.store(true, Ordering::Relaxed);
+        let answered: usize = self.chats.into_iter().map(|c| c.join().unwrap()).sum();
+        assert!(answered > 0, "no chat was answered");
+        let bookings = self.bookings.into_iter().flat_map(|b| b.join().unwrap());
+        let bookings: Vec<Booked> = bookings.collect();
+        let counts = Call::new(Method::Get, "/runs");
+        let service = scene.service.as_ref().unwrap().address("admin");
+        let counts = counts.send(service).await.unwrap().json();
+        for booked in bookings {
+            let runs = &counts["by_key"][booked.key.to_string()];
+            check_booking(&booked, runs.as_u64().unwrap_or(0));
+        }
+    }
+}
+
+fn check_booking(booked: &Booked, runs: u64) {
+    assert!(runs <= 1, "{} ran {runs} times", booked.key);
+    let Some(answer) = &booked.answer else {
+        return;
+    };
+    match (answer.status, answer.run.as_deref()) {
+        (200, _) => assert_eq!(runs, 1, "{} was answered but not run", booked.key),
+        (_, Some("not-run")) => {
+            assert_eq!(runs, 0, "{} ran, its caller was told not run", booked.key);
+            assert!(answer.retry_after.is_some(), "{answer:?}");
+        }
+        (_, Some("unknown" | "ran")) => {}
+        other => panic!("{} was answered with {other:?}", booked.key),
+    }
+}
+
+async fn book(addr: SocketAddr, stop: &AtomicBool) -> Vec<Booked> {
+    let mut out = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let key = Uuid::now_v7();
+        let booking = Scene::booking(&key, &format!("{{\"key\": \"{key}\"}}"));
+        let answer = booking.send(addr).await.ok();
+        out.push(Booked { key, answer });
+        Timer::after(PAUSE).await;
+    }
+    out
+}
+
+/// Asks numbered questions at all entries; each answer must be that of its own question.
+async fn chat(addrs: &[SocketAddr], token: &str, start: usize, stop: &AtomicBool) -> usize {
+    let mut answered = 0;
+    let mut n = start;
+    while !stop.load(Ordering::Relaxed) {
+        let call = Call::chat(token, "router", &format!("question {}", n % 7), 4, true);
+        if let Ok(mut events) = call.stream(addrs[n % addrs.len()]).await
+            && events.status() == 200
+            && let Ok(streamed) = events.rest().await
+        {
+            assert!(streamed.done, "a clean end without the final event");
+            check_text(&streamed.text, n % 7);
+            answered += 1;
+        }
+        n += 1;
+        Timer::after(PAUSE).await;
+    }
+    answered
+}
+
+/// Each question has one text under one weight version, whoever asks.
+fn check_text(text: &str, question: usize) {
+    use std::collections::HashMap;
+    use std::sync::{Mutex, OnceLock, PoisonError};
+    static TEXTS: OnceLock<Mutex<HashMap<usize, String>>> = OnceLock::new();
+    let texts = TEXTS.get_or_init(Mutex::default);
+    let mut texts = texts.lock().unwrap_or_else(PoisonError::into_inner);
+    let known = texts.entry(question).or_insert_with(|| text.to_owned());
+    assert_eq!(known, text, "the answer of another question");
+}
+
+async fn scene() -> Scene {
+    let engine = ["--token-ms", "5"];
+    Scene::builder()
+        .entries(4)
+        .engines(4)
+        .engine_args(&engine)
+        .store()
+        .start()
+        .await
+}
+
+async fn platform(scene: &Scene, faults: Value) {
+    set_faults(scene.fleet.platform.address("admin"), faults).await;
+}
+
+async fn service(scene: &Scene, faults: Value) {
+    set_faults(scene.service.as_ref().unwrap().address("admin"), faults).await;
+}
+
+#[test]
+fn pair_platform_down_and_entry_killed() {
+    within(async {
+        let mut scene = scene().await;
+        let load = Load::start(&scene);
+        Timer::after(Duration::from_millis(500)).await;
+        platform(&scene, json!({"freeze": true})).await;
+        scene.entries[0].kill();
+        Timer::after(FAULT_TIME).await;
+        platform(&scene, json!({})).await;
+        Timer::after(FAULT_TIME).await;
+        load.check(&scene).await;
+    });
+}
+
+#[test]
+fn pair_platform_answers_lost_and_entry_paused() {
+    within(async {
+        let scene = scene().await;
+        let load = Load::start(&scene);
+        Timer::after(Duration::from_millis(500)).await;
+        platform(
+            &scene,
+            json!({"drop_answer": true, "next": 20, "method": "PUT"}),
+        )
+        .await;
+        scene.entries[1].pause();
+        Timer::after(FAULT_TIME).await;
+        scene.entries[1].resume();
+        Timer::after(FAULT_TIME).await;
+        load.check(&scene).await;
+    });
+}
+
+#[test]
+fn pair_platform_slow_and_service_answers_lost() {
+    within(async {
+        let scene = scene().await;
+        let load = Load::start(&scene);
+        Timer::after(Duration::from_millis(500)).await;
+        platform(&scene, json!({"delay_ms": 300})).await;
+        service(
+            &scene,
+            json!({"drop_answer": true, "next": 10, "method": "POST"}),
+        )
+        .await;
+        Timer::after(FAULT_TIME).await;
+        platform(&scene, json!({})).await;
+        Timer::after(FAULT_TIME).await;
+        load.check(&scene).await;
+    });
+}
+
+#[test]
+fn pair_engine_killed_and_store_killed() {
+    within(async {
+        let mut scene = scene().await;
+        let load = Load::start(&scene);
+        Timer::after(Duration::from_millis(500)).await;
+        scene.engines[0].kill();
+        scene.store.as_mut().unwrap().kill();
+        Timer::after(FAULT_TIME).await;
+        load.check(&scene).await;
+    });
+}
+
+#[test]
+fn pair_engine_paused_and_entry_killed() {
+    within(async {
+        let mut scene = scene().await;
+        let load = Load::start(&scene);
+        Timer::after(Duration::from_millis(500)).await;
+        scene.engines[1].pause();
+        scene.entries[2].kill();
+        Timer::after(FAULT_TIME).await;
+        scene.engines[1].resume();
+        Timer::after(FAULT_TIME).await;
+        load.check(&scene).await;
+    });
+}
+
+#[test]
+fn pair_two_entries_killed() {
+    within(async {
+        let mut scene = scene().await;
+        let load = Load::start(&scene);
+        Timer::after(Duration::from_millis(500)).await;
+        scene.entries[0].kill();
+        scene.entries[3].kill();
+        Timer::after(FAULT_TIME).await;
+        load.check(&scene).await;
+    });
+}
+
+#[test]
+fn pair_service_answers_cut_and_engine_answers_cut() {
+    within(async {
+        let scene = scene().await;
+        let load = Load::start(&scene);
+        Timer::after(Duration::from_millis(500)).await;
+        service(
+            &scene,
+            json!({"close_after": 10, "next": 10, "method": "POST"}),
+        )
+        .await;
+        for engine in &scene.engines {
+            let cut = json!({"close_after": 600, "next": 20, "path": "/v1/chat"});
+            set_faults(engine.address("admin"), cut).await;
+        }
+        Timer::after(FAULT_TIME).await;
+        load.check(&scene).await;
+    });
+}
