--- a/src/catalog/replica.rs
+++ b/src/catalog/replica.rs
@@ -1,37 +1,23 @@
 //! Decides how one entry's replica of the catalog follows the platform and its peers.
 
+mod relay;
+mod watch;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::catalog::{
     Catalog, CatalogHead, ReleaseNote, ReplicaEffect, ReplicaEvent, SnapshotRef, Source,
 };
-use crate::peer::{PeerInfo, PeerMessage, rank_key, rank_of};
+use crate::peer::{PeerInfo, PeerMessage, rank_key};
 use crate::prelude::*;
 
+use watch::{Demand, Watch};
+
 /// Entries of a domain that follow the catalog at the platform.
 pub const WATCHERS: usize = 2;
-/// Interval at which a watch is replaced by one on a new connection, so that a connection gone
-/// silent hides changes no longer than this.
-const ROTATE: Duration = Duration::from_millis(500);
-/// Time without an answer after which a watch being opened no longer counts as working.
-const SLOW_OPEN: Duration = Duration::from_millis(400);
-/// Time after which a second attempt is made beside one that is still waiting.
-const STUCK_OPEN: Duration = Duration::from_secs(1);
-/// Longest pause between failed attempts.
-const RETRY_CAP: Duration = Duration::from_millis(1500);
-/// First pause after a failed attempt.
-const RETRY_BASE: Duration = Duration::from_millis(100);
-/// Delay by which each further entry in rank takes over later.
-const STAGGER: Duration = Duration::from_millis(100);
-/// How long an entry goes on watching when better ranked ones do.
-const HANDOVER: Duration = Duration::from_secs(2);
 /// How long an entry that cannot reach the platform collects revisions from peers before it
 /// counts as ready.
 const SETTLE: Duration = Duration::from_secs(2);
-/// Age of a revision after which a peer that does not report it is sent the notes again.
-const REPAIR: Duration = Duration::from_millis(400);
-/// Further delay for each better placed peer that could send them as well.
-const REPAIR_STEP: Duration = Duration::from_millis(300);
 /// Pause before the same peer is asked for or sent the same again.
 const REPEAT: Duration = Duration::from_secs(1);
 /// Notes kept to bring peers up to date.
@@ -56,17 +42,6 @@
     sent: Option<(u64, Stamp)>,
 }
 
-#[derive(Debug, Default)]
-struct Watch {
-    wanted_since: Option<Stamp>,
-    unwanted_since: Option<Stamp>,
-    active: bool,
-    working: bool,
-    opening: Option<Stamp>,
-    next: Stamp,
-    failures: u32,
-}
-
 /// State of one entry's replica.
 #[derive(Debug)]
 pub struct Replica {
@@ -126,7 +101,7 @@
     /// Whether the platform is followed and has answered lately.
     #[must_use]
     pub fn is_watching(&self) -> bool {
-        self.watch.active && self.watch.working
+        self.watch.is_working()
     }
 
     /// Handles one event.
@@ -148,11 +123,12 @@
             ReplicaEvent::Wanted(from) => self.answer(now, &from, effects),
             ReplicaEvent::Head(head) => self.take_head(now, head, effects),
             ReplicaEvent::Snapshot(read) => self.take_snapshot(now, read, effects),
-            ReplicaEvent::WatchOpened => self.opened(now, effects),
-            ReplicaEvent::WatchFailed => self.failed(now),
+            ReplicaEvent::WatchOpened => self.watch.opened(now, effects),
+            ReplicaEvent::WatchFailed => self.watch.failed(now, &mut self.rng),
             ReplicaEvent::Tick => {}
         }
-        self.follow(now, effects);
+        let demand = self.demand();
+        self.watch.follow(now, demand, effects);
         self.repair(now, effects);
         self.settle(now, effects);
         assert!(
@@ -325,79 +301,6 @@
         }
     }
 
-    /// Peers to which a new revision is relayed at once: the own children in a binary tree over the
-    /// domain, roots of the tree that do not watch, and entries of other domains that do not watch
-    /// and for which this entry is one of the best placed to tell.
-    fn relays(&self, source: &Source) -> Vec<Name> {
-        let near = self.ranked();
-        let own = near.iter().position(|name| *name == self.cfg.name);
-        let own = own.unwrap_or_default();
-        let from_near = matches!(source, Source::Peer(from)
-            if self.peers.get(from).is_some_and(|p| p.domain == self.cfg.domain));
-        let children = near.iter().skip(2 * own + WATCHERS).take(WATCHERS);
-        let roots = near.iter().take(WATCHERS).filter(|name| {
-            let watching = self.peers.get(*name).is_some_and(|p| p.watching);
-            !watching && (!from_near || own < WATCHERS)
-        });
-        let far = self.peers.iter().filter(|(name, peer)| {
-            peer.domain != self.cfg.domain && !peer.watching && self.sender_rank(name) < WATCHERS
-        });
-        let mut relays: Vec<_> = children.chain(roots).cloned().collect();
-        relays.extend(far.map(|(name, _)| name.clone()));
-        relays.sort();
-        relays.dedup();
-        relays.retain(|name| {
-            let behind = self.peers.get(name);
-            let sender = matches!(source, Source::Peer(from) if from == name);
-            !sender && behind.is_some_and(|p| p.revision < self.catalog.revision)
-        });
-        relays
-    }
-
-    /// Names of the domain's live entries with the own one, best ranked first.
-    fn ranked(&self) -> Vec<Name> {
-        let near = self.near().map(|(name, _)| name.clone());
-        let mut names: Vec<_> = near.chain([self.cfg.name.clone()]).collect();
-        names.sort_by_key(|name| rank_key(&self.cfg.domain, name));
-        names
-    }
-
-    fn near(&self) -> impl Iterator<Item = (&Name, &Peer)> {
-        self.peers
-            .iter()
-            .filter(|(_, peer)| peer.domain == self.cfg.domain)
-    }
-
-    /// Rank of the own entry among those known to be able to bring `to` up to date.
-    fn sender_rank(&self, to: &str) -> usize {
-        let needed = self.peers.get(to).map_or(0, |p| p.revision);
-        let able = self.peers.iter();
-        let able = able.filter(|(name, p)| &***name != to && p.revision > needed);
-        rank_of(to, &self.cfg.name, able.map(|(name, _)| &**name))
-    }
-
-    /// Sends the notes that `to` misses, or the last one when too many are missing; it then asks.
-    fn send_notes(&mut self, now: Stamp, to: &Name, effects: &mut Vec<ReplicaEffect>) {
-        let Some(peer) = self.peers.get_mut(to) else {
-            return;
-        };
-        peer.sent = Some((self.catalog.revision, now));
-        let covers = self
-            .tail
-            .front()
-            .is_some_and(|n| n.against <= peer.revision);
-        let missing = self.tail.iter().filter(|n| n.against >= peer.revision);
-        let message = if covers {
-            PeerMessage::Notes(missing.cloned().collect())
-        } else if let Some(last) = self.tail.back() {
-            PeerMessage::Notes(vec![last.clone()])
-        } else {
-            PeerMessage::WholeCatalog(self.catalog.clone())
-        };
-        let to = to.clone();
-        effects.push(ReplicaEffect::Send { to, message });
-    }
-
     fn answer(&mut self, now: Stamp, from: &Name, effects: &mut Vec<ReplicaEffect>) {
         let Some(peer) = self.peers.get_mut(from) else {
             return;
@@ -422,28 +325,6 @@
         });
     }
 
-    /// Sends notes again to peers that still report an older revision.
-    fn repair(&mut self, now: Stamp, effects: &mut Vec<ReplicaEffect>) {
-        let revision = self.catalog.revision;
-        let settled = now.saturating_sub(self.since);
-        if revision == 0 || settled < REPAIR {
-            return;
-        }
-        let due = self.peers.iter().filter(|(name, peer)| {
-            let repeated = peer
-                .sent
-                .is_some_and(|(sent, at)| sent == revision && now < at + REPEAT);
-            peer.revision < revision
-                && !repeated
-                && settled
-                    >= REPAIR
-                        + REPAIR_STEP * u32::try_from(self.sender_rank(name)).unwrap_or(u32::MAX)
-        });
-        for to in due.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
-            self.send_notes(now, &to, effects);
-        }
-    }
-
     /// Becomes ready from peers alone when the platform does not answer.
     fn settle(&mut self, now: Stamp, effects: &mut Vec<ReplicaEffect>) {
         if self.ready {
@@ -459,67 +340,23 @@
             self.ready = true;
         }
     }
-}
 
-/// The watch at the platform.
-impl Replica {
-    fn follow(&mut self, now: Stamp, effects: &mut Vec<ReplicaEffect>) {
+    /// How much this entry's watch is needed.
+    fn demand(&self) -> Demand {
         let own = rank_key(&self.cfg.domain, &self.cfg.name);
-        let better = self
-            .near()
-            .filter(|(name, _)| rank_key(&self.cfg.domain, name) < own);
+        let near = self.near();
+        let better = near.filter(|(name, _)| rank_key(&self.cfg.domain, name) < own);
         let (rank, working) = better.fold((0, 0), |(rank, working), (_, peer)| {
             (rank + 1, working + usize::from(peer.watching))
         });
-        if working < WATCHERS || !self.ready {
-            self.watch.unwanted_since = None;
-            let since = *self.watch.wanted_since.get_or_insert(now);
-            self.watch.active |= now >= since + STAGGER * rank;
-        } else {
-            self.watch.wanted_since = None;
-            let since = *self.watch.unwanted_since.get_or_insert(now);
-            if self.watch.active && now >= since + HANDOVER {
-                self.watch = Watch::default();
-                effects.push(ReplicaEffect::CloseWatch);
-            }
-        }
-        if self.watch.active {
-            self.open_watch(now, effects);
+        Demand {
+            rank,
+            wanted: working < WATCHERS || !self.ready,
         }
     }
 
-    fn open_watch(&mut self, now: Stamp, effects: &mut Vec<ReplicaEffect>) {
-        if let Some(since) = self.watch.opening {
-            if now >= since + SLOW_OPEN {
-                self.watch.working = false;
-            }
-            if now < since + STUCK_OPEN {
-                return;
-            }
-        } else if now < self.watch.next {
-            return;
-        }
-        self.watch.opening = Some(now);
-        effects.push(ReplicaEffect::OpenWatch);
-    }
-
-    fn opened(&mut self, now: Stamp, effects: &mut Vec<ReplicaEffect>) {
-        if !self.watch.active {
-            effects.push(ReplicaEffect::CloseWatch);
-            return;
-        }
-        self.watch.opening = None;
-        self.watch.working = true;
-        self.watch.failures = 0;
-        self.watch.next = now + ROTATE;
-    }
-
-    /// Full jitter: a uniform pause below an exponentially growing bound.
-    fn failed(&mut self, now: Stamp) {
-        self.watch.opening = None;
-        self.watch.working = false;
-        let bound = RETRY_BASE * 2_u32.saturating_pow(self.watch.failures.min(8));
-        self.watch.failures += 1;
-        self.watch.next = now + bound.min(RETRY_CAP).mul_f64(self.rng.f64());
+    fn near(&self) -> impl Iterator<Item = (&Name, &Peer)> {
+        let peers = self.peers.iter();
+        peers.filter(|(_, peer)| peer.domain == self.cfg.domain)
     }
 }
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -1,37 +1,37 @@
 //! The links of one entry to its peers.
 
+mod links;
+mod queue;
+
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
-use async_channel::Sender;
 use async_executor::Executor;
 use async_io::{Async, Timer};
 use async_tungstenite::tungstenite::Bytes;
 use futures_lite::FutureExt;
-use futures_lite::future::Boxed;
 use log::Level;
 
 use crate::cache::Secret;
-use crate::claim::{ClaimError, ClaimRequest, ClaimVerdict};
+use crate::claim::ClaimRequest;
 use crate::peer::calls::Calls;
 use crate::peer::{
     ClaimServer, CloseReason, ConnId, MemberEffect, MemberEvent, Membership, MembershipSettings,
-    MeshBuilder, Opened, PROTOCOL, PeerEvents, PeerInfo, PeerLinks, PeerMessage, Traffic, encode,
-    link,
+    MeshBuilder, Opened, PROTOCOL, PeerEvents, PeerLinks, PeerMessage, Traffic, encode, link,
 };
 use crate::platform::Vm;
 use crate::prelude::*;
 use crate::telemetry::{Metrics, event};
 
+use queue::{Outgoing, Queue};
+
 /// Interval at which timeouts are looked for.
 const TICK: Duration = Duration::from_millis(100);
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Messages waiting for one peer at most.
-const QUEUE: usize = 1024;
 /// Connections at most whose peers have not proved themselves yet.
 const UNPROVED: usize = 256;
 
@@ -63,19 +63,6 @@
     by_name: HashMap<Name, ConnId>,
 }
 
-/// Sending side of a connection; the connection ends when it is dropped.
-struct Queue {
-    tx: Sender<Bytes>,
-    _stop: Sender<()>,
-}
-
-/// Receiving side of a connection's queue.
-pub(crate) struct Outgoing {
-    pub(crate) frames: async_channel::Receiver<Bytes>,
-    /// Closed when the connection is to end at once.
-    pub(crate) stop: async_channel::Receiver<()>,
-}
-
 #[derive(Clone, Copy)]
 struct Status {
     revision: u64,
@@ -271,8 +258,7 @@
         dialled: Option<SocketAddr>,
     ) -> Option<(ConnId, Outgoing)> {
         let conn = self.last_conn.fetch_add(1, Ordering::Relaxed) + 1;
-        let (tx, frames) = async_channel::bounded(QUEUE);
-        let (stop_tx, stop) = async_channel::bounded(1);
+        let (queue, outgoing) = Queue::new();
         let mut effects = Vec::new();
         let mut state = lock(&self.state);
         let opened = Opened {
@@ -286,12 +272,11 @@
         state.membership.on(self.now(), opened, &mut effects);
         let kept = state.membership.peer(conn, Stamp::ZERO).is_some();
         if kept {
-            let queue = Queue { tx, _stop: stop_tx };
             state.queues.insert(conn, queue);
             state.by_name.insert(peer, conn);
         }
         self.perform(state, effects);
-        kept.then_some((conn, Outgoing { frames, stop }))
+        kept.then_some((conn, outgoing))
     }
 
     /// Forgets an ended connection.
@@ -350,7 +335,7 @@
     fn enqueue(&self, conn: ConnId, frame: Bytes) -> bool {
         let state = lock(&self.state);
         let queue = state.queues.get(&conn);
-        queue.is_some_and(|queue| queue.tx.try_send(frame).is_ok())
+        queue.is_some_and(|queue| queue.push(frame))
     }
 
     fn conn_of(&self, name: &str) -> Option<ConnId> {
@@ -409,64 +394,6 @@
     }
 }
 
-impl PeerLinks for Mesh {
-    fn live(&self) -> Vec<PeerInfo> {
-        lock(&self.state).membership.live(self.now())
-    }
-
-    fn send(&self, to: &str, message: PeerMessage) -> bool {
-        let conn = self.conn_of(to);
-        conn.is_some_and(|conn| self.enqueue(conn, encode(&message).into()))
-    }
-
-    fn broadcast(&self, message: &PeerMessage) {
-        let frame = Bytes::from(encode(message));
-        for queue in lock(&self.state).queues.values() {
-            let _ = queue.tx.try_send(frame.clone());
-        }
-    }
-
-    fn announce(&self, revision: u64, since: Duration, watching: bool) {
-        let now = Instant::now();
-        let next = Status {
-            revision,
-            since: now.checked_sub(since).unwrap_or(now),
-            watching,
-        };
-        let old = std::mem::replace(&mut *lock(&self.status), next);
-        if old.watching != watching {
-            self.broadcast(&self.beat());
-        }
-    }
-
-    fn claim(
-        &self,
-        owner: &str,
-        claimant: Name,
-        req: ClaimRequest,
-    ) -> Boxed<Option<Result<ClaimVerdict, ClaimError>>> {
-        let Some(conn) = self.conn_of(owner) else {
-            return Box::pin(async { None });
-        };
-        let (seq, reply) = self.calls.start(conn);
-        let message = PeerMessage::Claim { seq, claimant, req };
-        if !self.enqueue(conn, encode(&message).into()) {
-            self.calls.forget(seq);
-            return Box::pin(async { None });
-        }
-        let (timeout, calls) = (self.peer_timeout, self.calls.clone());
-        Box::pin(async move {
-            let late = async {
-                Timer::after(timeout).await;
-                calls.forget(seq);
-                None
-            };
-            let answered = async { reply.recv().await.ok() };
-            answered.or(late).await
-        })
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/src/peer/mesh/links.rs
@@ -0,0 +1,71 @@
+//! What the rest of an entry asks of the mesh.
+
+use std::time::Instant;
+
+use async_io::Timer;
+use async_tungstenite::tungstenite::Bytes;
+use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
+
+use crate::claim::{ClaimError, ClaimRequest, ClaimVerdict};
+use crate::peer::mesh::{Mesh, Status, lock};
+use crate::peer::{PeerInfo, PeerLinks, PeerMessage, encode};
+use crate::prelude::*;
+
+impl PeerLinks for Mesh {
+    fn live(&self) -> Vec<PeerInfo> {
+        lock(&self.state).membership.live(self.now())
+    }
+
+    fn send(&self, to: &str, message: PeerMessage) -> bool {
+        let conn = self.conn_of(to);
+        conn.is_some_and(|conn| self.enqueue(conn, encode(&message).into()))
+    }
+
+    fn broadcast(&self, message: &PeerMessage) {
+        let frame = Bytes::from(encode(message));
+        for queue in lock(&self.state).queues.values() {
+            let _ = queue.push(frame.clone());
+        }
+    }
+
+    fn announce(&self, revision: u64, since: Duration, watching: bool) {
+        let now = Instant::now();
+        let next = Status {
+            revision,
+            since: now.checked_sub(since).unwrap_or(now),
+            watching,
+        };
+        let old = std::mem::replace(&mut *lock(&self.status), next);
+        if old.watching != watching {
+            self.broadcast(&self.beat());
+        }
+    }
+
+    fn claim(
+        &self,
+        owner: &str,
+        claimant: Name,
+        req: ClaimRequest,
+    ) -> Boxed<Option<Result<ClaimVerdict, ClaimError>>> {
+        let Some(conn) = self.conn_of(owner) else {
+            return Box::pin(async { None });
+        };
+        let (seq, reply) = self.calls.start(conn);
+        let message = PeerMessage::Claim { seq, claimant, req };
+        if !self.enqueue(conn, encode(&message).into()) {
+            self.calls.forget(seq);
+            return Box::pin(async { None });
+        }
+        let (timeout, calls) = (self.peer_timeout, self.calls.clone());
+        Box::pin(async move {
+            let late = async {
+                Timer::after(timeout).await;
+                calls.forget(seq);
+                None
+            };
+            let answered = async { reply.recv().await.ok() };
+            answered.or(late).await
+        })
+    }
+}
