--- /dev/null
+++ b/src/lease/keeper.rs
@@ -0,0 +1,100 @@
+//! Keeps a lease in the platform.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use crate::lease::{Hold, LeaseEffect, LeaseEvent, LeaseMachine, LeaseRecord, LeaseSettings};
+use crate::platform::{Object, Platform, PlatformError, Version};
+use crate::prelude::*;
+
+/// One process's part in a lease of the platform.
+pub struct LeaseKeeper {
+    platform: Arc<dyn Platform>,
+    name: Name,
+    machine: Mutex<LeaseMachine>,
+    started: Instant,
+}
+
+impl LeaseKeeper {
+    /// Makes a candidate for the lease `name`; `started` is the origin of its [`Stamp`]s.
+    #[must_use]
+    pub fn new(
+        platform: Arc<dyn Platform>,
+        name: Name,
+        cfg: LeaseSettings,
+        started: Instant,
+    ) -> Self {
+        Self {
+            platform,
+            name,
+            machine: Mutex::new(LeaseMachine::new(cfg)),
+            started,
+        }
+    }
+
+    /// The holding in force now.
+    #[must_use]
+    pub fn hold(&self) -> Option<Hold> {
+        self.machine().hold(self.started.elapsed())
+    }
+
+    /// Gives up a holding that is not above `fencing`, which a target has seen.
+    pub fn raise(&self, fencing: u64) {
+        self.machine().raise(fencing);
+    }
+
+    /// Does whatever is due for the lease; to be called several times in its time.
+    pub async fn step(&self) {
+        let mut event = LeaseEvent::Tick;
+        loop {
+            let mut effects = Vec::new();
+            let now = self.started.elapsed();
+            self.machine().on(now, event, &mut effects);
+            let Some(effect) = effects.pop() else {
+                return;
+            };
+            event = self.carry_out(effect).await;
+        }
+    }
+
+    fn machine(&self) -> MutexGuard<'_, LeaseMachine> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn carry_out(&self, effect: LeaseEffect) -> LeaseEvent {
+        let result = match effect {
+            LeaseEffect::Read => self.read().await,
+            LeaseEffect::Write { version, record } => self.write(version, &record).await,
+        };
+        result.unwrap_or_else(|err| match err {
+            PlatformError::Conflict | PlatformError::NotFound => LeaseEvent::Refused,
+            _ => LeaseEvent::Unanswered,
+        })
+    }
+
+    async fn read(&self) -> Result<LeaseEvent, PlatformError> {
+        let object = self.platform.get(LeaseRecord::KIND, &self.name).await?;
+        let seen = object.map(|object| {
+            let record = object.decode();
+            let record = record.map_err(|err| PlatformError::Rejected(err.to_string()));
+            record.map(|record| (object.version, record))
+        });
+        Ok(LeaseEvent::Seen(seen.transpose()?))
+    }
+
+    async fn write(
+        &self,
+        version: Option<Version>,
+        record: &LeaseRecord,
+    ) -> Result<LeaseEvent, PlatformError> {
+        let spec = serde_json::json!(record);
+        let mut object = Object::new(LeaseRecord::KIND, self.name.clone(), spec);
+        let written = if let Some(version) = version {
+            object.version = version;
+            self.platform.update(object).await?
+        } else {
+            self.platform.create(object).await?
+        };
+        Ok(LeaseEvent::Written(written.version))
+    }
+}
