--- a/rig/src/load/result.rs
+++ b/rig/src/load/result.rs
@@ -14,6 +14,9 @@
 use crate::load::trace::Trace;
 use crate::service::RunCounts;
 
+/// Part of a schedule whose times are left out of the quantiles while caches fill.
+const WARM_UP: f64 = 0.2;
+
 /// Quantiles of a time, in milliseconds.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Quantiles {
@@ -112,13 +115,15 @@
     pub recomputed_floor: f64,
     /// Bytes moved between engines and stores.
     pub link_bytes: u64,
-    /// The least possible bytes.
+    /// The least possible bytes when all engines' memory is one cache.
     pub link_floor: u64,
+    /// The least possible bytes when no engine remembers a conversation until its caller returns.
+    pub return_floor: u64,
     /// Blocks whose bytes were not those of their key; must be zero.
     pub wrong_blocks: u64,
     /// Most runs of one idempotency key; must be at most one.
     pub most_runs_of_key: u64,
-    /// Time to the first token of all answered requests by kind.
+    /// Time to the first token of all answered requests after the warm-up by kind.
     pub first_token: BTreeMap<String, Quantiles>,
     /// Time to the first token of turns and questions by customer.
     pub by_customer: BTreeMap<String, Quantiles>,
@@ -140,11 +145,12 @@
         };
         let good: Vec<&Sample> = samples.iter().filter(in_time).collect();
         let chats = |s: &Sample| matches!(kind(s), Kind::Turn | Kind::Question);
+        let warm = options.length.mul_f64(WARM_UP);
         let times = |f: &dyn Fn(&Sample) -> bool| {
             Quantiles::of(
                 samples
                     .iter()
-                    .filter(|s| f(s))
+                    .filter(|s| s.at >= warm && f(s))
                     .filter_map(|s| s.first_token),
             )
         };
@@ -186,6 +192,7 @@
             recomputed_floor: facts.floor.share(),
             link_bytes: engines.import_bytes + engines.export_bytes,
             link_floor: facts.floor.link_bytes,
+            return_floor: facts.floor.return_bytes,
             wrong_blocks: engines.wrong_blocks,
             most_runs_of_key: most_runs(&facts.services),
             first_token: Kind::ALL
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -10,7 +10,7 @@
 use crate::caller::{Directory, Shared, StoreList, StorePeer, TargetState, TargetView};
 use crate::catalog::CatalogCell;
 use crate::decide::{Effect, Event, Signal, TargetInfo};
-use crate::entry::probe::{Probed, probe};
+use crate::entry::probe::{Probed, cache_events, probe};
 use crate::entry::status::Status;
 use crate::peer::{PeerLinks, PeerMessage};
 use crate::platform::{Phase, Role, Vm};
@@ -18,8 +18,10 @@
 use crate::target::LoadReport;
 use crate::telemetry::event;
 
-/// Interval of the desk's ticks.
-const TICK: Duration = Duration::from_millis(10);
+/// Longest time between two ticks of the desk.
+const MAX_TICK: Duration = Duration::from_millis(20);
+/// Shortest time between two ticks of the desk.
+const MIN_TICK: Duration = Duration::from_millis(2);
 
 /// Everything that the control thread keeps up to date.
 pub(crate) struct Control {
@@ -84,6 +86,8 @@
             targets.insert(info.name.clone(), TargetState { info, report });
         }
         self.publish(&targets);
+        let listed = |name: &str| targets.contains_key(name);
+        self.shared.reuse.retain(listed);
     }
 
     fn publish(&self, targets: &HashMap<Name, TargetState>) {
@@ -141,6 +145,20 @@
         });
     }
 
+    /// Reads the cache events of the own domain's targets, for ever.
+    pub(crate) async fn run_cache_events(self: Arc<Self>) {
+        loop {
+            Timer::after(EVENT_INTERVAL).await;
+            let infos: Vec<TargetInfo> = self.targets().values().map(|t| t.info.clone()).collect();
+            let own = infos.into_iter().filter(|t| t.domain == self.shared.domain);
+            for info in own {
+                let from = self.shared.reuse.next_event(&info.name);
+                let events = cache_events(&self.shared.pool, info.address, from).await;
+                self.shared.reuse.take_events(&info.name, &events);
+            }
+        }
+    }
+
     /// Gives the desk a signal about a target.
     pub(crate) fn signal(&self, target: &Name, signal: Signal) {
         let target = target.clone();
@@ -149,9 +167,17 @@
 
     /// Ticks the desk for ever.
     pub(crate) async fn run_ticks(self: Arc<Self>) {
+        let mut broken = 0;
         loop {
-            Timer::after(TICK).await;
+            let pause = self.shared.desk.until_wakeup().unwrap_or(MAX_TICK);
+            Timer::after(pause.clamp(MIN_TICK, MAX_TICK)).await;
             self.shared.desk.submit(Event::Tick);
+            let found = self.shared.desk.broken_invariants();
+            self.shared
+                .metrics
+                .invariants
+                .inc_by(found.saturating_sub(broken));
+            broken = found;
             let waiting = i64::try_from(self.shared.desk.waiting()).unwrap_or(i64::MAX);
             self.shared.metrics.queued.set(waiting);
         }
@@ -204,6 +230,8 @@
     }
 }
 
+/// Interval at which cache events are read.
+const EVENT_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest wait for a probe's answer.
 const MIN_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
