--- a/rig/tests/load.rs
+++ b/rig/tests/load.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use guavahold_rig::load::{Arrival, Kind, Profile, Trace, chat_body, floor};
+use guavahold_rig::load::{
+    Arrival, Baseline, FaultPlan, Kind, LoadOptions, Profile, Trace, chat_body, floor, run,
+};
 
 const LENGTH: Duration = Duration::from_secs(10);
 
@@ -80,3 +82,28 @@
     let (first, second) = (text(&[100]), text(&[100, 200]));
     assert!(second.starts_with(first.trim_end_matches(']')));
 }
+
+#[test]
+fn run_system_gives_every_caller_its_own_answer() {
+    let profile = Profile {
+        engines: (2, 1),
+        services: 1,
+        ..Profile::kammitsa()
+    };
+    let options = LoadOptions {
+        profile,
+        baseline: Baseline::System,
+        fault: FaultPlan::EngineKilled,
+        seed: 3,
+        length: Duration::from_secs(3),
+        rate: 0.3,
+        surge: 1.0,
+        entries: 2,
+    };
+    let result = run(&options).unwrap();
+    assert_eq!(result.wrong, 0);
+    assert_eq!(result.wrong_blocks, 0);
+    assert!(result.most_runs_of_key <= 1, "{}", result.most_runs_of_key);
+    let ends: usize = result.ends.values().sum();
+    assert!(ends >= result.requests, "{:?}", result.ends);
+}
