Share the probing of targets among a domain's entries

Cause: every entry asked every target for its load, so probes grow with entries times targets: 650 entries at four probes a second to 12,000 runners would be 31 million a second. Ruled out: fewer probes each (a leaving target is then seen too late), load only with answers (idle targets would never be known). Change: the first two live entries of a target's domain by rendezvous hashing probe it and tell changes to their peers, 32 targets a round at most; others probe only what they hear nothing of for 1.5 s, and check a peer's word that a target is dead themselves. Before: as many probers as entries; after: two for each target (test with 23 entries and 403 targets).

--- a/src/caller/targets.rs
+++ b/src/caller/targets.rs
@@ -11,6 +11,8 @@
 pub struct TargetState {
     /// The target as the platform lists it.
     pub info: TargetInfo,
+    /// Whether it answered the last probe that is known of.
+    pub reported: bool,
     /// Its last load report; the default before the first.
     pub report: LoadReport,
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,9 +6,11 @@
 mod handle;
 mod peers;
 mod probe;
+mod probe_share;
 mod status;
 mod threads;
 mod vm_list;
 
 pub use build::{Entry, EntryAddresses};
 pub use handle::RunningEntry;
+pub use probe_share::ProbeShare;
--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -12,13 +12,13 @@
 use crate::catalog::{CatalogCell, CatalogSync};
 use crate::claim::ClaimTable;
 use crate::decide::{Desk, DeskSettings, Effect};
-use crate::entry::RunningEntry;
 use crate::entry::admin::AdminHandler;
 use crate::entry::control::Control;
 use crate::entry::peers::EntryPeers;
 use crate::entry::status::Status;
 use crate::entry::threads::Threads;
 use crate::entry::vm_list::VmList;
+use crate::entry::{ProbeShare, RunningEntry};
 use crate::http::{Limits, Pool, Server, ServerControl};
 use crate::peer::Mesh;
 use crate::platform::{Platform, RemotePlatform, Vm};
@@ -209,6 +209,7 @@
             mesh.clone(),
             control_ex.clone(),
             cfg.probe_interval,
+            ProbeShare::new(cfg.name.clone(), cfg.domain.clone()),
         ));
         let _ = events.control.set(control.clone());
         Ok(Parts {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use async_executor::Executor;
 use async_io::Timer;
@@ -10,9 +11,10 @@
 use crate::caller::{Directory, Shared, StoreList, StorePeer, TargetState, TargetView};
 use crate::catalog::CatalogCell;
 use crate::decide::{Effect, Event, Signal, TargetInfo};
+use crate::entry::ProbeShare;
 use crate::entry::probe::{Probed, cache_events, probe};
 use crate::entry::status::Status;
-use crate::peer::{PeerLinks, PeerMessage};
+use crate::peer::{LoadWord, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::{Phase, Role, Vm};
 use crate::prelude::*;
 use crate::target::LoadReport;
@@ -35,7 +37,9 @@
     pub executor: Arc<Executor<'static>>,
     /// Interval of probes.
     pub probe_interval: Duration,
+    started: Instant,
     targets: Mutex<HashMap<Name, TargetState>>,
+    share: Mutex<ProbeShare>,
 }
 
 impl Control {
@@ -46,6 +50,7 @@
         links: Arc<dyn PeerLinks>,
         executor: Arc<Executor<'static>>,
         probe_interval: Duration,
+        share: ProbeShare,
     ) -> Self {
         Self {
             shared,
@@ -53,7 +58,9 @@
             links,
             executor,
             probe_interval,
+            started: Instant::now(),
             targets: Mutex::default(),
+            share: Mutex::new(share),
         }
     }
 
@@ -81,11 +88,15 @@
         let mut old = std::mem::take(&mut *targets);
         for info in infos {
             let known = old.remove(&info.name);
-            let report = known.map(|t| t.report).unwrap_or_default();
-            let info = info.clone();
-            targets.insert(info.name.clone(), TargetState { info, report });
+            let state = TargetState {
+                info: info.clone(),
+                reported: known.as_ref().is_some_and(|t| t.reported),
+                report: known.map(|t| t.report).unwrap_or_default(),
+            };
+            targets.insert(info.name.clone(), state);
         }
         self.publish(&targets);
+        self.share().assign(&self.links.live(), infos);
         let listed = |name: &str| targets.contains_key(name);
         self.shared.reuse.retain(listed);
     }
@@ -99,11 +110,11 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Asks every target for its load, for ever.
+    /// Asks targets for their load and tells the peers, for ever.
     pub(crate) async fn run_probes(self: Arc<Self>) {
         loop {
-            let list: Vec<TargetInfo> = self.targets().values().map(|t| t.info.clone()).collect();
-            let probes: Vec<_> = list
+            let probes: Vec<_> = self
+                .due_targets()
                 .into_iter()
                 .map(|info| self.executor.spawn(self.clone().probe_target(info)))
                 .collect();
@@ -112,27 +123,86 @@
                 probe.await;
             }
             self.publish(&self.targets());
+            self.tell_loads();
+        }
+    }
+
+    fn due_targets(&self) -> Vec<TargetInfo> {
+        let now = self.started.elapsed();
+        let targets = self.targets();
+        let share = self.share();
+        let due = targets.values().filter(|t| share.is_due(now, &t.info.name));
+        due.map(|t| t.info.clone()).collect()
+    }
+
+    fn tell_loads(&self) {
+        let now = self.started.elapsed();
+        let targets = self.targets();
+        let reports = targets.values().filter(|t| t.reported);
+        let reports = reports.map(|t| (t.info.name.clone(), t.report.clone()));
+        let words = self.share().words(now, reports);
+        drop(targets);
+        if !words.is_empty() {
+            self.links.broadcast(&PeerMessage::Loads(words));
+        }
+    }
+
+    /// Takes over who is live among the peers.
+    pub(crate) fn reassign(&self, live: &[PeerInfo]) {
+        let targets = self.targets();
+        self.share().assign(live, targets.values().map(|t| &t.info));
+    }
+
+    /// Takes peers' words of the load of targets that they probe.
+    pub(crate) fn take_words(&self, words: Vec<LoadWord>) {
+        let now = self.started.elapsed();
+        for word in words {
+            let target = word.target.clone();
+            let last = self.targets().get(&target).map(|t| t.report.clone());
+            let Some(last) = last else {
+                continue;
+            };
+            self.share().heard(now, &target);
+            self.take_report(target, word.onto(&last));
         }
     }
 
     async fn probe_target(self: Arc<Self>, info: TargetInfo) {
         let timeout = self.probe_interval.max(MIN_PROBE_TIMEOUT);
         let target = info.name.clone();
-        match probe(&self.shared.pool, info.address, timeout).await {
+        let probed = probe(&self.shared.pool, info.address, timeout).await;
+        self.share().heard(self.started.elapsed(), &target);
+        match probed {
             Probed::Alive(report) => {
                 self.signal(&target, Signal::Reachable);
                 self.take_report(target, report);
             }
-            Probed::Dead => self.signal(&target, Signal::Unreachable),
+            Probed::Dead => self.lost(&target),
         }
     }
 
+    fn lost(&self, target: &Name) {
+        let known = self
+            .targets()
+            .get_mut(target)
+            .map(|t| std::mem::take(&mut t.reported));
+        if known == Some(true) {
+            event(Level::Warn, "target_unreachable", &[("target", target)]);
+            self.links.broadcast(&PeerMessage::TargetSignal {
+                target: target.clone(),
+                leaving: false,
+            });
+        }
+        self.signal(target, Signal::Unreachable);
+    }
+
     fn take_report(&self, target: Name, report: LoadReport) {
         if let Some(state) = self.targets().get_mut(&target) {
             if report.leaving && !state.report.leaving {
                 self.announce_leaving(&target);
             }
             state.report = report.clone();
+            state.reported = true;
         }
         self.shared.desk.submit(Event::Report { target, report });
     }
@@ -159,6 +229,10 @@
         }
     }
 
+    fn share(&self) -> MutexGuard<'_, ProbeShare> {
+        self.share.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Gives the desk a signal about a target.
     pub(crate) fn signal(&self, target: &Name, signal: Signal) {
         let target = target.clone();
@@ -220,7 +294,8 @@
         }
     }
 
-    fn probe_now(self: &Arc<Self>, target: &Name) {
+    /// Probes a target at once.
+    pub(crate) fn probe_now(self: &Arc<Self>, target: &Name) {
         let info = self.targets().get(target).map(|t| t.info.clone());
         if let Some(info) = info {
             self.executor
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -48,13 +48,13 @@
                 }
             }
             PeerMessage::TargetSignal { target, leaving } => {
-                let signal = if leaving {
-                    Signal::Leaving
+                if leaving {
+                    control.signal(&target, Signal::Leaving);
                 } else {
-                    Signal::Unreachable
-                };
-                control.signal(&target, signal);
+                    control.probe_now(&target);
+                }
             }
+            PeerMessage::Loads(words) => control.take_words(words),
             other => self.sync.on_message(from, other),
         }
     }
@@ -67,6 +67,7 @@
         let peers = live
             .iter()
             .filter(|p| p.domain == self.domain && !p.draining);
+        control.reassign(live);
         let entries = u32::try_from(peers.count() + 1).unwrap_or(u32::MAX);
         control.shared.desk.submit(Event::Entries(entries));
         let peers = i64::try_from(live.len()).unwrap_or(i64::MAX);
--- /dev/null
+++ b/src/peer/load_word.rs
@@ -0,0 +1,39 @@
+//! Word of a target's load among entries.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::target::LoadReport;
+
+/// A target's load as one entry tells others; its keys are short because it is sent often.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadWord {
+    /// Name of the target.
+    #[serde(rename = "t")]
+    pub target: Name,
+    /// Requests running.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Requests waiting.
+    #[serde(rename = "q")]
+    pub queued: u32,
+    /// Prompt tokens waiting for prefill.
+    #[serde(rename = "k")]
+    pub queued_tokens: u64,
+    /// The whole report, when more than the load has changed since the last word.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub whole: Option<LoadReport>,
+}
+
+impl LoadWord {
+    /// The report that results from this word and the last one known.
+    #[must_use]
+    pub fn onto(self, last: &LoadReport) -> LoadReport {
+        self.whole.unwrap_or_else(|| LoadReport {
+            running: self.running,
+            queued: self.queued,
+            queued_tokens: self.queued_tokens,
+            ..last.clone()
+        })
+    }
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,6 +4,7 @@
 
 use crate::catalog::{Catalog, ReleaseNote};
 use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
+use crate::peer::LoadWord;
 use crate::prelude::*;
 
 /// Version of the messages; a peer with another major version is refused.
@@ -64,6 +65,9 @@
         /// Whether the target announced that it is leaving.
         leaving: bool,
     },
+    /// Loads of targets that the sender probes.
+    #[serde(rename = "l")]
+    Loads(Vec<LoadWord>),
     /// Asks the owner of a claim shard to commit a claim.
     Claim {
         /// Number that the reply repeats.
--- /dev/null
+++ b/tests/probe_share.rs
@@ -0,0 +1,125 @@
+//! Probing of targets is shared among the entries of their failure domain.
+
+use std::time::Duration;
+
+use guavahold::decide::TargetInfo;
+use guavahold::entry::ProbeShare;
+use guavahold::peer::PeerInfo;
+use guavahold::prelude::Name;
+use guavahold::target::LoadReport;
+
+fn targets(domain: &str, count: usize) -> Vec<TargetInfo> {
+    let target = |n: usize| TargetInfo {
+        name: format!("{domain}-{n}").into(),
+        domain: domain.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        serves: "router".into(),
+        leaving: false,
+    };
+    (0..count).map(target).collect()
+}
+
+fn entry(domain: &str, n: usize) -> PeerInfo {
+    PeerInfo {
+        name: format!("entry-{domain}{n}").into(),
+        domain: domain.into(),
+        revision: 1,
+        since_ms: 0,
+        draining: false,
+    }
+}
+
+/// Probers of each target as every entry decides for itself.
+fn probers(entries: &[PeerInfo], targets: &[TargetInfo]) -> Vec<usize> {
+    let now = Duration::from_secs(10);
+    let mut counts = vec![0; targets.len()];
+    for own in entries {
+        let others: Vec<_> = entries
+            .iter()
+            .filter(|e| e.name != own.name)
+            .cloned()
+            .collect();
+        let mut share = ProbeShare::new(own.name.clone(), own.domain.clone());
+        share.assign(&others, targets);
+        for (n, target) in targets.iter().enumerate() {
+            share.heard(now, &target.name);
+            counts[n] += usize::from(share.is_due(now, &target.name));
+        }
+    }
+    counts
+}
+
+#[test]
+fn assign_two_probers_in_domain() {
+    let entries: Vec<_> = (0..21).map(|n| entry("a", n)).collect();
+    let entries = [entries, vec![entry("b", 0), entry("b", 1)]].concat();
+    let all = [targets("a", 400), targets("b", 3)].concat();
+    assert!(probers(&entries, &all).iter().all(|n| *n == 2));
+}
+
+#[test]
+fn assign_domain_without_entries() {
+    let entries: Vec<_> = (0..4).map(|n| entry("a", n)).collect();
+    assert!(probers(&entries, &targets("c", 10)).iter().all(|n| *n == 2));
+}
+
+#[test]
+fn assign_passes_over_draining_entry() {
+    let mut entries: Vec<_> = (0..3).map(|n| entry("a", n)).collect();
+    entries[0].draining = true;
+    let all = targets("a", 20);
+    let mut share = ProbeShare::new(entries[1].name.clone(), "a".into());
+    share.assign(&[entries[0].clone(), entries[2].clone()], &all);
+    let now = Duration::from_secs(10);
+    for target in &all {
+        share.heard(now, &target.name);
+    }
+    assert!(all.iter().all(|t| share.is_due(now, &t.name)));
+}
+
+#[test]
+fn is_due_when_nothing_is_heard() {
+    let entries: Vec<_> = (0..9).map(|n| entry("a", n)).collect();
+    let all = targets("a", 50);
+    let mut share = ProbeShare::new(entries[0].name.clone(), "a".into());
+    share.assign(&entries[1..], &all);
+    let now = Duration::from_secs(10);
+    assert!(all.iter().all(|t| share.is_due(now, &t.name)));
+    for target in &all {
+        share.heard(now, &target.name);
+    }
+    let due = |now| all.iter().filter(|t| share.is_due(now, &t.name)).count();
+    assert!(due(now + Duration::from_secs(1)) < 30);
+    assert_eq!(due(now + Duration::from_secs(2)), 50);
+}
+
+#[test]
+fn words_carry_changes_within_their_bound() {
+    let all = targets("a", 100);
+    let mut share = ProbeShare::new("entry-a0".into(), "a".into());
+    share.assign(&[], &all);
+    let reports = |running| {
+        let report = LoadReport {
+            running,
+            slots: 8,
+            ..LoadReport::default()
+        };
+        all.iter().map(move |t| (t.name.clone(), report.clone()))
+    };
+    let mut told: Vec<Name> = Vec::new();
+    for round in 0..4 {
+        let words = share.words(Duration::from_millis(250 * round), reports(1));
+        assert!(words.len() <= 32);
+        assert!(words.iter().all(|w| w.whole.is_some()));
+        told.extend(words.into_iter().map(|w| w.target));
+    }
+    told.sort();
+    told.dedup();
+    assert_eq!(
+        told.len(),
+        100,
+        "every target is told of once before any is repeated"
+    );
+    let words = share.words(Duration::from_secs(1), reports(2));
+    assert!(words.iter().all(|w| w.whole.is_none() && w.running == 2));
+}
