Give entries started in an outage the list of VMs from peers

Cause: an entry started while the platform is out had the catalog from peers but stayed "no list of VMs yet", so it served nobody.

Change: `PeerMessage::WantVms` and `Vms`; an entry without a list asks one peer a second on its heartbeat, and takes a peer's list only until the platform has answered.

--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -1,7 +1,7 @@
 //! Builds an entry from its settings.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock};
 
 use arc_swap::ArcSwap;
 use async_executor::Executor;
@@ -55,6 +55,7 @@
     claims: ClaimTable,
     platform: Arc<dyn Platform>,
     effects: async_channel::Receiver<Effect>,
+    peers_vms: async_channel::Receiver<Vec<Vm>>,
 }
 
 impl Entry {
@@ -164,11 +165,14 @@
             platform.clone(),
             cell.clone(),
         );
+        let (vms_tx, vms_rx) = async_channel::bounded(1);
         let events = Arc::new(EntryPeers {
             domain: cfg.domain.clone(),
             sync: sync.clone(),
             claims: OnceLock::new(),
             control: OnceLock::new(),
+            vms: vms_tx,
+            asked: Mutex::default(),
         });
         let mesh = Mesh::builder(cfg.name.clone(), cfg.domain.clone(), self.secret.clone())
             .timing(cfg.heartbeat, cfg.peer_timeout)
@@ -219,6 +223,7 @@
             claims,
             platform,
             effects,
+            peers_vms: vms_rx,
         })
     }
 }
@@ -228,7 +233,7 @@
     fn spawn(&self, peers: TcpListener, ex: &Arc<Executor<'static>>) {
         let control = &self.control;
         let (taker, mesh) = (control.clone(), self.mesh.clone());
-        let vms = VmList::new(self.platform.clone(), move |vms| {
+        let vms = VmList::new(self.platform.clone(), self.peers_vms.clone(), move |vms| {
             taker.take_vms(vms);
             let list: Vec<Vm> = vms.values().cloned().collect();
             mesh.set_peers(&list);
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -36,6 +36,7 @@
     /// Interval of probes.
     pub probe_interval: Duration,
     targets: Mutex<HashMap<Name, TargetState>>,
+    vms: Mutex<Vec<Vm>>,
 }
 
 impl Control {
@@ -54,11 +55,13 @@
             executor,
             probe_interval,
             targets: Mutex::default(),
+            vms: Mutex::default(),
         }
     }
 
     /// Takes over a new list of VMs.
     pub(crate) fn take_vms(&self, vms: &BTreeMap<Name, Vm>) {
+        *self.vms.lock().unwrap_or_else(PoisonError::into_inner) = vms.values().cloned().collect();
         let stores = vms
             .values()
             .filter(|vm| vm.role == Role::Store && vm.phase == Phase::Live);
@@ -76,6 +79,12 @@
         self.status.set_listed();
     }
 
+    /// The list of VMs taken over last.
+    pub(crate) fn vms(&self) -> Vec<Vm> {
+        let vms = self.vms.lock().unwrap_or_else(PoisonError::into_inner);
+        vms.clone()
+    }
+
     fn take_targets(&self, infos: &[TargetInfo]) {
         let mut targets = self.targets();
         let mut old = std::mem::take(&mut *targets);
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,7 +1,9 @@
 //! What an entry does with its peers' messages.
 
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock, PoisonError};
+use std::time::Instant;
 
+use async_channel::Sender;
 use futures_lite::future::Boxed;
 
 use crate::cache::BlockKey;
@@ -10,6 +12,7 @@
 use crate::decide::{Event, Signal};
 use crate::entry::control::Control;
 use crate::peer::{ClaimServer, PeerEvents, PeerInfo, PeerMessage};
+use crate::platform::Vm;
 use crate::prelude::*;
 
 /// Routes peers' messages to the catalog and the desk.
@@ -22,6 +25,27 @@
     pub claims: OnceLock<ClaimTable>,
     /// The control state, once it is made.
     pub control: OnceLock<Arc<Control>>,
+    /// Lists of VMs that peers sent.
+    pub vms: Sender<Vec<Vm>>,
+    /// When a peer was asked for its list of VMs last.
+    pub asked: Mutex<Option<Instant>>,
+}
+
+/// Pause before a peer is asked for its list of VMs again.
+const ASK_PAUSE: Duration = Duration::from_secs(1);
+
+impl EntryPeers {
+    /// Asks a peer for its list of VMs while the platform has given none.
+    fn ask_for_vms(&self, control: &Control, peer: &str) {
+        if control.status.is_listed() {
+            return;
+        }
+        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        if asked.is_none_or(|at| at.elapsed() >= ASK_PAUSE) {
+            *asked = Some(Instant::now());
+            control.links.send(peer, PeerMessage::WantVms);
+        }
+    }
 }
 
 impl PeerEvents for EntryPeers {
@@ -55,7 +79,17 @@
                 };
                 control.signal(&target, signal);
             }
-            other => self.sync.on_message(from, other),
+            PeerMessage::WantVms => {
+                let vms = control.vms();
+                if !vms.is_empty() {
+                    control.links.send(&from.name, PeerMessage::Vms(vms));
+                }
+            }
+            PeerMessage::Vms(vms) => drop(self.vms.try_send(vms)),
+            other => {
+                self.ask_for_vms(control, &from.name);
+                self.sync.on_message(from, other);
+            }
         }
     }
 
--- a/src/entry/vm_list.rs
+++ b/src/entry/vm_list.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use async_channel::Receiver;
 use async_io::Timer;
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
 use log::Level;
 
 use crate::platform::{Platform, PlatformError, Version, Vm, WatchEvent};
@@ -23,18 +24,22 @@
     platform: Arc<dyn Platform>,
     vms: BTreeMap<Name, Vm>,
     publish: Publish,
+    from_peers: Receiver<Vec<Vm>>,
 }
 
 impl VmList {
-    /// Makes an empty list; `publish` is called with each change.
+    /// Makes an empty list; `publish` is called with each change. Lists `from_peers` count only
+    /// until the platform has answered.
     pub(crate) fn new(
         platform: Arc<dyn Platform>,
+        from_peers: Receiver<Vec<Vm>>,
         publish: impl Fn(&BTreeMap<Name, Vm>) + Send + Sync + 'static,
     ) -> Self {
         Self {
             platform,
             vms: BTreeMap::new(),
             publish: Box::new(publish),
+            from_peers,
         }
     }
 
@@ -49,10 +54,30 @@
                     pause = (pause * 2).min(MAX_PAUSE);
                 }
             }
-            Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+            let pause = Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0));
+            let pause = async {
+                pause.await;
+            };
+            pause.or(self.hear_peers()).await;
         }
     }
 
+    /// Takes over the list of a peer while there is none.
+    async fn hear_peers(&mut self) {
+        while let Ok(vms) = self.from_peers.recv().await {
+            if self.vms.is_empty() {
+                self.vms = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
+                event(
+                    Level::Info,
+                    "vm_list_from_peer",
+                    &[("vms", &self.vms.len())],
+                );
+                (self.publish)(&self.vms);
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
     /// Lists and watches until the watch ends.
     async fn follow(&mut self) -> Result<(), PlatformError> {
         let listing = self.platform.list(Vm::KIND).await?;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,6 +4,7 @@
 
 use crate::catalog::{Catalog, ReleaseNote};
 use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
+use crate::platform::Vm;
 use crate::prelude::*;
 
 /// Version of the messages; a peer with another major version is refused.
@@ -48,6 +49,10 @@
     WantCatalog,
     /// The whole catalog.
     WholeCatalog(Arc<Catalog>),
+    /// Asks for the list of VMs because the platform has not answered since the start.
+    WantVms,
+    /// The list of VMs as the sender knows it.
+    Vms(Vec<Vm>),
     /// A request that takes down the targets that run it.
     Quarantine {
         /// Fingerprint of customer, route and body.
