--- a/src/bin/guavahold.rs
+++ b/src/bin/guavahold.rs
@@ -109,6 +109,9 @@
     let entries = Entries::new(flags.entry.clone());
     match &flags.subcommand {
         Command::Check(args) => {
+            if args.note.is_empty() {
+                return Err(OperatorError::Other("name a release note".into()));
+            }
             let docs: Result<Vec<_>, _> = args.note.iter().map(|file| open(file)).collect();
             Ok(Box::new(check(&docs?)))
         }
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -288,6 +288,20 @@
     assert_eq!((report.notes.len(), report.missing.len()), (60, 0));
 }
 
+#[test]
+fn apply_note_not_kept_is_made_up_for() {
+    let mut desk = Desk::begin();
+    desk.platform.fail_writes([None, Some(Fault::Down)]);
+    assert_eq!(desk.add_policy(1).exit(), Exit::Ok);
+    for against in 2..40 {
+        assert_eq!(desk.add_policy(against).exit(), Exit::Ok);
+    }
+    let report = block_on(history(&desk.store(), 100)).unwrap();
+    assert_eq!((report.notes.len(), report.missing.len()), (40, 0));
+    let undo = block_on(revert(&desk.store(), 2, "tartu".into())).unwrap();
+    assert_eq!(undo.exit(), Exit::Ok);
+}
+
 #[test]
 fn apply_large_catalog_is_cut_into_parts() {
     let mut desk = Desk::new();
