--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -40,6 +40,7 @@
     started: Instant,
     targets: Mutex<HashMap<Name, TargetState>>,
     share: Mutex<ProbeShare>,
+    vms: Mutex<Vec<Vm>>,
 }
 
 impl Control {
@@ -61,11 +62,13 @@
             started: Instant::now(),
             targets: Mutex::default(),
             share: Mutex::new(share),
+            vms: Mutex::default(),
         }
     }
 
     /// Takes over a new list of VMs.
     pub(crate) fn take_vms(&self, vms: &BTreeMap<Name, Vm>) {
+        *self.vms.lock().unwrap_or_else(PoisonError::into_inner) = vms.values().cloned().collect();
         let stores = vms
             .values()
             .filter(|vm| vm.role == Role::Store && vm.phase == Phase::Live);
@@ -83,6 +86,12 @@
         self.status.set_listed();
     }
 
+    /// The list of VMs taken over last.
+    pub(crate) fn vms(&self) -> Vec<Vm> {
+        let vms = self.vms.lock().unwrap_or_else(PoisonError::into_inner);
+        vms.clone()
+    }
+
     fn take_targets(&self, infos: &[TargetInfo]) {
         let mut targets = self.targets();
         let mut old = std::mem::take(&mut *targets);
