--- /dev/null
+++ b/tests/order_shell.rs
@@ -0,0 +1,138 @@
+//! Orders over real connections, under a lease of the platform in memory.
+
+mod support;
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use async_io::Timer;
+use futures_lite::future::block_on;
+use guavahold::catalog::{Catalog, CatalogCell, Model, Policy, Trust};
+use guavahold::decide::TargetInfo;
+use guavahold::http::{Exchange, Handler, Limits, Pool, Reply, Server, ServerControl};
+use guavahold::order::Orderer;
+use guavahold::prelude::*;
+use guavahold::target::{LoadReport, Order, OrderRequest, STALE_ORDER_STATUS};
+use http_types::{Response, StatusCode};
+use support::{MemoryPlatform, NoPeers};
+
+/// A target that checks fencing numbers and loads at once.
+#[derive(Default)]
+struct Engine(Mutex<LoadReport>);
+
+impl Engine {
+    fn take(&self, body: &[u8]) -> StatusCode {
+        let request: OrderRequest = serde_json::from_slice(body).unwrap();
+        let mut report = self.0.lock().unwrap();
+        if request.fencing < report.fencing {
+            return STALE_ORDER_STATUS;
+        }
+        report.fencing = request.fencing;
+        match request.order {
+            Order::Load { weights } => report.weights.push(weights),
+            Order::Unload { weights } => report.weights.retain(|w| *w != weights),
+        }
+        StatusCode::Ok
+    }
+}
+
+impl Handler for Engine {
+    fn handle(self: Arc<Self>, exchange: Exchange) -> Reply {
+        Box::pin(async move { Response::new(self.take(&exchange.body)) })
+    }
+}
+
+fn start_engine(ex: &Arc<Executor<'static>>, fencing: u64) -> (SocketAddr, Arc<Engine>) {
+    let engine = Arc::new(Engine::default());
+    engine.0.lock().unwrap().fencing = fencing;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let control = Arc::new(ServerControl::default());
+    let server = Server::new(listener, Limits::default(), engine.clone(), control).unwrap();
+    ex.spawn(server.run(ex.clone())).detach();
+    (address, engine)
+}
+
+fn catalog(engines: usize) -> Arc<Catalog> {
+    let mut catalog = Catalog {
+        revision: 1,
+        ..Catalog::default()
+    };
+    let policy = Policy {
+        first_token_ms: 1,
+        ..Policy::default()
+    };
+    catalog.section.policies.insert("quick".into(), policy);
+    let model = Model {
+        weights: "v2".into(),
+        adapters: Vec::new(),
+        policy: "quick".into(),
+    };
+    catalog.section.models.insert("salon".into(), model);
+    let trust = Trust {
+        checks_fencing: true,
+    };
+    let names = (0..engines).map(|n| Name::from(format!("engine-{n}")));
+    catalog
+        .section
+        .trust
+        .extend(names.map(|name| (name, trust)));
+    Arc::new(catalog)
+}
+
+/// Brings `v2` into service on engines that have seen `fencing`; gives the numbers seen at the end.
+fn bring_into_service(fencing: u64) -> Vec<u64> {
+    let ex = Arc::new(Executor::new());
+    let engines: Vec<_> = (0..3).map(|_| start_engine(&ex, fencing)).collect();
+    let cell = Arc::new(CatalogCell::default());
+    cell.offer(&catalog(engines.len()));
+    let orderer = Orderer::new(
+        Arc::new(MemoryPlatform::new()),
+        Arc::new(Pool::new(Duration::from_secs(1))),
+        "entry".into(),
+        "a".into(),
+        cell,
+        Arc::new(NoPeers),
+        ex.clone(),
+    );
+    let info = |(n, (address, _)): (usize, &(SocketAddr, Arc<Engine>))| TargetInfo {
+        name: format!("engine-{n}").into(),
+        domain: "a".into(),
+        address: *address,
+        serves: "salon".into(),
+        leaving: false,
+    };
+    let targets: Vec<_> = engines.iter().enumerate().map(info).collect();
+    let run = orderer.clone();
+    ex.spawn(async move { run.run().await }).detach();
+    let started = Instant::now();
+    block_on(ex.run(async {
+        loop {
+            let reports = engines.iter().map(|(_, e)| e.0.lock().unwrap().clone());
+            let reports: Vec<_> = reports.collect();
+            if reports.iter().all(|r| r.weights == ["v2".into()]) {
+                return reports.iter().map(|r| r.fencing).collect();
+            }
+            let named = targets.iter().map(|t| t.name.clone()).zip(reports);
+            orderer.observe(&targets, &named.collect::<HashMap<_, _>>());
+            assert!(
+                started.elapsed() < Duration::from_secs(30),
+                "not in service"
+            );
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    }))
+}
+
+#[test]
+fn orderer_brings_a_version_into_service() {
+    assert_eq!(bring_into_service(0), [1, 1, 1]);
+}
+
+#[test]
+fn orderer_passes_the_greatest_number_that_targets_have_seen() {
+    assert_eq!(bring_into_service(7), [8, 8, 8]);
+}
