--- a/rig/src/load/profile.rs
+++ b/rig/src/load/profile.rs
@@ -134,7 +134,7 @@
         let weights = MeasureWeights {
             first_token: 0.5,
             recompute: 4.0,
-            link: 4.0,
+            link: 1.0,
         };
         Self {
             name: "pluvial",
