--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -1,7 +1,7 @@
 //! Builds an entry from its settings.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock};
 
 use arc_swap::ArcSwap;
 use async_executor::Executor;
@@ -12,13 +12,13 @@
 use crate::catalog::{CatalogCell, CatalogSync};
 use crate::claim::ClaimTable;
 use crate::decide::{Desk, DeskSettings, Effect};
-use crate::entry::RunningEntry;
 use crate::entry::admin::AdminHandler;
 use crate::entry::control::Control;
 use crate::entry::peers::EntryPeers;
 use crate::entry::status::Status;
 use crate::entry::threads::Threads;
 use crate::entry::vm_list::VmList;
+use crate::entry::{ProbeShare, RunningEntry};
 use crate::http::{Limits, Pool, Server, ServerControl};
 use crate::peer::Mesh;
 use crate::platform::{Platform, RemotePlatform, Vm};
@@ -55,6 +55,7 @@
     claims: ClaimTable,
     platform: Arc<dyn Platform>,
     effects: async_channel::Receiver<Effect>,
+    peers_vms: async_channel::Receiver<Vec<Vm>>,
 }
 
 impl Entry {
@@ -164,11 +165,14 @@
             platform.clone(),
             cell.clone(),
         );
+        let (vms_tx, vms_rx) = async_channel::bounded(1);
         let events = Arc::new(EntryPeers {
             domain: cfg.domain.clone(),
             sync: sync.clone(),
             claims: OnceLock::new(),
             control: OnceLock::new(),
+            vms: vms_tx,
+            asked: Mutex::default(),
         });
         let mesh = Mesh::builder(cfg.name.clone(), cfg.domain.clone(), self.secret.clone())
             .timing(cfg.heartbeat, cfg.peer_timeout)
@@ -209,6 +213,7 @@
             mesh.clone(),
             control_ex.clone(),
             cfg.probe_interval,
+            ProbeShare::new(cfg.name.clone(), cfg.domain.clone()),
         ));
         let _ = events.control.set(control.clone());
         Ok(Parts {
@@ -219,6 +224,7 @@
             claims,
             platform,
             effects,
+            peers_vms: vms_rx,
         })
     }
 }
@@ -228,7 +234,7 @@
     fn spawn(&self, peers: TcpListener, ex: &Arc<Executor<'static>>) {
         let control = &self.control;
         let (taker, mesh) = (control.clone(), self.mesh.clone());
-        let vms = VmList::new(self.platform.clone(), move |vms| {
+        let vms = VmList::new(self.platform.clone(), self.peers_vms.clone(), move |vms| {
             taker.take_vms(vms);
             let list: Vec<Vm> = vms.values().cloned().collect();
             mesh.set_peers(&list);
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,6 +4,8 @@
 
 use crate::catalog::{Catalog, ReleaseNote};
 use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
+use crate::peer::LoadWord;
+use crate::platform::Vm;
 use crate::prelude::*;
 
 /// Version of the messages; a peer with another major version is refused.
@@ -26,16 +28,20 @@
         /// Keyed hash that proves knowledge of the shared secret.
         proof: Name,
     },
-    /// Sign of life.
+    /// Sign of life; its keys are short because it is sent most often.
+    #[serde(rename = "b")]
     Heartbeat {
         /// Catalog revision in force.
+        #[serde(rename = "r")]
         revision: u64,
         /// Time since it came into force, in milliseconds.
+        #[serde(rename = "s")]
         since_ms: u64,
         /// Whether the entry is shutting down.
+        #[serde(rename = "d")]
         draining: bool,
         /// Whether the entry follows the catalog at the platform and was answered lately.
-        #[serde(default)]
+        #[serde(rename = "w", default)]
         watching: bool,
     },
     /// Notes that bring a peer from `against` of the first note to the newest revision.
@@ -44,6 +50,10 @@
     WantCatalog,
     /// The whole catalog.
     WholeCatalog(Arc<Catalog>),
+    /// Asks for the list of VMs because the platform has not answered since the start.
+    WantVms,
+    /// The list of VMs as the sender knows it.
+    Vms(Vec<Vm>),
     /// A request that takes down the targets that run it.
     Quarantine {
         /// Fingerprint of customer, route and body.
@@ -60,6 +70,9 @@
         /// Whether the target announced that it is leaving.
         leaving: bool,
     },
+    /// Loads of targets that the sender probes.
+    #[serde(rename = "l")]
+    Loads(Vec<LoadWord>),
     /// Asks the owner of a claim shard to commit a claim.
     Claim {
         /// Number that the reply repeats.
