--- a/src/caller/shared.rs
+++ b/src/caller/shared.rs
@@ -21,7 +21,7 @@
     /// Admission, placement and retries.
     pub desk: Arc<DeskQueue>,
     /// Connections to targets.
-    pub pool: Pool,
+    pub pool: Arc<Pool>,
     /// Claims of non-idempotent requests.
     pub claims: Arc<dyn Claims>,
     /// Store VMs.
--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -20,6 +20,7 @@
 use crate::entry::vm_list::VmList;
 use crate::entry::{ProbeShare, RunningEntry};
 use crate::http::{Limits, Pool, Server, ServerControl};
+use crate::order::Orderer;
 use crate::peer::Mesh;
 use crate::platform::{Platform, RemotePlatform, Vm};
 use crate::prelude::*;
@@ -192,12 +193,22 @@
         let (effects_tx, effects) = async_channel::unbounded();
         let mut desk = DeskSettings::new(cfg.domain.clone());
         desk.seed = fastrand::u64(..);
+        let pool = Arc::new(Pool::new(cfg.connect_timeout));
+        let orderer = Arc::new(Orderer::new(
+            platform.clone(),
+            pool.clone(),
+            cfg.name.clone(),
+            cfg.domain.clone(),
+            cell.clone(),
+            mesh.clone(),
+            control_ex.clone(),
+        ));
         let shared = Arc::new(Shared {
             domain: cfg.domain.clone(),
             directory: ArcSwap::default(),
             targets: ArcSwap::default(),
             desk: Arc::new(DeskQueue::new(Desk::new(desk), effects_tx)),
-            pool: Pool::new(cfg.connect_timeout),
+            pool: pool.clone(),
             claims: Arc::new(claims.clone()),
             stores: ArcSwap::default(),
             store_client: StoreClient::new(self.secret.clone(), cfg.connect_timeout),
@@ -214,6 +225,7 @@
             control_ex.clone(),
             cfg.probe_interval,
             ProbeShare::new(cfg.name.clone(), cfg.domain.clone()),
+            orderer,
         ));
         let _ = events.control.set(control.clone());
         Ok(Parts {
@@ -252,6 +264,7 @@
         ex.spawn(self.sync.clone().run(ex.clone())).detach();
         ex.spawn(control.clone().run_probes()).detach();
         ex.spawn(control.clone().run_cache_events()).detach();
+        ex.spawn(control.clone().run_orders()).detach();
         ex.spawn(control.clone().run_ticks()).detach();
         ex.spawn(control.clone().run_catalog(self.cell.clone()))
             .detach();
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -14,6 +14,7 @@
 use crate::entry::ProbeShare;
 use crate::entry::probe::{Probed, cache_events, probe};
 use crate::entry::status::Status;
+use crate::order::Orderer;
 use crate::peer::{LoadWord, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::{Phase, Role, Vm};
 use crate::prelude::*;
@@ -40,6 +41,7 @@
     started: Instant,
     targets: Mutex<HashMap<Name, TargetState>>,
     share: Mutex<ProbeShare>,
+    orderer: Arc<Orderer>,
     vms: Mutex<Vec<Vm>>,
 }
 
@@ -52,6 +54,7 @@
         executor: Arc<Executor<'static>>,
         probe_interval: Duration,
         share: ProbeShare,
+        orderer: Arc<Orderer>,
     ) -> Self {
         Self {
             shared,
@@ -62,6 +65,7 @@
             started: Instant::now(),
             targets: Mutex::default(),
             share: Mutex::new(share),
+            orderer,
             vms: Mutex::default(),
         }
     }
@@ -133,9 +137,26 @@
             }
             self.publish(&self.targets());
             self.tell_loads();
+            self.show_orderer();
         }
     }
 
+    /// Competes for the lease of the domain and gives its targets orders, for ever.
+    pub(crate) async fn run_orders(self: Arc<Self>) {
+        self.orderer.run().await;
+    }
+
+    fn show_orderer(&self) {
+        let targets = self.targets();
+        let infos: Vec<TargetInfo> = targets.values().map(|t| t.info.clone()).collect();
+        let reported = targets.values().filter(|t| t.reported);
+        let reports = reported
+            .map(|t| (t.info.name.clone(), t.report.clone()))
+            .collect();
+        drop(targets);
+        self.orderer.observe(&infos, &reports);
+    }
+
     fn due_targets(&self) -> Vec<TargetInfo> {
         let now = self.started.elapsed();
         let targets = self.targets();
