Grant the import of blocks that an engine likely holds

Cause: an entry believes that an engine still holds what it placed there; events come late and the engine's memory is smaller than the belief. The import then began behind what the engine really held, and the engine, which imports consecutive blocks only, computed the whole prompt.

Change: the grant starts at block 0; an engine fetches only what it misses. The store is asked also when the belief says that nothing is missing.

rig/tests/reuse.rs failed first (imported 0, expected 3072), now passes.

--- a/src/caller/plan.rs
+++ b/src/caller/plan.rs
@@ -118,10 +118,6 @@
 
     async fn plan_transfers(&self, address: SocketAddr, plan: &mut KvPlan) {
         let visit = self.shared.reuse.visit(&self.work.customer, &self.keys);
-        let all = self.shape.blocks;
-        if self.target.held == all && visit.exported() == all {
-            return;
-        }
         let Some(held) = self.ask(address).await else {
             return;
         };
@@ -136,6 +132,11 @@
         };
         let weights = self.work.policy.weights;
         let import = plan_import(self.shape, self.target, store, weights);
+        // An engine fetches only what it misses: granting what it likely holds moves nothing when
+        // that is right, and saves the prefill when the engine has forgotten it.
+        let likely = self.target.held.min(store.held);
+        let end = import.map_or(0, |r| r.end()).max(likely);
+        let import = BlockRange::between(0, end);
         plan.import = import.and_then(|r| self.grant(Operation::Read, address, r));
         if self.attempt.number > 1 {
             return;
