Test a domain cut off from the platform and the other domains

Separate processes behind relays: the cut-off domain goes on with chats and reads by its last catalog, refuses bookings as not run with a time to come back, and takes the note and the booking's outcome once healed; its revision never steps back.

--- /dev/null
+++ b/rig/tests/cut_off.rs
@@ -0,0 +1,165 @@
+//! A failure domain that is cut off from the platform and from the other domains.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use guavahold::catalog::{InForce, TokenHash};
+use guavahold::platform::Role;
+use guavahold_rig::client::Call;
+use guavahold_rig::fleet::{await_ok, await_that, within};
+use guavahold_rig::scene::{SALON, first_note};
+use guavahold_rig::{Fleet, Process, Scene};
+use http_types::Method;
+use serde_json::json;
+use uuid::Uuid;
+
+/// Two domains of one entry and one engine each; all control links pass through relays.
+struct Domains {
+    fleet: Fleet,
+    relays: Vec<Process>,
+    entries: Vec<Process>,
+    _engines: Vec<Process>,
+    service: Process,
+}
+
+fn relay(to: std::net::SocketAddr) -> Process {
+    Process::start("guavahold-rig", &["relay", "--to", &to.to_string()]).unwrap()
+}
+
+impl Domains {
+    async fn start() -> Self {
+        let fleet = Fleet::start().unwrap();
+        let service = fleet.service("booking", &[]).unwrap();
+        let address = service.address("address");
+        fleet
+            .list("booking-1", Role::Service, "a", address, "booking")
+            .await;
+        let (mut relays, mut entries, mut engines) = (Vec::new(), Vec::new(), Vec::new());
+        for domain in ["a", "b"] {
+            let (name, engine) = (format!("entry-{domain}"), format!("engine-{domain}"));
+            let platform = relay(fleet.platform_address());
+            let through = json!({"platform": [platform.address("address").to_string()]});
+            let entry = fleet.entry(&name, domain, &through).unwrap();
+            let peers = relay(entry.address("peers"));
+            fleet
+                .list(&name, Role::Entry, domain, peers.address("address"), "")
+                .await;
+            let process = fleet.engine(&engine, "router", "w1", &[]).unwrap();
+            let address = process.address("address");
+            fleet
+                .list(&engine, Role::Engine, domain, address, "router")
+                .await;
+            relays.extend([platform, peers]);
+            entries.push(entry);
+            engines.push(process);
+        }
+        fleet.put_note(&first_note()).await;
+        let domains = Self {
+            fleet,
+            relays,
+            entries,
+            _engines: engines,
+            service,
+        };
+        for entry in &domains.entries {
+            await_ok(entry.address("admin"), "/ready").await;
+            domains.await_chat(entry, SALON).await;
+        }
+        domains
+    }
+
+    async fn await_chat(&self, entry: &Process, token: &str) {
+        await_that("a chat to be answered", async || {
+            let call = Call::chat(token, "router", "hello", 2, false);
+            call.send(entry.address("callers"))
+                .await
+                .is_ok_and(|a| a.status == 200)
+        })
+        .await;
+    }
+
+    /// Cuts domain `a` off from the platform and both domains from each other, or heals that.
+    async fn set_cut(&self, cut: bool) {
+        for relay in [&self.relays[0], &self.relays[1], &self.relays[3]] {
+            let state = Call::new(Method::Post, "/state").body(json!({"cut": cut}).to_string());
+            assert_eq!(
+                state.send(relay.address("admin")).await.unwrap().status,
+                200
+            );
+        }
+    }
+
+    async fn revision(&self, entry: usize) -> u64 {
+        let call = Call::new(Method::Get, "/in-force");
+        let answer = call
+            .send(self.entries[entry].address("admin"))
+            .await
+            .unwrap();
+        let all: Vec<InForce> = serde_json::from_slice(&answer.body).unwrap();
+        let name = ["entry-a", "entry-b"][entry];
+        all.iter().find(|f| &*f.entry == name).unwrap().revision
+    }
+
+    async fn runs(&self, key: &Uuid) -> u64 {
+        let counts = Call::new(Method::Get, "/runs")
+            .send(self.service.address("admin"))
+            .await;
+        counts.unwrap().json()["by_key"][key.to_string()]
+            .as_u64()
+            .unwrap_or(0)
+    }
+}
+
+#[test]
+fn cut_off_domain_serves_what_it_can() {
+    within(async {
+        let domains = Domains::start().await;
+        let [a, b] = [0, 1].map(|n| domains.entries[n].address("callers"));
+        domains.set_cut(true).await;
+        Timer::after(Duration::from_millis(1_500)).await;
+
+        let token = "token-of-bride";
+        let hash = TokenHash::of(token).to_string();
+        let note = json!({"revision": 1, "added": {"customers": {"bride": {"tokens": [hash]}}}});
+        domains.fleet.put_note(&note.to_string()).await;
+        await_that("the note at the domain that is not cut off", async || {
+            domains.revision(1).await == 2
+        })
+        .await;
+        domains.await_chat(&domains.entries[1], token).await;
+        assert_eq!(domains.revision(0).await, 1);
+
+        let chat = Call::chat(SALON, "router", "Is Liis free?", 2, false);
+        assert_eq!(chat.send(a).await.unwrap().status, 200);
+        let read = Call::new(Method::Get, "/services/booking/calendar").token(SALON);
+        assert_eq!(read.send(a).await.unwrap().status, 200);
+        let key = Uuid::now_v7();
+        let booking = Scene::booking(&key, r#"{"chair": 1}"#);
+        let refused = booking.send(a).await.unwrap();
+        assert_eq!(
+            (refused.status, refused.run.as_deref()),
+            (503, Some("not-run"))
+        );
+        assert!(refused.retry_after.is_some());
+        assert_eq!(domains.runs(&key).await, 0);
+        let elsewhere = booking.send(b).await.unwrap();
+        assert_eq!(elsewhere.status, 200, "{:?}", elsewhere.json());
+
+        domains.set_cut(false).await;
+        await_that("the note at the healed domain", async || {
+            let revision = domains.revision(0).await;
+            assert!(revision >= 1, "a step back");
+            revision == 2
+        })
+        .await;
+        domains.await_chat(&domains.entries[0], token).await;
+        await_that("the booking's outcome at the healed domain", async || {
+            booking
+                .send(a)
+                .await
+                .is_ok_and(|again| again.body == elsewhere.body)
+        })
+        .await;
+        assert_eq!(domains.runs(&key).await, 1);
+    });
+}
