--- a/src/catalog/replica.rs
+++ b/src/catalog/replica.rs
@@ -18,7 +18,7 @@
 /// How long an entry that cannot reach the platform collects revisions from peers before it
 /// counts as ready.
 const SETTLE: Duration = Duration::from_secs(2);
-/// Pause before the same peer is asked for or sent the same again.
+/// Pause before the same peer is requested for or sent the same again.
 const REPEAT: Duration = Duration::from_secs(1);
 /// Notes kept to bring peers up to date.
 const TAIL: usize = 1024;
@@ -55,7 +55,7 @@
     watch: Watch,
     head: Option<CatalogHead>,
     reading: Option<(SnapshotRef, Stamp)>,
-    asked: Option<Stamp>,
+    requested: Option<Stamp>,
     rng: fastrand::Rng,
 }
 
@@ -75,7 +75,7 @@
             watch: Watch::default(),
             head: None,
             reading: None,
-            asked: None,
+            requested: None,
             rng,
         }
     }
@@ -112,17 +112,17 @@
         self.started.get_or_insert(now);
         let before = (self.catalog.revision, self.is_watching());
         match event {
-            ReplicaEvent::Peers(live) => self.meet(&live),
+            ReplicaEvent::Peers(live) => self.update_peers(&live),
             ReplicaEvent::Beat {
                 from,
                 revision,
                 watching,
-            } => self.beat(&from, revision, watching),
-            ReplicaEvent::Notes { from, notes } => self.take_notes(now, &from, &notes, effects),
-            ReplicaEvent::Whole { from, catalog } => self.take_whole(now, &from, catalog, effects),
-            ReplicaEvent::Wanted(from) => self.answer(now, &from, effects),
-            ReplicaEvent::Head(head) => self.take_head(now, head, effects),
-            ReplicaEvent::Snapshot(read) => self.take_snapshot(now, read, effects),
+            } => self.on_beat(&from, revision, watching),
+            ReplicaEvent::Notes { from, notes } => self.on_notes(now, &from, &notes, effects),
+            ReplicaEvent::Whole { from, catalog } => self.on_whole(now, &from, catalog, effects),
+            ReplicaEvent::Wanted(from) => self.send_catalog(now, &from, effects),
+            ReplicaEvent::Head(head) => self.on_head(now, head, effects),
+            ReplicaEvent::Snapshot(read) => self.on_snapshot(now, read, effects),
             ReplicaEvent::WatchOpened => self.watch.opened(now, effects),
             ReplicaEvent::WatchFailed => self.watch.failed(now, &mut self.rng),
             ReplicaEvent::Tick => {}
@@ -130,7 +130,7 @@
         let demand = self.demand();
         self.watch.follow(now, demand, effects);
         self.repair(now, effects);
-        self.settle(now, effects);
+        self.become_ready(now, effects);
         assert!(
             self.catalog.revision >= before.0,
             "the catalog stepped back"
@@ -140,7 +140,7 @@
         }
     }
 
-    fn meet(&mut self, live: &[PeerInfo]) {
+    fn update_peers(&mut self, live: &[PeerInfo]) {
         let mut old = std::mem::take(&mut self.peers);
         for info in live {
             let known = old.remove(&info.name);
@@ -154,14 +154,14 @@
         }
     }
 
-    fn beat(&mut self, from: &str, revision: u64, watching: bool) {
+    fn on_beat(&mut self, from: &str, revision: u64, watching: bool) {
         if let Some(peer) = self.peers.get_mut(from) {
             peer.revision = revision;
             peer.watching = watching;
         }
     }
 
-    fn take_notes(
+    fn on_notes(
         &mut self,
         now: Stamp,
         from: &Name,
@@ -171,11 +171,11 @@
         let Some(last) = notes.last().map(ReleaseNote::revision) else {
             return;
         };
-        self.learn(from, last);
+        self.note_revision(from, last);
         if !self.extend(now, notes, &Source::Peer(from.clone()), effects)
             && last > self.catalog.revision
         {
-            self.ask(now, from, effects);
+            self.request_catalog(now, from, effects);
         }
     }
 
@@ -210,27 +210,27 @@
         self.catalog.revision >= last
     }
 
-    fn take_whole(
+    fn on_whole(
         &mut self,
         now: Stamp,
         from: &Name,
         catalog: Arc<Catalog>,
         effects: &mut Vec<ReplicaEffect>,
     ) {
-        self.learn(from, catalog.revision);
+        self.note_revision(from, catalog.revision);
         if catalog.revision > self.catalog.revision {
             self.tail.clear();
             self.install(now, catalog, &Source::Peer(from.clone()), effects);
         }
     }
 
-    fn learn(&mut self, from: &str, revision: u64) {
+    fn note_revision(&mut self, from: &str, revision: u64) {
         if let Some(peer) = self.peers.get_mut(from) {
             peer.revision = peer.revision.max(revision);
         }
     }
 
-    fn take_head(&mut self, now: Stamp, head: CatalogHead, effects: &mut Vec<ReplicaEffect>) {
+    fn on_head(&mut self, now: Stamp, head: CatalogHead, effects: &mut Vec<ReplicaEffect>) {
         if head.revision <= self.catalog.revision {
             self.ready = true;
             return;
@@ -261,7 +261,7 @@
         }
     }
 
-    fn take_snapshot(
+    fn on_snapshot(
         &mut self,
         now: Stamp,
         read: Option<Arc<Catalog>>,
@@ -278,7 +278,7 @@
             self.install(now, catalog, &Source::Platform, effects);
         }
         if let Some(head) = self.head.take() {
-            self.take_head(now, head, effects);
+            self.on_head(now, head, effects);
         }
     }
 
@@ -301,7 +301,7 @@
         }
     }
 
-    fn answer(&mut self, now: Stamp, from: &Name, effects: &mut Vec<ReplicaEffect>) {
+    fn send_catalog(&mut self, now: Stamp, from: &Name, effects: &mut Vec<ReplicaEffect>) {
         let Some(peer) = self.peers.get_mut(from) else {
             return;
         };
@@ -314,11 +314,11 @@
         effects.push(ReplicaEffect::Send { to, message });
     }
 
-    fn ask(&mut self, now: Stamp, to: &Name, effects: &mut Vec<ReplicaEffect>) {
-        if self.asked.is_some_and(|at| now < at + REPEAT) {
+    fn request_catalog(&mut self, now: Stamp, to: &Name, effects: &mut Vec<ReplicaEffect>) {
+        if self.requested.is_some_and(|at| now < at + REPEAT) {
             return;
         }
-        self.asked = Some(now);
+        self.requested = Some(now);
         effects.push(ReplicaEffect::Send {
             to: to.clone(),
             message: PeerMessage::WantCatalog,
@@ -326,7 +326,7 @@
     }
 
     /// Becomes ready from peers alone when the platform does not answer.
-    fn settle(&mut self, now: Stamp, effects: &mut Vec<ReplicaEffect>) {
+    fn become_ready(&mut self, now: Stamp, effects: &mut Vec<ReplicaEffect>) {
         if self.ready {
             return;
         }
@@ -335,7 +335,7 @@
             return;
         };
         if newest > self.catalog.revision {
-            self.ask(now, &name, effects);
+            self.request_catalog(now, &name, effects);
         } else if newest > 0 && now >= self.started.unwrap_or(now) + SETTLE {
             self.ready = true;
         }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -33,7 +33,7 @@
 
 /// Serves an accepted connection to its end.
 pub(crate) async fn accept(mesh: &Arc<Mesh>, stream: Async<TcpStream>) {
-    let unproved = mesh.unproved();
+    let handshaking = mesh.handshaking();
     let _ = stream.get_ref().set_nodelay(true);
     let handshake = async {
         let ws = accept_async_with_config(stream, Some(config())).await?;
@@ -41,7 +41,7 @@
     };
     match within(mesh.peer_timeout, handshake).await {
         Ok((ws, peer)) => {
-            drop(unproved);
+            drop(handshaking);
             serve(mesh, ws, peer, None).await;
         }
         Err(err) => mesh.fault("peer_handshake_failed", "-", &err),
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -39,8 +39,8 @@
 #[derive(Debug)]
 struct Link {
     opened: Opened,
-    heard: Stamp,
-    beaten: Stamp,
+    heard_at: Stamp,
+    beat_at: Stamp,
     revision: u64,
     since_ms: u64,
     draining: bool,
@@ -108,20 +108,20 @@
             MemberEvent::Listed(vms) => self.list(now, vms),
             MemberEvent::Opened(opened) => self.open(now, opened, effects),
             MemberEvent::DialFailed(addr) => self.back_off(now, addr),
-            MemberEvent::Heard(conn) => self.hear(now, conn),
+            MemberEvent::Heard(conn) => self.mark_heard(now, conn),
             MemberEvent::Beat {
                 conn,
                 revision,
                 since_ms,
                 draining,
             } => {
-                self.hear(now, conn);
+                self.mark_heard(now, conn);
                 if let Some(link) = self.links.get_mut(&conn) {
                     (link.revision, link.since_ms, link.draining) = (revision, since_ms, draining);
-                    link.beaten = now;
+                    link.beat_at = now;
                 }
             }
-            MemberEvent::Closed(conn) => self.lose(now, conn, effects),
+            MemberEvent::Closed(conn) => self.remove_link(now, conn, effects),
             MemberEvent::Tick => self.tick(now, effects),
         }
         self.check();
@@ -182,8 +182,8 @@
         }
         let link = Link {
             opened,
-            heard: now,
-            beaten: now,
+            heard_at: now,
+            beat_at: now,
             revision: 0,
             since_ms: 0,
             draining: false,
@@ -198,17 +198,17 @@
     /// connection that has been quiet for half the timeout gives way to any new one.
     fn keeps_old(&self, now: Stamp, old: &Link, new: &Opened) -> bool {
         let by_lower = |o: &Opened| o.dialled.is_some() == (self.cfg.name < o.peer);
-        let quiet = now.saturating_sub(old.heard) > self.cfg.peer_timeout / 2;
+        let quiet = now.saturating_sub(old.heard_at) > self.cfg.peer_timeout / 2;
         !quiet && by_lower(&old.opened) && !by_lower(new)
     }
 
-    fn hear(&mut self, now: Stamp, conn: ConnId) {
+    fn mark_heard(&mut self, now: Stamp, conn: ConnId) {
         if let Some(link) = self.links.get_mut(&conn) {
-            link.heard = now;
+            link.heard_at = now;
         }
     }
 
-    fn lose(&mut self, now: Stamp, conn: ConnId, effects: &mut Vec<MemberEffect>) {
+    fn remove_link(&mut self, now: Stamp, conn: ConnId, effects: &mut Vec<MemberEffect>) {
         let Some(link) = self.links.remove(&conn) else {
             return;
         };
@@ -243,11 +243,11 @@
     fn close_silent(&mut self, now: Stamp, effects: &mut Vec<MemberEffect>) {
         let limit = self.cfg.peer_timeout;
         let silent = self.links.iter();
-        let silent = silent.filter(|(_, l)| now.saturating_sub(l.heard) >= limit);
+        let silent = silent.filter(|(_, l)| now.saturating_sub(l.heard_at) >= limit);
         for conn in silent.map(|(conn, _)| *conn).collect::<Vec<_>>() {
             let reason = CloseReason::Silent;
             effects.push(MemberEffect::Close { conn, reason });
-            self.lose(now, conn, effects);
+            self.remove_link(now, conn, effects);
         }
     }
 
@@ -271,7 +271,7 @@
         for conn in surplus.map(|o| o.conn).collect::<Vec<_>>() {
             let reason = CloseReason::Surplus;
             effects.push(MemberEffect::Close { conn, reason });
-            self.lose(now, conn, effects);
+            self.remove_link(now, conn, effects);
         }
     }
 
@@ -369,7 +369,7 @@
 }
 
 fn info(link: &Link, now: Stamp) -> PeerInfo {
-    let age = now.saturating_sub(link.beaten).as_millis();
+    let age = now.saturating_sub(link.beat_at).as_millis();
     PeerInfo {
         name: link.opened.peer.clone(),
         domain: link.opened.domain.clone(),
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -32,8 +32,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Connections at most whose peers have not proved themselves yet.
-const UNPROVED: usize = 256;
+/// Connections at most that are still in their handshake.
+const MAX_HANDSHAKES: usize = 256;
 
 /// WebSocket links to live peers.
 pub struct Mesh {
@@ -51,7 +51,7 @@
     status: Mutex<Status>,
     draining: AtomicBool,
     last_conn: AtomicU64,
-    unproved: AtomicUsize,
+    handshaking: AtomicUsize,
     metrics: Option<Arc<Metrics>>,
     traffic: Traffic,
     executor: OnceLock<Arc<Executor<'static>>>,
@@ -109,7 +109,7 @@
             }),
             draining: AtomicBool::new(false),
             last_conn: AtomicU64::new(0),
-            unproved: AtomicUsize::new(0),
+            handshaking: AtomicUsize::new(0),
             metrics: cfg.metrics,
             traffic: Traffic::default(),
             executor: OnceLock::new(),
@@ -180,7 +180,7 @@
     }
 
     fn accepted(self: &Arc<Self>, stream: Async<TcpStream>) {
-        if self.unproved.load(Ordering::Relaxed) < UNPROVED {
+        if self.handshaking.load(Ordering::Relaxed) < MAX_HANDSHAKES {
             let this = self.clone();
             self.spawn(async move { link::accept(&this, stream).await });
         }
@@ -249,7 +249,7 @@
         event(level, "peer_connection_closed", &fields);
     }
 
-    /// Takes a proved connection into use; its queue, or `None` when it is not kept.
+    /// Takes an authenticated connection into use; its queue, or `None` when it is not kept.
     pub(crate) fn open(
         self: &Arc<Self>,
         peer: Name,
@@ -370,10 +370,10 @@
         }
     }
 
-    /// Counts a connection as unproved while the guard lives.
-    pub(crate) fn unproved(self: &Arc<Self>) -> Unproved {
-        self.unproved.fetch_add(1, Ordering::Relaxed);
-        Unproved(self.clone())
+    /// Counts a connection as handshaking while the guard lives.
+    pub(crate) fn handshaking(self: &Arc<Self>) -> Handshaking {
+        self.handshaking.fetch_add(1, Ordering::Relaxed);
+        Handshaking(self.clone())
     }
 
     /// Counts and logs a fault of a connection.
@@ -386,11 +386,11 @@
 }
 
 /// Guard of an accepted or dialled connection before its proof.
-pub(crate) struct Unproved(Arc<Mesh>);
+pub(crate) struct Handshaking(Arc<Mesh>);
 
-impl Drop for Unproved {
+impl Drop for Handshaking {
     fn drop(&mut self) {
-        self.0.unproved.fetch_sub(1, Ordering::Relaxed);
+        self.0.handshaking.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
