--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,6 +4,7 @@
 
 use crate::catalog::{Catalog, ReleaseNote};
 use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
+use crate::peer::LoadWord;
 use crate::platform::Vm;
 use crate::prelude::*;
 
@@ -69,6 +70,9 @@
         /// Whether the target announced that it is leaving.
         leaving: bool,
     },
+    /// Loads of targets that the sender probes.
+    #[serde(rename = "l")]
+    Loads(Vec<LoadWord>),
     /// Asks the owner of a claim shard to commit a claim.
     Claim {
         /// Number that the reply repeats.
