Grant what an engine likely holds only where fetching it would be right

Change: the plan is made a second time as if the engine held nothing, and the likely blocks are granted only where that plan fetches them.

--- a/src/caller/plan.rs
+++ b/src/caller/plan.rs
@@ -133,10 +133,21 @@
         let weights = self.work.policy.weights;
         let import = plan_import(self.shape, self.target, store, weights);
         // An engine fetches only what it misses: granting what it likely holds moves nothing when
-        // that is right, and saves the prefill when the engine has forgotten it.
+        // that is right, and saves the prefill when the engine has forgotten it, unless computing
+        // would then be cheaper.
         let likely = self.target.held.min(store.held);
-        let end = import.map_or(0, |r| r.end()).max(likely);
-        let import = BlockRange::between(0, end);
+        let forgotten = TargetState {
+            held: 0,
+            ..self.target
+        };
+        let from_start = plan_import(self.shape, forgotten, store, weights);
+        let import = match from_start {
+            Some(range) if range.end() >= likely => {
+                let end = import.map_or(0, |r| r.end()).max(likely);
+                BlockRange::between(0, end)
+            }
+            _ => import,
+        };
         plan.import = import.and_then(|r| self.grant(Operation::Read, address, r));
         if self.attempt.number > 1 {
             return;
