Keep rarely firing timeouts off the reactor, and attempts inside their request's task

Cause: each timer of the reactor wakes its thread when it is set, and a short request set about seven that never fire; each attempt was a task of its own with a channel, which moved requests between threads. Ruled out: the desk (a few microseconds a decision).

--- a/src/caller/attempt.rs
+++ b/src/caller/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use async_io::Timer;
 use futures_lite::FutureExt;
 use http_types::{Method, Request, StatusCode, Url};
 use serde_json::Value;
@@ -12,6 +11,7 @@
 use crate::caller::usage::count_tokens;
 use crate::caller::watchdog::silent_for_good;
 use crate::caller::{RunId, Shared, Work, WorkKind};
+use crate::clock::coarse_sleep;
 use crate::decide::AttemptOutcome;
 use crate::http::{Answer, ExchangeError};
 use crate::prelude::*;
@@ -98,7 +98,7 @@
         Ok(whole)
     };
     let late = async {
-        Timer::after(work.time_left()).await;
+        coarse_sleep(work.time_left()).await;
         shared.pool.clear(attempt.address);
         Err(AttemptOutcome::Lost)
     };
--- a/src/caller/engine_stream.rs
+++ b/src/caller/engine_stream.rs
@@ -10,6 +10,7 @@
 
 use crate::caller::attempt::{Attempt, WholeAnswer, check_head, read_whole, request, send};
 use crate::caller::{RunId, Shared, Work};
+use crate::clock::coarse_sleep;
 use crate::decide::{AttemptOutcome, Event, Signal};
 use crate::http::{Answer, Connection, EventParser, SseEvent};
 use crate::prelude::*;
@@ -245,6 +246,6 @@
 }
 
 async fn silence<T>() -> Option<T> {
-    Timer::after(SILENCE).await;
+    coarse_sleep(SILENCE).await;
     None
 }
--- a/src/caller/service.rs
+++ b/src/caller/service.rs
@@ -1,7 +1,9 @@
 //! Serves idempotent requests: attempts, hedges and retries as the desk decides.
 
-use async_executor::Task;
-use async_io::Timer;
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
+use std::task::Poll;
+
 use futures_lite::FutureExt;
 use http_types::{Response, StatusCode};
 
@@ -9,19 +11,21 @@
 use crate::caller::handler::{arrival_of, refusal_problem};
 use crate::caller::relay::Relay;
 use crate::caller::{EventId, RunId, Shared, Waiter, Work};
+use crate::clock::{CoarseSleep, coarse_sleep};
 use crate::decide::{AttemptOutcome, Effect};
 use crate::http::{Problem, RunState};
 use crate::prelude::*;
 
 type AttemptEnd = (Attempt, Result<Started, AttemptOutcome>);
 
+/// An attempt under way; dropping it cancels it.
+type Under = Pin<Box<dyn Future<Output = AttemptEnd> + Send>>;
+
 /// Attempts of one request that are under way.
 struct Attempts {
     shared: Arc<Shared>,
     work: Arc<Work>,
-    running: SmallVec<[(u32, Task<()>); 2]>,
-    tx: async_channel::Sender<AttemptEnd>,
-    rx: async_channel::Receiver<AttemptEnd>,
+    running: SmallVec<[(u32, Under); 2]>,
     handed_over: bool,
 }
 
@@ -38,8 +42,9 @@
     let waiter = shared.desk.arrive(arrival_of(shared, &work));
     let mut admission = Some(admission);
     let mut attempts = Attempts::new(shared, &work);
+    let mut late = pin!(coarse_sleep(work.time_left()));
     loop {
-        match attempts.next(&waiter).await {
+        match attempts.next(&waiter, late.as_mut()).await {
             Next::Effect(Effect::Refuse { refusal, .. }) => {
                 waiter.finish();
                 return Err(refusal_problem(&refusal));
@@ -60,29 +65,29 @@
 
 impl Attempts {
     fn new(shared: &Arc<Shared>, work: &Arc<Work>) -> Self {
-        let (tx, rx) = async_channel::unbounded();
         Self {
             shared: shared.clone(),
             work: work.clone(),
             running: SmallVec::new(),
-            tx,
-            rx,
             handed_over: false,
         }
     }
 
-    async fn next(&self, waiter: &Waiter) -> Next {
+    async fn next(&mut self, waiter: &Waiter, late: Pin<&mut CoarseSleep>) -> Next {
         let effect = async { Next::Effect(waiter.next().await) };
-        let ended = async {
-            match self.rx.recv().await {
-                Ok(end) => Next::Ended(end),
-                Err(_) => std::future::pending().await,
-            }
-        };
         let late = async {
-            Timer::after(self.work.time_left()).await;
+            late.await;
             Next::Late
         };
+        let running = &mut self.running;
+        let ended = poll_fn(|cx| {
+            for (_, attempt) in running.iter_mut() {
+                if let Poll::Ready(end) = attempt.as_mut().poll(cx) {
+                    return Poll::Ready(Next::Ended(end));
+                }
+            }
+            Poll::Pending
+        });
         effect.or(ended).or(late).await
     }
 
@@ -104,12 +109,12 @@
             weights,
             run: RunId::random(),
         };
-        let (shared, work, tx) = (self.shared.clone(), self.work.clone(), self.tx.clone());
-        let task = self.shared.executor.spawn(async move {
+        let (shared, work) = (self.shared.clone(), self.work.clone());
+        let under = async move {
             let started = start(&shared, &work, &attempt).await;
-            let _ = tx.send((attempt, started)).await;
-        });
-        self.running.push((number, task));
+            (attempt, started)
+        };
+        self.running.push((number, Box::pin(under)));
         self.handed_over = true;
     }
 
--- a/src/caller/watchdog.rs
+++ b/src/caller/watchdog.rs
@@ -1,11 +1,11 @@
 //! Tests a silent connection of a plain request by new ones.
 
-use async_io::Timer;
 use futures_lite::FutureExt;
 
 use crate::caller::attempt::Attempt;
 use crate::caller::engine_stream::{EngineStream, StreamFault};
 use crate::caller::{Shared, Work, WorkKind};
+use crate::clock::coarse_sleep;
 use crate::http::{Connection, ExchangeError};
 use crate::prelude::*;
 
@@ -21,7 +21,7 @@
     if !work.policy.idempotent {
         return std::future::pending().await;
     }
-    Timer::after(SILENCE).await;
+    coarse_sleep(SILENCE).await;
     match work.kind {
         WorkKind::Chat(_) => run_ended(shared, attempt).await,
         WorkKind::Service { .. } => target_dead(attempt).await,
@@ -35,10 +35,10 @@
         match EngineStream::attach(shared, attempt, u64::from(u32::MAX)).await {
             Ok(mut stream) => {
                 if stream.at_end().await {
-                    Timer::after(DELIVERY).await;
+                    coarse_sleep(DELIVERY).await;
                     return;
                 }
-                Timer::after(DELIVERY).await;
+                coarse_sleep(DELIVERY).await;
             }
             Err(StreamFault::Gone | StreamFault::Unreachable | StreamFault::Stalled) => return,
         }
@@ -49,10 +49,10 @@
 async fn target_dead(attempt: &Attempt) {
     let mut failures = 0;
     while failures < TRIES {
-        Timer::after(SILENCE / 2).await;
+        coarse_sleep(SILENCE / 2).await;
         let asked = async { ask(attempt).await.is_ok() };
         let late = async {
-            Timer::after(SILENCE / 2).await;
+            coarse_sleep(SILENCE / 2).await;
             false
         };
         failures = if asked.or(late).await {
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,7 +1,11 @@
-//! Wall-clock time.
+//! Wall-clock time, and timeouts that cost no system call.
+
+mod coarse;
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
+pub use coarse::{CoarseSleep, coarse_sleep};
+
 /// Milliseconds since the Unix epoch.
 #[must_use]
 pub fn unix_ms() -> u64 {
--- a/src/http/serving.rs
+++ b/src/http/serving.rs
@@ -10,6 +10,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_types::{Method, Response};
 
+use crate::clock::coarse_sleep;
 use crate::http::memory::Memory;
 use crate::http::{
     BodyGate, ChunkScanner, Exchange, Framing, Handler, HeadError, Limits, Problem, RequestHead,
@@ -148,7 +149,7 @@
             Ok::<_, io::Error>(true)
         };
         let idle = async {
-            Timer::after(self.limits.idle_time).await;
+            coarse_sleep(self.limits.idle_time).await;
             Ok(false)
         };
         let stop = async {
@@ -328,6 +329,6 @@
 }
 
 async fn late<T>(limit: Duration) -> Result<T, HeadError> {
-    Timer::after(limit).await;
+    coarse_sleep(limit).await;
     Err(HeadError::TooSlow)
 }
