Wait for the export instead of a fixed time in the test of reuse; no mod.rs in tests

The test saw no import once on a busy machine, where the export took longer than the 300 ms it waited; it now waits until the engine has sent the blocks.

--- a/rig/tests/reuse.rs
+++ b/rig/tests/reuse.rs
@@ -1,21 +1,20 @@
 //! Blocks come from the store when an engine no longer holds what its entry believes.
 
-use std::time::Duration;
-
-use async_io::Timer;
 use guavahold::catalog::TokenHash;
 use guavahold::platform::Role;
 use guavahold_rig::Fleet;
 use guavahold_rig::client::Call;
-use guavahold_rig::fleet::await_ok;
+use guavahold_rig::fleet::{await_ok, await_that, within};
+use http_types::Method;
 use serde_json::json;
 
 const TOKEN: &str = "token-of-the-test";
 const BLOCKS: usize = 3;
+const BLOCK_BYTES: usize = 4096;
 
 #[test]
 fn import_after_engine_forgot() {
-    async_io::block_on(async {
+    within(async {
         let fleet = Fleet::start().unwrap();
         let note = json!({
             "revision": 0,
@@ -28,7 +27,12 @@
         fleet.put_note(&note.to_string()).await;
         // The engine holds one prompt only, and its events come two late.
         let engine = fleet
-            .engine("engine", "m", "w1", &["--cache-blocks", "4"])
+            .engine(
+                "engine",
+                "m",
+                "w1",
+                &["--cache-blocks", "4", "--block-bytes", "4096"],
+            )
             .unwrap();
         fleet
             .list("engine", Role::Engine, "a", engine.address("address"), "m")
@@ -39,16 +43,27 @@
             .await;
         let entry = fleet.entry("entry", "a", &json!({})).unwrap();
         await_ok(entry.address("admin"), "/ready").await;
-        Timer::after(Duration::from_millis(500)).await;
+        let callers = entry.address("callers");
+        await_that("the engine in service", async || {
+            let call = Call::chat(TOKEN, "m", "ready?", 1, false);
+            call.send(callers).await.is_ok_and(|a| a.status == 200)
+        })
+        .await;
         let mut imported = 0;
-        for prompt in ["a", "b", "c", "a"] {
+        for (n, prompt) in ["a", "b", "c", "a"].into_iter().enumerate() {
             let text = prompt.repeat(BLOCKS * 4096);
             let call = Call::chat(TOKEN, "m", &text, 1, false);
-            let answer = call.send(entry.address("callers")).await.unwrap().json();
+            let answer = call.send(callers).await.unwrap().json();
             let details = &answer["usage"]["prompt_tokens_details"];
             imported = details["imported_tokens"].as_u64().unwrap();
-            // Lets the export end.
-            Timer::after(Duration::from_millis(300)).await;
+            let exported = (n + 1).min(3) * BLOCKS * BLOCK_BYTES;
+            await_that("the export to end", async || {
+                let stats = Call::new(Method::Get, "/stats")
+                    .send(engine.address("admin"))
+                    .await;
+                stats.unwrap().json()["export_bytes"].as_u64() >= Some(exported as u64)
+            })
+            .await;
         }
         assert_eq!(imported, BLOCKS as u64 * 1024);
     });
--- a/tests/catalog_cluster/mod.rs
+++ b/tests/catalog_cluster/cluster.rs
@@ -1,5 +1,5 @@
 //! Replicas of a few failure domains with a small fake of platform and links.
-#![allow(dead_code, clippy::mod_module_files)]
+#![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/tests/catalog_random.rs
+++ b/tests/catalog_random.rs
@@ -1,5 +1,6 @@
 //! Random runs of replicas under partitions, restarts, outages, lost messages and old events.
 
+#[path = "catalog_cluster/cluster.rs"]
 mod catalog_cluster;
 
 use catalog_cluster::{Cluster, Step};
--- a/tests/catalog_sync.rs
+++ b/tests/catalog_sync.rs
@@ -1,5 +1,6 @@
 //! The catalog follows the platform and peers on real sockets.
 
+#[path = "support/all.rs"]
 mod support;
 
 use std::net::{SocketAddr, TcpListener};
--- a/tests/catalog_traces.rs
+++ b/tests/catalog_traces.rs
@@ -1,5 +1,6 @@
 //! Replays recorded steps and pins what is in force after each pause.
 
+#[path = "catalog_cluster/cluster.rs"]
 mod catalog_cluster;
 
 use std::fmt::Write;
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -1,5 +1,6 @@
 //! Claims over the platform in memory.
 
+#[path = "support/all.rs"]
 mod support;
 
 use async_executor::Executor;
--- a/tests/claim_load.rs
+++ b/tests/claim_load.rs
@@ -1,5 +1,6 @@
 //! Measures platform calls for each claim at several loads; prints one line of JSON for each.
 
+#[path = "support/all.rs"]
 mod support;
 
 use std::time::Instant;
--- a/tests/claim_shard.rs
+++ b/tests/claim_shard.rs
@@ -1,5 +1,6 @@
 //! Random runs of the claims of one window.
 
+#[path = "support/all.rs"]
 mod support;
 
 use std::marker::PhantomData;
--- a/tests/claim_table.rs
+++ b/tests/claim_table.rs
@@ -1,5 +1,6 @@
 //! Claim tables of several entries over one platform with faults.
 
+#[path = "support/all.rs"]
 mod support;
 
 use std::sync::Mutex;
--- a/tests/claim_traces.rs
+++ b/tests/claim_traces.rs
@@ -1,5 +1,6 @@
 //! Replays recorded traces of claims and pins what the callers were told.
 
+#[path = "support/all.rs"]
 mod support;
 
 use std::fmt::Write;
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -1,5 +1,6 @@
 //! Random runs of candidates for one lease: pauses, late and lost writes, clocks that drift.
 
+#[path = "support/all.rs"]
 mod support;
 
 use std::collections::BTreeMap;
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -1,5 +1,6 @@
 //! The operators' commands against a platform in memory.
 
+#[path = "support/all.rs"]
 mod support;
 
 use std::io::{Read, Write};
--- a/tests/order_shell.rs
+++ b/tests/order_shell.rs
@@ -1,5 +1,6 @@
 //! Orders over real connections, under a lease of the platform in memory.
 
+#[path = "support/all.rs"]
 mod support;
 
 use std::collections::HashMap;
--- a/tests/support/mod.rs
+++ b/tests/support/all.rs
@@ -1,5 +1,5 @@
 //! Small fakes shared by the tests.
-#![allow(dead_code, unused_imports, clippy::mod_module_files)]
+#![allow(dead_code, unused_imports)]
 
 pub mod claims;
 mod links;
