--- a/src/caller.rs
+++ b/src/caller.rs
@@ -16,6 +16,7 @@
 mod targets;
 mod usage;
 mod watchdog;
+mod words;
 mod work;
 
 pub use chat::ChatRequest;
@@ -27,4 +28,5 @@
 pub use reuse::ReuseMemory;
 pub use shared::Shared;
 pub use targets::{TargetState, TargetView};
+pub use words::{QuarantineWord, QuarantineWords};
 pub use work::{RunId, Work, WorkKind};
--- a/src/caller/queue.rs
+++ b/src/caller/queue.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use crate::caller::QuarantineWords;
 use crate::decide::{Arrival, AttemptOutcome, Desk, Effect, Event, RequestId};
 use crate::prelude::*;
 
@@ -15,6 +16,7 @@
     next_id: AtomicU64,
     started: Instant,
     control: async_channel::Sender<Effect>,
+    words: Arc<QuarantineWords>,
 }
 
 #[derive(Debug)]
@@ -27,7 +29,11 @@
 impl DeskQueue {
     /// Wraps a desk; effects that concern no request go to `control`.
     #[must_use]
-    pub fn new(desk: Desk, control: async_channel::Sender<Effect>) -> Self {
+    pub fn new(
+        desk: Desk,
+        control: async_channel::Sender<Effect>,
+        words: Arc<QuarantineWords>,
+    ) -> Self {
         let state = State {
             desk,
             waiters: HashMap::new(),
@@ -38,6 +44,7 @@
             next_id: AtomicU64::new(1),
             started: Instant::now(),
             control,
+            words,
         }
     }
 
@@ -92,7 +99,11 @@
             effects,
         } = &mut *state;
         desk.on(now, event, effects);
-        for effect in effects.drain(..) {
+        // Words to peers first: a request that ends waits for those issued before.
+        let (words, rest): (Vec<_>, Vec<_>) = effects
+            .drain(..)
+            .partition(|effect| matches!(effect, Effect::Quarantine { .. }));
+        for effect in words.into_iter().chain(rest) {
             self.hand_out(waiters, effect);
         }
     }
@@ -106,7 +117,12 @@
             Effect::Dispatch { id, .. } | Effect::Refuse { id, .. } | Effect::Cancel { id, .. } => {
                 *id
             }
-            Effect::Quarantine { .. } | Effect::Probe { .. } => {
+            Effect::Quarantine { .. } => {
+                self.words.issue();
+                let _ = self.control.try_send(effect);
+                return;
+            }
+            Effect::Probe { .. } => {
                 let _ = self.control.try_send(effect);
                 return;
             }
--- a/src/caller/service.rs
+++ b/src/caller/service.rs
@@ -47,6 +47,9 @@
         match attempts.next(&waiter, late.as_mut()).await {
             Next::Effect(Effect::Refuse { refusal, .. }) => {
                 waiter.finish();
+                if refusal.run() != RunState::NotRun {
+                    shared.words.settled().await;
+                }
                 return Err(refusal_problem(&refusal));
             }
             Next::Effect(Effect::Cancel { attempt, .. }) => attempts.cancel(&waiter, attempt),
--- a/src/caller/shared.rs
+++ b/src/caller/shared.rs
@@ -4,7 +4,7 @@
 use async_executor::Executor;
 
 use crate::cache::{Secret, StoreClient};
-use crate::caller::{DeskQueue, Directory, ReuseMemory, StoreList, TargetView};
+use crate::caller::{DeskQueue, Directory, QuarantineWords, ReuseMemory, StoreList, TargetView};
 use crate::claim::Claims;
 use crate::http::Pool;
 use crate::prelude::*;
@@ -20,6 +20,8 @@
     pub targets: ArcSwap<TargetView>,
     /// Admission, placement and retries.
     pub desk: Arc<DeskQueue>,
+    /// Words about quarantined requests.
+    pub words: Arc<QuarantineWords>,
     /// Connections to targets.
     pub pool: Arc<Pool>,
     /// Claims of non-idempotent requests.
--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -8,7 +8,7 @@
 use eyre::WrapErr;
 
 use crate::cache::{Secret, StoreClient};
-use crate::caller::{CallerHandler, DeskQueue, ReuseMemory, Shared};
+use crate::caller::{CallerHandler, DeskQueue, QuarantineWords, ReuseMemory, Shared};
 use crate::catalog::{CatalogCell, CatalogSync};
 use crate::claim::ClaimTable;
 use crate::decide::{Desk, DeskSettings, Effect};
@@ -193,6 +193,7 @@
         let (effects_tx, effects) = async_channel::unbounded();
         let mut desk = DeskSettings::new(cfg.domain.clone());
         desk.seed = fastrand::u64(..);
+        let words = Arc::new(QuarantineWords::default());
         let pool = Arc::new(Pool::new(cfg.connect_timeout));
         let orderer = Arc::new(Orderer::new(
             platform.clone(),
@@ -207,7 +208,8 @@
             domain: cfg.domain.clone(),
             directory: ArcSwap::default(),
             targets: ArcSwap::default(),
-            desk: Arc::new(DeskQueue::new(Desk::new(desk), effects_tx)),
+            desk: Arc::new(DeskQueue::new(Desk::new(desk), effects_tx, words.clone())),
+            words,
             pool: pool.clone(),
             claims: Arc::new(claims.clone()),
             stores: ArcSwap::default(),
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -1,6 +1,6 @@
 //! The control thread's state: VMs, probes, ticks and effects that concern no single request.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -8,7 +8,10 @@
 use async_io::Timer;
 use log::Level;
 
-use crate::caller::{Directory, Shared, StoreList, StorePeer, TargetState, TargetView};
+use crate::cache::BlockKey;
+use crate::caller::{
+    Directory, QuarantineWord, Shared, StoreList, StorePeer, TargetState, TargetView,
+};
 use crate::catalog::CatalogCell;
 use crate::decide::{Effect, Event, Signal, TargetInfo};
 use crate::entry::ProbeShare;
@@ -41,6 +44,7 @@
     started: Instant,
     targets: Mutex<HashMap<Name, TargetState>>,
     share: Mutex<ProbeShare>,
+    peers: Mutex<HashSet<Name>>,
     orderer: Arc<Orderer>,
     vms: Mutex<Vec<Vm>>,
 }
@@ -65,6 +69,7 @@
             started: Instant::now(),
             targets: Mutex::default(),
             share: Mutex::new(share),
+            peers: Mutex::default(),
             orderer,
             vms: Mutex::default(),
         }
@@ -314,16 +319,32 @@
                     fingerprint,
                     victims,
                     ttl,
-                } => self.links.broadcast(&PeerMessage::Quarantine {
-                    fingerprint: fingerprint.to_string().into(),
-                    victims,
-                    ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
-                }),
+                } => self.tell_quarantine(&fingerprint, victims, ttl),
                 _ => {}
             }
         }
     }
 
+    fn tell_quarantine(&self, fingerprint: &BlockKey, victims: Vec<Name>, ttl: Duration) {
+        let peers = self.links.live().into_iter().map(|peer| peer.name);
+        let fingerprint = Name::from(fingerprint.to_string());
+        let word = self.shared.words.tell(fingerprint, victims, ttl, peers);
+        self.links.broadcast(&quarantine_message(word));
+    }
+
+    /// Tells peers that join what is quarantined, and stops waiting for those that have left.
+    pub(crate) fn take_peers(&self, live: &[PeerInfo]) {
+        let names: HashSet<Name> = live.iter().map(|peer| peer.name.clone()).collect();
+        self.shared.words.retain_peers(|name| names.contains(name));
+        let mut known = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        for joined in names.difference(&known) {
+            for word in self.shared.words.in_force() {
+                self.links.send(joined, quarantine_message(word));
+            }
+        }
+        *known = names;
+    }
+
     /// Probes a target at once.
     pub(crate) fn probe_now(self: &Arc<Self>, target: &Name) {
         let info = self.targets().get(target).map(|t| t.info.clone());
@@ -340,6 +361,15 @@
 /// Shortest wait for a probe's answer.
 const MIN_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+fn quarantine_message(word: QuarantineWord) -> PeerMessage {
+    PeerMessage::Quarantine {
+        seq: word.seq,
+        fingerprint: word.fingerprint,
+        victims: word.victims,
+        ttl_ms: u64::try_from(word.ttl.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
 fn target_info(vm: &Vm) -> Option<TargetInfo> {
     matches!(vm.role, Role::Engine | Role::Service).then(|| TargetInfo {
         name: vm.name.clone(),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -59,6 +59,7 @@
         };
         match message {
             PeerMessage::Quarantine {
+                seq,
                 fingerprint,
                 victims,
                 ttl_ms,
@@ -70,6 +71,12 @@
                         ttl: Duration::from_millis(ttl_ms),
                     });
                 }
+                control
+                    .links
+                    .send(&from.name, PeerMessage::QuarantineSeen { seq });
+            }
+            PeerMessage::QuarantineSeen { seq } => {
+                control.shared.words.confirmed(&from.name, seq);
             }
             PeerMessage::TargetSignal { target, leaving } => {
                 if leaving {
@@ -102,6 +109,7 @@
             .iter()
             .filter(|p| p.domain == self.domain && !p.draining);
         control.reassign(live);
+        control.take_peers(live);
         let entries = u32::try_from(peers.count() + 1).unwrap_or(u32::MAX);
         control.shared.desk.submit(Event::Entries(entries));
         let peers = i64::try_from(live.len()).unwrap_or(i64::MAX);
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -56,6 +56,9 @@
     Vms(Vec<Vm>),
     /// A request that takes down the targets that run it.
     Quarantine {
+        /// Number that the confirmation repeats; zero when none is wanted.
+        #[serde(default)]
+        seq: u64,
         /// Fingerprint of customer, route and body.
         fingerprint: Name,
         /// Targets that died while running it, as far as known.
@@ -63,6 +66,11 @@
         /// Remaining time of the quarantine, in milliseconds; zero while it is only suspected.
         ttl_ms: u64,
     },
+    /// Confirms [`PeerMessage::Quarantine`].
+    QuarantineSeen {
+        /// Number of the word.
+        seq: u64,
+    },
     /// A target that is leaving or dead, as seen by the sender.
     TargetSignal {
         /// Name of the target.
