Ask a target that refused for its load at once

Cause: on a busy machine a leaving engine refused several requests before the next probe saw it leave; each cost a token of the retry budget, and the request after the last token got 502 'not run' although another engine was free. Ruled out: the budget's size. Change: a refusal asks for the target's report and closes it for 250 ms in place of 100.

--- a/src/decide/desk/outcome.rs
+++ b/src/decide/desk/outcome.rs
@@ -13,7 +13,7 @@
     cap: Duration::from_secs(2),
 };
 /// Time for which a target that refused is given nothing, unless it names another.
-const CLOSED: Duration = Duration::from_millis(100);
+const CLOSED: Duration = Duration::from_millis(250);
 /// Longest such time that a target may ask for.
 const CLOSED_CAP: Duration = Duration::from_secs(30);
 /// Attempts of one request that may end without being sent.
@@ -179,6 +179,7 @@
             AttemptOutcome::Refused { retry_after } => {
                 let pause = retry_after.unwrap_or(CLOSED).min(CLOSED_CAP);
                 self.close_target(attempt.target, pause);
+                self.ask_for_report(attempt.target, effects);
             }
             AttemptOutcome::NotSent => self.suspect_target(attempt.target, effects),
             AttemptOutcome::Lost | AttemptOutcome::CutShort => {
@@ -197,6 +198,20 @@
         self.refresh_at(target, until);
     }
 
+    /// Has a target that refused asked for its load at once: it may be leaving.
+    fn ask_for_report(
+        &mut self,
+        target: crate::decide::fleet::TargetIx,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(target) = self.fleet.get(target).filter(|t| t.listed) {
+            effects.push(Effect::Probe {
+                target: target.info.name.clone(),
+                address: target.info.address,
+            });
+        }
+    }
+
     fn count_failure(&mut self, target: crate::decide::fleet::TargetIx) {
         let Some(pool) = self.fleet.get(target).map(|t| t.pool) else {
             return;
