Correct predicted waits by the waits that were seen

Ruled out: the queue's bounds (never reached), the expiry timer (right by its own rule). Change: the prediction is multiplied by the ratio of waits seen to waits predicted, one at least, eight at most.

--- a/src/decide/desk.rs
+++ b/src/decide/desk.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod dispatch;
 mod failover;
+mod foretell;
 mod hedge;
 mod outcome;
 mod refuse;
--- a/src/decide/desk/admit.rs
+++ b/src/decide/desk/admit.rs
@@ -11,8 +11,6 @@
 const LANES: usize = 8;
 /// Requests taken out of one queue in one call at most; the rest stays due.
 const AT_ONCE: usize = 4;
-/// Factor on a predicted wait, for the spread of service times.
-const WAIT_MARGIN: f64 = 1.1;
 
 impl Desk {
     pub(super) fn arrive(&mut self, arrival: Arrival, effects: &mut Vec<Effect>) {
@@ -129,27 +127,6 @@
         })
     }
 
-    /// Predicts whether a queued request gets its first token in time.
-    fn meets_deadline(&self, id: RequestId, pool: PoolIx, lane: usize) -> bool {
-        let Some(req) = self.requests.get(&id) else {
-            return false;
-        };
-        let stats = self.fleet.pool(pool);
-        let Some(rate) = stats.drain_rate() else {
-            return true;
-        };
-        let class = req.arrival.policy.class;
-        let lane = &self.lanes[pool.0][lane];
-        let ahead = lane
-            .class(class)
-            .ahead(&req.arrival.customer, req.queue_key());
-        let wait = ahead / (rate * lane.class_part(class));
-        let left = req
-            .deadline
-            .saturating_sub(self.now + self.expected_first_token(req));
-        wait * WAIT_MARGIN <= left.as_secs_f64()
-    }
-
     /// Expected time from dispatch to the first token; at most half of what the policy allows, since
     /// an answer that is not streamed shows its first token only with its end.
     pub(super) fn expected_first_token(&self, req: &Request) -> Duration {
@@ -246,6 +223,7 @@
             let Some((_, id)) = self.lanes[pool.0][lane].pop() else {
                 return;
             };
+            self.note_wait(id);
             if let Some(req) = self.requests.get_mut(&id) {
                 req.place = Place::Held;
             }
--- a/src/decide/desk/timers.rs
+++ b/src/decide/desk/timers.rs
@@ -35,6 +35,7 @@
     fn expire(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
         let place = self.requests.get(&id).map(|r| r.place);
         if matches!(place, Some(Place::Queued(..) | Place::Held)) {
+            self.note_wait(id);
             let refusal = self.too_late(id);
             self.refuse(id, refusal, effects);
         }
--- a/src/decide/fleet/pool.rs
+++ b/src/decide/fleet/pool.rs
@@ -12,6 +12,11 @@
 /// One in this many targets may be ejected at a time.
 const EJECTED_PART: usize = 3;
 
+/// Shortest predicted wait that is compared with the one seen, in seconds.
+const SHORTEST_WAIT: f64 = 0.001;
+/// Highest factor by which predicted waits are corrected.
+const MOST_OPTIMISM: f64 = 8.0;
+
 /// Index of a pool within the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct PoolIx(pub(crate) usize);
@@ -30,6 +35,8 @@
     /// Own attempts under way.
     pub(crate) in_flight: u32,
     first_token: [Quantile; 3],
+    waited: Ewma,
+    foretold: Ewma,
     ejected: Vec<(Stamp, TargetIx)>,
 }
 
@@ -43,6 +50,8 @@
             typical: Quantile::new(0.5),
             in_flight: 0,
             first_token: [Quantile::new(HEDGE_SHARE); 3],
+            waited: Ewma::default(),
+            foretold: Ewma::default(),
             ejected: Vec::new(),
         }
     }
@@ -92,6 +101,20 @@
         Duration::try_from_secs_f64(seconds).ok()
     }
 
+    /// Records how long a request waited and how long it was predicted to, in seconds.
+    pub(crate) fn add_wait(&mut self, waited: f64, foretold: f64) {
+        self.waited.add(waited);
+        self.foretold.add(foretold.max(SHORTEST_WAIT));
+    }
+
+    /// Factor by which waits were longer than predicted, at least one.
+    pub(crate) fn optimism(&self) -> f64 {
+        match (self.waited.get(), self.foretold.get()) {
+            (Some(waited), Some(foretold)) => (waited / foretold).clamp(1.0, MOST_OPTIMISM),
+            _ => 1.0,
+        }
+    }
+
     /// Requests served in a second while all own slots are taken (Little's law).
     pub(crate) fn drain_rate(&self) -> Option<f64> {
         let service = self.service.get().filter(|s| *s > 0.0)?;
--- a/src/decide/request.rs
+++ b/src/decide/request.rs
@@ -44,6 +44,8 @@
     pub(super) deadline: Stamp,
     /// Targets of its model or service.
     pub(super) pool: PoolIx,
+    /// Time of queueing and the wait predicted then, in seconds.
+    pub(super) foretold: Option<(Stamp, f64)>,
     /// Time at which it is given up while it waits.
     pub(super) expires: Option<Stamp>,
     /// Where it is.
@@ -70,6 +72,7 @@
             arrived: now,
             arrival,
             pool,
+            foretold: None,
             expires: None,
             place: Place::Held,
             attempts: SmallVec::new(),
