--- a/rig/src/engine/api.rs
+++ b/rig/src/engine/api.rs
@@ -11,6 +11,8 @@
 use crate::engine::run::Follower;
 use crate::{Engine, FaultBox, Faults, Spawner, StandIn, reply};
 
+/// Weight version of an answer of another version.
+const OTHER_WEIGHTS: &str = "another-version";
 /// Request id of a crossed answer.
 const OTHER_ID: &str = "another-request";
 
@@ -197,6 +199,11 @@
     let run = &follower.0;
     let id = if faults.crossed { OTHER_ID } else { &run.id };
     res.insert_header(REQUEST_ID_HEADER, id);
-    res.insert_header(WEIGHTS_HEADER, &*run.weights);
+    let weights = if faults.other_weights {
+        OTHER_WEIGHTS
+    } else {
+        &run.weights
+    };
+    res.insert_header(WEIGHTS_HEADER, weights);
     res
 }
--- a/rig/src/faults.rs
+++ b/rig/src/faults.rs
@@ -28,6 +28,8 @@
     pub omit_final: bool,
     /// Whether answers carry another request's id.
     pub crossed: bool,
+    /// Whether answers name another weight version than the one that ran.
+    pub other_weights: bool,
     /// Whether cache events are lost.
     pub event_gap: bool,
     /// Text in a request's body at which the stand-in stops serving.
@@ -52,6 +54,7 @@
             close_after: None,
             omit_final: false,
             crossed: false,
+            other_weights: false,
             event_gap: false,
             crash_on: None,
             slow: 1.0,
--- /dev/null
+++ b/rig/tests/spans.rs
@@ -0,0 +1,58 @@
+//! Spans of each hop belong to the caller's trace.
+
+use std::collections::BTreeSet;
+
+use guavahold_rig::Scene;
+use guavahold_rig::client::Call;
+use guavahold_rig::fleet::{await_that, within};
+use guavahold_rig::scene::SALON;
+use serde_json::{Value, json};
+use uuid::Uuid;
+
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+
+/// Hops written for the trace.
+fn hops(path: &str) -> BTreeSet<String> {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let spans = text
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let spans = spans.filter(|span| span["trace"] == TRACE);
+    spans
+        .map(|span| span["hop"].as_str().unwrap().to_owned())
+        .collect()
+}
+
+#[test]
+fn spans_of_each_hop() {
+    within(async {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("spans").to_string_lossy().into_owned();
+        let settings = json!({"span_file": path});
+        let scene = Scene::builder()
+            .entries(1)
+            .store()
+            .entry_settings(settings)
+            .start()
+            .await;
+        let parent = format!("00-{TRACE}-b7ad6b7169203331-01");
+        let prompt = "a price list ".repeat(1000);
+        let chat = Call::chat(SALON, "router", &prompt, 3, true).header("traceparent", &parent);
+        let mut events = chat.stream(scene.callers(0)).await.unwrap();
+        assert!(events.rest().await.unwrap().done);
+        let key = Uuid::now_v7();
+        let booking = Scene::booking(&key, "{}").header("traceparent", &parent);
+        assert_eq!(booking.send(scene.callers(0)).await.unwrap().status, 200);
+        let all = [
+            "admission",
+            "claim",
+            "dispatch",
+            "first_token",
+            "queue",
+            "relay",
+            "store",
+        ];
+        await_that("the last hop", async || hops(&path).contains("relay")).await;
+        assert_eq!(hops(&path), all.map(str::to_owned).into());
+    });
+}
--- a/rig/tests/swap.rs
+++ b/rig/tests/swap.rs
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use guavahold_rig::Scene;
 use guavahold_rig::client::{Call, Streamed};
-use guavahold_rig::fleet::{await_that, within};
+use guavahold_rig::fleet::{await_that, set_faults, within};
 use guavahold_rig::scene::SALON;
 use http_types::Method;
 use serde_json::{Value, json};
@@ -123,3 +123,22 @@
         }
     });
 }
+
+#[test]
+fn answer_of_another_version_is_not_relayed() {
+    within(async {
+        let scene = Scene::builder().start().await;
+        let call = Call::chat(SALON, "router", "Which version?", 3, true);
+        let other = json!({"other_weights": true, "path": "/v1/chat"});
+        let admin = |n: usize| scene.engines[n].address("admin");
+        set_faults(admin(0), other.clone()).await;
+        let mut events = call.stream(scene.callers(0)).await.unwrap();
+        assert_eq!(events.status(), 200);
+        assert_eq!(events.header("guavahold-weights"), Some("w1"));
+        assert!(events.rest().await.unwrap().done);
+        set_faults(admin(1), other).await;
+        let answer = call.send(scene.callers(1)).await.unwrap();
+        assert_ne!(answer.status, 200);
+        assert_eq!(answer.run.as_deref(), Some("ran"), "{:?}", answer.json());
+    });
+}
--- a/src/caller/claimed.rs
+++ b/src/caller/claimed.rs
@@ -5,8 +5,8 @@
 
 use crate::caller::attempt::{Attempt, Started, WholeAnswer, start};
 use crate::caller::handler::{arrival_of, refusal_problem};
+use crate::caller::idempotent::{event_id, whole_response};
 use crate::caller::relay::Relay;
-use crate::caller::service::{event_id, whole_response};
 use crate::caller::{RunId, Shared, Waiter, Work};
 use crate::claim::{Claim, ClaimError, ClaimKey, ClaimOutcome, ClaimRequest, ClaimVerdict};
 use crate::decide::{AttemptOutcome, Effect};
@@ -80,6 +80,7 @@
         return Err(deadline_passed());
     }
     let waiter = shared.desk.arrive(arrival_of(shared, work));
+    let mut queued = Some(shared.spans.start(&work.trace, "queue"));
     loop {
         let attempt = match waiter.next().await {
             Effect::Refuse { refusal, .. } => {
@@ -103,6 +104,7 @@
             },
             _ => continue,
         };
+        queued.take();
         if !shared.claims.may_dispatch(&claim) {
             waiter.ended(attempt.number, AttemptOutcome::Cancelled);
             waiter.finish();
--- a/src/caller/engine_stream.rs
+++ b/src/caller/engine_stream.rs
@@ -75,6 +75,7 @@
             }
             Some(Err(outcome)) => return Err(outcome),
         }
+        let _span = shared.spans.start(&work.trace, "first_token");
         let first = stream.event_within(work.time_left()).await;
         let first = first.map_err(|_| AttemptOutcome::Lost)?;
         stream.queue.push_front(first);
--- a/src/caller/handler.rs
+++ b/src/caller/handler.rs
@@ -9,13 +9,13 @@
 use crate::caller::attempt::Attempt;
 use crate::caller::claimed::serve_claimed;
 use crate::caller::engine_stream::EngineStream;
+use crate::caller::idempotent::serve;
 use crate::caller::relay::Relay;
-use crate::caller::service::serve;
 use crate::caller::{ChatRequest, EventId, Shared, Work, WorkKind};
 use crate::decide::{Arrival, Refusal};
 use crate::http::{Exchange, Handler, Problem, Reply, RunState};
 use crate::prelude::*;
-use crate::telemetry::TraceContext;
+use crate::telemetry::{Span, TraceContext};
 
 /// Start of the paths of plain services.
 const SERVICES: &str = "/services/";
@@ -49,20 +49,35 @@
     }
 }
 
+/// A request whose customer is known, while it is being checked.
+struct Arrived {
+    customer: Name,
+    at: Instant,
+    trace: TraceContext,
+    span: Span,
+}
+
 async fn route(shared: &Arc<Shared>, exchange: Exchange) -> Result<Response, Problem> {
-    let arrived = Instant::now();
+    let at = Instant::now();
+    let trace = trace_of(&exchange);
+    let span = shared.spans.start(&trace, "admission");
     let directory = shared.directory.load();
     let customer = directory.authenticate(exchange.header("authorization"));
-    let customer = customer.ok_or_else(unknown_customer)?;
+    let arrived = Arrived {
+        customer: customer.ok_or_else(unknown_customer)?,
+        at,
+        trace,
+        span,
+    };
     let path = exchange.req.url().path().to_owned();
     if path == "/v1/chat/completions" {
         if exchange.req.method() != Method::Post {
             return Err(bad_method());
         }
-        return chat(shared, &exchange, customer, arrived).await;
+        return chat(shared, &exchange, arrived).await;
     }
     if let Some(rest) = path.strip_prefix(SERVICES) {
-        return service(shared, exchange, customer, rest.to_owned(), arrived).await;
+        return service(shared, exchange, rest.to_owned(), arrived).await;
     }
     Err(Problem::not_run(
         StatusCode::NotFound,
@@ -74,8 +89,7 @@
 async fn chat(
     shared: &Arc<Shared>,
     exchange: &Exchange,
-    customer: Name,
-    arrived: Instant,
+    arrived: Arrived,
 ) -> Result<Response, Problem> {
     let chat = ChatRequest::parse(&exchange.body)?;
     let directory = shared.directory.load_full();
@@ -88,12 +102,13 @@
     let work = Work {
         serves: chat.model.clone(),
         policy: policy.ok_or_else(|| unknown("unknown-policy", &model.policy))?,
-        fingerprint: Work::fingerprint(&customer, "/v1/chat/completions", &exchange.body),
-        customer,
+        fingerprint: Work::fingerprint(&arrived.customer, "/v1/chat/completions", &exchange.body),
+        customer: arrived.customer,
         kind: WorkKind::Chat(chat),
-        trace: trace_of(exchange),
-        arrived,
+        trace: arrived.trace,
+        arrived: arrived.at,
     };
+    drop(arrived.span);
     if let Some(last) = exchange.header("last-event-id") {
         return resume(shared, &work, last).await;
     }
@@ -103,9 +118,8 @@
 async fn service(
     shared: &Arc<Shared>,
     exchange: Exchange,
-    customer: Name,
     rest: String,
-    arrived: Instant,
+    arrived: Arrived,
 ) -> Result<Response, Problem> {
     let (name, path) = match rest.split_once('/') {
         Some((name, path)) => (name, format!("/{path}")),
@@ -125,15 +139,15 @@
     };
     let fingerprint = {
         let route = format!("{method} {name}{full_path}");
-        Work::fingerprint(&customer, &route, &exchange.body)
+        Work::fingerprint(&arrived.customer, &route, &exchange.body)
     };
     let work = Work {
-        customer,
+        customer: arrived.customer,
         serves: name.into(),
         policy,
         fingerprint,
-        trace: trace_of(&exchange),
-        arrived,
+        trace: arrived.trace,
+        arrived: arrived.at,
         kind: WorkKind::Service {
             method,
             path: full_path,
@@ -142,6 +156,7 @@
             body: exchange.body.clone(),
         },
     };
+    drop(arrived.span);
     run(shared, &exchange, work).await
 }
 
--- a/src/caller/service.rs
+++ b/src/caller/idempotent.rs
@@ -38,9 +38,8 @@
 
 /// Serves a request that may run more than once.
 pub(crate) async fn serve(shared: &Arc<Shared>, work: Arc<Work>) -> Result<Response, Problem> {
-    let admission = shared.spans.start(&work.trace, "admission");
     let waiter = shared.desk.arrive(arrival_of(shared, &work));
-    let mut admission = Some(admission);
+    let mut queued = Some(shared.spans.start(&work.trace, "queue"));
     let mut attempts = Attempts::new(shared, &work);
     let mut late = pin!(coarse_sleep(work.time_left()));
     loop {
@@ -54,7 +53,7 @@
             }
             Next::Effect(Effect::Cancel { attempt, .. }) => attempts.cancel(&waiter, attempt),
             Next::Effect(effect) => {
-                admission.take();
+                queued.take();
                 attempts.dispatch(effect);
             }
             Next::Ended((attempt, Ok(started))) => {
--- a/src/http/serving.rs
+++ b/src/http/serving.rs
@@ -22,7 +22,7 @@
 /// Interval at which a half-closed connection is checked for a peer that has left.
 const HALF_CLOSE_CHECK: Duration = Duration::from_secs(2);
 /// Interim response that a peer skips.
-const INTERIM: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+const INTERIM: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Bytes of a body read from a socket at once.
 const BODY_READ_SIZE: usize = 64 * 1024;
 /// Time for which a request under way on an idle connection is awaited after the stop.
