--- a/rig/src/body.rs
+++ b/rig/src/body.rs
@@ -6,6 +6,7 @@
 
 use futures_lite::io::{AsyncBufRead, AsyncRead};
 use futures_lite::{Stream, ready};
+use guavahold::http::poll_read_buffered;
 use http_types::Body;
 
 /// A body fed through a channel; it ends cleanly when the sender is dropped.
@@ -47,15 +48,11 @@
 
 impl AsyncRead for ChannelBody {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let n = bytes.len().min(buf.len());
-        buf[..n].copy_from_slice(&bytes[..n]);
-        self.consume(n);
-        Poll::Ready(Ok(n))
+        poll_read_buffered(self, cx, buf)
     }
 }
 
@@ -95,14 +92,10 @@
 
 impl AsyncRead for CutBody {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let n = bytes.len().min(buf.len());
-        buf[..n].copy_from_slice(&bytes[..n]);
-        self.consume(n);
-        Poll::Ready(Ok(n))
+        poll_read_buffered(self, cx, buf)
     }
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -4,6 +4,7 @@
 //! every body is delimited here, so that a message cut short is an error on both sides and
 //! pipelined requests are kept (RFC 9112, sections 6 and 9.3.2).
 
+mod buffered;
 mod chunk;
 mod client;
 mod control;
@@ -21,6 +22,7 @@
 mod serving;
 mod sse;
 
+pub use buffered::poll_read_buffered;
 pub use chunk::ChunkScanner;
 pub use client::{Answer, Connection};
 pub use control::ServerControl;
--- /dev/null
+++ b/src/http/buffered.rs
@@ -0,0 +1,24 @@
+//! Reading by way of a buffer.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use futures_lite::io::AsyncBufRead;
+use futures_lite::ready;
+
+/// Reads into `buf` what the reader's own buffer holds; for readers that implement it first.
+///
+/// # Errors
+/// Those of the reader.
+pub fn poll_read_buffered<R: AsyncBufRead>(
+    mut reader: Pin<&mut R>,
+    cx: &mut Context<'_>,
+    buf: &mut [u8],
+) -> Poll<io::Result<usize>> {
+    let bytes = ready!(reader.as_mut().poll_fill_buf(cx))?;
+    let n = bytes.len().min(buf.len());
+    buf[..n].copy_from_slice(&bytes[..n]);
+    reader.consume(n);
+    Poll::Ready(Ok(n))
+}
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -8,6 +8,8 @@
 use futures_lite::{Stream, ready};
 use http_types::Body;
 
+use crate::http::poll_read_buffered;
+
 /// Events queued towards one caller before the producer waits.
 const EVENT_QUEUE: usize = 64;
 
@@ -161,14 +163,10 @@
 
 impl AsyncRead for EventBody {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let bytes = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let n = bytes.len().min(buf.len());
-        buf[..n].copy_from_slice(&bytes[..n]);
-        self.consume(n);
-        Poll::Ready(Ok(n))
+        poll_read_buffered(self, cx, buf)
     }
 }
