--- a/src/caller/handler.rs
+++ b/src/caller/handler.rs
@@ -234,6 +234,10 @@
         fingerprint: work.fingerprint,
         affinity,
         tokens: token_estimate(prompt.len()),
+        shared_tokens: 0,
+        output_tokens: 0,
+        attempts: 0,
+        resumable: false,
     }
 }
 
--- a/src/caller/relay.rs
+++ b/src/caller/relay.rs
@@ -4,7 +4,8 @@
 
 use crate::caller::engine_stream::{EngineStream, StreamFault};
 use crate::caller::usage::count_tokens;
-use crate::caller::{EventId, Shared, Waiter};
+use crate::caller::{EventId, Shared};
+use crate::desk::Waiter;
 use crate::claim::{Claim, ClaimOutcome};
 use crate::decide::AttemptOutcome;
 use crate::http::{EventSender, Problem, RunState, SseEvent, event_body};
--- a/src/caller/shared.rs
+++ b/src/caller/shared.rs
@@ -4,7 +4,8 @@
 use async_executor::Executor;
 
 use crate::cache::{Secret, StoreClient};
-use crate::caller::{DeskQueue, Directory, QuarantineWords, ReuseMemory, StoreList, TargetView};
+use crate::caller::{Directory, ReuseMemory, StoreList, TargetView};
+use crate::desk::{DeskQueue, QuarantineWords};
 use crate::claim::Claims;
 use crate::http::Pool;
 use crate::prelude::*;
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,10 +2,18 @@
 
 mod coarse;
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 pub use coarse::{CoarseSleep, coarse_sleep};
 
+/// Time since the VM started, the time for which it was suspended included.
+#[must_use]
+pub fn boot_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
+}
+
 /// Milliseconds since the Unix epoch.
 #[must_use]
 pub fn unix_ms() -> u64 {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,4 +27,5 @@
 pub use effect::Effect;
 pub use event::{Arrival, AttemptOutcome, Event, RequestId, Signal, TargetInfo};
 pub use refusal::Refusal;
-pub use settings::DeskSettings;
+pub use fleet::OwnLoad;
+pub use settings::{DeskSettings, Placement};
--- a/src/decide/budget.rs
+++ b/src/decide/budget.rs
@@ -4,28 +4,28 @@
 const INITIAL: f64 = 2.0;
 /// Tokens that hedges leave to retries, which a request needs to be answered at all.
 const RESERVE: f64 = 2.0;
-/// Tokens kept at most.
-const CAP: f64 = 10.0;
 
 /// A token bucket filled by successes, so that retries stay a small share of the work.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RetryBudget {
     ratio: f64,
+    cap: f64,
     tokens: f64,
 }
 
 impl RetryBudget {
-    /// Makes a budget that earns `ratio` tokens for each success.
-    pub(super) fn new(ratio: f64) -> Self {
+    /// Makes a budget that earns `ratio` tokens for each success and keeps `cap` at most.
+    pub(super) fn new(ratio: f64, cap: f64) -> Self {
         Self {
             ratio,
+            cap,
             tokens: INITIAL,
         }
     }
 
     /// Records a success.
     pub(super) fn earn(&mut self) {
-        self.tokens = (self.tokens + self.ratio).min(CAP);
+        self.tokens = (self.tokens + self.ratio).min(self.cap);
     }
 
     /// Takes one token beyond those reserved for retries; `false` when there is none.
--- a/src/decide/desk.rs
+++ b/src/decide/desk.rs
@@ -14,7 +14,7 @@
 
 use crate::catalog::Catalog;
 use crate::decide::appointments::Appointments;
-use crate::decide::fleet::{Fleet, PoolIx};
+use crate::decide::fleet::{Fleet, OwnLoad, PoolIx};
 use crate::decide::invariants::Invariants;
 use crate::decide::lane::Lane;
 use crate::decide::request::{Request, Timer};
@@ -107,6 +107,15 @@
         lanes.map(Lane::len).sum()
     }
 
+    /// What is under way at each listed target.
+    #[must_use]
+    pub fn loads(&self) -> HashMap<Name, OwnLoad> {
+        let listed = self.fleet.iter().filter(|(_, t)| t.listed);
+        listed
+            .map(|(_, t)| (t.info.name.clone(), t.load.own_load()))
+            .collect()
+    }
+
     /// Requests known, waiting or running.
     #[must_use]
     pub fn requests(&self) -> usize {
--- a/src/decide/desk/dispatch.rs
+++ b/src/decide/desk/dispatch.rs
@@ -1,6 +1,6 @@
 //! Placing requests on targets.
 
-use crate::decide::fleet::{Isolation, TargetIx, Wish};
+use crate::decide::fleet::{Isolation, Size, TargetIx, Wish};
 use crate::decide::request::{Attempt, Place, Request, Timer, word};
 use crate::decide::suspects::Standing;
 use crate::decide::{Desk, Effect, Refusal, RequestId};
@@ -61,6 +61,7 @@
         let wish = Wish {
             key: word(&req.arrival.affinity),
             has_prefix: req.has_prefix(),
+            shared_tokens: req.arrival.shared_tokens,
             avoid: &req.tried,
             only,
             isolate,
@@ -96,6 +97,8 @@
         };
         let fingerprint = req.arrival.fingerprint;
         let suspected = self.suspects.is_suspected(&fingerprint);
+        let read = self.fleet.tokens_to_read(target, &req.arrival);
+        let size = req.size(read);
         req.started += 1;
         req.place = Place::Running;
         req.attempts.push(Attempt {
@@ -104,11 +107,12 @@
             at: self.now,
             answered: false,
             suspected,
+            size,
         });
         let (attempt, pool) = (req.started, req.pool);
         let class = req.arrival.policy.class;
-        let may_hedge = req.arrival.policy.idempotent && !hedge && !suspected;
-        self.occupy(&fingerprint, target, suspected);
+        let may_hedge = self.cfg.hedges && req.arrival.policy.idempotent && !hedge && !suspected;
+        self.occupy(&fingerprint, target, suspected, size);
         if may_hedge && let Some(after) = self.fleet.pool(pool).hedge_after(class) {
             self.timers.insert((self.now + after, Timer::Hedge(id)));
         }
@@ -131,12 +135,18 @@
             .check(once, "a non-idempotent request was dispatched twice");
     }
 
-    fn occupy(&mut self, fingerprint: &crate::cache::BlockKey, target: TargetIx, suspected: bool) {
+    fn occupy(
+        &mut self,
+        fingerprint: &crate::cache::BlockKey,
+        target: TargetIx,
+        suspected: bool,
+        size: Size,
+    ) {
         self.suspects.begin(fingerprint, target);
         if suspected && let Some(t) = self.fleet.get_mut(target) {
             t.suspects += 1;
         }
-        self.fleet.take_slot(self.now, target);
+        self.fleet.take_slot(self.now, target, size);
     }
 
     fn push_dispatch(
@@ -174,7 +184,7 @@
         {
             t.suspects = t.suspects.saturating_sub(1);
         }
-        let held = self.fleet.free_slot(self.now, attempt.target);
+        let held = self.fleet.free_slot(self.now, attempt.target, attempt.size);
         self.invariants
             .check(held, "a slot was freed that was not taken");
         self.dirty.insert(pool);
--- a/src/decide/desk/outcome.rs
+++ b/src/decide/desk/outcome.rs
@@ -16,6 +16,8 @@
 const CLOSED: Duration = Duration::from_millis(250);
 /// Longest such time that a target may ask for.
 const CLOSED_CAP: Duration = Duration::from_secs(30);
+/// Refused attempts of one request that do not count as attempts.
+const REFUSED: u32 = 2;
 /// Attempts of one request that may end without being sent.
 const UNSENT: u32 = 3;
 
@@ -24,11 +26,16 @@
         let Some(req) = self.requests.get_mut(&id) else {
             return;
         };
+        let generation = req.generation();
         let Some(attempt) = req.attempts.iter_mut().find(|a| a.number == number) else {
             return;
         };
         attempt.answered = true;
         let (target, at) = (attempt.target, attempt.at);
+        let before = attempt.size;
+        attempt.size.work = attempt.size.work.min(generation);
+        let after = attempt.size;
+        self.fleet.prompt_read(target, before, after);
         req.answered = true;
         req.run = RunState::Ran;
         let losers: SmallVec<[Attempt; 2]> = req.attempts.iter().copied().collect();
@@ -121,8 +128,10 @@
         if !req.tried.contains(&attempt.target) {
             req.tried.push(attempt.target);
         }
-        if *outcome == AttemptOutcome::NotSent {
-            req.unsent += 1;
+        match outcome {
+            AttemptOutcome::NotSent => req.unsent += 1,
+            AttemptOutcome::Refused { .. } => req.refused += 1,
+            _ => {}
         }
         if !req.attempts.is_empty() {
             return;
@@ -143,8 +152,13 @@
         let proved = req.run == RunState::NotRun;
         let repeatable = proved || req.arrival.policy.idempotent;
         let sent = req.started - req.unsent.min(req.started);
-        let few = sent < self.cfg.attempts && req.unsent <= UNSENT;
-        if !repeatable || req.answered || !few || self.now >= req.deadline {
+        let most = match req.arrival.attempts {
+            0 => self.cfg.attempts,
+            attempts => attempts + req.refused.min(REFUSED),
+        };
+        let few = sent < most && req.unsent <= UNSENT;
+        let begun = req.answered && !req.arrival.resumable;
+        if !repeatable || begun || !few || self.now >= req.deadline {
             return false;
         }
         let free = *outcome == AttemptOutcome::NotSent;
@@ -179,7 +193,9 @@
             AttemptOutcome::Refused { retry_after } => {
                 let pause = retry_after.unwrap_or(CLOSED).min(CLOSED_CAP);
                 self.close_target(attempt.target, pause);
-                self.ask_for_report(attempt.target, effects);
+                if self.cfg.ask_after_refusal {
+                    self.ask_for_report(attempt.target, effects);
+                }
             }
             AttemptOutcome::NotSent => self.suspect_target(attempt.target, effects),
             AttemptOutcome::Lost | AttemptOutcome::CutShort => {
@@ -232,7 +248,9 @@
 fn run_after(before: RunState, outcome: &AttemptOutcome) -> RunState {
     match outcome {
         AttemptOutcome::NotSent | AttemptOutcome::Refused { .. } => before,
-        AttemptOutcome::Done | AttemptOutcome::WrongWeights => RunState::Ran,
+        AttemptOutcome::Done | AttemptOutcome::WrongWeights | AttemptOutcome::Faulty => {
+            RunState::Ran
+        }
         _ if before == RunState::Ran => before,
         _ => RunState::Unknown,
     }
--- a/src/decide/event.rs
+++ b/src/decide/event.rs
@@ -32,6 +32,18 @@
     pub affinity: BlockKey,
     /// Estimated prompt tokens.
     pub tokens: u32,
+    /// Prompt tokens that other requests may have brought to a target.
+    #[serde(default)]
+    pub shared_tokens: u32,
+    /// Tokens generated at most.
+    #[serde(default)]
+    pub output_tokens: u32,
+    /// Targets that may run it, one after the other; zero stands for the desk's setting.
+    #[serde(default)]
+    pub attempts: u32,
+    /// Whether a stream that broke may go on at another target.
+    #[serde(default)]
+    pub resumable: bool,
 }
 
 /// A target as the platform's list shows it.
@@ -81,6 +93,8 @@
     Lost,
     /// The answer began and did not end; nothing of it may be spliced with another run.
     CutShort,
+    /// The target ran the request and answered that it failed.
+    Faulty,
     /// The caller left or the attempt lost against a hedge.
     Cancelled,
 }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -13,13 +13,14 @@
 
 use std::collections::HashMap;
 
-use crate::decide::DeskSettings;
+use crate::decide::{DeskSettings, Placement};
 use crate::prelude::*;
 
 pub(crate) use free_set::FreeSet;
 pub(crate) use group::Group;
 pub(crate) use health::Health;
-pub(crate) use load::Load;
+pub(crate) use load::{Load, Size};
+pub use load::OwnLoad;
 pub(crate) use pool::{Pool, PoolIx, work_units};
 pub(crate) use ring::{Ring, mix};
 pub(crate) use target::{Target, TargetIx};
@@ -31,6 +32,8 @@
     domain: Name,
     default_slots: u32,
     retry_ratio: f64,
+    retry_burst: f64,
+    placement: Placement,
     entries: u32,
     targets: Vec<Option<Target>>,
     vacant: Vec<TargetIx>,
@@ -46,6 +49,8 @@
             domain: cfg.domain.clone(),
             default_slots: cfg.default_slots,
             retry_ratio: cfg.retry_ratio,
+            retry_burst: cfg.retry_burst,
+            placement: cfg.placement,
             entries: 1,
             targets: Vec::new(),
             vacant: Vec::new(),
@@ -140,22 +145,29 @@
         }
     }
 
-    /// Takes a slot for an attempt.
-    pub(crate) fn take_slot(&mut self, now: Stamp, ix: TargetIx) {
+    /// Takes a slot and room for an attempt.
+    pub(crate) fn take_slot(&mut self, now: Stamp, ix: TargetIx, size: Size) {
         if let Some(target) = self.get_mut(ix) {
-            target.load.add();
+            target.load.add(size);
             let pool = target.pool;
             self.pools[pool.0].in_flight += 1;
         }
         self.refresh(now, ix);
     }
 
-    /// Gives a slot back; `false` when none was taken.
-    pub(crate) fn free_slot(&mut self, now: Stamp, ix: TargetIx) -> bool {
+    /// Takes note that an attempt's prompt is read, so that only its generation is left to do.
+    pub(crate) fn prompt_read(&mut self, ix: TargetIx, before: Size, after: Size) {
+        if let Some(target) = self.get_mut(ix) {
+            target.load.resize(before, after);
+        }
+    }
+
+    /// Gives a slot and its room back; `false` when none was taken.
+    pub(crate) fn free_slot(&mut self, now: Stamp, ix: TargetIx, size: Size) -> bool {
         let Some(target) = self.get_mut(ix) else {
             return false;
         };
-        let held = target.load.remove();
+        let held = target.load.remove(size);
         let pool = target.pool;
         let pool = &mut self.pools[pool.0];
         let counted = pool.in_flight > 0;
--- a/src/decide/fleet/choose.rs
+++ b/src/decide/fleet/choose.rs
@@ -1,8 +1,12 @@
 //! Choice of a target with room.
 
+use crate::decide::{Arrival, Placement};
 use crate::decide::fleet::{Fleet, Group, Isolation, PoolIx, TargetIx, Wish};
 use crate::prelude::*;
 
+/// Share of shared tokens that the home of a prefix is expected to hold.
+const HOME_HIT: f64 = 0.5;
+
 impl Fleet {
     /// Tells whether any target with one of these weight versions has room.
     pub(crate) fn any_free(&self, pool: PoolIx, weights: &[Name]) -> bool {
@@ -93,6 +97,10 @@
             return wish.only.iter().copied().find(fits);
         }
         let fresh = |ix: &TargetIx| allowed(ix) && !wish.avoid.contains(ix);
+        if self.placement == Placement::LeastWork && wish.has_prefix {
+            let best = self.least_work(now, group, wish, &fresh);
+            return best.or_else(|| self.least_work(now, group, wish, &allowed));
+        }
         if wish.has_prefix {
             let mut candidates = group.all.candidates(wish.key).into_iter();
             if let Some(ix) = candidates.find(fresh) {
@@ -108,6 +116,47 @@
             .or_else(|| self.two_choices(now, &group.free, rng))
     }
 
+    /// The target that begins to generate first: its waiting work, and the part of the prompt that
+    /// it has to read unless it is the home of the prefix.
+    fn least_work(
+        &self,
+        now: Stamp,
+        group: &Group,
+        wish: &Wish<'_>,
+        allowed: &dyn Fn(&TargetIx) -> bool,
+    ) -> Option<TargetIx> {
+        let candidates = group.all.candidates(wish.key);
+        let home = candidates.first().copied();
+        let cost = |ix: TargetIx| {
+            let target = self.get(ix)?;
+            let typical = self.pools[target.pool.0].typical.get();
+            let read = if Some(ix) == home {
+                f64::from(wish.shared_tokens) * (1.0 - HOME_HIT)
+            } else {
+                f64::from(wish.shared_tokens)
+            };
+            Some(target.load.work(now, typical) + read)
+        };
+        let usable = group.all.iter().filter(|ix| allowed(ix));
+        let costs = usable.filter_map(|ix| Some((cost(ix)?, ix)));
+        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, ix)| ix)
+    }
+
+    /// Tokens of a prompt that a target has to read.
+    pub(crate) fn tokens_to_read(&self, ix: TargetIx, arrival: &Arrival) -> u32 {
+        let home = self.get(ix).is_some_and(|target| {
+            let group = &self.pools[target.pool.0].groups[0];
+            let key = crate::decide::request::word(&arrival.affinity);
+            group.all.candidates(key).first() == Some(&ix)
+        });
+        if home {
+            arrival.tokens.saturating_sub(arrival.shared_tokens / 2)
+        } else {
+            arrival.tokens
+        }
+    }
+
     /// The less loaded of two random targets (Mitzenmacher 2001).
     fn two_choices(
         &self,
--- a/src/decide/fleet/load.rs
+++ b/src/decide/fleet/load.rs
@@ -6,6 +6,8 @@
 
 /// Age at which a report no longer counts.
 const STALE: Duration = Duration::from_secs(5);
+/// Part of a target's context that is filled before requests wait.
+const CONTEXT_PART: f64 = 0.85;
 /// Samples before a target's speed counts.
 const ENOUGH: u32 = 3;
 /// Slowness against the typical target that counts.
@@ -13,6 +15,26 @@
 /// Time over which a target that came back is filled.
 const RAMP: Duration = Duration::from_secs(5);
 
+/// Work and context of one attempt, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Size {
+    /// Work still to be done, in prompt tokens.
+    pub(crate) work: u32,
+    /// Context held while it runs.
+    pub(crate) context: u32,
+}
+
+/// What an entry has under way at one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// Requests.
+    pub requests: u32,
+    /// Work still to be done, in prompt tokens.
+    pub work: u32,
+    /// Context held, in tokens.
+    pub context: u32,
+}
+
 /// Estimated load of a target: own requests exactly, those of others by a lagging report.
 #[derive(Debug, Default)]
 pub(crate) struct Load {
@@ -20,6 +42,7 @@
     pub(crate) report: LoadReport,
     reported: Option<Stamp>,
     own: u32,
+    size: Size,
     own_at_report: u32,
     speed: Ewma,
     ramp_from: Option<Stamp>,
@@ -39,18 +62,60 @@
         self.own
     }
 
+    /// All that is own at the target.
+    pub(crate) fn own_load(&self) -> OwnLoad {
+        OwnLoad {
+            requests: self.own,
+            work: self.size.work,
+            context: self.size.context,
+        }
+    }
+
     /// Records a dispatch.
-    pub(crate) fn add(&mut self) {
+    pub(crate) fn add(&mut self, size: Size) {
         self.own += 1;
+        self.size.work += size.work;
+        self.size.context += size.context;
+    }
+
+    /// Records that an attempt's size has changed.
+    pub(crate) fn resize(&mut self, before: Size, after: Size) {
+        self.size.work = (self.size.work + after.work).saturating_sub(before.work);
+        self.size.context = (self.size.context + after.context).saturating_sub(before.context);
     }
 
     /// Records the end of an attempt; `false` when there was none.
-    pub(crate) fn remove(&mut self) -> bool {
+    pub(crate) fn remove(&mut self, size: Size) -> bool {
         let held = self.own > 0;
         self.own = self.own.saturating_sub(1);
+        self.resize(size, Size::default());
         held
     }
 
+    /// Work that waits at the target, own and others', in prompt tokens at the typical speed.
+    pub(crate) fn work(&self, now: Stamp, typical: Option<f64>) -> f64 {
+        let others = if self.is_fresh(now) {
+            u32::try_from(self.report.queued_tokens).unwrap_or(u32::MAX)
+        } else {
+            0
+        };
+        let work = f64::from(self.size.work.saturating_add(others));
+        work / self.relative_speed(typical)
+    }
+
+    /// Whether context of one more request fits, as far as limits are known.
+    fn has_context_room(&self, now: Stamp) -> bool {
+        if self.report.context_limit == 0 || !self.is_fresh(now) {
+            return true;
+        }
+        let held = self.size.context.saturating_add(self.report.context_tokens);
+        f64::from(held) < f64::from(self.report.context_limit) * CONTEXT_PART
+    }
+
+    fn is_fresh(&self, now: Stamp) -> bool {
+        self.reported.is_some_and(|at| now < at + STALE)
+    }
+
     /// Begins to fill the target slowly.
     pub(crate) fn ramp(&mut self, now: Stamp) {
         self.ramp_from = Some(now);
@@ -73,7 +138,7 @@
 
     /// Requests of others, as far as the report tells.
     fn others(&self, now: Stamp) -> u32 {
-        let fresh = self.reported.is_some_and(|at| now < at + STALE);
+        let fresh = self.is_fresh(now);
         let total = self.report.running.saturating_add(self.report.queued);
         if fresh {
             total.saturating_sub(self.own_at_report)
@@ -119,7 +184,7 @@
     /// Tells whether one more request fits. Entries of the domain share a contended target evenly,
     /// and each may always use its own part.
     pub(crate) fn has_room(&self, now: Stamp, slots: u32, entries: u32) -> bool {
-        if now < self.closed_until {
+        if now < self.closed_until || !self.has_context_room(now) {
             return false;
         }
         let others = self.others(now);
--- a/src/decide/fleet/pool.rs
+++ b/src/decide/fleet/pool.rs
@@ -42,10 +42,10 @@
 
 impl Pool {
     /// Makes a pool without targets.
-    pub(crate) fn new(retry_ratio: f64) -> Self {
+    pub(crate) fn new(retry_ratio: f64, retry_burst: f64) -> Self {
         Self {
             groups: vec![Group::new("".into())],
-            budget: RetryBudget::new(retry_ratio),
+            budget: RetryBudget::new(retry_ratio, retry_burst),
             service: Ewma::default(),
             typical: Quantile::new(0.5),
             in_flight: 0,
--- a/src/decide/fleet/wish.rs
+++ b/src/decide/fleet/wish.rs
@@ -10,6 +10,8 @@
     pub(crate) key: u64,
     /// Whether the prompt has whole blocks that a target may hold already.
     pub(crate) has_prefix: bool,
+    /// Prompt tokens that the home of the prefix may hold already.
+    pub(crate) shared_tokens: u32,
     /// Targets that failed this request.
     pub(crate) avoid: &'a [TargetIx],
     /// The only targets allowed, if any are named.
--- a/src/decide/request.rs
+++ b/src/decide/request.rs
@@ -1,12 +1,15 @@
 //! State of one request.
 
 use crate::cache::{BlockKey, TOKENS_PER_BLOCK};
-use crate::decide::fleet::{PoolIx, TargetIx, mix};
+use crate::decide::fleet::{PoolIx, Size, TargetIx, mix};
 use crate::decide::flow::QueueKey;
 use crate::decide::{Arrival, RequestId};
 use crate::http::RunState;
 use crate::prelude::*;
 
+/// Prompt tokens that are read in the time that one generated token takes from the others.
+const GENERATION: u32 = 8;
+
 /// One attempt under way.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Attempt {
@@ -20,6 +23,8 @@
     pub(super) answered: bool,
     /// Whether the request was suspected when the attempt began.
     pub(super) suspected: bool,
+    /// Work and context counted at the target.
+    pub(super) size: Size,
 }
 
 /// Where a request is.
@@ -56,6 +61,8 @@
     pub(super) started: u32,
     /// Attempts that ended without being sent.
     pub(super) unsent: u32,
+    /// Attempts whose target proved that it did not run them.
+    pub(super) refused: u32,
     /// Whether the first token was received.
     pub(super) answered: bool,
     /// Whether a target may have run it.
@@ -78,6 +85,7 @@
             attempts: SmallVec::new(),
             started: 0,
             unsent: 0,
+            refused: 0,
             answered: false,
             run: RunState::NotRun,
             tried: SmallVec::new(),
@@ -99,6 +107,19 @@
         self.arrival.tokens >= TOKENS_PER_BLOCK
     }
 
+    /// Size of an attempt whose target has to read `read` tokens of the prompt.
+    pub(super) fn size(&self, read: u32) -> Size {
+        Size {
+            work: read.saturating_add(self.generation()),
+            context: self.arrival.tokens.saturating_add(self.arrival.output_tokens),
+        }
+    }
+
+    /// Work of generating the answer, in prompt tokens.
+    pub(super) fn generation(&self) -> u32 {
+        self.arrival.output_tokens.saturating_mul(GENERATION)
+    }
+
     /// Finds an attempt by its number.
     pub(super) fn attempt(&self, number: u32) -> Option<Attempt> {
         self.attempts.iter().copied().find(|a| a.number == number)
--- a/src/decide/settings.rs
+++ b/src/decide/settings.rs
@@ -21,6 +21,24 @@
     pub quarantine: Duration,
     /// Requests that a target without a load report is given at once.
     pub default_slots: u32,
+    /// Retries and hedges that may come at once.
+    pub retry_burst: f64,
+    /// Whether slow requests are raced by a second attempt.
+    pub hedges: bool,
+    /// Whether a target that refused is asked for its load.
+    pub ask_after_refusal: bool,
+    /// How a target is chosen for a prompt.
+    pub placement: Placement,
+}
+
+/// How a target is chosen for a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// The first in the order of the prompt's prefix that has a free slot.
+    FirstWithRoom,
+    /// The one that begins to generate first, by the work that waits there and the part of the
+    /// prompt that it has to read.
+    LeastWork,
 }
 
 impl DeskSettings {
@@ -36,6 +54,10 @@
             retry_ratio: 0.08,
             quarantine: Duration::from_mins(10),
             default_slots: 32,
+            retry_burst: 10.0,
+            hedges: true,
+            ask_after_refusal: true,
+            placement: Placement::FirstWithRoom,
         }
     }
 }
--- a/src/caller/queue.rs
+++ b/src/desk/queue.rs
@@ -5,8 +5,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use crate::caller::QuarantineWords;
-use crate::decide::{Arrival, AttemptOutcome, Desk, Effect, Event, RequestId};
+use crate::desk::QuarantineWords;
+use crate::decide::{Arrival, AttemptOutcome, Desk, Effect, Event, OwnLoad, RequestId};
 use crate::prelude::*;
 
 /// A [`Desk`] behind a lock that hands each effect to the request it concerns.
@@ -60,6 +60,18 @@
         self.lock().waiters.len()
     }
 
+    /// Requests that wait for a target.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.lock().desk.waiting()
+    }
+
+    /// What is under way at each target.
+    #[must_use]
+    pub fn loads(&self) -> HashMap<Name, OwnLoad> {
+        self.lock().desk.loads()
+    }
+
     /// Time until the desk wants to be ticked.
     #[must_use]
     pub fn until_wakeup(&self) -> Option<Duration> {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,3 +14,4 @@
 pub use build::{Entry, EntryAddresses};
 pub use handle::RunningEntry;
 pub use probe_share::ProbeShare;
+pub(crate) use threads::Threads;
--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -8,7 +8,8 @@
 use eyre::WrapErr;
 
 use crate::cache::{Secret, StoreClient};
-use crate::caller::{CallerHandler, DeskQueue, QuarantineWords, ReuseMemory, Shared};
+use crate::caller::{CallerHandler, ReuseMemory, Shared};
+use crate::desk::{DeskQueue, QuarantineWords};
 use crate::catalog::{CatalogCell, CatalogSync};
 use crate::claim::ClaimTable;
 use crate::decide::{Desk, DeskSettings, Effect};
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -10,9 +10,10 @@
 
 use crate::cache::BlockKey;
 use crate::caller::{
-    Directory, QuarantineWord, Shared, StoreList, StorePeer, TargetState, TargetView,
+    Directory, Shared, StoreList, StorePeer, TargetState, TargetView,
 };
 use crate::catalog::CatalogCell;
+use crate::desk::QuarantineWord;
 use crate::decide::{Effect, Event, Signal, TargetInfo};
 use crate::entry::ProbeShare;
 use crate::entry::probe::{Probed, cache_events, probe};
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,42 @@
+//! Relays requests of any route to targets of its service.
+//!
+//! The wire formats of callers and targets are behind [`Dialect`]; admission, placement and retries
+//! are the desk's ([`crate::decide`]).
+
+mod answer;
+mod attempt;
+mod body;
+mod builder;
+mod call;
+mod connections;
+mod control;
+mod dialect;
+mod drain;
+mod events;
+mod follow;
+mod follower;
+mod inbound;
+mod links;
+mod listener;
+mod loads;
+mod members;
+mod objects;
+mod outbound;
+mod probe;
+mod refusal;
+mod serve;
+mod shared;
+mod targets;
+mod versions;
+
+pub use body::BodyReader;
+pub use builder::{Gateway, GatewayBuilder};
+pub use control::{TargetControl, TargetStatus};
+pub use call::{Call, Part, Prompt};
+pub use dialect::{AnswerFacts, CallError, Dialect, Dispatch, OwnAnswer};
+pub use events::{EventSplitter, RawEvent};
+pub use follow::{Decoder, ListedTarget, NamedWeights, Watched};
+pub use loads::{LoadTable, TargetLoad, target_key};
+pub use objects::{ObjectBook, PeerObject};
+pub use targets::{TargetBook, TargetRecord};
+pub use versions::VersionBook;
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,322 @@
+//! One attempt at a target.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+use async_io::Async;
+use futures_lite::{AsyncWriteExt, FutureExt};
+
+use crate::decide::AttemptOutcome;
+use crate::desk::Waiter;
+use crate::gateway::answer::AnswerHead;
+use crate::gateway::connections::connect;
+use crate::gateway::outbound::{Broken, Outbound};
+use crate::gateway::shared::Shared;
+use crate::gateway::{AnswerFacts, BodyReader, Call, Dispatch, EventSplitter, RawEvent};
+use crate::prelude::*;
+use crate::route::{KeyHolder, Route};
+
+/// A request that passed the checks of its head.
+pub(crate) struct Work {
+    /// The decoded head.
+    pub call: Call,
+    /// The whole body, if there is one.
+    pub body: Option<Vec<u8>>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The customer, unless the route is public.
+    pub holder: Option<Arc<KeyHolder>>,
+    /// The service that runs it.
+    pub service: Name,
+    /// When it was received whole.
+    pub arrived: Instant,
+    /// When it is given up.
+    pub deadline: Instant,
+}
+
+impl Work {
+    /// Time until it is given up.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Where one attempt goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Chosen {
+    /// Number of the attempt, from one.
+    pub number: u32,
+    /// Name of the target.
+    pub target: Name,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Weight version to run; `None` for plain services.
+    pub weights: Option<u64>,
+}
+
+/// How an answer was received.
+pub(crate) enum Received {
+    /// Whole, and not yet passed on.
+    Whole(AnswerHead, Vec<u8>),
+    /// As a stream that was passed on to its end.
+    Streamed,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Debug)]
+pub(crate) enum Fault {
+    /// No byte was handed to the target.
+    NotSent,
+    /// The target proves that it did not run the request.
+    Refused(AnswerFacts),
+    /// The target may have run it.
+    Broken(Broken),
+    /// The caller cannot be written to.
+    CallerLeft,
+}
+
+impl Fault {
+    /// What the desk is told.
+    pub(crate) fn outcome(&self) -> AttemptOutcome {
+        match self {
+            Self::NotSent => AttemptOutcome::NotSent,
+            Self::Refused(facts) => AttemptOutcome::Refused {
+                retry_after: facts.retry_after,
+            },
+            Self::Broken(Broken::Silent) => AttemptOutcome::Lost,
+            Self::Broken(_) => AttemptOutcome::CutShort,
+            Self::CallerLeft => AttemptOutcome::Cancelled,
+        }
+    }
+}
+
+/// The answer to one caller over all attempts.
+pub(crate) struct Reply<'a> {
+    /// The caller's connection.
+    pub stream: &'a Async<TcpStream>,
+    /// Whether the connection ends with this answer.
+    pub close: bool,
+    /// Whether the head of a stream was sent.
+    pub head_sent: bool,
+    /// Last event sent, or the last that the caller had of an earlier answer.
+    pub last_event: Option<u64>,
+    /// When the first event was sent.
+    pub first_at: Option<Instant>,
+}
+
+impl Reply<'_> {
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), Fault> {
+        let mut stream = self.stream;
+        let written = stream.write_all(bytes).await;
+        written.map_err(|_| Fault::CallerLeft)
+    }
+
+    /// Sends events in one chunk, with the head before the first.
+    async fn send_events(&mut self, head: &AnswerHead, events: &[RawEvent]) -> Result<(), Fault> {
+        let mut out = Vec::with_capacity(512);
+        if !self.head_sent {
+            head.write_chunked(self.close, &mut out);
+        }
+        let len: usize = events.iter().map(|e| e.bytes.len()).sum();
+        let _ = write!(out, "{len:x}\r\n");
+        for event in events {
+            out.extend_from_slice(&event.bytes);
+            self.last_event = event.id.or(self.last_event);
+        }
+        out.extend_from_slice(b"\r\n");
+        self.head_sent = true;
+        self.first_at.get_or_insert_with(Instant::now);
+        self.write(&out).await
+    }
+
+    /// Ends a stream as complete.
+    async fn end_stream(&mut self, head: &AnswerHead) -> Result<(), Fault> {
+        let mut out = Vec::new();
+        if !self.head_sent {
+            head.write_chunked(self.close, &mut out);
+            self.head_sent = true;
+        }
+        out.extend_from_slice(b"0\r\n\r\n");
+        self.write(&out).await
+    }
+
+    /// Sends a whole answer of a target.
+    pub(crate) async fn send_whole(
+        &mut self,
+        head: &AnswerHead,
+        body: &[u8],
+    ) -> Result<(), Fault> {
+        let mut out = Vec::with_capacity(body.len() + 512);
+        head.write_whole(body.len(), self.close, &mut out);
+        out.extend_from_slice(body);
+        self.write(&out).await
+    }
+}
+
+/// One attempt at a target.
+pub(crate) struct Attempt<'a> {
+    /// Shared state of the entry.
+    pub shared: &'a Shared,
+    /// The request.
+    pub work: &'a Work,
+    /// The target.
+    pub chosen: &'a Chosen,
+    /// The desk's view of the request, which hears of the first event.
+    pub waiter: &'a Waiter,
+}
+
+impl Attempt<'_> {
+    /// Sends the request and receives its answer; streams are passed on as they come.
+    pub(crate) async fn run(&self, reply: &mut Reply<'_>) -> Result<Received, Fault> {
+        let careful = !self.work.route.repeatable;
+        let kept = self.shared.connections.take(self.chosen.address, careful);
+        if let Some(stream) = kept {
+            let result = self.exchange(stream, reply).await;
+            // A kept connection that its target dropped meanwhile says nothing of the target.
+            let dropped = matches!(result, Err(Fault::Broken(Broken::Silent)));
+            if careful || !dropped {
+                return result;
+            }
+        }
+        let opened = connect(self.chosen.address).await;
+        self.shared.metrics.connections.inc();
+        let stream = opened.map_err(|_| Fault::NotSent)?;
+        self.exchange(stream, reply).await
+    }
+
+    async fn exchange(
+        &self,
+        stream: Async<TcpStream>,
+        reply: &mut Reply<'_>,
+    ) -> Result<Received, Fault> {
+        let head = self.encode(reply);
+        let sent = AtomicBool::new(false);
+        let send = async {
+            let mut out = &stream;
+            let written = match &self.work.body {
+                Some(body) if body.len() + head.len() <= 16 * 1024 => {
+                    let whole = [&head[..], body].concat();
+                    out.write_all(&whole).await
+                }
+                Some(body) => match out.write_all(&head).await {
+                    Ok(()) => out.write_all(body).await,
+                    failed => failed,
+                },
+                None => out.write_all(&head).await,
+            };
+            // A failure shows on the reading side as well, behind an early answer if there is one.
+            sent.store(written.is_ok(), Ordering::Release);
+            std::future::pending().await
+        };
+        let mut outbound = Outbound::new(&stream);
+        let (received, facts) = self.receive(&mut outbound, reply).or(send).await?;
+        let reusable = outbound.is_clean() && sent.load(Ordering::Acquire) && !facts.close;
+        drop(outbound);
+        if reusable {
+            let addr = self.chosen.address;
+            self.shared.connections.put(addr, stream, facts.idle_time);
+        }
+        match received {
+            Received::Whole(head, _) if head.facts.not_run => Err(Fault::Refused(head.facts)),
+            received => Ok(received),
+        }
+    }
+
+    fn encode(&self, reply: &Reply<'_>) -> Vec<u8> {
+        let work = self.work;
+        let dispatch = Dispatch {
+            target: self.chosen.target.clone(),
+            time_left: work.time_left(),
+            customer: work.holder.as_ref().map(|h| h.customer.clone()),
+            weights: self.chosen.weights,
+            cache_scope: self.cache_scope(),
+            urgency: self.urgency(),
+            last_event: reply.last_event,
+            body_bytes: work.body.as_ref().map(Vec::len),
+        };
+        let mut head = Vec::with_capacity(1024);
+        let dialect = &self.shared.dialect;
+        dialect.encode_request(&work.call, &dispatch, &mut head);
+        head
+    }
+
+    /// Cached context is shared within one weight version, and only by customers that allow it.
+    fn cache_scope(&self) -> Option<Name> {
+        let weights = self.chosen.weights?;
+        let isolated = self.work.holder.as_ref().filter(|h| h.isolated);
+        Some(match isolated {
+            Some(holder) => format!("{weights}.{}", holder.customer).into(),
+            None => weights.to_string().into(),
+        })
+    }
+
+    fn urgency(&self) -> Option<u8> {
+        self.work.call.prompt.as_ref()?;
+        let own = self.work.holder.as_ref().and_then(|h| h.urgency);
+        Some(own.unwrap_or(self.work.route.urgency))
+    }
+
+    async fn receive(
+        &self,
+        outbound: &mut Outbound<'_>,
+        reply: &mut Reply<'_>,
+    ) -> Result<(Received, AnswerFacts), Fault> {
+        let head = outbound.head(&self.work.call, &*self.shared.dialect);
+        let head = head.await.map_err(Fault::Broken)?;
+        if head.facts.encoded || (head.is_success() && !head.facts.signed) {
+            return Err(Fault::Broken(Broken::Garbled));
+        }
+        let facts = head.facts.clone();
+        if self.work.route.streaming && head.is_success() {
+            self.relay(&head, outbound, reply).await?;
+            return Ok((Received::Streamed, facts));
+        }
+        let body = outbound.whole(&head).await.map_err(Fault::Broken)?;
+        Ok((Received::Whole(head, body), facts))
+    }
+
+    /// Passes on whole events until the stream ends.
+    async fn relay(
+        &self,
+        head: &AnswerHead,
+        outbound: &mut Outbound<'_>,
+        reply: &mut Reply<'_>,
+    ) -> Result<(), Fault> {
+        let mut body = BodyReader::new(head.framing, head.is_bodiless());
+        let mut events = EventSplitter::default();
+        let mut first = true;
+        loop {
+            let more = outbound.part(&mut body, events.buf()).await;
+            let more = more.map_err(Fault::Broken)?;
+            let whole = take_events(&mut events, reply.last_event);
+            if !whole.is_empty() {
+                if std::mem::take(&mut first) {
+                    self.waiter.first_token(self.chosen.number);
+                }
+                reply.send_events(head, &whole).await?;
+            }
+            if events.is_overlong() || (!more && events.has_rest()) {
+                return Err(Fault::Broken(Broken::CutShort));
+            }
+            if !more {
+                return reply.end_stream(head).await;
+            }
+        }
+    }
+}
+
+/// The whole events that the caller does not have yet.
+fn take_events(events: &mut EventSplitter, last: Option<u64>) -> Vec<RawEvent> {
+    let mut last = last;
+    let mut out = Vec::new();
+    while let Some(event) = events.next_event() {
+        let known = matches!((event.id, last), (Some(id), Some(last)) if id <= last);
+        if !known {
+            last = event.id.or(last);
+            out.push(event);
+        }
+    }
+    out
+}
--- /dev/null
+++ b/src/gateway/control/peers.rs
@@ -0,0 +1,143 @@
+//! What entries tell each other.
+
+use crate::cache::BlockKey;
+use crate::decide::Event;
+use crate::gateway::control::Control;
+use crate::gateway::{PeerObject, TargetLoad, Watched, target_key};
+use crate::peer::{GatewayWord, PeerInfo, PeerLinks, PeerMessage};
+use crate::prelude::*;
+
+/// Time without the store after which peers are asked.
+const AWAY: Duration = Duration::from_millis(300);
+/// Pause before peers are asked again.
+const ASK_PAUSE: Duration = Duration::from_millis(400);
+
+impl Control {
+    /// Tells all peers what this entry knows and does.
+    pub(crate) fn tell_word(&self) {
+        let Some(mesh) = self.mesh.get() else {
+            return;
+        };
+        let own = self.shared.desk.loads();
+        let mut state = self.state();
+        let now = self.now();
+        let loads = own.iter().filter(|(_, load)| load.requests > 0);
+        let word = GatewayWord {
+            revisions: state.revisions(),
+            loads: loads
+                .map(|(name, load)| {
+                    let load =
+                        TargetLoad::of_tokens(load.requests, load.work, load.context);
+                    (target_key(name), load)
+                })
+                .collect(),
+            held: state.rollout.held().map(|name| target_key(name)).collect(),
+            versions: state.told_words(now),
+        };
+        drop(state);
+        mesh.broadcast(&PeerMessage::Gateway(word));
+    }
+
+    /// Takes a peer's word.
+    pub(crate) fn take_word(&self, peer: &Name, word: GatewayWord) {
+        let now = self.now();
+        let mut state = self.state();
+        state.loads.take(now, peer, word.loads);
+        let mut news = state.take_held(now, peer, word.held);
+        for (key, version) in word.versions {
+            news |= state.told_key(now, key, version);
+        }
+        if news {
+            self.push_targets(&mut state);
+        }
+        for watched in Watched::ALL {
+            let n = watched.index();
+            let away = state.away[n].is_some_and(|since| now >= since + AWAY);
+            let behind = word.revisions[n] > state.books[n].revision();
+            let asked = state.asked[n].is_some_and(|at| now < at + ASK_PAUSE);
+            if away && behind && !asked {
+                state.asked[n] = Some(now);
+                self.send(peer, PeerMessage::WantObjects { kind: n });
+            }
+        }
+    }
+
+    /// Tells a peer the objects of one kind.
+    pub(crate) fn tell_objects(&self, peer: &str, kind: usize) {
+        let state = self.state();
+        let Some(book) = state.books.get(kind).filter(|book| book.revision() > 0) else {
+            return;
+        };
+        let message = PeerMessage::Objects {
+            kind,
+            revision: book.revision(),
+            objects: book.tell(),
+        };
+        drop(state);
+        self.send(peer, message);
+    }
+
+    /// Takes a peer's objects while the store is away.
+    pub(crate) fn adopt_objects(
+        &self,
+        peer: &str,
+        kind: usize,
+        revision: u64,
+        objects: Vec<PeerObject>,
+    ) {
+        let Some(watched) = Watched::ALL.get(kind).copied() else {
+            return;
+        };
+        let mut state = self.state();
+        if state.away[kind].is_none() || !state.books[kind].adopt(revision, objects) {
+            return;
+        }
+        let kind = watched.as_str();
+        log::info!("event=objects_adopted kind={kind} peer={peer} revision={revision}");
+        self.changed(&mut state, watched);
+    }
+
+    /// Takes the peers that are live now.
+    pub(crate) fn take_peers(&self, live: &[PeerInfo]) {
+        let mut state = self.state();
+        let staying = live.iter().filter(|p| !p.draining);
+        let names: Vec<Name> = staying.map(|p| p.name.clone()).collect();
+        for lost in state.peers.iter().filter(|n| !names.contains(n)) {
+            log::info!("event=peer_lost peer={lost}");
+        }
+        for found in names.iter().filter(|n| !state.peers.contains(n)) {
+            log::info!("event=peer_found peer={found}");
+        }
+        let entries = u32::try_from(names.len() + 1).unwrap_or(u32::MAX);
+        self.shared.words.retain_peers(|name| names.iter().any(|n| **n == *name));
+        self.shared.metrics.peers.set(i64::from(entries) - 1);
+        state.peers = names;
+        drop(state);
+        self.shared.desk.submit(Event::Entries(entries));
+    }
+
+    /// Tells all peers of a request that takes down targets.
+    pub(crate) fn tell_quarantine(
+        &self,
+        fingerprint: &BlockKey,
+        victims: Vec<Name>,
+        ttl: Duration,
+    ) {
+        let Some(mesh) = self.mesh.get() else {
+            return;
+        };
+        log::warn!(
+            "event=request_suspected fingerprint={fingerprint} victims={victims:?} ttl_ms={}",
+            ttl.as_millis()
+        );
+        let peers = mesh.live().into_iter().map(|peer| peer.name);
+        let fingerprint = Name::from(fingerprint.to_string());
+        let word = self.shared.words.tell(fingerprint, victims, ttl, peers);
+        mesh.broadcast(&PeerMessage::Quarantine {
+            seq: word.seq,
+            fingerprint: word.fingerprint,
+            victims: word.victims,
+            ttl_ms: u64::try_from(word.ttl.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/control/state.rs
@@ -0,0 +1,238 @@
+//! Everything that the control of a gateway knows.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use crate::decide::OwnLoad;
+use crate::gateway::versions::label;
+use crate::gateway::{
+    Decoder, ListedTarget, LoadTable, NamedWeights, ObjectBook, TargetBook, TargetLoad, VersionBook, Watched,
+    target_key,
+};
+use crate::platform::Vm;
+use crate::prelude::*;
+use crate::rollout::{RolloutPlanner, RolloutSettings, RolloutTarget};
+use crate::route::RouteTable;
+use crate::target::LoadReport;
+
+/// Time for which a word about a target's weights goes before its own entry.
+const TOLD_TIME: Duration = Duration::from_secs(8);
+/// Time after which a peer's word about targets that are held back lapses.
+const HELD_TIME: Duration = Duration::from_millis(2_500);
+
+/// Everything that the control of a gateway knows.
+pub(crate) struct State {
+    /// Objects by kind.
+    pub books: [ObjectBook; 4],
+    /// Since when the store has not answered, by kind.
+    pub away: [Option<Stamp>; 4],
+    /// When a peer was asked for objects last, by kind.
+    pub asked: [Option<Stamp>; 4],
+    /// Targets in use.
+    pub targets: TargetBook,
+    /// Weight versions.
+    pub versions: VersionBook,
+    /// Peers' loads.
+    pub loads: LoadTable,
+    /// The rollout of new weights.
+    pub rollout: RolloutPlanner,
+    /// Versions that targets said they run, with the time of the word.
+    told: BTreeMap<u32, (u64, Stamp)>,
+    /// Targets that peers hold back.
+    held: HashMap<Name, (Stamp, Vec<u32>)>,
+    /// Targets whose weights are in doubt, until when.
+    doubts: HashMap<Name, Stamp>,
+    /// Entries that were live last, this one not among them.
+    pub peers: Vec<Name>,
+    unreadable: HashSet<Name>,
+}
+
+impl State {
+    pub(crate) fn new(rollout: RolloutSettings) -> Self {
+        Self {
+            books: Default::default(),
+            away: [Some(Stamp::ZERO); 4],
+            asked: [None; 4],
+            targets: TargetBook::default(),
+            versions: VersionBook::default(),
+            loads: LoadTable::default(),
+            rollout: RolloutPlanner::new(rollout),
+            told: BTreeMap::new(),
+            held: HashMap::new(),
+            doubts: HashMap::new(),
+            peers: Vec::new(),
+            unreadable: HashSet::new(),
+        }
+    }
+
+    /// Revisions up to which the kinds are known.
+    pub(crate) fn revisions(&self) -> [u64; 4] {
+        std::array::from_fn(|n| self.books[n].revision())
+    }
+
+    /// Reads the targets; entries that cannot be read name no target.
+    pub(crate) fn read_targets(&mut self, now: Stamp, decoder: &dyn Decoder) {
+        let mut listed = Vec::new();
+        for (name, spec) in self.books[Watched::Targets.index()].iter() {
+            match decoder.target(name, spec) {
+                Ok(target) => listed.push(target),
+                Err(err) => {
+                    if self.unreadable.insert(name.clone()) {
+                        log::warn!("event=target_unreadable name={name:?} error={err:?}");
+                    }
+                }
+            }
+        }
+        self.targets.take(now, listed);
+    }
+
+    /// Reads the named weights and returns them.
+    pub(crate) fn read_weights(&mut self, now: Stamp, decoder: &dyn Decoder) -> Vec<NamedWeights> {
+        let mut read = Vec::new();
+        let book = &self.books[Watched::Weights.index()];
+        for (name, spec) in book.iter() {
+            match decoder.weights(name, spec) {
+                Ok(named) => {
+                    if self.versions.named(&named.model) < Some(named.version) {
+                        log::info!(
+                            "event=weights_named model={} version={}",
+                            named.model,
+                            named.version
+                        );
+                    }
+                    self.versions.name(now, &named.model, named.version);
+                    read.push(named);
+                }
+                Err(err) => log::warn!("event=weights_unreadable name={name:?} error={err:?}"),
+            }
+        }
+        read
+    }
+
+    /// Reads the entries of this system.
+    pub(crate) fn read_members(&self) -> Vec<Vm> {
+        let members = self.books[Watched::Members.index()].iter();
+        let read = members.filter_map(|(name, spec)| {
+            let vm = serde_json::from_value::<Vm>((**spec).clone());
+            vm.inspect_err(|err| log::warn!("event=member_unreadable name={name:?} error={err:?}"))
+                .ok()
+        });
+        read.collect()
+    }
+
+    /// Takes a target's own word about its weights.
+    pub(crate) fn told(&mut self, now: Stamp, target: &str, version: u64) {
+        self.told_key(now, target_key(target), version);
+    }
+
+    /// Takes a word about a target's weights; an older version than told is ignored.
+    pub(crate) fn told_key(&mut self, now: Stamp, key: u32, version: u64) -> bool {
+        let known = self.told.get(&key);
+        let fresh = known.is_none_or(|(v, at)| *v < version || now >= *at + TOLD_TIME);
+        if fresh {
+            self.told.insert(key, (version, now));
+        }
+        fresh
+    }
+
+    /// Versions that are told to peers.
+    pub(crate) fn told_words(&mut self, now: Stamp) -> Vec<(u32, u64)> {
+        self.told.retain(|_, (_, at)| now < *at + TOLD_TIME);
+        self.told.iter().map(|(key, (v, _))| (*key, *v)).collect()
+    }
+
+    /// Holds a target back until its weights are known.
+    pub(crate) fn doubt(&mut self, target: &Name, until: Stamp) {
+        self.doubts.insert(target.clone(), until);
+    }
+
+    /// Takes the targets that a peer holds back.
+    pub(crate) fn take_held(&mut self, now: Stamp, peer: &Name, held: Vec<u32>) -> bool {
+        let old = if held.is_empty() {
+            self.held.remove(peer)
+        } else {
+            self.held.insert(peer.clone(), (now, held.clone()))
+        };
+        old.is_none_or(|(_, old)| old != held) && !(held.is_empty())
+    }
+
+    /// Drops words that are old; tells whether there were any.
+    pub(crate) fn expire(&mut self, now: Stamp) -> bool {
+        let before = self.held.len() + self.doubts.len();
+        self.held.retain(|_, (at, _)| now < *at + HELD_TIME);
+        self.doubts.retain(|_, until| now < *until);
+        let words = self.held.len() + self.doubts.len() < before;
+        let targets = self.targets.expire(now);
+        words || targets
+    }
+
+    fn is_held(&self, listed: &ListedTarget) -> bool {
+        let name = &listed.info.name;
+        let key = target_key(name);
+        self.doubts.contains_key(name)
+            || self.held.values().any(|(_, held)| held.contains(&key))
+            || self.rollout.held().any(|n| n == name)
+    }
+
+    /// The version of a model that a target runs, by the newest word.
+    fn version(&self, now: Stamp, listed: &ListedTarget, version: u64) -> u64 {
+        let told = self.told.get(&target_key(&listed.info.name));
+        let told = told.filter(|(_, at)| now < *at + TOLD_TIME);
+        told.map_or(version, |(told, _)| version.max(*told))
+    }
+
+    /// Models and versions of all targets that stay, one item for each.
+    pub(crate) fn effective_weights(&self, now: Stamp) -> impl Iterator<Item = (Name, u64)> {
+        let staying = self.targets.iter().filter(|t| !t.info.leaving);
+        staying.flat_map(move |t| {
+            let weights = t.weights.iter();
+            weights.map(move |(model, v)| (model.clone(), self.version(now, t, *v)))
+        })
+    }
+
+    /// The targets as the rollout sees them.
+    pub(crate) fn rollout_targets(&self) -> Vec<RolloutTarget> {
+        let targets = self.targets.iter().filter(|t| !t.weights.is_empty());
+        targets
+            .map(|t| RolloutTarget {
+                name: t.info.name.clone(),
+                address: t.info.address,
+                leaving: t.info.leaving,
+                weights: t.weights.clone(),
+                orders: t.orders,
+            })
+            .collect()
+    }
+
+    /// What the desk is told of each target: its slots and weights, and the load of all entries.
+    pub(crate) fn reports(
+        &self,
+        now: Stamp,
+        table: Option<&RouteTable>,
+        own: &HashMap<Name, OwnLoad>,
+    ) -> Vec<(Name, LoadReport)> {
+        let sums = self.loads.sums();
+        let targets = self.targets.iter();
+        targets
+            .map(|t| {
+                let name = t.info.name.clone();
+                let others = sums.get(&target_key(&name)).copied();
+                let others: TargetLoad = others.unwrap_or_default();
+                let mine = own.get(&name).map_or(0, |load| load.requests);
+                let service = table.and_then(|table| table.service(&t.info.serves));
+                let held = self.is_held(t);
+                let weights = t.weights.iter();
+                let weights = weights.map(|(m, v)| label(m, self.version(now, t, *v)));
+                let report = LoadReport {
+                    running: mine + others.requests,
+                    queued_tokens: u64::from(others.work_tokens()),
+                    context_tokens: others.context_tokens(),
+                    context_limit: service.map_or(0, |s| s.context_tokens),
+                    slots: t.slots,
+                    weights: weights.filter(|_| !held).collect(),
+                    ..LoadReport::default()
+                };
+                (name, report)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/control/ticks.rs
@@ -0,0 +1,77 @@
+//! What the control does at intervals.
+
+use async_io::Timer;
+
+use crate::decide::Event;
+use crate::gateway::control::Control;
+use crate::prelude::*;
+use crate::rollout::RolloutEvent;
+
+/// Interval at which peers are told of the load, in a small system.
+const WORD_INTERVAL: Duration = Duration::from_millis(200);
+/// Entries up to which that interval holds; it grows with their number.
+const SMALL: usize = 10;
+/// Shortest and longest pause between two looks at what is due at the desk.
+const DESK_TICKS: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
+/// Words between two sweeps of idle connections.
+const SWEEP_EVERY: u32 = 3;
+
+impl Control {
+    /// Tells peers, takes what has lapsed, for ever.
+    pub(crate) async fn run_ticks(self: Arc<Self>) {
+        let mut n: u32 = 0;
+        loop {
+            let peers = self.state().peers.len();
+            let factor = peers.div_ceil(SMALL).max(1);
+            let interval = WORD_INTERVAL * u32::try_from(factor).unwrap_or(u32::MAX);
+            Self::spread_sleep(interval).await;
+            self.tell_word();
+            self.refresh();
+            n = n.wrapping_add(1);
+            if n.is_multiple_of(SWEEP_EVERY) {
+                self.shared.connections.sweep();
+            }
+        }
+    }
+
+    fn refresh(&self) {
+        let now = self.now();
+        let mut state = self.state();
+        let lapsed = state.expire(now);
+        state.loads.expire(now);
+        if lapsed {
+            self.push_targets(&mut state);
+        } else {
+            self.push_reports(&mut state);
+        }
+        self.shared.versions.set(&state.versions, now);
+        if state.rollout.missing() > 0 {
+            self.push_rollout_loads(&mut state);
+        }
+    }
+
+    fn push_rollout_loads(&self, state: &mut crate::gateway::control::State) {
+        let own = self.shared.desk.loads();
+        let reports = state.reports(self.now(), None, &own);
+        for (target, report) in reports {
+            let requests = report.running;
+            self.plan(state, RolloutEvent::Load { target, requests });
+        }
+    }
+
+    /// Ticks the desk, for ever.
+    pub(crate) async fn run_desk(self: Arc<Self>) {
+        let mut broken = 0;
+        loop {
+            let pause = self.shared.desk.until_wakeup().unwrap_or(DESK_TICKS.1);
+            Timer::after(pause.clamp(DESK_TICKS.0, DESK_TICKS.1)).await;
+            self.shared.desk.submit(Event::Tick);
+            let found = self.shared.desk.broken_invariants();
+            let metrics = &self.shared.metrics;
+            metrics.invariants.inc_by(found.saturating_sub(broken));
+            broken = found;
+            let waiting = self.shared.desk.queued();
+            metrics.queued.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/listener.rs
@@ -0,0 +1,99 @@
+//! Accepts callers' connections.
+
+use std::net::{Shutdown, TcpListener, TcpStream};
+
+use async_executor::Executor;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+
+use crate::clock::coarse_sleep;
+use crate::gateway::connections::watch_for_silence;
+use crate::gateway::inbound::{Inbound, NoRequest};
+use crate::gateway::refusal::rejected;
+use crate::gateway::serve::serve;
+use crate::gateway::shared::Shared;
+use crate::prelude::*;
+
+/// Pause after a failed accept, such as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time for which bytes are read behind a last answer, so that it is not reset away.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Accepts connections until `stop` closes.
+pub(crate) async fn accept(
+    listener: Async<TcpListener>,
+    shared: Arc<Shared>,
+    ex: Arc<Executor<'static>>,
+    stop: async_channel::Receiver<()>,
+) {
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let stopped = async {
+            let _ = stop.recv().await;
+            None
+        };
+        match accepted.or(stopped).await {
+            None => break,
+            Some(Ok((stream, _))) => spawn(stream, &shared, &ex),
+            Some(Err(err)) => {
+                log::warn!("event=accept_failed error={:?}", err.to_string());
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    // Connections already made would be reset by the listener's end.
+    while let Ok((stream, _)) = listener.get_ref().accept() {
+        if let Ok(stream) = Async::new(stream) {
+            spawn(stream, &shared, &ex);
+        }
+    }
+}
+
+fn spawn(stream: Async<TcpStream>, shared: &Arc<Shared>, ex: &Executor<'static>) {
+    watch_for_silence(stream.get_ref());
+    ex.spawn(serve_connection(stream, shared.clone())).detach();
+}
+
+async fn serve_connection(stream: Async<TcpStream>, shared: Arc<Shared>) {
+    let _open = shared.drain.connection();
+    let stream = Arc::new(stream);
+    let mut inbound = Inbound::new(stream.clone());
+    loop {
+        let limits = shared.limits();
+        let ended = async {
+            shared.drain.idle_ended().await;
+            Err(NoRequest::Ended)
+        };
+        if inbound.wait(&limits).or(ended).await.is_err() {
+            return;
+        }
+        let running = shared.drain.request();
+        let keep = match inbound.receive(&*shared.dialect, &limits).await {
+            Ok(received) => serve(&shared, received, &stream, &mut inbound).await,
+            Err(NoRequest::Ended) => return,
+            Err(NoRequest::Rejected(status, code)) => {
+                let mut out = Vec::new();
+                let answer = rejected(status, code);
+                shared.dialect.encode_own(None, &answer, true, &mut out);
+                log::info!("event=request_rejected status={status} reason={code}");
+                let _ = (&*stream).write_all(&out).await;
+                false
+            }
+        };
+        drop(running);
+        if !keep {
+            return linger(&stream).await;
+        }
+    }
+}
+
+/// Ends a connection in order: what the caller still sends does not reset the last answer away.
+async fn linger(stream: &Async<TcpStream>) {
+    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let mut chunk = [0; 512];
+    let mut reader = stream;
+    let drain = async { while matches!(reader.read(&mut chunk).await, Ok(n) if n > 0) {} };
+    drain.or(coarse_sleep(LINGER)).await;
+}
--- /dev/null
+++ b/src/gateway/probe.rs
@@ -0,0 +1,45 @@
+//! Answers the balancer's question whether this entry takes callers, and serves the metrics.
+
+use http_types::{Response, StatusCode};
+
+use crate::gateway::shared::Shared;
+use crate::http::{Exchange, Handler, Problem, Reply};
+use crate::prelude::*;
+
+/// Answers questions of the balancer and of monitoring.
+pub(crate) struct ProbeHandler {
+    /// Shared state of the gateway.
+    pub shared: Arc<Shared>,
+    /// Path of the balancer's question.
+    pub ready_path: Name,
+}
+
+impl Handler for ProbeHandler {
+    fn handle(self: Arc<Self>, exchange: Exchange) -> Reply {
+        Box::pin(async move {
+            let path = exchange.req.url().path();
+            if path == &*self.ready_path {
+                return self.ready();
+            }
+            if path == "/metrics" {
+                let mut res = Response::new(StatusCode::Ok);
+                res.set_body(self.shared.metrics.render());
+                res.insert_header("content-type", "text/plain; version=0.0.4");
+                return res;
+            }
+            Problem::not_run(StatusCode::NotFound, "unknown-path", "no such path").into_response()
+        })
+    }
+}
+
+impl ProbeHandler {
+    fn ready(&self) -> Response {
+        let known = self.shared.routes.load().is_some();
+        let status = if known && !self.shared.drain.is_draining() {
+            StatusCode::Ok
+        } else {
+            StatusCode::ServiceUnavailable
+        };
+        Response::new(status)
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -30,6 +30,7 @@
 pub use exchange::{Exchange, Handler, Reply};
 pub use framing::Framing;
 pub use gate::{Admission, BodyGate};
+pub(crate) use head::MAX_HEADERS;
 pub use head::RequestHead;
 pub use limits::Limits;
 pub use pool::Pool;
--- a/src/lease/keeper.rs
+++ b/src/lease/keeper.rs
@@ -1,8 +1,8 @@
 //! Keeps a lease in the platform.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
+use crate::clock::boot_time;
 use crate::lease::{Hold, LeaseEffect, LeaseEvent, LeaseMachine, LeaseRecord, LeaseSettings};
 use crate::platform::{Object, Platform, PlatformError, Version};
 use crate::prelude::*;
@@ -12,30 +12,32 @@
     platform: Arc<dyn Platform>,
     name: Name,
     machine: Mutex<LeaseMachine>,
-    started: Instant,
+    /// Boot time at the construction: a suspended VM's lease goes on running out.
+    origin: Duration,
 }
 
 impl LeaseKeeper {
-    /// Makes a candidate for the lease `name`; `started` is the origin of its [`Stamp`]s.
+    /// Makes a candidate for the lease `name`.
     #[must_use]
-    pub fn new(
-        platform: Arc<dyn Platform>,
-        name: Name,
-        cfg: LeaseSettings,
-        started: Instant,
-    ) -> Self {
+    pub fn new(platform: Arc<dyn Platform>, name: Name, cfg: LeaseSettings) -> Self {
         Self {
             platform,
             name,
             machine: Mutex::new(LeaseMachine::new(cfg)),
-            started,
+            origin: boot_time(),
         }
     }
 
+    /// Time by which holdings are measured; it goes on while the VM is suspended.
+    #[must_use]
+    pub fn now(&self) -> Stamp {
+        boot_time().saturating_sub(self.origin)
+    }
+
     /// The holding in force now.
     #[must_use]
     pub fn hold(&self) -> Option<Hold> {
-        self.machine().hold(self.started.elapsed())
+        self.machine().hold(self.now())
     }
 
     /// Gives up a holding that is not above `fencing`, which a target has seen.
@@ -48,7 +50,7 @@
         let mut event = LeaseEvent::Tick;
         loop {
             let mut effects = Vec::new();
-            let now = self.started.elapsed();
+            let now = self.now();
             self.machine().on(now, event, &mut effects);
             let Some(effect) = effects.pop() else {
                 return;
--- a/src/order/orderer.rs
+++ b/src/order/orderer.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
 use async_executor::Executor;
 use async_io::Timer;
@@ -48,7 +47,6 @@
     executor: Arc<Executor<'static>>,
     lease: LeaseKeeper,
     planner: Mutex<OrderPlanner>,
-    started: Instant,
 }
 
 impl Orderer {
@@ -63,7 +61,6 @@
         links: Arc<dyn PeerLinks>,
         executor: Arc<Executor<'static>>,
     ) -> Self {
-        let started = Instant::now();
         let cfg = LeaseSettings {
             holder: format!("{entry}.{:x}", fastrand::u64(..)).into(),
             time: LEASE_TIME,
@@ -79,8 +76,7 @@
             cell,
             links,
             executor,
-            lease: LeaseKeeper::new(platform, name, cfg, started),
-            started,
+            lease: LeaseKeeper::new(platform, name, cfg),
         }))
     }
 
@@ -119,7 +115,7 @@
 
     fn submit(self: &Arc<Self>, event: OrderEvent) {
         let mut effects = Vec::new();
-        let now = self.started.elapsed();
+        let now = self.lease.now();
         self.planner().on(now, event, &mut effects);
         for effect in effects {
             match effect {
@@ -157,7 +153,7 @@
 
     async fn send(self: Arc<Self>, target: Name, address: SocketAddr, request: OrderRequest) {
         let held = self.lease.hold();
-        let now = self.started.elapsed();
+        let now = self.lease.now();
         let in_time =
             held.filter(|h| h.fencing == request.fencing && now + ORDER_TIMEOUT < h.until);
         let result = if in_time.is_some() {
--- /dev/null
+++ b/src/peer/gateway_word.rs
@@ -0,0 +1,22 @@
+//! What a gateway's entries tell each other at short intervals.
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::TargetLoad;
+
+/// One entry's view, which replaces its earlier one.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct GatewayWord {
+    /// Revision of the store up to which each followed kind is known.
+    #[serde(rename = "r")]
+    pub revisions: [u64; 4],
+    /// Own load at targets, by their short identities.
+    #[serde(rename = "l", default)]
+    pub loads: Vec<(u32, TargetLoad)>,
+    /// Targets that are to get no new work while they change their weights.
+    #[serde(rename = "h", default)]
+    pub held: Vec<u32>,
+    /// Weight versions that targets said they run, before their entries show it.
+    #[serde(rename = "v", default)]
+    pub versions: Vec<(u32, u64)>,
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,7 +4,8 @@
 
 use crate::catalog::{Catalog, ReleaseNote};
 use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
-use crate::peer::LoadWord;
+use crate::gateway::PeerObject;
+use crate::peer::{GatewayWord, LoadWord};
 use crate::platform::Vm;
 use crate::prelude::*;
 
@@ -81,6 +82,23 @@
     /// Loads of targets that the sender probes.
     #[serde(rename = "l")]
     Loads(Vec<LoadWord>),
+    /// What a gateway's entries tell each other at short intervals; its keys are short as well.
+    #[serde(rename = "g")]
+    Gateway(GatewayWord),
+    /// Asks for the objects of one kind that a gateway follows, because the store is away.
+    WantObjects {
+        /// Index of the kind.
+        kind: usize,
+    },
+    /// The objects of one kind as the sender knows them.
+    Objects {
+        /// Index of the kind.
+        kind: usize,
+        /// Revision of the store up to which the sender knows them.
+        revision: u64,
+        /// The objects.
+        objects: Vec<PeerObject>,
+    },
     /// Asks the owner of a claim shard to commit a claim.
     Claim {
         /// Number that the reply repeats.
--- a/src/target/report.rs
+++ b/src/target/report.rs
@@ -15,6 +15,10 @@
     pub queued: u32,
     /// Prompt tokens waiting for prefill.
     pub queued_tokens: u64,
+    /// Context that requests of other entries hold, in tokens.
+    pub context_tokens: u32,
+    /// Context that the target holds at most, in tokens; zero when unknown.
+    pub context_limit: u32,
     /// Requests that may run at once.
     pub slots: u32,
     /// Prefill speed, in tokens per second; zero when unknown.
--- /dev/null
+++ b/src/telemetry/gateway_metrics.rs
@@ -0,0 +1,82 @@
+//! Metrics of a gateway.
+
+use prometheus::{
+    Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
+};
+
+use super::metrics::{counter, counters, gauge, gauges, histogram};
+
+/// Metrics of one gateway process, each with a bounded set of labels.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by their end: a class of status, a refusal's code, `cut-short` or `left`.
+    pub requests: IntCounterVec,
+    /// Time from a request's arrival to the first byte of its answer, in seconds.
+    pub first_byte: Histogram,
+    /// Time from a request's arrival to its end, in seconds.
+    pub total: Histogram,
+    /// Attempts by their end.
+    pub attempts: IntCounterVec,
+    /// New connections to targets.
+    pub connections: IntCounter,
+    /// Requests waiting for a target.
+    pub queued: IntGauge,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+    /// Targets in use by state.
+    pub targets: IntGaugeVec,
+    /// Peers connected.
+    pub peers: IntGauge,
+    /// Failed calls to the store, by what was followed.
+    pub store_failures: IntCounterVec,
+    /// Orders to targets by their end.
+    pub orders: IntCounterVec,
+    /// Invariants found broken; each is a defect of this program.
+    pub invariants: IntCounter,
+    /// Log lines that were left out.
+    pub log_dropped: IntCounter,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl GatewayMetrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Panics
+    /// Never: names are fixed and distinct.
+    #[must_use]
+    pub fn new() -> Self {
+        let r = Registry::new();
+        Self {
+            requests: counters(&r, "requests_total", "Requests by end", "end"),
+            first_byte: histogram(&r, "first_byte_seconds", "Time to the first byte"),
+            total: histogram(&r, "request_seconds", "Time to the end of a request"),
+            attempts: counters(&r, "attempts_total", "Attempts by end", "end"),
+            connections: counter(&r, "connections_total", "New connections to targets"),
+            queued: gauge(&r, "queued", "Requests waiting for a target"),
+            config_version: gauge(&r, "config_version", "Configuration in force"),
+            targets: gauges(&r, "targets", "Targets in use by state", "state"),
+            peers: gauge(&r, "peers", "Peers connected"),
+            store_failures: counters(&r, "store_failures_total", "Failed store calls", "kind"),
+            orders: counters(&r, "orders_total", "Orders to targets by end", "end"),
+            invariants: counter(&r, "invariant_violations_total", "Broken invariants"),
+            log_dropped: counter(&r, "log_lines_dropped_total", "Log lines left out"),
+            registry: r,
+        }
+    }
+
+    /// Renders all metrics in the Prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> Vec<u8> {
+        let mut buf = Vec::new();
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            log::warn!("event=metrics_failed error={:?}", err.to_string());
+        }
+        buf
+    }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics in the Prometheus text format.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
 };
 
@@ -81,20 +81,25 @@
     made
 }
 
-fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+pub(super) fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     register(registry, IntCounter::new(format!("guavahold_{name}"), help))
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+pub(super) fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     register(registry, IntGauge::new(format!("guavahold_{name}"), help))
 }
 
-fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+pub(super) fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let opts = Opts::new(format!("guavahold_{name}"), help);
+    register(registry, IntGaugeVec::new(opts, &[label]))
+}
+
+pub(super) fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
     let opts = Opts::new(format!("guavahold_{name}"), help);
     register(registry, IntCounterVec::new(opts, &[label]))
 }
 
-fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+pub(super) fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
     let opts = HistogramOpts::new(format!("guavahold_{name}"), help).buckets(SECONDS.to_vec());
     register(registry, Histogram::with_opts(opts))
 }
--- a/tests/decide/world.rs
+++ b/tests/decide/world.rs
@@ -63,6 +63,10 @@
         fingerprint: key(id),
         affinity: key(id),
         tokens: 200,
+        shared_tokens: 0,
+        output_tokens: 0,
+        attempts: 0,
+        resumable: false,
     }
 }
 
