Keep shared parts of prompts in the platform's stores, and ask targets for their orders first

Ruled out: larger caches at targets (memory is fixed); orders without an expected count. Change: module kept: directory by the stores' changes, weighted rendezvous, frees after the last target left a version; the planner asks a target before it orders.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,9 +15,13 @@
 use crate::gateway::outbound::{Broken, Outbound};
 use crate::gateway::shared::Shared;
 use crate::gateway::{AnswerFacts, BodyReader, Call, Dispatch, EventSplitter, RawEvent};
+use crate::kept::KeptPlan;
 use crate::prelude::*;
 use crate::route::{KeyHolder, Route};
 
+/// Time after which a fetch of kept context is thrown away.
+const FETCH_TIME: Duration = Duration::from_secs(2);
+
 /// A request that passed the checks of its head.
 pub(crate) struct Work {
     /// The decoded head.
@@ -226,12 +230,16 @@
 
     fn encode(&self, reply: &Reply<'_>) -> Vec<u8> {
         let work = self.work;
+        let scope = self.cache_scope();
+        let kept = scope.as_ref().map(|scope| self.kept_plan(scope));
         let dispatch = Dispatch {
+            kept: kept.unwrap_or_default(),
+            fetch_until_ms: self.shared.fetch_clock.after(FETCH_TIME),
             target: self.chosen.target.clone(),
             time_left: work.time_left(),
             customer: work.holder.as_ref().map(|h| h.customer.clone()),
             weights: self.chosen.weights,
-            cache_scope: self.cache_scope(),
+            cache_scope: scope,
             urgency: self.urgency(),
             last_event: reply.last_event,
             body_bytes: work.body.as_ref().map(Vec::len),
@@ -252,6 +260,20 @@
         })
     }
 
+    /// Transfers of the parts that other requests may share.
+    fn kept_plan(&self, scope: &Name) -> KeptPlan {
+        let Some(prompt) = &self.work.call.prompt else {
+            return KeptPlan::default();
+        };
+        let shared = prompt.parts.split_last().map_or(&[][..], |(_, rest)| rest);
+        let parts: SmallVec<[_; 4]> = shared.iter().map(|p| (p.id.clone(), p.tokens)).collect();
+        let mut plan = self.shared.kept().plan(self.shared.now(), scope, &parts);
+        if self.shared.fetch_clock.after(FETCH_TIME).is_none() {
+            plan.fetch.clear();
+        }
+        plan
+    }
+
     fn urgency(&self) -> Option<u8> {
         self.work.call.prompt.as_ref()?;
         let own = self.work.holder.as_ref().and_then(|h| h.urgency);
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -23,6 +23,7 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::{Decoder, Dialect, Watched};
 use crate::http::{Limits, Server, ServerControl};
+use crate::kept::ContextStores;
 use crate::lease::{LeaseKeeper, LeaseSettings};
 use crate::peer::Mesh;
 use crate::platform::{Phase, Platform, Role, Vm};
@@ -139,6 +140,7 @@
         decoder: Arc<dyn Decoder>,
         platform: Arc<dyn Platform>,
         targets: Arc<dyn TargetControl>,
+        stores: Arc<dyn ContextStores>,
     ) -> io::Result<Gateway> {
         let callers = Async::new(TcpListener::bind(self.callers)?)?;
         let ready = TcpListener::bind(self.ready)?;
@@ -150,7 +152,8 @@
         let (rollout_tx, rollout) = async_channel::unbounded();
         let shared = Arc::new(self.shared(dialect, effects_tx, signals_tx, rollout_tx));
         let (traffic_ex, control_ex) = (Arc::new(Executor::new()), Arc::new(Executor::new()));
-        let control = Arc::new(self.control(&shared, decoder, targets, &platform, &control_ex));
+        let control = self.control(&shared, decoder, targets, stores, &platform, &control_ex);
+        let control = Arc::new(control);
         let events = Arc::new(GatewayPeers(std::sync::OnceLock::new()));
         let _ = events.0.set(Arc::downgrade(&control));
         let mesh = Mesh::builder(self.name.clone(), MESH, Secret::new(MESH.as_bytes()))
@@ -238,6 +241,8 @@
             desk: Arc::new(DeskQueue::new(desk, effects, words.clone())),
             connections: Default::default(),
             words,
+            kept: Arc::default(),
+            fetch_clock: Arc::default(),
             drain: Arc::new(Drain::default()),
             metrics: Arc::new(GatewayMetrics::new()),
             signals,
@@ -251,6 +256,7 @@
         shared: &Arc<Shared>,
         decoder: Arc<dyn Decoder>,
         targets: Arc<dyn TargetControl>,
+        stores: Arc<dyn ContextStores>,
         platform: &Arc<dyn Platform>,
         executor: &Arc<Executor<'static>>,
     ) -> Control {
@@ -264,6 +270,7 @@
             shared: shared.clone(),
             decoder,
             targets,
+            stores,
             lease: LeaseKeeper::new(platform.clone(), "orders".into(), cfg),
             mesh: Default::default(),
             executor: executor.clone(),
@@ -285,6 +292,7 @@
     ex.spawn(control.clone().run_lease()).detach();
     ex.spawn(control.clone().run_ticks()).detach();
     ex.spawn(control.clone().run_desk()).detach();
+    ex.spawn(control.clone().run_frees()).detach();
 }
 
 /// A gateway whose threads run.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,5 +1,6 @@
 //! Control of a gateway: what it follows, tells its peers, and orders of targets.
 
+mod frees;
 mod orders;
 mod peers;
 mod state;
@@ -14,6 +15,7 @@
 use crate::gateway::connections::connect;
 use crate::gateway::shared::{Shared, TargetWord};
 use crate::gateway::{Decoder, Watched};
+use crate::kept::{ContextStores, StoreFollower};
 use crate::lease::LeaseKeeper;
 use crate::peer::{Mesh, PeerLinks, PeerMessage};
 use crate::platform::{Listing, PlatformError, WatchEvent};
@@ -38,6 +40,8 @@
     pub decoder: Arc<dyn Decoder>,
     /// Orders and questions to targets.
     pub targets: Arc<dyn TargetControl>,
+    /// Calls to stores of context.
+    pub stores: Arc<dyn ContextStores>,
     /// The lease to give orders.
     pub lease: LeaseKeeper,
     /// Links to peers.
@@ -138,6 +142,7 @@
                     log::info!("event=config_in_force version={}", table.version);
                     let version = i64::try_from(table.version).unwrap_or(i64::MAX);
                     self.shared.metrics.config_version.set(version);
+                    self.follow_stores(&table);
                     self.shared.routes.store(Some(Arc::new(table)));
                 }
                 Ok(_) => {}
@@ -146,6 +151,24 @@
         }
     }
 
+    /// Follows the stores of context that a configuration names.
+    fn follow_stores(&self, table: &crate::route::RouteTable) {
+        let services = table.services();
+        let stores: Vec<_> = services
+            .filter_map(|s| Some((s.store?, s.context_tokens)))
+            .collect();
+        for store in self.shared.kept().take_stores(&stores) {
+            let follower = StoreFollower {
+                store,
+                stores: self.stores.clone(),
+                directory: self.shared.kept.clone(),
+                started: self.shared.started,
+                clock: self.shared.fetch_clock.clone(),
+            };
+            self.executor.spawn(follower.run()).detach();
+        }
+    }
+
     /// Tells the desk and the rollout of the targets in use.
     pub(crate) fn push_targets(&self, state: &mut State) {
         let now = self.now();
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -198,7 +198,6 @@
                 address: t.info.address,
                 leaving: t.info.leaving,
                 weights: t.weights.clone(),
-                orders: t.orders,
             })
             .collect()
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -55,8 +55,6 @@
     pub slots: u32,
     /// Weight versions that it has ready, by model.
     pub weights: SmallVec<[(Name, u64); 1]>,
-    /// Orders that it has accepted since its start.
-    pub orders: u64,
     /// Start of its process, in milliseconds since the Unix epoch; zero when not told.
     pub born_ms: u64,
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,5 +1,6 @@
 //! What all tasks of a gateway share.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
@@ -8,7 +9,8 @@
 use crate::desk::{DeskQueue, QuarantineWords};
 use crate::gateway::attempt::{Reply, Work};
 use crate::gateway::serve::{EndLabel, Step};
-use crate::gateway::{Call, Dialect, OwnAnswer};
+use crate::gateway::{Call, Dialect, FetchClock, OwnAnswer};
+use crate::kept::Directory;
 use crate::rollout::RolloutEffect;
 use crate::gateway::connections::Connections;
 use crate::gateway::drain::Drain;
@@ -31,6 +33,10 @@
     pub connections: Connections,
     /// Words about requests that take down targets.
     pub words: Arc<QuarantineWords>,
+    /// What stores of context keep.
+    pub kept: Arc<Mutex<Directory>>,
+    /// Clock of fetches' deadlines.
+    pub fetch_clock: Arc<FetchClock>,
     /// State of the shutdown.
     pub drain: Arc<Drain>,
     /// Metrics.
@@ -49,6 +55,11 @@
         self.started.elapsed()
     }
 
+    /// What stores of context keep.
+    pub(crate) fn kept(&self) -> MutexGuard<'_, Directory> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What callers may send.
     pub(crate) fn limits(&self) -> CallerLimits {
         let routes = self.routes.load();
--- /dev/null
+++ b/src/kept/follower.rs
@@ -0,0 +1,91 @@
+//! Follows the changes of one store.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+
+use crate::kept::{ContextStores, Directory};
+use crate::prelude::*;
+
+/// Time for which a store waits for changes.
+const WAIT: Duration = Duration::from_millis(700);
+/// Further time until a store counts as lost.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// Pause after an answer, in which changes gather.
+const GATHER: Duration = Duration::from_millis(60);
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Longest wait for a whole list.
+const LIST_TIME: Duration = Duration::from_secs(2);
+
+/// Keeps the directory's view of one store up to date.
+pub(crate) struct StoreFollower {
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Calls to stores.
+    pub stores: Arc<dyn ContextStores>,
+    /// The directory.
+    pub directory: Arc<Mutex<Directory>>,
+    /// Origin of the directory's times.
+    pub started: Instant,
+    /// Clock of fetches' deadlines.
+    pub clock: Arc<crate::gateway::FetchClock>,
+}
+
+impl StoreFollower {
+    /// Follows until the store is no longer in use.
+    pub(crate) async fn run(self) {
+        let mut known = true;
+        while let Some(since) = self.next() {
+            let reached = self.step(since).await;
+            if reached != known {
+                let event = if reached { "regained" } else { "lost" };
+                log::info!("event=context_store_{event} store={}", self.store);
+            }
+            known = reached;
+            if !reached {
+                self.directory().lost(self.store);
+            }
+            Timer::after(if reached { GATHER } else { PAUSE }).await;
+        }
+    }
+
+    fn next(&self) -> Option<u64> {
+        self.directory().next(self.store)
+    }
+
+    async fn step(&self, since: u64) -> bool {
+        let sent = self.started.elapsed();
+        let late = async {
+            Timer::after(WAIT + PATIENCE).await;
+            None
+        };
+        let news = self.stores.changes(self.store, since, WAIT).or(late).await;
+        let Some(news) = news else {
+            return false;
+        };
+        self.clock.observe(news.clock_ms);
+        // What an answer shows is at most as old as its question, unless it waited for a change.
+        let at = self.started.elapsed().max(sent);
+        if !self.directory().take_changes(at, self.store, news) {
+            return true;
+        }
+        let late = async {
+            Timer::after(LIST_TIME).await;
+            None
+        };
+        let Some(list) = self.stores.list(self.store).or(late).await else {
+            return false;
+        };
+        let now = self.started.elapsed();
+        self.directory().take_list(now, self.store, list);
+        true
+    }
+
+    fn directory(&self) -> MutexGuard<'_, Directory> {
+        self.directory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/rollout/event.rs
+++ b/src/rollout/event.rs
@@ -16,8 +16,6 @@
     pub leaving: bool,
     /// Weight versions that it has, by model.
     pub weights: SmallVec<[(Name, u64); 1]>,
-    /// Orders that it has accepted since its start.
-    pub orders: u64,
 }
 
 /// An order to run other weights.
--- a/src/rollout/planner.rs
+++ b/src/rollout/planner.rs
@@ -15,6 +15,8 @@
     pub loading_part: usize,
     /// Targets that load at a time at least.
     pub loading_least: usize,
+    /// Orders under way for each target that may load: most of them wait for their runs to end.
+    pub ordered_factor: usize,
     /// Longest rest of a target before its order.
     pub rest: Duration,
     /// Shortest rest, within which all entries hear of it.
@@ -32,7 +34,8 @@
         Self {
             loading_part: 5,
             loading_least: 2,
-            rest: Duration::from_millis(1_500),
+            ordered_factor: 2,
+            rest: Duration::from_millis(350),
             shortest_rest: Duration::from_millis(250),
             ask_after: Duration::from_millis(1_250),
             ask_pause: Duration::from_millis(250),
@@ -46,7 +49,7 @@
     /// It runs as usual.
     Serving,
     /// It gets no new work and waits for its order.
-    Resting { since: Stamp },
+    Resting { since: Stamp, next_ask: Stamp },
     /// An order was given.
     Ordered { at: Stamp, next_ask: Stamp },
 }
@@ -56,6 +59,8 @@
     info: RolloutTarget,
     stage: Stage,
     requests: u32,
+    /// Orders that it has accepted since its start, once it was asked.
+    orders: Option<u64>,
 }
 
 /// Decides which target loads new weights when; one model's targets at a time.
@@ -138,13 +143,19 @@
         let mut old = std::mem::take(&mut self.targets);
         for info in list {
             let known = old.remove(&info.name);
-            let (stage, requests) = known.map_or((Stage::Serving, 0), |t| (t.stage, t.requests));
             let name = info.name.clone();
-            let target = Target {
-                info,
-                stage,
-                requests,
-            };
+            let mut target = known.unwrap_or_else(|| Target {
+                info: info.clone(),
+                stage: Stage::Serving,
+                requests: 0,
+                orders: None,
+            });
+            // A target's own word is newer than its entry.
+            let told = std::mem::take(&mut target.info.weights);
+            target.info = info;
+            for ((_, version), (_, told)) in target.info.weights.iter_mut().zip(told) {
+                *version = told.max(*version);
+            }
             self.targets.insert(name, target);
         }
     }
@@ -161,13 +172,16 @@
             return;
         };
         target.info.weights = weights;
-        target.info.orders = orders;
+        target.orders = Some(orders);
         if let Stage::Ordered { at, .. } = target.stage
             && !busy
             && now >= at + self.cfg.ask_after
         {
             // Either it has the version now, or the order never took effect and is given anew.
-            target.stage = Stage::Resting { since: at };
+            target.stage = Stage::Resting {
+                since: at,
+                next_ask: now,
+            };
         }
     }
 
@@ -217,7 +231,8 @@
         self.release_finished(now);
         let limit = self.limit();
         let ordered = self.count(|s| matches!(s, Stage::Ordered { .. }));
-        self.order_rested(now, hold, limit.saturating_sub(ordered), effects);
+        let room = (limit * self.cfg.ordered_factor).saturating_sub(ordered);
+        self.order_rested(now, hold, room, effects);
         self.rest_next(now, limit);
         self.ask(now, effects);
     }
@@ -249,7 +264,10 @@
             if let Stage::Ordered { at, .. } = target.stage
                 && now >= at + self.cfg.give_up
             {
-                target.stage = Stage::Resting { since: at };
+                target.stage = Stage::Resting {
+                since: at,
+                next_ask: now,
+            };
             }
         }
     }
@@ -266,7 +284,7 @@
             .targets
             .iter()
             .filter_map(|(name, t)| match t.stage {
-                Stage::Resting { since } if self.is_rested(now, since, t.requests) => {
+                Stage::Resting { since, .. } if self.is_rested(now, since, t) => {
                     Some((since, name.clone()))
                 }
                 _ => None,
@@ -278,9 +296,10 @@
         }
     }
 
-    fn is_rested(&self, now: Stamp, since: Stamp, requests: u32) -> bool {
+    fn is_rested(&self, now: Stamp, since: Stamp, target: &Target) -> bool {
         let rested = now.saturating_sub(since);
-        rested >= self.cfg.rest || (requests == 0 && rested >= self.cfg.shortest_rest)
+        let done = target.requests == 0 && rested >= self.cfg.shortest_rest;
+        target.orders.is_some() && (done || rested >= self.cfg.rest)
     }
 
     fn order(&mut self, now: Stamp, hold: Hold, name: &str, effects: &mut Vec<RolloutEffect>) {
@@ -288,7 +307,8 @@
         let Some(target) = self.targets.get(name) else {
             return;
         };
-        let Some((model, version)) = self.lacks(&target.info) else {
+        let (Some((model, version)), Some(orders)) = (self.lacks(&target.info), target.orders)
+        else {
             return;
         };
         effects.push(RolloutEffect::Order(WeightsOrder {
@@ -297,7 +317,7 @@
             model,
             version,
             fencing: hold.fencing,
-            expected_orders: target.info.orders,
+            expected_orders: orders,
         }));
         let next_ask = now + self.cfg.ask_after;
         if let Some(target) = self.targets.get_mut(name) {
@@ -318,15 +338,21 @@
         next.sort();
         for (_, name) in next.into_iter().take(limit.saturating_sub(resting)) {
             if let Some(target) = self.targets.get_mut(&name) {
-                target.stage = Stage::Resting { since: now };
+                target.stage = Stage::Resting {
+                    since: now,
+                    next_ask: now,
+                };
+                target.orders = None;
             }
         }
     }
 
     fn ask(&mut self, now: Stamp, effects: &mut Vec<RolloutEffect>) {
         for target in self.targets.values_mut() {
-            let Stage::Ordered { next_ask, .. } = &mut target.stage else {
-                continue;
+            let next_ask = match &mut target.stage {
+                Stage::Ordered { next_ask, .. } => next_ask,
+                Stage::Resting { next_ask, .. } if target.orders.is_none() => next_ask,
+                _ => continue,
             };
             if now >= *next_ask {
                 *next_ask = now + self.cfg.ask_pause;
