Choose among few candidates, count work less what stores keep, tell peers load every 60 ms

Cause: entries with views up to 200 ms old all sent to the target that seemed least loaded, so some runners prefilled without pause (28 ms a token) while the mean was a third of that. Ruled out: too little prefill capacity (18.5 M tokens are a third of it).

--- a/src/decide/desk/dispatch.rs
+++ b/src/decide/desk/dispatch.rs
@@ -62,6 +62,7 @@
             key: word(&req.arrival.affinity),
             has_prefix: req.has_prefix(),
             shared_tokens: req.arrival.shared_tokens,
+            kept_tokens: req.arrival.kept_tokens,
             avoid: &req.tried,
             only,
             isolate,
--- a/src/decide/desk/outcome.rs
+++ b/src/decide/desk/outcome.rs
@@ -17,7 +17,7 @@
 /// Longest such time that a target may ask for.
 const CLOSED_CAP: Duration = Duration::from_secs(30);
 /// Refused attempts of one request that do not count as attempts.
-const REFUSED: u32 = 2;
+const REFUSED: u32 = 4;
 /// Attempts of one request that may end without being sent.
 const UNSENT: u32 = 3;
 
--- a/src/decide/event.rs
+++ b/src/decide/event.rs
@@ -32,9 +32,12 @@
     pub affinity: BlockKey,
     /// Estimated prompt tokens.
     pub tokens: u32,
-    /// Prompt tokens that other requests may have brought to a target.
+    /// Prompt tokens that other requests may have brought to a target and that no store keeps.
     #[serde(default)]
     pub shared_tokens: u32,
+    /// Prompt tokens that a target can fetch from a store.
+    #[serde(default)]
+    pub kept_tokens: u32,
     /// Tokens generated at most.
     #[serde(default)]
     pub output_tokens: u32,
--- a/src/decide/fleet/choose.rs
+++ b/src/decide/fleet/choose.rs
@@ -4,6 +4,12 @@
 use crate::decide::fleet::{Fleet, Group, Isolation, PoolIx, TargetIx, Wish};
 use crate::prelude::*;
 
+/// Targets in the order of a prefix that are considered.
+const HOMES: usize = 2;
+/// Random targets that are considered besides.
+const RANDOM_CANDIDATES: usize = 4;
+/// Work of fetching a token from a store, against reading it.
+const FETCH_COST: f64 = 0.2;
 /// Share of shared tokens that the home of a prefix is expected to hold.
 const HOME_HIT: f64 = 0.5;
 
@@ -98,8 +104,11 @@
         }
         let fresh = |ix: &TargetIx| allowed(ix) && !wish.avoid.contains(ix);
         if self.placement == Placement::LeastWork && wish.has_prefix {
-            let best = self.least_work(now, group, wish, &fresh);
-            return best.or_else(|| self.least_work(now, group, wish, &allowed));
+            let few = self.few_candidates(group, wish.key, rng);
+            let best = self.least_work(now, &few, wish, &fresh);
+            let all: Vec<TargetIx> = group.all.iter().collect();
+            let best = best.or_else(|| self.least_work(now, &all, wish, &fresh));
+            return best.or_else(|| self.least_work(now, &all, wish, &allowed));
         }
         if wish.has_prefix {
             let mut candidates = group.all.candidates(wish.key).into_iter();
@@ -116,28 +125,44 @@
             .or_else(|| self.two_choices(now, &group.free, rng))
     }
 
+    /// The first targets in the order of a prefix and some random ones: entries hear of each other's
+    /// load late, so not all of them may look for the one that seems least loaded.
+    fn few_candidates(
+        &self,
+        group: &Group,
+        key: u64,
+        rng: &mut fastrand::Rng,
+    ) -> SmallVec<[TargetIx; 8]> {
+        let mut few: SmallVec<[TargetIx; 8]> = group.all.candidates(key).into_iter().collect();
+        few.truncate(HOMES);
+        for _ in 0..RANDOM_CANDIDATES {
+            few.extend(group.free.random(rng));
+        }
+        few
+    }
+
     /// The target that begins to generate first: its waiting work, and the part of the prompt that
     /// it has to read unless it is the home of the prefix.
     fn least_work(
         &self,
         now: Stamp,
-        group: &Group,
+        candidates: &[TargetIx],
         wish: &Wish<'_>,
         allowed: &dyn Fn(&TargetIx) -> bool,
     ) -> Option<TargetIx> {
-        let candidates = group.all.candidates(wish.key);
         let home = candidates.first().copied();
         let cost = |ix: TargetIx| {
             let target = self.get(ix)?;
             let typical = self.pools[target.pool.0].typical.get();
+            let away = f64::from(wish.shared_tokens) + f64::from(wish.kept_tokens) * FETCH_COST;
             let read = if Some(ix) == home {
-                f64::from(wish.shared_tokens) * (1.0 - HOME_HIT)
+                away * (1.0 - HOME_HIT)
             } else {
-                f64::from(wish.shared_tokens)
+                away
             };
             Some(target.load.work(now, typical) + read)
         };
-        let usable = group.all.iter().filter(|ix| allowed(ix));
+        let usable = candidates.iter().copied().filter(|ix| allowed(ix));
         let costs = usable.filter_map(|ix| Some((cost(ix)?, ix)));
         let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, ix)| ix)
@@ -150,10 +175,11 @@
             let key = crate::decide::request::word(&arrival.affinity);
             group.all.candidates(key).first() == Some(&ix)
         });
+        let read = arrival.tokens.saturating_sub(arrival.kept_tokens);
         if home {
-            arrival.tokens.saturating_sub(arrival.shared_tokens / 2)
+            read.saturating_sub(arrival.shared_tokens / 2)
         } else {
-            arrival.tokens
+            read
         }
     }
 
--- a/src/decide/fleet/wish.rs
+++ b/src/decide/fleet/wish.rs
@@ -12,6 +12,8 @@
     pub(crate) has_prefix: bool,
     /// Prompt tokens that the home of the prefix may hold already.
     pub(crate) shared_tokens: u32,
+    /// Prompt tokens that a target can fetch from a store.
+    pub(crate) kept_tokens: u32,
     /// Targets that failed this request.
     pub(crate) avoid: &'a [TargetIx],
     /// The only targets allowed, if any are named.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -41,6 +41,15 @@
 }
 
 impl Work {
+    /// Text under which context of the prompt is cached: it is shared within one weight version, and
+    /// only by customers that allow it.
+    pub(crate) fn cache_scope(&self, weights: u64) -> Name {
+        match self.holder.as_ref().filter(|h| h.isolated) {
+            Some(holder) => format!("{weights}.{}", holder.customer).into(),
+            None => weights.to_string().into(),
+        }
+    }
+
     /// Time until it is given up.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -167,6 +176,8 @@
     pub work: &'a Work,
     /// The target.
     pub chosen: &'a Chosen,
+    /// What is noted of transfers of kept context.
+    pub kept: &'a std::sync::Mutex<String>,
     /// The desk's view of the request, which hears of the first event.
     pub waiter: &'a Waiter,
 }
@@ -230,7 +241,7 @@
 
     fn encode(&self, reply: &Reply<'_>) -> Vec<u8> {
         let work = self.work;
-        let scope = self.cache_scope();
+        let scope = self.chosen.weights.map(|w| self.work.cache_scope(w));
         let kept = scope.as_ref().map(|scope| self.kept_plan(scope));
         let dispatch = Dispatch {
             kept: kept.unwrap_or_default(),
@@ -250,27 +261,21 @@
         head
     }
 
-    /// Cached context is shared within one weight version, and only by customers that allow it.
-    fn cache_scope(&self) -> Option<Name> {
-        let weights = self.chosen.weights?;
-        let isolated = self.work.holder.as_ref().filter(|h| h.isolated);
-        Some(match isolated {
-            Some(holder) => format!("{weights}.{}", holder.customer).into(),
-            None => weights.to_string().into(),
-        })
-    }
-
     /// Transfers of the parts that other requests may share.
     fn kept_plan(&self, scope: &Name) -> KeptPlan {
         let Some(prompt) = &self.work.call.prompt else {
             return KeptPlan::default();
         };
-        let shared = prompt.parts.split_last().map_or(&[][..], |(_, rest)| rest);
-        let parts: SmallVec<[_; 4]> = shared.iter().map(|p| (p.id.clone(), p.tokens)).collect();
+        let shared = prompt.shared_parts().iter();
+        let parts: SmallVec<[_; 4]> = shared.map(|p| (p.id.clone(), p.tokens)).collect();
         let mut plan = self.shared.kept().plan(self.shared.now(), scope, &parts);
         if self.shared.fetch_clock.after(FETCH_TIME).is_none() {
             plan.fetch.clear();
         }
+        if let Ok(mut kept) = self.kept.lock() {
+            let count = |stores: &[Option<SocketAddr>]| stores.iter().flatten().count();
+            *kept = format!("/{}+{}", count(&plan.fetch), count(&plan.save));
+        }
         plan
     }
 
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -36,9 +36,9 @@
 /// Name under which all entries are linked with each other.
 const MESH: &str = "gateway";
 /// Time of the lease to give orders after each write.
-const LEASE_TIME: Duration = Duration::from_millis(2_600);
+const LEASE_TIME: Duration = Duration::from_millis(1_500);
 /// Further time before a candidate takes over.
-const LEASE_MARGIN: Duration = Duration::from_millis(500);
+const LEASE_MARGIN: Duration = Duration::from_millis(400);
 /// Interval of heartbeats between entries, and the silence after which a peer counts as lost.
 const PEER_TIMING: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(2_500));
 /// Interval at which a shutdown looks whether all work has ended.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -25,11 +25,16 @@
 }
 
 impl Prompt {
-    /// Tokens of the parts before the last, which other requests may have brought.
+    /// The parts before the last, which other requests may bring as well.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, rest)| rest)
+    }
+
+    /// Tokens of the shared parts.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self.parts.split_last().map_or(&[][..], |(_, rest)| rest);
-        shared.iter().map(|p| p.tokens).sum()
+        self.shared_parts().iter().map(|p| p.tokens).sum()
     }
 
     /// The last part that other requests may share.
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -11,9 +11,11 @@
 use crate::rollout::{RolloutEffect, RolloutEvent, WeightsOrder, WeightsOrderResult};
 
 /// Longest wait for the answer to an order or a question.
-const ANSWER_TIME: Duration = Duration::from_millis(700);
-/// Time without progress after which the next entry in line competes for the lease.
+const ANSWER_TIME: Duration = Duration::from_millis(600);
+/// Time without progress after which a further entry in line competes for the lease.
 const NEXT_IN_LINE: Duration = Duration::from_millis(2_500);
+/// Entries in line that compete at once: one to hold the lease and one to take over.
+const CANDIDATES: usize = 2;
 
 /// What a target says of itself when asked.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -132,7 +134,8 @@
             return false;
         }
         let before = state.peers.iter().filter(|name| **name < self.name).count();
-        let rank = u32::try_from(before).unwrap_or(u32::MAX);
+        let beyond = (before + 1).saturating_sub(CANDIDATES);
+        let rank = u32::try_from(beyond).unwrap_or(u32::MAX);
         let patience = NEXT_IN_LINE.saturating_mul(rank);
         self.lease.hold().is_some() || state.rollout.stalled(self.lease.now()) >= patience
     }
--- a/src/gateway/control/ticks.rs
+++ b/src/gateway/control/ticks.rs
@@ -8,13 +8,13 @@
 use crate::rollout::RolloutEvent;
 
 /// Interval at which peers are told of the load, in a small system.
-const WORD_INTERVAL: Duration = Duration::from_millis(200);
+const WORD_INTERVAL: Duration = Duration::from_millis(60);
 /// Entries up to which that interval holds; it grows with their number.
 const SMALL: usize = 10;
 /// Shortest and longest pause between two looks at what is due at the desk.
 const DESK_TICKS: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
 /// Words between two sweeps of idle connections.
-const SWEEP_EVERY: u32 = 3;
+const SWEEP_EVERY: u32 = 10;
 
 impl Control {
     /// Tells peers, takes what has lapsed, for ever.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -115,6 +115,8 @@
     pub target: Name,
     /// Time from the request's arrival to the dispatch.
     pub after: Duration,
+    /// Parts of the prompt that were to be fetched and saved, as `/fetched+saved`.
+    pub kept: String,
     /// Why it brought no answer; `None` when it brought the answer.
     pub fault: Option<String>,
 }
@@ -180,15 +182,19 @@
     let customer = customer.unwrap_or_default();
     let wait = work.time_left();
     let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    let first = route.first_event_time().map(|t| t.as_millis());
+    let first = first.and_then(|ms| u64::try_from(ms).ok());
     let urgency = work.holder.as_ref().and_then(|h| h.urgency);
     let policy = Policy {
         class: class_of(urgency.unwrap_or(route.urgency)),
-        first_token_ms: wait_ms,
+        first_token_ms: first.unwrap_or(wait_ms).min(wait_ms),
         total_ms: wait_ms,
         idempotent: route.repeatable,
         ..Policy::default()
     };
     let prompt = work.call.prompt.as_ref();
+    let weights = prompt.map_or_else(SmallVec::new, |p| shared.versions.allowed(&p.model));
+    let kept_tokens = weights.first().map_or(0, |w| kept_tokens(shared, work, w));
     let shared_part = prompt.and_then(crate::gateway::Prompt::last_shared);
     let affinity = shared_part.map_or(&*work.call.id, |part| &*part.id);
     Arrival {
@@ -196,9 +202,12 @@
         fingerprint: fingerprint(work, &customer),
         affinity: BlockKey::from_bytes(*blake3::hash(affinity.as_bytes()).as_bytes()),
         tokens: prompt.map_or(0, |p| p.input_tokens),
-        shared_tokens: prompt.map_or(0, crate::gateway::Prompt::shared_tokens),
+        shared_tokens: prompt
+            .map_or(0, crate::gateway::Prompt::shared_tokens)
+            .saturating_sub(kept_tokens),
+        kept_tokens,
         output_tokens: prompt.map_or(0, |p| p.output_tokens),
-        weights: prompt.map_or_else(SmallVec::new, |p| shared.versions.allowed(&p.model)),
+        weights,
         customer,
         serves: work.service.clone(),
         policy: Arc::new(policy),
@@ -207,6 +216,18 @@
     }
 }
 
+/// Tokens of a prompt that a target with these weights can fetch from stores.
+fn kept_tokens(shared: &Shared, work: &Work, weights: &str) -> u32 {
+    let (Some(prompt), Some(version)) = (&work.call.prompt, version_of(weights)) else {
+        return 0;
+    };
+    let scope = work.cache_scope(version);
+    let (now, kept) = (shared.now(), shared.kept());
+    let parts = prompt.shared_parts().iter();
+    let whole = parts.take_while(|p| kept.holds(now, &scope, &p.id));
+    whole.map(|p| p.tokens).sum()
+}
+
 fn class_of(urgency: u8) -> Class {
     match urgency {
         0 => Class::Interactive,
@@ -310,8 +331,10 @@
         let after = self.work.arrived.elapsed();
         let before = std::mem::replace(&mut self.handed_over, true);
         let goes_on = !self.work.route.repeatable && !self.work.route.streaming;
+        let kept = std::sync::Mutex::new(String::new());
         let result = {
             let attempt = Attempt {
+                kept: &kept,
                 shared: self.shared,
                 work: self.work,
                 chosen,
@@ -341,24 +364,24 @@
         let result = match result {
             Ok(result) => result,
             Err(Next::Late) => {
-                self.note(chosen, after, Some("late".into()));
+                self.note(chosen, after, &kept, Some("late".into()));
                 return Some(self.lateness(reply));
             }
             Err(Next::Left) => return Some(End::Left),
             // The desk has ended the attempt already.
             Err(Next::Effect(_)) => {
-                self.note(chosen, after, Some("cancelled".into()));
+                self.note(chosen, after, &kept, Some("cancelled".into()));
                 return None;
             }
         };
         match result {
             Ok(received) => {
-                self.note(chosen, after, None);
+                self.note(chosen, after, &kept, None);
                 self.received(chosen, received)
             }
             Err(Fault::CallerLeft) => Some(End::Left),
             Err(fault) => {
-                self.note(chosen, after, Some(format!("{fault:?}")));
+                self.note(chosen, after, &kept, Some(format!("{fault:?}")));
                 self.handed_over = before || matches!(fault, Fault::Broken(_));
                 self.failed(chosen, &fault);
                 None
@@ -366,8 +389,16 @@
         }
     }
 
-    fn note(&mut self, chosen: &Chosen, after: Duration, fault: Option<String>) {
+    fn note(
+        &mut self,
+        chosen: &Chosen,
+        after: Duration,
+        kept: &std::sync::Mutex<String>,
+        fault: Option<String>,
+    ) {
+        let kept = kept.lock().map(|k| k.clone()).unwrap_or_default();
         self.trail.push(Step {
+            kept,
             target: chosen.target.clone(),
             after,
             fault,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,6 +19,9 @@
 use crate::route::{CallerLimits, RouteTable};
 use crate::telemetry::GatewayMetrics;
 
+/// One in this many requests that went well is logged.
+const SAMPLED: u8 = 16;
+
 /// State shared by all requests of a gateway.
 pub(crate) struct Shared {
     /// The wire formats.
@@ -100,29 +103,34 @@
         let label = match end {
             EndLabel::Status(status) if *status < 300 => "success",
             EndLabel::Status(_) => "target-failure",
-            EndLabel::Own(..) => return self.note_trail(work, end, trail),
+            EndLabel::Own(..) => return self.note_trail(work, end, trail, reply),
             EndLabel::CutShort => "cut-short",
             EndLabel::Left => "left",
         };
         metrics.requests.with_label_values(&[label]).inc();
-        if label != "success" {
-            self.note_trail(work, end, trail);
+        if label != "success" || is_sampled(&work.call.id) {
+            self.note_trail(work, end, trail, reply);
         }
     }
 
-    fn note_trail(&self, work: &Work, end: &EndLabel, trail: &[Step]) {
+    fn note_trail(&self, work: &Work, end: &EndLabel, trail: &[Step], reply: &Reply<'_>) {
         let steps: Vec<String> = trail
             .iter()
             .map(|step| {
                 let fault = step.fault.as_deref().unwrap_or("answered");
-                format!("{}@{}ms:{fault}", step.target, step.after.as_millis())
+                let (after, kept) = (step.after.as_millis(), &step.kept);
+                format!("{}@{after}ms{kept}:{fault}", step.target)
             })
             .collect();
+        let first = reply.first_at.map(|at| at.saturating_duration_since(work.arrived));
+        let tokens = work.call.prompt.as_ref().map_or(0, |p| p.input_tokens);
         log::info!(
-            "event=request_ended request={} route={} service={} took_ms={} end={:?} attempts={:?}",
+            "event=request_ended request={} route={} service={} tokens={tokens} first_ms={} \
+             took_ms={} end={:?} attempts={:?}",
             work.call.id,
             work.route.name,
             work.service,
+            first.map_or(-1, |f| i64::try_from(f.as_millis()).unwrap_or(i64::MAX)),
             work.age().as_millis(),
             format!("{end:?}"),
             steps.join(" ")
@@ -140,3 +148,9 @@
     /// Weight version that it said it runs.
     pub weights: Option<u64>,
 }
+
+/// Whether a request that went well is logged: one in sixteen, the same ones at every entry.
+fn is_sampled(id: &str) -> bool {
+    let hash = blake3::hash(id.as_bytes());
+    hash.as_bytes()[0].is_multiple_of(SAMPLED)
+}
--- a/src/kept/directory.rs
+++ b/src/kept/directory.rs
@@ -173,6 +173,16 @@
         plan
     }
 
+    /// Whether a part can be fetched.
+    #[must_use]
+    pub fn holds(&self, now: Stamp, scope: &Name, id: &Name) -> bool {
+        let part = StorePart {
+            scope: scope.clone(),
+            id: id.clone(),
+        };
+        self.find(now, &part).is_some()
+    }
+
     /// A store that answers and has the part whole.
     fn find(&self, now: Stamp, part: &StorePart) -> Option<SocketAddr> {
         let fresh = self.stores.iter().filter(|(_, s)| s.is_fresh(now));
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -36,6 +36,17 @@
     pub split: TrafficSplit,
 }
 
+impl Route {
+    /// Time until a caller gives up a stream that shows no event: two seconds, four times the aim or
+    /// eight times the longest pause, whichever is longest.
+    #[must_use]
+    pub fn first_event_time(&self) -> Option<Duration> {
+        let gap = self.gap_aim.unwrap_or_default() * 8;
+        let longest = gap.max(self.aim * 4).max(Duration::from_secs(2));
+        self.streaming.then_some(longest)
+    }
+}
+
 /// All routes, services and keys of one version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
