Retire kept context of older weights by every entry's word; pace rollouts; weigh versions by work

Cause: during a rollout the stores were full of parts for the old weights, so new ones found no room; 9 of 18 targets rested or loaded at once; requests piled on the first targets with new weights.

--- a/src/caller/handler.rs
+++ b/src/caller/handler.rs
@@ -235,7 +235,7 @@
         affinity,
         tokens: token_estimate(prompt.len()),
         shared_tokens: 0,
-        kept_tokens: 0,
+        kept_tokens: SmallVec::new(),
         output_tokens: 0,
         attempts: 0,
         resumable: false,
--- a/src/decide/desk/dispatch.rs
+++ b/src/decide/desk/dispatch.rs
@@ -62,7 +62,7 @@
             key: word(&req.arrival.affinity),
             has_prefix: req.has_prefix(),
             shared_tokens: req.arrival.shared_tokens,
-            kept_tokens: req.arrival.kept_tokens,
+            kept_tokens: &req.arrival.kept_tokens,
             avoid: &req.tried,
             only,
             isolate,
@@ -98,7 +98,7 @@
         };
         let fingerprint = req.arrival.fingerprint;
         let suspected = self.suspects.is_suspected(&fingerprint);
-        let read = self.fleet.tokens_to_read(target, &req.arrival);
+        let read = self.fleet.tokens_to_read(target, &weights, &req.arrival);
         let size = req.size(read);
         req.started += 1;
         req.place = Place::Running;
--- a/src/decide/event.rs
+++ b/src/decide/event.rs
@@ -32,12 +32,12 @@
     pub affinity: BlockKey,
     /// Estimated prompt tokens.
     pub tokens: u32,
-    /// Prompt tokens that other requests may have brought to a target and that no store keeps.
+    /// Prompt tokens that other requests may have brought to a target.
     #[serde(default)]
     pub shared_tokens: u32,
-    /// Prompt tokens that a target can fetch from a store.
+    /// Those of them that a target can fetch from a store, for each of the weight versions.
     #[serde(default)]
-    pub kept_tokens: u32,
+    pub kept_tokens: SmallVec<[u32; 2]>,
     /// Tokens generated at most.
     #[serde(default)]
     pub output_tokens: u32,
--- a/src/decide/fleet/choose.rs
+++ b/src/decide/fleet/choose.rs
@@ -1,13 +1,15 @@
 //! Choice of a target with room.
 
 use crate::decide::{Arrival, Placement};
-use crate::decide::fleet::{Fleet, Group, Isolation, PoolIx, TargetIx, Wish};
+use crate::decide::fleet::{Fleet, Group, Isolation, Pool, PoolIx, Target, TargetIx, Wish};
 use crate::prelude::*;
 
 /// Targets in the order of a prefix that are considered.
 const HOMES: usize = 2;
 /// Random targets that are considered besides.
 const RANDOM_CANDIDATES: usize = 4;
+/// Work, in prompt tokens, that is accepted to have a request begin on the newest weights.
+const OLD_WEIGHTS: f64 = 2_000.0;
 /// Work of fetching a token from a store, against reading it.
 const FETCH_COST: f64 = 0.2;
 /// Share of shared tokens that the home of a prefix is expected to hold.
@@ -36,6 +38,10 @@
         let pool = self.pool(pool);
         let plain = [Name::from("")];
         let weights = if weights.is_empty() { &plain } else { weights };
+        let by_work = self.placement == Placement::LeastWork && wish.has_prefix;
+        if by_work && wish.only.is_empty() && wish.isolate.is_none() {
+            return self.choose_least_work(now, pool, weights, wish, rng);
+        }
         for weights in weights {
             let Some(group) = pool.group(weights) else {
                 continue;
@@ -103,13 +109,6 @@
             return wish.only.iter().copied().find(fits);
         }
         let fresh = |ix: &TargetIx| allowed(ix) && !wish.avoid.contains(ix);
-        if self.placement == Placement::LeastWork && wish.has_prefix {
-            let few = self.few_candidates(group, wish.key, rng);
-            let best = self.least_work(now, &few, wish, &fresh);
-            let all: Vec<TargetIx> = group.all.iter().collect();
-            let best = best.or_else(|| self.least_work(now, &all, wish, &fresh));
-            return best.or_else(|| self.least_work(now, &all, wish, &allowed));
-        }
         if wish.has_prefix {
             let mut candidates = group.all.candidates(wish.key).into_iter();
             if let Some(ix) = candidates.find(fresh) {
@@ -128,7 +127,6 @@
     /// The first targets in the order of a prefix and some random ones: entries hear of each other's
     /// load late, so not all of them may look for the one that seems least loaded.
     fn few_candidates(
-        &self,
         group: &Group,
         key: u64,
         rng: &mut fastrand::Rng,
@@ -141,43 +139,61 @@
         few
     }
 
-    /// The target that begins to generate first: its waiting work, and the part of the prompt that
-    /// it has to read unless it is the home of the prefix.
-    fn least_work(
+    /// The target that begins to generate first, over all weight versions, and the version it has.
+    fn choose_least_work(
         &self,
         now: Stamp,
-        candidates: &[TargetIx],
+        pool: &Pool,
+        weights: &[Name],
         wish: &Wish<'_>,
-        allowed: &dyn Fn(&TargetIx) -> bool,
-    ) -> Option<TargetIx> {
-        let home = candidates.first().copied();
-        let cost = |ix: TargetIx| {
-            let target = self.get(ix)?;
-            let typical = self.pools[target.pool.0].typical.get();
-            let away = f64::from(wish.shared_tokens) + f64::from(wish.kept_tokens) * FETCH_COST;
-            let read = if Some(ix) == home {
-                away * (1.0 - HOME_HIT)
-            } else {
-                away
-            };
-            Some(target.load.work(now, typical) + read)
+        rng: &mut fastrand::Rng,
+    ) -> Option<(TargetIx, Name)> {
+        let all = &pool.groups[0];
+        let free = |ix: &TargetIx| self.get(*ix).is_some_and(|t| t.free);
+        let fresh = |ix: &TargetIx| free(ix) && !wish.avoid.contains(ix);
+        let few = Self::few_candidates(all, wish.key, rng);
+        let home = few.first().copied();
+        let least = |ixs: &[TargetIx], allowed: &dyn Fn(&TargetIx) -> bool| {
+            let usable = ixs.iter().copied().filter(|ix| allowed(ix));
+            let costs = usable.filter_map(|ix| {
+                let target = self.get(ix)?;
+                let n = weights.iter().position(|w| target.has_weights(w))?;
+                let cost = self.cost(now, target, n, Some(ix) == home, wish);
+                Some((cost, ix, n))
+            });
+            costs.min_by(|a, b| a.0.total_cmp(&b.0))
         };
-        let usable = candidates.iter().copied().filter(|ix| allowed(ix));
-        let costs = usable.filter_map(|ix| Some((cost(ix)?, ix)));
-        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, ix)| ix)
+        let everyone: Vec<TargetIx> = all.all.iter().collect();
+        let best = least(&few, &fresh).or_else(|| least(&everyone, &fresh));
+        let (_, ix, n) = best.or_else(|| least(&everyone, &free))?;
+        Some((ix, weights[n].clone()))
+    }
+
+    /// Work until a target begins to generate: what waits there, and the part of the prompt that it
+    /// has to read or fetch; `n` is the place of its weights in the order of preference.
+    fn cost(&self, now: Stamp, target: &Target, n: usize, home: bool, wish: &Wish<'_>) -> f64 {
+        let typical = self.pools[target.pool.0].typical.get();
+        let kept = wish.kept_tokens.get(n).copied().unwrap_or_default();
+        let unkept = wish.shared_tokens.saturating_sub(kept);
+        let away = f64::from(unkept) + f64::from(kept) * FETCH_COST;
+        let read = if home { away * (1.0 - HOME_HIT) } else { away };
+        let old = if n == 0 { 0.0 } else { OLD_WEIGHTS };
+        target.load.work(now, typical) + read + old
     }
 
     /// Tokens of a prompt that a target has to read.
-    pub(crate) fn tokens_to_read(&self, ix: TargetIx, arrival: &Arrival) -> u32 {
+    pub(crate) fn tokens_to_read(&self, ix: TargetIx, weights: &str, arrival: &Arrival) -> u32 {
         let home = self.get(ix).is_some_and(|target| {
             let group = &self.pools[target.pool.0].groups[0];
             let key = crate::decide::request::word(&arrival.affinity);
             group.all.candidates(key).first() == Some(&ix)
         });
-        let read = arrival.tokens.saturating_sub(arrival.kept_tokens);
+        let n = arrival.weights.iter().position(|w| **w == *weights);
+        let kept = n.and_then(|n| arrival.kept_tokens.get(n)).copied();
+        let kept = kept.unwrap_or_default();
+        let read = arrival.tokens.saturating_sub(kept);
         if home {
-            read.saturating_sub(arrival.shared_tokens / 2)
+            read.saturating_sub(arrival.shared_tokens.saturating_sub(kept) / 2)
         } else {
             read
         }
--- a/src/decide/fleet/wish.rs
+++ b/src/decide/fleet/wish.rs
@@ -10,10 +10,10 @@
     pub(crate) key: u64,
     /// Whether the prompt has whole blocks that a target may hold already.
     pub(crate) has_prefix: bool,
-    /// Prompt tokens that the home of the prefix may hold already.
+    /// Prompt tokens that other requests may have brought to a target.
     pub(crate) shared_tokens: u32,
-    /// Prompt tokens that a target can fetch from a store.
-    pub(crate) kept_tokens: u32,
+    /// Those of them that a target can fetch from a store, for each of the weight versions.
+    pub(crate) kept_tokens: &'a [u32],
     /// Targets that failed this request.
     pub(crate) avoid: &'a [TargetIx],
     /// The only targets allowed, if any are named.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,13 +15,10 @@
 use crate::gateway::outbound::{Broken, Outbound};
 use crate::gateway::shared::Shared;
 use crate::gateway::{AnswerFacts, BodyReader, Call, Dispatch, EventSplitter, RawEvent};
-use crate::kept::KeptPlan;
+use crate::kept::{FETCH_TIME, KeptPlan};
 use crate::prelude::*;
 use crate::route::{KeyHolder, Route};
 
-/// Time after which a fetch of kept context is thrown away.
-const FETCH_TIME: Duration = Duration::from_secs(2);
-
 /// A request that passed the checks of its head.
 pub(crate) struct Work {
     /// The decoded head.
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 
 use crate::cache::Secret;
+use crate::clock::boot_time;
 use crate::decide::{Desk, DeskSettings, Effect, Placement};
 use crate::desk::{DeskQueue, QuarantineWords};
 use crate::entry::Threads;
@@ -247,7 +248,7 @@
             metrics: Arc::new(GatewayMetrics::new()),
             signals,
             rollout,
-            started: Instant::now(),
+            origin: boot_time(),
         }
     }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -162,7 +162,7 @@
                 store,
                 stores: self.stores.clone(),
                 directory: self.shared.kept.clone(),
-                started: self.shared.started,
+                origin: self.shared.origin,
                 clock: self.shared.fetch_clock.clone(),
             };
             self.executor.spawn(follower.run()).detach();
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -4,6 +4,7 @@
 use crate::decide::Event;
 use crate::gateway::control::Control;
 use crate::gateway::{PeerObject, TargetLoad, Watched, target_key};
+use crate::kept::Retired;
 use crate::peer::{GatewayWord, PeerInfo, PeerLinks, PeerMessage};
 use crate::prelude::*;
 
@@ -33,6 +34,10 @@
                 .collect(),
             held: state.rollout.held().map(|name| target_key(name)).collect(),
             versions: state.told_words(now),
+            retired: {
+                let retired = state.retirement.own();
+                (retired.all_below, retired.half_below)
+            },
         };
         drop(state);
         mesh.broadcast(&PeerMessage::Gateway(word));
@@ -43,6 +48,12 @@
         let now = self.now();
         let mut state = self.state();
         state.loads.take(now, peer, word.loads);
+        let (all_below, half_below) = word.retired;
+        let retired = Retired {
+            all_below,
+            half_below,
+        };
+        state.retirement.take_word(now, peer, retired);
         let mut news = state.take_held(now, peer, word.held);
         for (key, version) in word.versions {
             news |= state.told_key(now, key, version);
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -8,6 +8,7 @@
     Decoder, ListedTarget, LoadTable, NamedWeights, ObjectBook, TargetBook, TargetLoad, VersionBook, Watched,
     target_key,
 };
+use crate::kept::{Retired, Retirement};
 use crate::platform::Vm;
 use crate::prelude::*;
 use crate::rollout::{RolloutPlanner, RolloutSettings, RolloutTarget};
@@ -19,6 +20,10 @@
 /// Time after which a peer's word about targets that are held back lapses.
 const HELD_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time after the last target left a weight version from which nobody fetches for it any more: its
+/// runs have ended, and no request may begin on it.
+const LEFT_FOR: Duration = Duration::from_secs(3);
+
 /// Everything that the control of a gateway knows.
 pub(crate) struct State {
     /// Objects by kind.
@@ -33,6 +38,8 @@
     pub versions: VersionBook,
     /// Peers' loads.
     pub loads: LoadTable,
+    /// Agreement on kept context that nobody fetches any more.
+    pub retirement: Retirement,
     /// The rollout of new weights.
     pub rollout: RolloutPlanner,
     /// Versions that targets said they run, with the time of the word.
@@ -44,6 +51,8 @@
     /// Entries that were live last, this one not among them.
     pub peers: Vec<Name>,
     unreadable: HashSet<Name>,
+    /// Oldest version that any target has, and since when.
+    oldest: (u64, Stamp),
 }
 
 impl State {
@@ -55,12 +64,14 @@
             targets: TargetBook::default(),
             versions: VersionBook::default(),
             loads: LoadTable::default(),
+            retirement: Retirement::default(),
             rollout: RolloutPlanner::new(rollout),
             told: BTreeMap::new(),
             held: HashMap::new(),
             doubts: HashMap::new(),
             peers: Vec::new(),
             unreadable: HashSet::new(),
+            oldest: (0, Stamp::ZERO),
         }
     }
 
@@ -189,6 +200,49 @@
         })
     }
 
+    /// Entries of this system, this one among them, as far as the store has told.
+    pub(crate) fn entries(&self) -> usize {
+        self.books[Watched::Members.index()].iter().count().max(1)
+    }
+
+    /// The other entries that the store names.
+    pub(crate) fn other_entries(&self, own: &str) -> Vec<Name> {
+        let members = self.books[Watched::Members.index()].iter();
+        let names = members.map(|(name, _)| name.clone());
+        names.filter(|name| **name != *own).collect()
+    }
+
+    /// Versions below the oldest that any target has, once that has been so for long enough.
+    pub(crate) fn without_targets(&mut self, now: Stamp) -> Retired {
+        let oldest = self.effective_weights(now).map(|(_, v)| v).min();
+        let Some(oldest) = oldest else {
+            return Retired::default();
+        };
+        if self.oldest.0 != oldest {
+            self.oldest = (oldest, now);
+        }
+        let settled = now >= self.oldest.1 + LEFT_FOR;
+        Retired {
+            all_below: if settled { oldest } else { 0 },
+            half_below: 0,
+        }
+    }
+
+    /// Retires context of older weights: half of it once newer ones are named, and all of it once a
+    /// third of the targets has them. Stores are too small to keep two versions whole.
+    pub(crate) fn retire_context(&mut self, now: Stamp) {
+        let Some(newest) = self.versions.newest() else {
+            return;
+        };
+        let found: Vec<u64> = self.effective_weights(now).map(|(_, v)| v).collect();
+        let fresh = found.iter().filter(|v| **v >= newest).count();
+        let all = fresh * 3 >= found.len() && fresh > 0;
+        self.retirement.retire(Retired {
+            all_below: if all { newest } else { 0 },
+            half_below: newest,
+        });
+    }
+
     /// The targets as the rollout sees them.
     pub(crate) fn rollout_targets(&self) -> Vec<RolloutTarget> {
         let targets = self.targets.iter().filter(|t| !t.weights.is_empty());
--- a/src/gateway/control/ticks.rs
+++ b/src/gateway/control/ticks.rs
@@ -37,6 +37,11 @@
     fn refresh(&self) {
         let now = self.now();
         let mut state = self.state();
+        state.retire_context(now);
+        let retired = state.retirement.own();
+        let entries = state.entries();
+        let may_fetch = state.retirement.may_fetch(entries);
+        self.shared.kept().set_usable(retired, may_fetch);
         let lapsed = state.expire(now);
         state.loads.expire(now);
         if lapsed {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -194,7 +194,6 @@
     };
     let prompt = work.call.prompt.as_ref();
     let weights = prompt.map_or_else(SmallVec::new, |p| shared.versions.allowed(&p.model));
-    let kept_tokens = weights.first().map_or(0, |w| kept_tokens(shared, work, w));
     let shared_part = prompt.and_then(crate::gateway::Prompt::last_shared);
     let affinity = shared_part.map_or(&*work.call.id, |part| &*part.id);
     Arrival {
@@ -202,10 +201,8 @@
         fingerprint: fingerprint(work, &customer),
         affinity: BlockKey::from_bytes(*blake3::hash(affinity.as_bytes()).as_bytes()),
         tokens: prompt.map_or(0, |p| p.input_tokens),
-        shared_tokens: prompt
-            .map_or(0, crate::gateway::Prompt::shared_tokens)
-            .saturating_sub(kept_tokens),
-        kept_tokens,
+        shared_tokens: prompt.map_or(0, crate::gateway::Prompt::shared_tokens),
+        kept_tokens: weights.iter().map(|w| kept_tokens(shared, work, w)).collect(),
         output_tokens: prompt.map_or(0, |p| p.output_tokens),
         weights,
         customer,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,10 +1,10 @@
 //! What all tasks of a gateway share.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
 
+use crate::clock::boot_time;
 use crate::decide::Signal;
 use crate::desk::{DeskQueue, QuarantineWords};
 use crate::gateway::attempt::{Reply, Work};
@@ -48,14 +48,14 @@
     pub signals: async_channel::Sender<TargetWord>,
     /// What the rollout asks for.
     pub rollout: async_channel::Sender<RolloutEffect>,
-    /// Start of this process.
-    pub started: Instant,
+    /// Boot time at the start of this process.
+    pub origin: Duration,
 }
 
 impl Shared {
-    /// Time since the start of this process.
+    /// Time since the start of this process, suspension of the VM included.
     pub(crate) fn now(&self) -> Stamp {
-        self.started.elapsed()
+        boot_time().saturating_sub(self.origin)
     }
 
     /// What stores of context keep.
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -52,6 +52,13 @@
         self.models.get(model)?.named.map(|(version, _)| version)
     }
 
+    /// The newest version named for any model.
+    #[must_use]
+    pub fn newest(&self) -> Option<u64> {
+        let named = self.models.values().filter_map(|m| m.named);
+        named.map(|(version, _)| version).max()
+    }
+
     /// Versions on which a request may begin now, newest first.
     #[must_use]
     pub fn allowed(&self, now: Stamp, model: &str) -> SmallVec<[u64; 2]> {
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -7,7 +7,9 @@
 mod directory;
 mod follower;
 mod port;
+mod retirement;
 
 pub use directory::{Directory, KeptPlan};
 pub(crate) use follower::StoreFollower;
 pub use port::{ContextStores, StoreChange, StoreNews, StorePart};
+pub use retirement::{FETCH_TIME, Retired, Retirement};
--- a/src/kept/directory.rs
+++ b/src/kept/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use crate::kept::{StoreChange, StoreNews, StorePart};
+use crate::kept::{Retired, StoreChange, StoreNews, StorePart};
 use crate::prelude::*;
 
 /// Age of a store's last answer from which nothing is fetched there: it may have started anew and
@@ -76,9 +76,21 @@
 pub struct Directory {
     stores: BTreeMap<SocketAddr, Store>,
     asked: HashMap<StorePart, Stamp>,
+    retired: Retired,
+    may_fetch: bool,
 }
 
 impl Directory {
+    /// Sets what is not fetched any more, and whether anything may be fetched.
+    pub fn set_usable(&mut self, retired: Retired, may_fetch: bool) {
+        self.retired = retired;
+        self.may_fetch = may_fetch;
+    }
+
+    fn is_retired(&self, part: &StorePart) -> bool {
+        scope_version(&part.scope).is_some_and(|v| self.retired.covers(v, &part.id))
+    }
+
     /// Takes the stores in use with their sizes in tokens; tells which are new.
     pub fn take_stores(&mut self, stores: &[(SocketAddr, u32)]) -> Vec<SocketAddr> {
         self.stores
@@ -164,7 +176,7 @@
             };
             let kept = self.find(now, &part);
             let save = match kept {
-                None if *tokens >= SHORTEST => self.place(now, &part, *tokens),
+                None if *tokens >= SHORTEST && !self.is_retired(&part) => self.place(now, &part, *tokens),
                 _ => None,
             };
             plan.fetch.push(kept);
@@ -185,6 +197,9 @@
 
     /// A store that answers and has the part whole.
     fn find(&self, now: Stamp, part: &StorePart) -> Option<SocketAddr> {
+        if !self.may_fetch || self.is_retired(part) {
+            return None;
+        }
         let fresh = self.stores.iter().filter(|(_, s)| s.is_fresh(now));
         let mut holding = fresh.filter(|(_, s)| s.parts.contains_key(part));
         holding.next().map(|(addr, _)| *addr)
@@ -211,16 +226,15 @@
         Some(addr)
     }
 
-    /// Parts under scopes that nobody uses any more, by store.
+    /// Parts that nobody uses any more, by store.
     #[must_use]
-    pub fn unused(
-        &self,
-        now: Stamp,
-        mut in_use: impl FnMut(&str) -> bool,
-    ) -> Vec<(SocketAddr, u64, Vec<StorePart>)> {
+    pub fn unused(&self, now: Stamp, freed: Retired) -> Vec<(SocketAddr, u64, Vec<StorePart>)> {
+        let unused = |part: &StorePart| {
+            scope_version(&part.scope).is_some_and(|version| freed.covers(version, &part.id))
+        };
         let stores = self.stores.iter().filter(|(_, s)| s.is_fresh(now));
         let unused = stores.map(|(addr, store)| {
-            let parts = store.parts.keys().filter(|p| !in_use(&p.scope));
+            let parts = store.parts.keys().filter(|p| unused(p));
             (*addr, store.epoch, parts.cloned().collect::<Vec<_>>())
         });
         unused.filter(|(_, _, parts)| !parts.is_empty()).collect()
@@ -236,6 +250,11 @@
     }
 }
 
+/// The weight version in a scope of cached context.
+fn scope_version(scope: &str) -> Option<u64> {
+    scope.split('.').next()?.parse().ok()
+}
+
 /// Weighted rendezvous score: the greatest wins, in proportion to the capacities.
 fn weight(addr: SocketAddr, capacity: u32, part: &StorePart) -> f64 {
     let mut hasher = blake3::Hasher::new();
--- a/src/kept/follower.rs
+++ b/src/kept/follower.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
 use async_io::Timer;
 use futures_lite::FutureExt;
 
+use crate::clock::boot_time;
 use crate::kept::{ContextStores, Directory};
 use crate::prelude::*;
 
@@ -29,8 +29,8 @@
     pub stores: Arc<dyn ContextStores>,
     /// The directory.
     pub directory: Arc<Mutex<Directory>>,
-    /// Origin of the directory's times.
-    pub started: Instant,
+    /// Boot time that is the origin of the directory's times.
+    pub origin: Duration,
     /// Clock of fetches' deadlines.
     pub clock: Arc<crate::gateway::FetchClock>,
 }
@@ -53,12 +53,15 @@
         }
     }
 
+    fn now(&self) -> Stamp {
+        boot_time().saturating_sub(self.origin)
+    }
+
     fn next(&self) -> Option<u64> {
         self.directory().next(self.store)
     }
 
     async fn step(&self, since: u64) -> bool {
-        let sent = self.started.elapsed();
         let late = async {
             Timer::after(WAIT + PATIENCE).await;
             None
@@ -68,9 +71,7 @@
             return false;
         };
         self.clock.observe(news.clock_ms);
-        // What an answer shows is at most as old as its question, unless it waited for a change.
-        let at = self.started.elapsed().max(sent);
-        if !self.directory().take_changes(at, self.store, news) {
+        if !self.directory().take_changes(self.now(), self.store, news) {
             return true;
         }
         let late = async {
@@ -80,8 +81,7 @@
         let Some(list) = self.stores.list(self.store).or(late).await else {
             return false;
         };
-        let now = self.started.elapsed();
-        self.directory().take_list(now, self.store, list);
+        self.directory().take_list(self.now(), self.store, list);
         true
     }
 
--- a/src/peer/gateway_word.rs
+++ b/src/peer/gateway_word.rs
@@ -16,6 +16,10 @@
     /// Targets that are to get no new work while they change their weights.
     #[serde(rename = "h", default)]
     pub held: Vec<u32>,
+    /// Kept context that is no longer fetched: that of weight versions below this one, and the first
+    /// half of it below the second.
+    #[serde(rename = "x", default)]
+    pub retired: (u64, u64),
     /// Weight versions that targets said they run, before their entries show it.
     #[serde(rename = "v", default)]
     pub versions: Vec<(u32, u64)>,
--- a/src/rollout/planner.rs
+++ b/src/rollout/planner.rs
@@ -15,8 +15,11 @@
     pub loading_part: usize,
     /// Targets that load at a time at least.
     pub loading_least: usize,
-    /// Orders under way for each target that may load: most of them wait for their runs to end.
-    pub ordered_factor: usize,
+    /// Orders under way beyond the targets that may load, as a part of those: some of them wait for
+    /// their runs to end.
+    pub waiting_part: usize,
+    /// Targets that rest for their order, as a part of those that may load.
+    pub resting_part: usize,
     /// Longest rest of a target before its order.
     pub rest: Duration,
     /// Shortest rest, within which all entries hear of it.
@@ -34,7 +37,8 @@
         Self {
             loading_part: 5,
             loading_least: 2,
-            ordered_factor: 2,
+            waiting_part: 3,
+            resting_part: 2,
             rest: Duration::from_millis(350),
             shortest_rest: Duration::from_millis(250),
             ask_after: Duration::from_millis(1_250),
@@ -231,9 +235,10 @@
         self.release_finished(now);
         let limit = self.limit();
         let ordered = self.count(|s| matches!(s, Stage::Ordered { .. }));
-        let room = (limit * self.cfg.ordered_factor).saturating_sub(ordered);
+        let most = limit + limit.div_ceil(self.cfg.waiting_part);
+        let room = most.saturating_sub(ordered);
         self.order_rested(now, hold, room, effects);
-        self.rest_next(now, limit);
+        self.rest_next(now, limit.div_ceil(self.cfg.resting_part));
         self.ask(now, effects);
     }
 
--- a/tests/decide/world.rs
+++ b/tests/decide/world.rs
@@ -64,7 +64,7 @@
         affinity: key(id),
         tokens: 200,
         shared_tokens: 0,
-        kept_tokens: 0,
+        kept_tokens: SmallVec::new(),
         output_tokens: 0,
         attempts: 0,
         resumable: false,
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -180,7 +180,6 @@
             time: Duration::from_millis(40),
             ..settings(0)
         },
-        started,
     );
     platform.fail_writes([Some(Fault::AnswerLost)]);
     block_on(async {
