--- a/src/decide/desk/dispatch.rs
+++ b/src/decide/desk/dispatch.rs
@@ -159,10 +159,16 @@
         hedge: bool,
         effects: &mut Vec<Effect>,
     ) {
+        let home = self.requests.get(&id).and_then(|req| {
+            let key = word(&req.arrival.affinity);
+            self.fleet.home(self.now, req.pool, key, &weights)
+        });
+        let neighbour = home.filter(|(ix, _)| *ix != target);
         let Some(target) = self.fleet.get(target) else {
             return;
         };
         effects.push(Effect::Dispatch {
+            neighbour: neighbour.map(|(_, address)| address),
             id,
             attempt,
             target: target.info.name.clone(),
--- a/src/decide/effect.rs
+++ b/src/decide/effect.rs
@@ -26,6 +26,9 @@
         weights: Name,
         /// Whether this attempt races an earlier one that is still running.
         hedge: bool,
+        /// Another target that is more likely to hold the start of the prompt.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        neighbour: Option<SocketAddr>,
     },
     /// Answer the caller with a refusal at once; the request is finished.
     Refuse {
--- a/src/decide/fleet/choose.rs
+++ b/src/decide/fleet/choose.rs
@@ -181,6 +181,21 @@
         target.load.work(now, typical) + read + old
     }
 
+    /// The first target in the order of a prefix that has these weights and takes work.
+    pub(crate) fn home(
+        &self,
+        now: Stamp,
+        pool: PoolIx,
+        key: u64,
+        weights: &str,
+    ) -> Option<(TargetIx, std::net::SocketAddr)> {
+        let candidates = self.pool(pool).groups[0].all.candidates(key).into_iter();
+        let mut fitting = candidates.filter_map(|ix| Some((ix, self.get(ix)?)));
+        let fits = |t: &Target| t.takes_work(now) && t.has_weights(weights);
+        let (ix, target) = fitting.find(|(_, t)| fits(t))?;
+        Some((ix, target.info.address))
+    }
+
     /// Tokens of a prompt that a target has to read.
     pub(crate) fn tokens_to_read(&self, ix: TargetIx, weights: &str, arrival: &Arrival) -> u32 {
         let home = self.get(ix).is_some_and(|target| {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -64,6 +64,8 @@
     pub address: SocketAddr,
     /// Weight version to run; `None` for plain services.
     pub weights: Option<u64>,
+    /// Another target that is more likely to hold the start of the prompt.
+    pub neighbour: Option<SocketAddr>,
 }
 
 /// How an answer was received.
@@ -266,6 +268,10 @@
         let shared = prompt.shared_parts().iter();
         let parts: SmallVec<[_; 4]> = shared.map(|p| (p.id.clone(), p.tokens)).collect();
         let mut plan = self.shared.kept().plan(self.shared.now(), scope, &parts);
+        // A target drops what it holds when its weights change, and holds it under their scope.
+        for fetch in &mut plan.fetch {
+            *fetch = fetch.or(self.chosen.neighbour);
+        }
         if self.shared.fetch_clock.after(FETCH_TIME).is_none() {
             plan.fetch.clear();
         }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -281,9 +281,11 @@
                     target,
                     address,
                     weights,
+                    neighbour,
                     ..
                 }) => {
                     let chosen = Chosen {
+                        neighbour,
                         number: attempt,
                         weights: version_of(&weights),
                         target,
