--- a/src/caller/claimed.rs
+++ b/src/caller/claimed.rs
@@ -8,9 +8,9 @@
 use crate::caller::idempotent::{event_id, whole_response};
 use crate::caller::relay::Relay;
 use crate::caller::{RunId, Shared, Work};
-use crate::desk::Waiter;
 use crate::claim::{Claim, ClaimError, ClaimKey, ClaimOutcome, ClaimRequest, ClaimVerdict};
 use crate::decide::{AttemptOutcome, Effect};
+use crate::desk::Waiter;
 use crate::http::{Problem, RunState};
 use crate::prelude::*;
 
--- a/src/caller/idempotent.rs
+++ b/src/caller/idempotent.rs
@@ -11,9 +11,9 @@
 use crate::caller::handler::{arrival_of, refusal_problem};
 use crate::caller::relay::Relay;
 use crate::caller::{EventId, RunId, Shared, Work};
-use crate::desk::Waiter;
 use crate::clock::{CoarseSleep, coarse_sleep};
 use crate::decide::{AttemptOutcome, Effect};
+use crate::desk::Waiter;
 use crate::http::{Problem, RunState};
 use crate::prelude::*;
 
--- a/src/caller/shared.rs
+++ b/src/caller/shared.rs
@@ -5,8 +5,8 @@
 
 use crate::cache::{Secret, StoreClient};
 use crate::caller::{Directory, ReuseMemory, StoreList, TargetView};
-use crate::desk::{DeskQueue, QuarantineWords};
 use crate::claim::Claims;
+use crate::desk::{DeskQueue, QuarantineWords};
 use crate::http::Pool;
 use crate::prelude::*;
 use crate::telemetry::{Metrics, SpanSink};
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -26,6 +26,6 @@
 pub use desk::Desk;
 pub use effect::Effect;
 pub use event::{Arrival, AttemptOutcome, Event, RequestId, Signal, TargetInfo};
-pub use refusal::Refusal;
 pub use fleet::OwnLoad;
+pub use refusal::Refusal;
 pub use settings::{DeskSettings, Placement};
--- a/src/decide/fleet/choose.rs
+++ b/src/decide/fleet/choose.rs
@@ -1,7 +1,7 @@
 //! Choice of a target with room.
 
-use crate::decide::{Arrival, Placement};
 use crate::decide::fleet::{Fleet, Group, Isolation, Pool, PoolIx, Target, TargetIx, Wish};
+use crate::decide::{Arrival, Placement};
 use crate::prelude::*;
 
 /// Targets in the order of a prefix that are considered.
@@ -126,11 +126,7 @@
 
     /// The first targets in the order of a prefix and some random ones: entries hear of each other's
     /// load late, so not all of them may look for the one that seems least loaded.
-    fn few_candidates(
-        group: &Group,
-        key: u64,
-        rng: &mut fastrand::Rng,
-    ) -> SmallVec<[TargetIx; 8]> {
+    fn few_candidates(group: &Group, key: u64, rng: &mut fastrand::Rng) -> SmallVec<[TargetIx; 8]> {
         let mut few: SmallVec<[TargetIx; 8]> = group.all.candidates(key).into_iter().collect();
         few.truncate(HOMES);
         for _ in 0..RANDOM_CANDIDATES {
--- a/src/decide/request.rs
+++ b/src/decide/request.rs
@@ -111,7 +111,10 @@
     pub(super) fn size(&self, read: u32) -> Size {
         Size {
             work: read.saturating_add(self.generation()),
-            context: self.arrival.tokens.saturating_add(self.arrival.output_tokens),
+            context: self
+                .arrival
+                .tokens
+                .saturating_add(self.arrival.output_tokens),
         }
     }
 
--- a/src/desk/queue.rs
+++ b/src/desk/queue.rs
@@ -5,8 +5,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use crate::desk::QuarantineWords;
 use crate::decide::{Arrival, AttemptOutcome, Desk, Effect, Event, OwnLoad, RequestId};
+use crate::desk::QuarantineWords;
 use crate::prelude::*;
 
 /// A [`Desk`] behind a lock that hands each effect to the request it concerns.
--- a/src/entry/build.rs
+++ b/src/entry/build.rs
@@ -9,10 +9,10 @@
 
 use crate::cache::{Secret, StoreClient};
 use crate::caller::{CallerHandler, ReuseMemory, Shared};
-use crate::desk::{DeskQueue, QuarantineWords};
 use crate::catalog::{CatalogCell, CatalogSync};
 use crate::claim::ClaimTable;
 use crate::decide::{Desk, DeskSettings, Effect};
+use crate::desk::{DeskQueue, QuarantineWords};
 use crate::entry::admin::AdminHandler;
 use crate::entry::control::Control;
 use crate::entry::peers::EntryPeers;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -9,12 +9,10 @@
 use log::Level;
 
 use crate::cache::BlockKey;
-use crate::caller::{
-    Directory, Shared, StoreList, StorePeer, TargetState, TargetView,
-};
+use crate::caller::{Directory, Shared, StoreList, StorePeer, TargetState, TargetView};
 use crate::catalog::CatalogCell;
-use crate::desk::QuarantineWord;
 use crate::decide::{Effect, Event, Signal, TargetInfo};
+use crate::desk::QuarantineWord;
 use crate::entry::ProbeShare;
 use crate::entry::probe::{Probed, cache_events, probe};
 use crate::entry::status::Status;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -28,13 +28,14 @@
 mod serve;
 mod shared;
 mod targets;
+mod trail;
 mod versions;
 
 pub use body::BodyReader;
 pub use builder::{Gateway, GatewayBuilder};
-pub use control::{TargetControl, TargetStatus};
 pub use call::{Call, Part, Prompt};
-pub use dialect::{AnswerFacts, CallError, Dialect, Dispatch, OwnAnswer};
+pub use control::{TargetControl, TargetStatus};
+pub use dialect::{AnswerFacts, CallError, Dialect, Dispatch, OwnAnswer, RunWord};
 pub use events::{EventSplitter, RawEvent};
 pub use fetch_clock::FetchClock;
 pub use follow::{Decoder, ListedTarget, NamedWeights, Watched};
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,8 +1,9 @@
 //! One attempt at a target.
 
+use std::fmt;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Instant;
 
 use async_io::Async;
@@ -14,11 +15,14 @@
 use crate::gateway::connections::connect;
 use crate::gateway::outbound::{Broken, Outbound};
 use crate::gateway::shared::Shared;
-use crate::gateway::{AnswerFacts, BodyReader, Call, Dispatch, EventSplitter, RawEvent};
+use crate::gateway::{AnswerFacts, BodyReader, Call, Dispatch, EventSplitter, RawEvent, RunWord};
 use crate::kept::{FETCH_TIME, KeptPlan};
 use crate::prelude::*;
 use crate::route::{KeyHolder, Route};
 
+/// Factor of the fetches in the note of an attempt's transfers.
+pub(crate) const SAVED: usize = 1_000;
+
 /// A request that passed the checks of its head.
 pub(crate) struct Work {
     /// The decoded head.
@@ -104,6 +108,27 @@
     }
 }
 
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent => f.write_str("not-sent (no connection)"),
+            Self::Refused(facts) if facts.run == RunWord::Misdirected => {
+                let weights = facts.weights.unwrap_or_default();
+                write!(f, "misdirected (another target or weights {weights})")
+            }
+            Self::Refused(_) => f.write_str("not-run (the target refused it)"),
+            Self::Broken(Broken::Silent) => {
+                f.write_str("lost (connection ended without an answer)")
+            }
+            Self::Broken(Broken::CutShort) => {
+                f.write_str("cut-short (connection ended in the answer)")
+            }
+            Self::Broken(Broken::Garbled) => f.write_str("garbled (bytes that are no answer)"),
+            Self::CallerLeft => f.write_str("caller-left (it cannot be written to)"),
+        }
+    }
+}
+
 /// The answer to one caller over all attempts.
 pub(crate) struct Reply<'a> {
     /// The caller's connection.
@@ -155,11 +180,7 @@
     }
 
     /// Sends a whole answer of a target.
-    pub(crate) async fn send_whole(
-        &mut self,
-        head: &AnswerHead,
-        body: &[u8],
-    ) -> Result<(), Fault> {
+    pub(crate) async fn send_whole(&mut self, head: &AnswerHead, body: &[u8]) -> Result<(), Fault> {
         let mut out = Vec::with_capacity(body.len() + 512);
         head.write_whole(body.len(), self.close, &mut out);
         out.extend_from_slice(body);
@@ -175,8 +196,8 @@
     pub work: &'a Work,
     /// The target.
     pub chosen: &'a Chosen,
-    /// What is noted of transfers of kept context.
-    pub kept: &'a std::sync::Mutex<String>,
+    /// Transfers of kept context, for the log: fetches times [`SAVED`] and saves.
+    pub kept: &'a AtomicUsize,
     /// The desk's view of the request, which hears of the first event.
     pub waiter: &'a Waiter,
 }
@@ -184,7 +205,7 @@
 impl Attempt<'_> {
     /// Sends the request and receives its answer; streams are passed on as they come.
     pub(crate) async fn run(&self, reply: &mut Reply<'_>) -> Result<Received, Fault> {
-        let careful = !self.work.route.repeatable;
+        let careful = !self.work.route.is_repeatable();
         let kept = self.shared.connections.take(self.chosen.address, careful);
         if let Some(stream) = kept {
             let result = self.exchange(stream, reply).await;
@@ -206,7 +227,7 @@
         reply: &mut Reply<'_>,
     ) -> Result<Received, Fault> {
         let head = self.encode(reply);
-        let sent = AtomicBool::new(false);
+        let handed_over = AtomicBool::new(false);
         let send = async {
             let mut out = &stream;
             let written = match &self.work.body {
@@ -221,19 +242,21 @@
                 None => out.write_all(&head).await,
             };
             // A failure shows on the reading side as well, behind an early answer if there is one.
-            sent.store(written.is_ok(), Ordering::Release);
+            handed_over.store(written.is_ok(), Ordering::Release);
             std::future::pending().await
         };
         let mut outbound = Outbound::new(&stream);
         let (received, facts) = self.receive(&mut outbound, reply).or(send).await?;
-        let reusable = outbound.is_clean() && sent.load(Ordering::Acquire) && !facts.close;
+        let reusable = outbound.is_clean() && handed_over.load(Ordering::Acquire) && !facts.close;
         drop(outbound);
         if reusable {
             let addr = self.chosen.address;
             self.shared.connections.put(addr, stream, facts.idle_time);
         }
         match received {
-            Received::Whole(head, _) if head.facts.not_run => Err(Fault::Refused(head.facts)),
+            Received::Whole(head, _) if head.facts.run.is_not_run() => {
+                Err(Fault::Refused(head.facts))
+            }
             received => Ok(received),
         }
     }
@@ -241,9 +264,9 @@
     fn encode(&self, reply: &Reply<'_>) -> Vec<u8> {
         let work = self.work;
         let scope = self.chosen.weights.map(|w| self.work.cache_scope(w));
-        let kept = scope.as_ref().map(|scope| self.kept_plan(scope));
+        let transfers = scope.as_ref().map(|scope| self.kept_plan(scope));
         let dispatch = Dispatch {
-            kept: kept.unwrap_or_default(),
+            kept: transfers.unwrap_or_default(),
             fetch_until_ms: self.shared.fetch_clock.after(FETCH_TIME),
             target: self.chosen.target.clone(),
             time_left: work.time_left(),
@@ -275,10 +298,9 @@
         if self.shared.fetch_clock.after(FETCH_TIME).is_none() {
             plan.fetch.clear();
         }
-        if let Ok(mut kept) = self.kept.lock() {
-            let count = |stores: &[Option<SocketAddr>]| stores.iter().flatten().count();
-            *kept = format!("/{}+{}", count(&plan.fetch), count(&plan.save));
-        }
+        let count = |stores: &[Option<SocketAddr>]| stores.iter().flatten().count();
+        let noted = count(&plan.fetch) * SAVED + count(&plan.save);
+        self.kept.store(noted, Ordering::Relaxed);
         plan
     }
 
@@ -299,7 +321,7 @@
             return Err(Fault::Broken(Broken::Garbled));
         }
         let facts = head.facts.clone();
-        if self.work.route.streaming && head.is_success() {
+        if self.work.route.is_streaming() && head.is_success() {
             self.relay(&head, outbound, reply).await?;
             return Ok((Received::Streamed, facts));
         }
@@ -319,7 +341,7 @@
         let mut first = true;
         loop {
             let more = outbound.part(&mut body, events.buf()).await;
-            let more = more.map_err(Fault::Broken)?;
+            // Events that came whole before a break are passed on.
             let whole = take_events(&mut events, reply.last_event);
             if !whole.is_empty() {
                 if std::mem::take(&mut first) {
@@ -327,6 +349,7 @@
                 }
                 reply.send_events(head, &whole).await?;
             }
+            let more = more.map_err(Fault::Broken)?;
             if events.is_overlong() || (!more && events.has_rest()) {
                 return Err(Fault::Broken(Broken::CutShort));
             }
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
@@ -14,6 +14,7 @@
 use crate::decide::{Desk, DeskSettings, Effect, Placement};
 use crate::desk::{DeskQueue, QuarantineWords};
 use crate::entry::Threads;
+use crate::gateway::connections::Connections;
 use crate::gateway::control::{Control, State, TargetControl, TargetWordReceiver};
 use crate::gateway::drain::Drain;
 use crate::gateway::follower::Follower;
@@ -22,6 +23,7 @@
 use crate::gateway::members::register;
 use crate::gateway::probe::ProbeHandler;
 use crate::gateway::shared::Shared;
+use crate::gateway::versions::VersionView;
 use crate::gateway::{Decoder, Dialect, Watched};
 use crate::http::{Limits, Server, ServerControl};
 use crate::kept::ContextStores;
@@ -41,7 +43,8 @@
 /// Further time before a candidate takes over.
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
 /// Interval of heartbeats between entries, and the silence after which a peer counts as lost.
-const PEER_TIMING: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(2_500));
+const PEER_TIMING: (Duration, Duration) =
+    (Duration::from_millis(800), Duration::from_millis(2_500));
 /// Interval at which a shutdown looks whether all work has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Pause between the end of the last request and the exit, in which its answer leaves.
@@ -155,7 +158,7 @@
         let (traffic_ex, control_ex) = (Arc::new(Executor::new()), Arc::new(Executor::new()));
         let control = self.control(&shared, decoder, targets, stores, &platform, &control_ex);
         let control = Arc::new(control);
-        let events = Arc::new(GatewayPeers(std::sync::OnceLock::new()));
+        let events = Arc::new(GatewayPeers(OnceLock::new()));
         let _ = events.0.set(Arc::downgrade(&control));
         let mesh = Mesh::builder(self.name.clone(), MESH, Secret::new(MESH.as_bytes()))
             .timing(PEER_TIMING.0, PEER_TIMING.1)
@@ -238,9 +241,9 @@
         Shared {
             dialect,
             routes: ArcSwapOption::empty(),
-            versions: Default::default(),
+            versions: VersionView::default(),
             desk: Arc::new(DeskQueue::new(desk, effects, words.clone())),
-            connections: Default::default(),
+            connections: Connections::default(),
             words,
             kept: Arc::default(),
             fetch_clock: Arc::default(),
@@ -273,7 +276,7 @@
             targets,
             stores,
             lease: LeaseKeeper::new(platform.clone(), "orders".into(), cfg),
-            mesh: Default::default(),
+            mesh: OnceLock::default(),
             executor: executor.clone(),
             state: Mutex::new(State::new(self.rollout.clone())),
         }
@@ -321,7 +324,10 @@
     /// Readiness off at once; callers are taken until the balancer has noticed; all answers end.
     async fn shut_down(&self) {
         let started = Instant::now();
-        log::info!("event=drain_started requests={}", self.shared.drain.requests());
+        log::info!(
+            "event=drain_started requests={}",
+            self.shared.drain.requests()
+        );
         self.shared.drain.begin();
         self.mesh.set_draining(true);
         Timer::after(self.balancer_lag).await;
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -33,12 +33,12 @@
 struct Idle {
     stream: Async<TcpStream>,
     since: Instant,
-    idle_time: Duration,
+    limit: Duration,
 }
 
 impl Idle {
     fn fits(&self, part: f64) -> bool {
-        self.since.elapsed() < self.idle_time.mul_f64(part)
+        self.since.elapsed() < self.limit.mul_f64(part)
     }
 
     /// Tells whether the peer has closed it or sent bytes that nobody asked for.
@@ -87,7 +87,7 @@
             kept.push(Idle {
                 stream,
                 since: Instant::now(),
-                idle_time: idle_time.unwrap_or(UNSTATED_IDLE),
+                limit: idle_time.unwrap_or(UNSTATED_IDLE),
             });
         }
     }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -99,10 +99,7 @@
         let mut state = self.state();
         if state.away[watched.index()].is_none() {
             state.away[watched.index()] = Some(self.now());
-            log::warn!(
-                "event=store_lost kind={kind} error={:?}",
-                err.to_string()
-            );
+            log::warn!("event=store_lost kind={kind} error={:?}", err.to_string());
         }
     }
 
@@ -178,12 +175,19 @@
         state.versions.find(found);
         self.shared.versions.set(&state.versions, now);
         self.push_reports(state);
-        self.plan(state, crate::rollout::RolloutEvent::Targets(state.rollout_targets()));
+        self.plan(
+            state,
+            crate::rollout::RolloutEvent::Targets(state.rollout_targets()),
+        );
         let leaving = state.targets.iter().filter(|t| t.info.leaving).count();
         let all = state.targets.iter().count();
         let gauge = |label: &str, n: usize| {
             let n = i64::try_from(n).unwrap_or(i64::MAX);
-            self.shared.metrics.targets.with_label_values(&[label]).set(n);
+            self.shared
+                .metrics
+                .targets
+                .with_label_values(&[label])
+                .set(n);
         };
         gauge("ready", all - leaving);
         gauge("leaving", leaving);
@@ -236,10 +240,7 @@
     }
 
     /// Takes what requests noticed about targets, for ever.
-    pub(crate) async fn run_signals(
-        self: Arc<Self>,
-        words: async_channel::Receiver<TargetWord>,
-    ) {
+    pub(crate) async fn run_signals(self: Arc<Self>, words: async_channel::Receiver<TargetWord>) {
         while let Ok(word) = words.recv().await {
             let target = word.target.clone();
             log::info!(
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -84,7 +84,11 @@
             WeightsOrderResult::Unanswered
         };
         let label = format!("{result:?}").to_ascii_lowercase();
-        self.shared.metrics.orders.with_label_values(&[&label]).inc();
+        self.shared
+            .metrics
+            .orders
+            .with_label_values(&[&label])
+            .inc();
         log::info!(
             "event=order target={target} version={version} fencing={fencing} sent={in_time} result={label}"
         );
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -27,8 +27,7 @@
             revisions: state.revisions(),
             loads: loads
                 .map(|(name, load)| {
-                    let load =
-                        TargetLoad::of_tokens(load.requests, load.work, load.context);
+                    let load = TargetLoad::of_tokens(load.requests, load.work, load.context);
                     (target_key(name), load)
                 })
                 .collect(),
@@ -54,7 +53,7 @@
             half_below,
         };
         state.retirement.take_word(now, peer, retired);
-        let mut news = state.take_held(now, peer, word.held);
+        let mut news = state.take_held(now, peer, &word.held);
         for (key, version) in word.versions {
             news |= state.told_key(now, key, version);
         }
@@ -120,7 +119,9 @@
             log::info!("event=peer_found peer={found}");
         }
         let entries = u32::try_from(names.len() + 1).unwrap_or(u32::MAX);
-        self.shared.words.retain_peers(|name| names.iter().any(|n| **n == *name));
+        self.shared
+            .words
+            .retain_peers(|name| names.iter().any(|n| **n == *name));
         self.shared.metrics.peers.set(i64::from(entries) - 1);
         state.peers = names;
         drop(state);
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -5,8 +5,8 @@
 use crate::decide::OwnLoad;
 use crate::gateway::versions::label;
 use crate::gateway::{
-    Decoder, ListedTarget, LoadTable, NamedWeights, ObjectBook, TargetBook, TargetLoad, VersionBook, Watched,
-    target_key,
+    Decoder, ListedTarget, LoadTable, NamedWeights, ObjectBook, TargetBook, TargetLoad,
+    VersionBook, Watched, target_key,
 };
 use crate::kept::{Retired, Retirement};
 use crate::platform::Vm;
@@ -157,13 +157,13 @@
     }
 
     /// Takes the targets that a peer holds back.
-    pub(crate) fn take_held(&mut self, now: Stamp, peer: &Name, held: Vec<u32>) -> bool {
+    pub(crate) fn take_held(&mut self, now: Stamp, peer: &Name, held: &[u32]) -> bool {
         let old = if held.is_empty() {
             self.held.remove(peer)
         } else {
-            self.held.insert(peer.clone(), (now, held.clone()))
+            self.held.insert(peer.clone(), (now, held.to_vec()))
         };
-        old.is_none_or(|(_, old)| old != held) && !(held.is_empty())
+        old.is_none_or(|(_, old)| old != held) && !held.is_empty()
     }
 
     /// Drops words that are old; tells whether there were any.
--- a/src/gateway/control/ticks.rs
+++ b/src/gateway/control/ticks.rs
@@ -76,7 +76,9 @@
             metrics.invariants.inc_by(found.saturating_sub(broken));
             broken = found;
             let waiting = self.shared.desk.queued();
-            metrics.queued.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+            metrics
+                .queued
+                .set(i64::try_from(waiting).unwrap_or(i64::MAX));
         }
     }
 }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -51,13 +51,31 @@
     pub body_bytes: Option<usize>,
 }
 
+/// What a target's answer says of the run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RunWord {
+    /// Nothing: it may have run.
+    #[default]
+    Unsaid,
+    /// It has not run and never will.
+    NotRun,
+    /// It has not run: the target is another than the one asked for, or runs other weights.
+    Misdirected,
+}
+
+impl RunWord {
+    /// Whether the target proves that it did not run the request.
+    #[must_use]
+    pub fn is_not_run(self) -> bool {
+        self != Self::Unsaid
+    }
+}
+
 /// What a target's answer says of the exchange.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerFacts {
-    /// The target proves that it did not run the request.
-    pub not_run: bool,
-    /// The target is another than the one asked for, or runs other weights.
-    pub misdirected: bool,
+    /// What the target says of the run.
+    pub run: RunWord,
     /// Request that the answer belongs to.
     pub request: Option<Name>,
     /// Name of the target.
--- a/src/gateway/outbound.rs
+++ b/src/gateway/outbound.rs
@@ -68,9 +68,12 @@
             if head.is_interim() {
                 continue;
             }
-            let unproved = head.facts.request.is_none() && !head.facts.not_run;
-            let foreign = head.facts.request.as_ref().is_some_and(|id| *id != call.id);
-            if !foreign && !(unproved && head.is_success()) {
+            let ours = match &head.facts.request {
+                Some(id) => *id == call.id,
+                // A refusal need not name the request; a success does.
+                None => head.facts.run.is_not_run() || !head.is_success(),
+            };
+            if ours {
                 return Ok(head);
             }
             self.skip(&head).await?;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,6 +1,7 @@
 //! Serves one request: attempts as the desk decides, until a final answer.
 
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 use async_io::Async;
@@ -12,11 +13,12 @@
 use crate::decide::{Arrival, AttemptOutcome, Effect, Refusal, Signal};
 use crate::desk::Waiter;
 use crate::gateway::answer::AnswerHead;
-use crate::gateway::attempt::{Attempt, Chosen, Fault, Received, Reply, Work};
+use crate::gateway::attempt::{Attempt, Chosen, Fault, Received, Reply, SAVED, Work};
 use crate::gateway::inbound::{self, Inbound};
 use crate::gateway::refusal::{late, refused, rejected, unconfigured};
 use crate::gateway::shared::{Shared, TargetWord};
-use crate::gateway::{Call, OwnAnswer};
+use crate::gateway::trail::{EndLabel, Step, Trail};
+use crate::gateway::{Call, OwnAnswer, RunWord};
 use crate::prelude::*;
 use crate::route::{Found, Route, RouteTable};
 
@@ -52,10 +54,16 @@
         first_at: None,
     };
     let routes = shared.routes.load_full();
-    let work = match routes.map(|routes| admit(shared, &routes, &received)) {
-        None => return send_own(shared, &received.call, &unconfigured(), &mut reply).await,
-        Some(Err(answer)) => return send_own(shared, &received.call, &answer, &mut reply).await,
-        Some(Ok((route, holder, service))) => work_of(received, route, holder, service),
+    let admitted = match routes.map(|routes| admit(&routes, &received)) {
+        None => Err(unconfigured()),
+        Some(admitted) => admitted,
+    };
+    let work = match admitted {
+        Err(answer) => {
+            Trail::note_own(&shared.metrics, &received.call, &answer);
+            return send_own(shared, &received.call, &answer, &mut reply).await;
+        }
+        Ok((route, holder, service)) => work_of(received, route, holder, service),
     };
     let mut request = Request {
         shared,
@@ -64,14 +72,14 @@
         kept: None,
         handed_over: false,
         given_up: false,
-        trail: SmallVec::new(),
+        trail: Trail::default(),
     };
     let end = request.run(&mut reply, inbound).await;
     let Request { waiter, trail, .. } = request;
     if !matches!(end, End::Left) {
         waiter.finish();
     }
-    shared.note_end(&work, &end.label(), &trail, &reply);
+    trail.note_end(&shared.metrics, &work, &end.label(), &reply);
     match end {
         End::Whole(head, body) => {
             reply.close |= shared.drain.is_draining();
@@ -95,40 +103,8 @@
     }
 }
 
-/// How a request ended, for logs and metrics.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum EndLabel {
-    /// With a target's answer of this status.
-    Status(u16),
-    /// With an answer of the gateway itself: status, code, when to come back.
-    Own(u16, &'static str, Option<Duration>),
-    /// With a stream that broke.
-    CutShort,
-    /// The caller left first.
-    Left,
-}
-
-/// One step of a request, for logs.
-#[derive(Clone, Debug)]
-pub(crate) struct Step {
-    /// Target of the attempt.
-    pub target: Name,
-    /// Time from the request's arrival to the dispatch.
-    pub after: Duration,
-    /// Parts of the prompt that were to be fetched and saved, as `/fetched+saved`.
-    pub kept: String,
-    /// Why it brought no answer; `None` when it brought the answer.
-    pub fault: Option<String>,
-}
-
-async fn send_own(
-    shared: &Shared,
-    call: &Call,
-    answer: &OwnAnswer,
-    reply: &mut Reply<'_>,
-) -> bool {
+async fn send_own(shared: &Shared, call: &Call, answer: &OwnAnswer, reply: &mut Reply<'_>) -> bool {
     reply.close |= shared.drain.is_draining();
-    shared.note_own(call, answer);
     let mut out = Vec::with_capacity(256);
     shared
         .dialect
@@ -140,18 +116,14 @@
 type Admitted = (Arc<Route>, Option<Arc<crate::route::KeyHolder>>, Name);
 
 /// Finds the request's route, customer and service.
-fn admit(
-    shared: &Shared,
-    routes: &RouteTable,
-    received: &inbound::Received,
-) -> Result<Admitted, OwnAnswer> {
+fn admit(routes: &RouteTable, received: &inbound::Received) -> Result<Admitted, OwnAnswer> {
     let call = &received.call;
     match routes.find(&call.host, &call.path, call.key.as_deref()) {
         Found::NoRoute => Err(rejected(404, "unknown-route")),
         Found::NoKey => Err(rejected(401, "unknown-key")),
         Found::Route(route, holder) => {
             let service = route.split.pick(fastrand::u64(..)).cloned();
-            let service = service.ok_or_else(|| shared.no_target())?;
+            let service = service.ok_or_else(Shared::no_target)?;
             Ok((route, holder, service))
         }
     }
@@ -189,7 +161,7 @@
         class: class_of(urgency.unwrap_or(route.urgency)),
         first_token_ms: first.unwrap_or(wait_ms).min(wait_ms),
         total_ms: wait_ms,
-        idempotent: route.repeatable,
+        idempotent: route.is_repeatable(),
         ..Policy::default()
     };
     let prompt = work.call.prompt.as_ref();
@@ -202,14 +174,17 @@
         affinity: BlockKey::from_bytes(*blake3::hash(affinity.as_bytes()).as_bytes()),
         tokens: prompt.map_or(0, |p| p.input_tokens),
         shared_tokens: prompt.map_or(0, crate::gateway::Prompt::shared_tokens),
-        kept_tokens: weights.iter().map(|w| kept_tokens(shared, work, w)).collect(),
+        kept_tokens: weights
+            .iter()
+            .map(|w| kept_tokens(shared, work, w))
+            .collect(),
         output_tokens: prompt.map_or(0, |p| p.output_tokens),
         weights,
         customer,
         serves: work.service.clone(),
         policy: Arc::new(policy),
         attempts: route.attempts,
-        resumable: route.resumable,
+        resumable: route.is_resumable(),
     }
 }
 
@@ -254,7 +229,7 @@
     handed_over: bool,
     /// Whether the caller left while a run that may not be repeated goes on.
     given_up: bool,
-    trail: SmallVec<[Step; 2]>,
+    trail: Trail,
 }
 
 /// What comes next.
@@ -327,10 +302,10 @@
         if self.given_up {
             return Some(End::Left);
         }
-        let after = self.work.arrived.elapsed();
         let before = std::mem::replace(&mut self.handed_over, true);
-        let goes_on = !self.work.route.repeatable && !self.work.route.streaming;
-        let kept = std::sync::Mutex::new(String::new());
+        let goes_on = !self.work.route.is_repeatable() && !self.work.route.is_streaming();
+        let started = Instant::now();
+        let kept = AtomicUsize::new(0);
         let result = {
             let attempt = Attempt {
                 kept: &kept,
@@ -363,24 +338,24 @@
         let result = match result {
             Ok(result) => result,
             Err(Next::Late) => {
-                self.note(chosen, after, &kept, Some("late".into()));
+                self.note(chosen, started, &kept, Some("late".into()));
                 return Some(self.lateness(reply));
             }
             Err(Next::Left) => return Some(End::Left),
             // The desk has ended the attempt already.
             Err(Next::Effect(_)) => {
-                self.note(chosen, after, &kept, Some("cancelled".into()));
+                self.note(chosen, started, &kept, Some("cancelled".into()));
                 return None;
             }
         };
         match result {
             Ok(received) => {
-                self.note(chosen, after, &kept, None);
+                self.note(chosen, started, &kept, None);
                 self.received(chosen, received)
             }
             Err(Fault::CallerLeft) => Some(End::Left),
             Err(fault) => {
-                self.note(chosen, after, &kept, Some(format!("{fault:?}")));
+                self.note(chosen, started, &kept, Some(fault.to_string()));
                 self.handed_over = before || matches!(fault, Fault::Broken(_));
                 self.failed(chosen, &fault);
                 None
@@ -391,15 +366,17 @@
     fn note(
         &mut self,
         chosen: &Chosen,
-        after: Duration,
-        kept: &std::sync::Mutex<String>,
+        started: Instant,
+        kept: &AtomicUsize,
         fault: Option<String>,
     ) {
-        let kept = kept.lock().map(|k| k.clone()).unwrap_or_default();
+        let kept = kept.load(Ordering::Relaxed);
         self.trail.push(Step {
-            kept,
             target: chosen.target.clone(),
-            after,
+            weights: chosen.weights,
+            after: started.saturating_duration_since(self.work.arrived),
+            took: started.elapsed(),
+            kept: (kept / SAVED, kept % SAVED),
             fault,
         });
     }
@@ -410,7 +387,9 @@
                 self.waiter.ended(chosen.number, AttemptOutcome::Done);
                 Some(End::Streamed)
             }
-            Received::Whole(head, body) if head.status >= 500 && self.work.route.repeatable => {
+            Received::Whole(head, body)
+                if head.status >= 500 && self.work.route.is_repeatable() =>
+            {
                 self.kept = Some((head, body));
                 self.waiter.ended(chosen.number, AttemptOutcome::Faulty);
                 None
@@ -430,7 +409,7 @@
 
     fn failed(&self, chosen: &Chosen, fault: &Fault) {
         if let Fault::Refused(facts) = fault
-            && facts.misdirected
+            && facts.run == RunWord::Misdirected
         {
             let other = facts.target.as_ref().is_some_and(|t| *t != chosen.target);
             let signal = if other {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -47,11 +47,7 @@
         let patient = self.is_after_outage(now);
         for (name, record) in &mut self.targets {
             if !present.contains(name) && record.missing_until.is_none() {
-                let grace = if patient {
-                    RETURN_TIME
-                } else {
-                    Duration::ZERO
-                };
+                let grace = if patient { RETURN_TIME } else { Duration::ZERO };
                 record.missing_until = Some(now + grace);
             }
         }
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -97,7 +97,9 @@
 
     /// Replaces the view.
     pub(crate) fn set(&self, book: &VersionBook, now: Stamp) {
-        let view = book.view(now).map(|(model, labels)| (model.clone(), labels));
+        let view = book
+            .view(now)
+            .map(|(model, labels)| (model.clone(), labels));
         self.0.store(Arc::new(view.collect()));
     }
 }
--- a/src/kept/directory.rs
+++ b/src/kept/directory.rs
@@ -176,7 +176,9 @@
             };
             let kept = self.find(now, &part);
             let save = match kept {
-                None if *tokens >= SHORTEST && !self.is_retired(&part) => self.place(now, &part, *tokens),
+                None if *tokens >= SHORTEST && !self.is_retired(&part) => {
+                    self.place(now, &part, *tokens)
+                }
                 _ => None,
             };
             plan.fetch.push(kept);
@@ -215,7 +217,10 @@
         let usable = self.stores.iter().filter(|(_, s)| s.is_fresh(now));
         let roomy = usable.filter(|(_, s)| s.has_room(tokens));
         let best = roomy.max_by(|(a, sa), (b, sb)| {
-            let (wa, wb) = (weight(**a, sa.capacity, part), weight(**b, sb.capacity, part));
+            let (wa, wb) = (
+                weight(**a, sa.capacity, part),
+                weight(**b, sb.capacity, part),
+            );
             wa.total_cmp(&wb)
         });
         let addr = best.map(|(addr, _)| *addr)?;
--- a/src/kept/follower.rs
+++ b/src/kept/follower.rs
@@ -86,6 +86,8 @@
     }
 
     fn directory(&self) -> MutexGuard<'_, Directory> {
-        self.directory.lock().unwrap_or_else(PoisonError::into_inner)
+        self.directory
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/kept/retirement.rs
+++ b/src/kept/retirement.rs
@@ -91,14 +91,11 @@
 
     /// Takes note of the time; what every entry has held for retired for long enough. `listed` are
     /// the other entries that the store names.
-    pub fn free<'a>(
-        &mut self,
-        now: Stamp,
-        listed: impl IntoIterator<Item = &'a Name>,
-    ) -> Retired {
+    pub fn free<'a>(&mut self, now: Stamp, listed: impl IntoIterator<Item = &'a Name>) -> Retired {
         let known = self.agreed_now(now, listed);
         // An agreement that a word now contradicts does not hold any more.
-        self.agreed.retain(|(_, agreed)| agreed.min(known) == *agreed);
+        self.agreed
+            .retain(|(_, agreed)| agreed.min(known) == *agreed);
         if self.agreed.last().is_none_or(|(_, last)| *last != known) {
             self.agreed.push((now, known));
         }
--- a/src/rollout/planner.rs
+++ b/src/rollout/planner.rs
@@ -270,9 +270,9 @@
                 && now >= at + self.cfg.give_up
             {
                 target.stage = Stage::Resting {
-                since: at,
-                next_ask: now,
-            };
+                    since: at,
+                    next_ask: now,
+                };
             }
         }
     }
--- a/src/route/limits.rs
+++ b/src/route/limits.rs
@@ -21,7 +21,7 @@
             head_bytes: 32 * 1024,
             body_bytes: 4 * 1024 * 1024,
             head_time: Duration::from_secs(10),
-            idle_time: Duration::from_secs(60),
+            idle_time: Duration::from_mins(1),
         }
     }
 }
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -14,12 +14,8 @@
     pub host: Name,
     /// Start of the path; begins and ends with a slash.
     pub prefix: Name,
-    /// Whether a request may run more than once.
-    pub repeatable: bool,
-    /// Whether the answer is a stream of events.
-    pub streaming: bool,
-    /// Whether a broken stream may go on at another target.
-    pub resumable: bool,
+    /// What its requests are like.
+    pub kind: RouteKind,
     /// Longest time until the final answer begins or a stream ends.
     pub timeout: Duration,
     /// Time within which an answer, or the first event of a stream, is on time.
@@ -36,14 +32,49 @@
     pub split: TrafficSplit,
 }
 
+/// What the requests of a route are like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// They may run more than once.
+    Repeatable,
+    /// They may run once at most.
+    Once,
+    /// Their answer is a stream of events.
+    Stream {
+        /// Whether a broken stream may go on at another target, and so run more than once.
+        resumable: bool,
+    },
+}
+
 impl Route {
+    /// Whether a request may run more than once.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        matches!(
+            self.kind,
+            RouteKind::Repeatable | RouteKind::Stream { resumable: true }
+        )
+    }
+
+    /// Whether the answer is a stream of events.
+    #[must_use]
+    pub fn is_streaming(&self) -> bool {
+        matches!(self.kind, RouteKind::Stream { .. })
+    }
+
+    /// Whether a broken stream may go on at another target.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        self.kind == RouteKind::Stream { resumable: true }
+    }
+
     /// Time until a caller gives up a stream that shows no event: two seconds, four times the aim or
     /// eight times the longest pause, whichever is longest.
     #[must_use]
     pub fn first_event_time(&self) -> Option<Duration> {
         let gap = self.gap_aim.unwrap_or_default() * 8;
         let longest = gap.max(self.aim * 4).max(Duration::from_secs(2));
-        self.streaming.then_some(longest)
+        self.is_streaming().then_some(longest)
     }
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,11 +1,13 @@
 //! Logs, metrics and spans.
 
 mod gateway_metrics;
+mod log_queue;
 mod logger;
 mod metrics;
 mod span;
 
 pub use gateway_metrics::GatewayMetrics;
-pub use logger::{event, init_log};
+pub use log_queue::LogQueue;
+pub use logger::{event, init_log, init_queued_log};
 pub use metrics::Metrics;
 pub use span::{Span, SpanSink, TraceContext};
--- a/src/telemetry/gateway_metrics.rs
+++ b/src/telemetry/gateway_metrics.rs
@@ -34,8 +34,6 @@
     pub orders: IntCounterVec,
     /// Invariants found broken; each is a defect of this program.
     pub invariants: IntCounter,
-    /// Log lines that were left out.
-    pub log_dropped: IntCounter,
 }
 
 impl Default for GatewayMetrics {
@@ -65,7 +63,6 @@
             store_failures: counters(&r, "store_failures_total", "Failed store calls", "kind"),
             orders: counters(&r, "orders_total", "Orders to targets by end", "end"),
             invariants: counter(&r, "invariant_violations_total", "Broken invariants"),
-            log_dropped: counter(&r, "log_lines_dropped_total", "Log lines left out"),
             registry: r,
         }
     }
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -5,6 +5,8 @@
 
 use log::{Level, LevelFilter};
 
+use crate::telemetry::LogQueue;
+
 /// Sends log lines of at least `level` to standard error.
 ///
 /// # Errors
@@ -25,6 +27,28 @@
         .apply()
 }
 
+/// Sends log lines of at least `level` to standard output, by way of a bounded queue; `vm` is named
+/// in each line.
+///
+/// # Errors
+/// When a logger was set before or the writer cannot be started.
+pub fn init_queued_log(level: LevelFilter, vm: &str) -> std::io::Result<()> {
+    let queue = LogQueue::start(std::io::stdout())?;
+    let vm = vm.to_owned();
+    fern::Dispatch::new()
+        .format(move |out, message, record| {
+            let at = crate::clock::unix_ms();
+            let level = record.level().as_str().to_ascii_lowercase();
+            out.finish(format_args!("ts_ms={at} level={level} vm={vm} {message}"));
+        })
+        .level(level)
+        .chain(fern::Output::call(move |record| {
+            queue.push(format!("{}\n", record.args()));
+        }))
+        .apply()
+        .map_err(std::io::Error::other)
+}
+
 /// Logs one event with its fields; values are quoted and escaped where needed.
 pub fn event(level: Level, name: &str, fields: &[(&str, &dyn Display)]) {
     if level > log::max_level() {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics in the Prometheus text format.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bucket bounds of durations, in seconds.
--- /dev/null
+++ b/tests/gateway_parts.rs
@@ -0,0 +1,239 @@
+//! Parts of the gateway that decide without input or output.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use guavahold::decide::TargetInfo;
+use guavahold::gateway::{
+    BodyReader, EventSplitter, ListedTarget, LoadTable, ObjectBook, PeerObject, TargetBook,
+    TargetLoad, VersionBook, target_key,
+};
+use guavahold::http::{Framing, HeadError};
+use guavahold::platform::{Listing, Object, Version, WatchEvent};
+use guavahold::prelude::Name;
+use guavahold::telemetry::LogQueue;
+use serde_json::json;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Feeds a body in pieces of `step` bytes; the decoded body and what is left behind it.
+fn read_body(framing: Framing, raw: &[u8], step: usize) -> Result<(Vec<u8>, Vec<u8>), HeadError> {
+    let mut reader = BodyReader::new(framing, false);
+    let (mut buf, mut out) = (Vec::new(), Vec::new());
+    for piece in raw.chunks(step) {
+        buf.extend_from_slice(piece);
+        reader.feed(&mut buf, &mut out)?;
+    }
+    if !reader.is_done() {
+        reader.end()?;
+    }
+    Ok((out, buf))
+}
+
+#[test]
+fn body_is_whole_in_any_pieces() {
+    for step in 1..9 {
+        let (body, rest) = read_body(Framing::Length(4), b"bodyextra", step).unwrap();
+        assert_eq!((&body[..], &rest[..]), (&b"body"[..], &b"extra"[..]));
+        let chunked = b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nextra";
+        let (body, rest) = read_body(Framing::Chunked, chunked, step).unwrap();
+        assert_eq!((&body[..], &rest[..]), (&b"abcde"[..], &b"extra"[..]));
+        let (body, rest) = read_body(Framing::Unstated, b"to the end", step).unwrap();
+        assert_eq!((&body[..], rest.len()), (&b"to the end"[..], 0));
+    }
+}
+
+#[test]
+fn body_cut_short_is_an_error() {
+    let cut = [
+        (Framing::Length(5), &b"body"[..]),
+        (Framing::Chunked, b"3\r\nabc\r\n"),
+        (Framing::Chunked, b"3\r\nab"),
+    ];
+    for (framing, raw) in cut {
+        assert_eq!(read_body(framing, raw, 2), Err(HeadError::CutShort));
+    }
+    let garbled = read_body(Framing::Chunked, b"zz\r\n", 2);
+    assert_eq!(garbled, Err(HeadError::BadChunk));
+}
+
+#[test]
+fn events_come_whole_and_unchanged() {
+    let raw = b"weight-versions: 2\nid: 6\ndata: a\ndata: b\n\nid:7\r\ndata: c\r\n\r\nid: 8\nda";
+    for step in 1..raw.len() {
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        for piece in raw.chunks(step) {
+            splitter.buf().extend_from_slice(piece);
+            while let Some(event) = splitter.next_event() {
+                events.push(event);
+            }
+        }
+        let ids: Vec<_> = events.iter().map(|e| e.id).collect();
+        assert_eq!(ids, [Some(6), Some(7)], "in pieces of {step}");
+        let bytes: Vec<u8> = events.iter().flat_map(|e| e.bytes.clone()).collect();
+        assert_eq!(&bytes[..], &raw[..raw.len() - 8]);
+        assert!(splitter.has_rest());
+    }
+}
+
+fn listed(name: &str, leaving: bool) -> ListedTarget {
+    ListedTarget {
+        info: TargetInfo {
+            name: name.into(),
+            domain: "a".into(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            serves: "llm".into(),
+            leaving,
+        },
+        slots: 4,
+        weights: std::iter::once(("m".into(), 1)).collect(),
+        born_ms: 0,
+    }
+}
+
+fn names(book: &TargetBook) -> Vec<String> {
+    book.iter().map(|t| t.info.name.to_string()).collect()
+}
+
+#[test]
+fn target_missing_after_an_outage_has_time_to_register() {
+    let mut book = TargetBook::default();
+    book.take(ms(0), vec![listed("a", false), listed("b", false)]);
+    book.store_returned(ms(10_000));
+    book.take(ms(10_000), vec![listed("a", false)]);
+    assert_eq!(names(&book), ["a", "b"]);
+    book.take(ms(11_000), vec![listed("a", false), listed("b", false)]);
+    assert!(!book.expire(ms(20_000)));
+    assert_eq!(names(&book), ["a", "b"]);
+}
+
+#[test]
+fn target_missing_for_longer_is_gone() {
+    let mut book = TargetBook::default();
+    book.take(ms(0), vec![listed("a", false), listed("b", false)]);
+    book.store_returned(ms(10_000));
+    book.take(ms(10_100), vec![listed("a", false)]);
+    assert!(!book.expire(ms(11_900)));
+    assert!(book.expire(ms(12_000)));
+    assert_eq!(names(&book), ["a"]);
+}
+
+#[test]
+fn target_removed_in_calm_times_is_gone_at_once() {
+    let mut book = TargetBook::default();
+    book.take(ms(0), vec![listed("a", false), listed("b", false)]);
+    book.take(ms(5_000), vec![listed("b", true)]);
+    assert_eq!(names(&book), ["b"]);
+    assert!(book.get("b").unwrap().info.leaving);
+}
+
+#[test]
+fn version_older_than_named_ends_after_its_time() {
+    let mut book = VersionBook::default();
+    let model: Name = "m".into();
+    book.find([(model.clone(), 1), (model.clone(), 1)]);
+    assert_eq!(book.allowed(ms(0), "m").as_slice(), &[1]);
+    book.name(ms(1_000), &model, 3);
+    book.name(ms(1_100), &model, 2);
+    assert_eq!(book.named("m"), Some(3));
+    book.find([(model.clone(), 1), (model.clone(), 3)]);
+    assert_eq!(book.allowed(ms(2_000), "m").as_slice(), &[3, 1]);
+    assert_eq!(book.allowed(ms(11_000), "m").as_slice(), &[3]);
+    // While no target has the newest version, the older one is better than none.
+    book.find([(model, 1)]);
+    assert_eq!(book.allowed(ms(11_000), "m").as_slice(), &[1]);
+}
+
+fn object(name: &str, revision: u64, value: u64) -> Object {
+    Object {
+        kind: "k".into(),
+        name: name.into(),
+        version: Version(revision.to_string()),
+        spec: json!(value),
+    }
+}
+
+#[test]
+fn objects_are_adopted_only_when_newer() {
+    let mut book = ObjectBook::default();
+    book.replace(Listing {
+        items: vec![object("a", 5, 1)],
+        version: Version("7".into()),
+    });
+    assert!(book.apply(WatchEvent::Put(object("b", 9, 2))));
+    assert!(!book.apply(WatchEvent::Put(object("b", 10, 2))));
+    assert!(!book.apply(WatchEvent::Bookmark(Version("12".into()))));
+    assert_eq!(book.revision(), 12);
+    let told = |spec: &str| {
+        vec![PeerObject {
+            name: "c".into(),
+            spec: spec.into(),
+        }]
+    };
+    assert!(!book.adopt(12, told("3")));
+    assert!(!book.adopt(13, told("{broken")));
+    assert_eq!(book.iter().count(), 2);
+    assert!(book.adopt(13, told("3")));
+    assert_eq!(book.tell(), told("3"));
+    assert!(!book.apply(WatchEvent::Deleted(object("b", 14, 2))));
+}
+
+#[test]
+fn loads_of_peers_add_up_until_they_are_old() {
+    let mut table = LoadTable::default();
+    let key = target_key("t");
+    let load = TargetLoad::of_tokens(2, 640, 6_400);
+    table.take(ms(0), &"a".into(), vec![(key, load)]);
+    table.take(ms(1_000), &"b".into(), vec![(key, load)]);
+    let sum = table.sums()[&key];
+    assert_eq!(
+        (sum.requests, sum.work_tokens(), sum.context_tokens()),
+        (4, 1_280, 12_800)
+    );
+    table.take(ms(1_200), &"b".into(), vec![]);
+    assert!(table.expire(ms(1_600)));
+    assert!(table.sums().is_empty());
+}
+
+#[derive(Clone, Default)]
+struct Shared(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Shared {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn log_lines_beyond_the_bound_are_counted() {
+    let out = Shared::default();
+    let queue = LogQueue::start(out.clone()).unwrap();
+    for n in 0..3_000 {
+        queue.push(format!("event=line n={n}\n"));
+    }
+    drop(queue);
+    let text = || String::from_utf8(out.0.lock().unwrap().clone()).unwrap();
+    while !text().contains("log_lines_dropped") {
+        std::thread::sleep(ms(5));
+    }
+    let text = text();
+    let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut dropped = 0;
+    for line in text.lines() {
+        match line.split_once("count=") {
+            Some((_, count)) => dropped += count.parse::<usize>().unwrap(),
+            None => *kinds.entry("line").or_default() += 1,
+        }
+    }
+    assert_eq!(kinds["line"] + dropped, 3_000);
+}
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -172,7 +172,6 @@
 #[test]
 fn lease_write_whose_answer_is_lost_is_read_back() {
     let platform = MemoryPlatform::new();
-    let started = std::time::Instant::now();
     let keeper = LeaseKeeper::new(
         Arc::new(platform.clone()),
         "orders-a".into(),
