--- a/src/bin/guavahold.rs
+++ b/src/bin/guavahold.rs
@@ -10,8 +10,8 @@
 use guavahold::catalog::CatalogStore;
 use guavahold::clock::unix_ms;
 use guavahold::operator::{
-    Applier, ApplyReport, Entries, Exit, OperatorError, Paint, Report, Stamped, check, history,
-    key, plan, revert, status,
+    Applier, ApplyReport, Entries, Exit, OperatorError, Paint, Report, Stamped, check, explain,
+    history, key, plan, revert, status,
 };
 use guavahold::platform::{Platform, RemotePlatform};
 use guavahold::prelude::Name;
@@ -76,6 +76,11 @@
                 /// Operator or shift that writes the note.
                 optional --by name: String
             }
+            /// Tells what happened to a request, by entries' logs on standard input.
+            cmd explain {
+                /// Identity of the request.
+                required request: String
+            }
             /// Makes a customer's token; only its hash goes into a note.
             cmd key {
                 /// Customer.
@@ -115,6 +120,11 @@
             let docs: Result<Vec<_>, _> = args.note.iter().map(|file| open(file)).collect();
             Ok(Box::new(check(&docs?)))
         }
+        Command::Explain(args) => {
+            let logs = std::io::read_to_string(std::io::stdin());
+            let logs = logs.map_err(|err| OperatorError::Other(err.to_string()))?;
+            Ok(Box::new(explain(&args.request, &logs)))
+        }
         Command::Key(args) => Ok(Box::new(key(&args.customer))),
         Command::Plan(args) => {
             let (file, doc) = open(&args.note)?;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,4 +1,4 @@
-//! The operators' commands on release notes: check, plan, apply, status, history, revert, key.
+//! The operators' commands on release notes: check, plan, apply, status, history, revert, key, explain.
 //!
 //! Each command makes a report that prints as text for people or as JSON for programs and names
 //! the exit status.
@@ -8,9 +8,11 @@
 mod check;
 mod entries;
 mod exit;
+mod explain;
 mod history;
 mod in_force;
 mod key;
+mod log_line;
 mod paint;
 mod plan;
 mod planned;
@@ -24,9 +26,11 @@
 pub use check::{CheckReport, CheckedFile, check};
 pub use entries::Entries;
 pub use exit::Exit;
+pub use explain::{ExplainReport, explain};
 pub use history::{HistoryReport, HistoryRow, history};
 pub use in_force::{EntryRow, StatusReport, status};
 pub use key::{KeyReport, key};
+pub use log_line::LogLine;
 pub use paint::Paint;
 pub use plan::{PlanReport, plan};
 pub use planned::{PlannedChange, planned_changes};
--- /dev/null
+++ b/src/operator/explain.rs
@@ -0,0 +1,230 @@
+//! `guavahold explain`: what happened to a request, by the logs of all entries.
+
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use crate::operator::log_line::LogLine;
+use crate::operator::{Exit, Paint, Report};
+
+/// Time before a request's end within which other events may have to do with it, in milliseconds.
+const AROUND_MS: u64 = 15_000;
+/// Events around a request that are shown at most.
+const MOST_AROUND: usize = 12;
+/// Events that change what an entry believes.
+const BELIEFS: [&str; 16] = [
+    "target_unreachable",
+    "target_word",
+    "target_unreadable",
+    "config_in_force",
+    "weights_named",
+    "store_lost",
+    "store_regained",
+    "objects_adopted",
+    "peer_lost",
+    "peer_found",
+    "request_suspected",
+    "order",
+    "context_store_lost",
+    "context_store_regained",
+    "started",
+    "drain_started",
+];
+
+/// What happened to a request.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ExplainReport {
+    request: String,
+    /// Attempts and ends, in the order of time.
+    steps: Vec<LogLine>,
+    /// What the same entries came to believe shortly before.
+    around: Vec<LogLine>,
+    /// Lines that entries left out.
+    dropped: u64,
+}
+
+/// Gathers the lines of a request and of what its entries believed.
+#[must_use]
+pub fn explain(request: &str, logs: &str) -> ExplainReport {
+    let lines: Vec<LogLine> = logs.lines().map(LogLine::parse).collect();
+    let mut steps: Vec<LogLine> = lines
+        .iter()
+        .filter(|l| l.get("request") == request)
+        .cloned()
+        .collect();
+    steps.sort_by_key(|l| l.number("ts_ms"));
+    let dropped = lines
+        .iter()
+        .filter(|l| l.get("event") == "log_lines_dropped");
+    let dropped = dropped.map(|l| l.number("count")).sum();
+    let mut around: Vec<LogLine> = lines
+        .iter()
+        .filter(|l| concerns(l, &steps))
+        .cloned()
+        .collect();
+    around.sort_by_key(|l| l.number("ts_ms"));
+    let surplus = around.len().saturating_sub(MOST_AROUND);
+    around.drain(..surplus);
+    ExplainReport {
+        request: request.to_owned(),
+        steps,
+        around,
+        dropped,
+    }
+}
+
+/// Whether a line tells of a belief that an entry of the request came to before its end, about one
+/// of its targets or about all.
+fn concerns(line: &LogLine, steps: &[LogLine]) -> bool {
+    if !BELIEFS.contains(&line.get("event")) {
+        return false;
+    }
+    let targets = || {
+        steps
+            .iter()
+            .map(|s| s.get("target"))
+            .filter(|t| !t.is_empty())
+    };
+    steps.iter().any(|step| {
+        let (at, end) = (line.number("ts_ms"), step.number("ts_ms"));
+        let recent = at <= end && at + AROUND_MS >= end;
+        let about = line.get("target");
+        let known = about.is_empty() || targets().any(|t| t == about);
+        recent && known && line.get("vm") == step.get("vm")
+    })
+}
+
+impl ExplainReport {
+    /// The cause in one sentence.
+    fn cause(&self) -> String {
+        let Some(end) = self.steps.iter().rev().find(|l| !l.get("end").is_empty()) else {
+            return self.unknown();
+        };
+        let attempts = self.steps.iter().filter(|l| l.get("event") == "attempt");
+        let faults: Vec<&str> = attempts
+            .map(|l| l.get("result"))
+            .filter(|r| *r != "answered")
+            .collect();
+        let last = faults.last().copied().unwrap_or_default();
+        match (end.get("end"), end.get("reason")) {
+            ("answered", _) if end.number("status") < 300 => "it was served".into(),
+            ("answered", _) => format!(
+                "the target ran it and answered status {}, which was passed on",
+                end.get("status")
+            ),
+            ("refused", "deadline-unreachable" | "overloaded") => format!(
+                "it was refused without a run: the predicted wait for a place at {} was longer \
+                 than the caller would wait; it may come back after {} ms",
+                end.get("service"),
+                end.get("retry_after_ms")
+            ),
+            ("refused", "no-target") => {
+                format!(
+                    "no target of {} was in use at that entry",
+                    end.get("service")
+                )
+            }
+            ("refused", "deadline-passed") if faults.is_empty() && end.number("attempts") == 0 => {
+                "its time passed while it waited for a place; it has not run".into()
+            }
+            ("refused", "deadline-passed") => {
+                "its time passed while a target had it; whether it ran is unknown".into()
+            }
+            ("refused", "target-failed") if end.number("status") == 503 => {
+                format!("targets proved that they did not run it: {last}")
+            }
+            ("refused", "target-failed") => format!(
+                "a target may have run it and gave no answer: {last}; the outcome is unknown"
+            ),
+            ("refused", reason) => format!("it was refused: {reason}"),
+            ("cut-short", _) => {
+                format!("its stream broke ({last}) and could not go on at another target")
+            }
+            ("caller-left", _) => "the caller left before it was answered".into(),
+            (other, _) => format!("it ended as {other}"),
+        }
+    }
+
+    fn unknown(&self) -> String {
+        if self.dropped > 0 {
+            return format!(
+                "no line tells its end, and {} lines were left out of these logs",
+                self.dropped
+            );
+        }
+        "no line tells of it: it was served and not sampled, or these are not all logs".into()
+    }
+}
+
+impl Report for ExplainReport {
+    fn text(&self, _paint: Paint) -> String {
+        let mut out = format!("request {}: {}\n", self.request, self.cause());
+        for line in &self.steps {
+            let at = line.get("ts_ms");
+            let vm = line.get("vm");
+            let _ = match line.get("event") {
+                "attempt" => writeln!(
+                    out,
+                    "  {at} {vm} attempt {} at {} after {} ms, {} ms long: {}",
+                    line.get("number"),
+                    line.get("target"),
+                    line.get("after_ms"),
+                    line.get("took_ms"),
+                    line.get("result")
+                ),
+                "request_rejected" => writeln!(
+                    out,
+                    "  {at} {vm} rejected with status {}: {}",
+                    line.get("status"),
+                    line.get("reason")
+                ),
+                _ => writeln!(
+                    out,
+                    "  {at} {vm} {} after {} ms of {} ms; it waited {} ms for a place",
+                    line.get("end"),
+                    line.get("took_ms"),
+                    line.get("deadline_ms"),
+                    line.get("waited_ms")
+                ),
+            };
+        }
+        if !self.around.is_empty() {
+            out.push_str("what its entries came to believe before:\n");
+        }
+        for line in &self.around {
+            let about = ["target", "kind", "peer", "version", "store", "result"];
+            let about = about.iter().map(|key| line.get(key));
+            let about: Vec<&str> = about.filter(|v| !v.is_empty()).collect();
+            let _ = writeln!(
+                out,
+                "  {} {} {} {}",
+                line.get("ts_ms"),
+                line.get("vm"),
+                line.get("event"),
+                about.join(" ")
+            );
+        }
+        if self.dropped > 0 {
+            let _ = writeln!(out, "{} lines were left out of these logs", self.dropped);
+        }
+        out
+    }
+
+    fn json(&self) -> serde_json::Value {
+        serde_json::json!({
+            "request": self.request,
+            "cause": self.cause(),
+            "steps": self.steps,
+            "around": self.around,
+            "dropped": self.dropped,
+        })
+    }
+
+    fn exit(&self) -> Exit {
+        if self.steps.is_empty() {
+            Exit::Failure
+        } else {
+            Exit::Ok
+        }
+    }
+}
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,68 @@
+//! Accounts of requests by entries' logs.
+
+use guavahold::operator::{Exit, LogLine, Paint, Report, explain};
+
+const LOGS: &str = r#"
+ts_ms=900 level=info vm=front-1 event=config_in_force version=4
+front-2 ts_ms=950 level=info vm=front-2 event=target_unreachable target=i-9 error="timed out"
+ts_ms=990 level=info vm=front-1 event=target_unreachable target=i-1 error="timed out"
+ts_ms=1000 level=info vm=front-1 event=attempt request=aa number=1 target=i-1 weights=2 after_ms=0 took_ms=400 fetched=1 saved=0 result="lost (connection ended without an answer)"
+ts_ms=1001 level=info vm=front-1 event=request_ended request=aa route=r service=s customer=c tokens=0 waited_ms=0 first_ms=-1 took_ms=400 deadline_ms=2500 attempts=1 end=refused status=502 reason=target-failed retry_after_ms=0
+ts_ms=1100 level=info vm=front-2 event=request_ended request=bb route=r service=s customer=c tokens=9 waited_ms=1 first_ms=-1 took_ms=1 deadline_ms=3000 attempts=0 end=refused status=503 reason=deadline-unreachable retry_after_ms=700
+ts_ms=1200 level=info vm=front-2 event=attempt request=cc number=1 target=i-9 weights=2 after_ms=0 took_ms=80 fetched=0 saved=0 result="cut-short (connection ended in the answer)"
+ts_ms=1201 level=info vm=front-2 event=request_ended request=cc route=r service=s customer=c tokens=9 waited_ms=0 first_ms=30 took_ms=81 deadline_ms=3000 attempts=1 end=cut-short
+level=warn event=log_lines_dropped count=17
+"#;
+
+fn text(request: &str) -> String {
+    explain(request, LOGS).text(Paint(false))
+}
+
+#[test]
+fn line_fields_are_read() {
+    let line = LogLine::parse(r#"12.5 front ts_ms=7 a="x \"y\" z" b= c=d"#);
+    assert_eq!(line.number("ts_ms"), 7);
+    assert_eq!(line.get("a"), r#"x "y" z"#);
+    assert_eq!(
+        (line.get("b"), line.get("c"), line.get("none")),
+        ("", "d", "")
+    );
+}
+
+#[test]
+fn explain_booking_with_an_unknown_outcome() {
+    let text = text("aa");
+    assert!(
+        text.contains("a target may have run it and gave no answer"),
+        "{text}"
+    );
+    assert!(text.contains("attempt 1 at i-1 after 0 ms"), "{text}");
+    assert!(text.contains("front-1 target_unreachable i-1"), "{text}");
+    assert!(text.contains("front-1 config_in_force 4"), "{text}");
+    assert!(!text.contains("i-9"), "{text}");
+}
+
+#[test]
+fn explain_refusal_by_predicted_wait() {
+    let text = text("bb");
+    assert!(
+        text.contains("the predicted wait for a place at s"),
+        "{text}"
+    );
+    assert!(text.contains("after 700 ms"), "{text}");
+}
+
+#[test]
+fn explain_stream_that_broke() {
+    let text = text("cc");
+    assert!(text.contains("its stream broke (cut-short"), "{text}");
+    assert!(text.contains("17 lines were left out"), "{text}");
+}
+
+#[test]
+fn explain_request_without_a_line_says_what_is_missing() {
+    let report = explain("dd", LOGS);
+    assert_eq!(report.exit(), Exit::Failure);
+    assert!(report.text(Paint(false)).contains("17 lines were left out"));
+    assert_eq!(report.json()["dropped"], 17);
+}
