Eject grey targets by their share of failures; fail over resumable streams; share the retries' slack

Cause: only five failures in a row ejected a target, so one that fails 45 of 100 stayed; a stream at a target that went silent midway waited for the connection's own time limit; the slack of retries was divided by a guess (23 instead of 8 entries).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,4 +28,4 @@
 pub use event::{Arrival, AttemptOutcome, Event, RequestId, Signal, TargetInfo};
 pub use fleet::OwnLoad;
 pub use refusal::Refusal;
-pub use settings::{DeskSettings, Placement};
+pub use settings::{DeskSettings, Placement, RetryBurst};
--- a/src/decide/budget.rs
+++ b/src/decide/budget.rs
@@ -23,6 +23,12 @@
         }
     }
 
+    /// Sets how many tokens are kept at most.
+    pub(super) fn set_cap(&mut self, cap: f64) {
+        self.cap = cap;
+        self.tokens = self.tokens.min(cap);
+    }
+
     /// Records a success.
     pub(super) fn earn(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.cap);
--- a/src/decide/desk/failover.rs
+++ b/src/decide/desk/failover.rs
@@ -25,7 +25,10 @@
     /// Attempts without an answer, in the order of their requests.
     fn waiting_at(&self, ix: TargetIx) -> Vec<(RequestId, u32)> {
         let repeatable = self.requests.iter();
-        let repeatable = repeatable.filter(|(_, r)| r.arrival.policy.idempotent && !r.answered);
+        let repeatable = repeatable.filter(|(_, r)| {
+            let waits = !r.answered || r.arrival.resumable;
+            r.arrival.policy.idempotent && waits
+        });
         let mut waiting: Vec<_> = repeatable
             .flat_map(|(id, req)| req.attempts.iter().map(|a| (*id, *a)))
             .filter(|(_, attempt)| attempt.target == ix)
--- a/src/decide/desk/outcome.rs
+++ b/src/decide/desk/outcome.rs
@@ -228,7 +228,7 @@
         }
     }
 
-    fn count_failure(&mut self, target: crate::decide::fleet::TargetIx) {
+    pub(super) fn count_failure(&mut self, target: crate::decide::fleet::TargetIx) {
         let Some(pool) = self.fleet.get(target).map(|t| t.pool) else {
             return;
         };
--- a/src/decide/desk/refuse.rs
+++ b/src/decide/desk/refuse.rs
@@ -5,6 +5,8 @@
 use crate::http::RunState;
 use crate::prelude::*;
 
+/// Time without an answer after which a request that is given up speaks against its target.
+const SILENT: Duration = Duration::from_secs(1);
 /// Pause before a caller tries another entry.
 pub(super) const ELSEWHERE: Duration = Duration::from_millis(200);
 /// Pause before a caller tries again without a target.
@@ -44,7 +46,11 @@
             return;
         };
         for attempt in req.attempts.clone() {
+            let silent = self.now.saturating_sub(attempt.at) >= SILENT;
             self.release(id, attempt, false);
+            if silent && !attempt.answered {
+                self.count_failure(attempt.target);
+            }
         }
         self.requests.remove(&id);
     }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -13,7 +13,7 @@
 
 use std::collections::HashMap;
 
-use crate::decide::{DeskSettings, Placement};
+use crate::decide::{DeskSettings, Placement, RetryBurst};
 use crate::prelude::*;
 
 pub(crate) use free_set::FreeSet;
@@ -32,7 +32,7 @@
     domain: Name,
     default_slots: u32,
     retry_ratio: f64,
-    retry_burst: f64,
+    retry_burst: RetryBurst,
     placement: Placement,
     entries: u32,
     targets: Vec<Option<Target>>,
@@ -98,6 +98,9 @@
     /// Sets the number of live entries that share the domain's targets.
     pub(crate) fn set_entries(&mut self, now: Stamp, entries: u32) {
         self.entries = entries.max(1);
+        for pool in &mut self.pools {
+            pool.budget.set_cap(self.retry_burst.part(self.entries));
+        }
         self.refresh_all(now);
     }
 
--- a/src/decide/fleet/health.rs
+++ b/src/decide/fleet/health.rs
@@ -6,6 +6,10 @@
 const LEAVING_HOLD: Duration = Duration::from_mins(5);
 /// Failures in a row that eject a target.
 const EJECT_AFTER: u32 = 5;
+/// Weight of one exchange in the share of failed ones.
+const FAILED_WEIGHT: f64 = 0.1;
+/// Share of failed exchanges that ejects a target.
+const FAILED_SHARE: f64 = 0.35;
 /// Time of the first ejection.
 const EJECT: Duration = Duration::from_secs(5);
 /// Longest ejection.
@@ -27,6 +31,7 @@
     /// Time of the next probe or of the open one's timeout.
     pub(crate) probe_at: Option<Stamp>,
     failures: u32,
+    failed_share: f64,
     ejections: u32,
     ejected_until: Stamp,
 }
@@ -78,16 +83,22 @@
     /// Records an exchange that ended well.
     pub(crate) fn success(&mut self) {
         self.failures = 0;
-        self.ejections = 0;
+        self.failed_share *= 1.0 - FAILED_WEIGHT;
+        if self.failed_share < FAILED_SHARE / 2.0 {
+            self.ejections = 0;
+        }
     }
 
     /// Records a failed exchange; tells until when to eject the target, if `may_eject`.
     pub(crate) fn failure(&mut self, now: Stamp, may_eject: bool) -> Option<Stamp> {
         self.failures += 1;
-        if self.failures < EJECT_AFTER || !may_eject {
+        self.failed_share += (1.0 - self.failed_share) * FAILED_WEIGHT;
+        let often = self.failed_share >= FAILED_SHARE;
+        if (self.failures < EJECT_AFTER && !often) || !may_eject {
             return None;
         }
         self.failures = 0;
+        self.failed_share = 0.0;
         let time = EJECT.saturating_mul(1 << self.ejections.min(8));
         self.ejections += 1;
         self.ejected_until = now + time.min(EJECT_CAP);
--- a/src/decide/fleet/list.rs
+++ b/src/decide/fleet/list.rs
@@ -80,8 +80,10 @@
             return ix;
         }
         let ix = PoolIx(self.pools.len());
-        self.pools
-            .push(Pool::new(self.retry_ratio, self.retry_burst));
+        self.pools.push(Pool::new(
+            self.retry_ratio,
+            self.retry_burst.part(self.entries),
+        ));
         self.by_serves.insert(serves.clone(), ix);
         ix
     }
--- a/src/decide/settings.rs
+++ b/src/decide/settings.rs
@@ -21,8 +21,9 @@
     pub quarantine: Duration,
     /// Requests that a target without a load report is given at once.
     pub default_slots: u32,
-    /// Retries and hedges that may come at once.
-    pub retry_burst: f64,
+    /// Retries and hedges that may come at once at all entries together, of which each entry takes
+    /// its part, or at this one alone.
+    pub retry_burst: RetryBurst,
     /// Whether slow requests are raced by a second attempt.
     pub hedges: bool,
     /// Whether a target that refused is asked for its load.
@@ -31,6 +32,25 @@
     pub placement: Placement,
 }
 
+/// Retries that may come at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RetryBurst {
+    /// At each entry.
+    Each(f64),
+    /// At all entries together.
+    Together(f64),
+}
+
+impl RetryBurst {
+    /// The part of one entry among `entries`.
+    pub(crate) fn part(self, entries: u32) -> f64 {
+        match self {
+            Self::Each(burst) => burst,
+            Self::Together(burst) => burst / f64::from(entries.max(1)),
+        }
+    }
+}
+
 /// How a target is chosen for a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
@@ -54,7 +74,7 @@
             retry_ratio: 0.08,
             quarantine: Duration::from_mins(10),
             default_slots: 32,
-            retry_burst: 10.0,
+            retry_burst: RetryBurst::Each(10.0),
             hedges: true,
             ask_after_refusal: true,
             placement: Placement::FirstWithRoom,
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -11,7 +11,7 @@
 
 use crate::cache::Secret;
 use crate::clock::boot_time;
-use crate::decide::{Desk, DeskSettings, Effect, Placement};
+use crate::decide::{Desk, DeskSettings, Effect, Event, Placement, RetryBurst};
 use crate::desk::{DeskQueue, QuarantineWords};
 use crate::entry::Threads;
 use crate::gateway::connections::Connections;
@@ -229,15 +229,17 @@
         rollout: async_channel::Sender<RolloutEffect>,
     ) -> Shared {
         let words = Arc::new(QuarantineWords::default());
-        let desk = Desk::new(DeskSettings {
+        let mut desk = Desk::new(DeskSettings {
             seed: fastrand::u64(..),
             retry_ratio: self.retry_ratio,
-            retry_burst: self.retry_slack / f64::from(self.entries),
+            retry_burst: RetryBurst::Together(self.retry_slack),
             hedges: false,
             ask_after_refusal: false,
             placement: Placement::LeastWork,
             ..DeskSettings::new(self.domain.clone())
         });
+        let entries = Event::Entries(self.entries);
+        desk.on(Stamp::ZERO, entries, &mut Vec::new());
         Shared {
             dialect,
             routes: ArcSwapOption::empty(),
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -14,7 +14,7 @@
 use crate::prelude::*;
 
 /// Longest time until a connection is made.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
+const CONNECT_TIME: Duration = Duration::from_millis(250);
 /// Idle connections kept for each target.
 const IDLE_PER_TARGET: usize = 32;
 /// Time for which a connection is kept when the target states none.
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -118,11 +118,14 @@
         for found in names.iter().filter(|n| !state.peers.contains(n)) {
             log::info!("event=peer_found peer={found}");
         }
-        let entries = u32::try_from(names.len() + 1).unwrap_or(u32::MAX);
+        // Entries that are only cut off from this one take their part of the retries as well.
+        let entries = state.entries().max(names.len() + 1);
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        let live = i64::try_from(names.len()).unwrap_or(i64::MAX);
         self.shared
             .words
             .retain_peers(|name| names.iter().any(|n| **n == *name));
-        self.shared.metrics.peers.set(i64::from(entries) - 1);
+        self.shared.metrics.peers.set(live);
         state.peers = names;
         drop(state);
         self.shared.desk.submit(Event::Entries(entries));
