--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -3,6 +3,7 @@
 mod frees;
 mod orders;
 mod peers;
+mod relay;
 mod state;
 mod ticks;
 
@@ -63,7 +64,7 @@
     }
 
     /// Takes a whole list from the store.
-    pub(crate) fn take_list(&self, watched: Watched, listing: Listing) {
+    pub(crate) fn take_list(self: &Arc<Self>, watched: Watched, listing: Listing) {
         let mut state = self.state();
         self.reached_store(&mut state, watched);
         state.books[watched.index()].replace(listing);
@@ -71,7 +72,7 @@
     }
 
     /// Takes a change from the store.
-    pub(crate) fn take_event(&self, watched: Watched, event: WatchEvent) {
+    pub(crate) fn take_event(self: &Arc<Self>, watched: Watched, event: WatchEvent) {
         let mut state = self.state();
         self.reached_store(&mut state, watched);
         if state.books[watched.index()].apply(event) {
@@ -104,7 +105,7 @@
     }
 
     /// Brings what is derived from one kind of objects up to date.
-    pub(crate) fn changed(&self, state: &mut State, watched: Watched) {
+    pub(crate) fn changed(self: &Arc<Self>, state: &mut State, watched: Watched) {
         let now = self.now();
         match watched {
             Watched::Routes => self.take_routes(state),
@@ -131,7 +132,7 @@
     }
 
     /// Puts the newest configuration in force; an older one than known is ignored.
-    fn take_routes(&self, state: &mut State) {
+    fn take_routes(self: &Arc<Self>, state: &mut State) {
         let known = self.shared.routes.load().as_ref().map(|t| t.version);
         for (name, spec) in state.books[Watched::Routes.index()].iter() {
             match self.decoder.routes(name, spec) {
@@ -149,7 +150,7 @@
     }
 
     /// Follows the stores of context that a configuration names.
-    fn follow_stores(&self, table: &crate::route::RouteTable) {
+    fn follow_stores(self: &Arc<Self>, table: &crate::route::RouteTable) {
         let services = table.services();
         let stores: Vec<_> = services
             .filter_map(|s| Some((s.store?, s.context_tokens)))
@@ -161,6 +162,7 @@
                 directory: self.shared.kept.clone(),
                 origin: self.shared.origin,
                 clock: self.shared.fetch_clock.clone(),
+                relay: self.clone(),
             };
             self.executor.spawn(follower.run()).detach();
         }
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -89,7 +89,7 @@
 
     /// Takes a peer's objects while the store is away.
     pub(crate) fn adopt_objects(
-        &self,
+        self: &Arc<Self>,
         peer: &str,
         kind: usize,
         revision: u64,
--- a/src/gateway/control/ticks.rs
+++ b/src/gateway/control/ticks.rs
@@ -11,6 +11,8 @@
 const WORD_INTERVAL: Duration = Duration::from_millis(60);
 /// Entries up to which that interval holds; it grows with their number.
 const SMALL: usize = 10;
+/// Longest such interval.
+const LONGEST: Duration = Duration::from_millis(1_200);
 /// Shortest and longest pause between two looks at what is due at the desk.
 const DESK_TICKS: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(50));
 /// Words between two sweeps of idle connections.
@@ -22,8 +24,11 @@
         let mut n: u32 = 0;
         loop {
             let peers = self.state().peers.len();
-            let factor = peers.div_ceil(SMALL).max(1);
-            let interval = WORD_INTERVAL * u32::try_from(factor).unwrap_or(u32::MAX);
+            let factor = u32::try_from(peers.div_ceil(SMALL).max(1)).unwrap_or(u32::MAX);
+            let interval = match factor {
+                1 => WORD_INTERVAL,
+                factor => (WORD_INTERVAL * factor * 2).min(LONGEST),
+            };
             Self::spread_sleep(interval).await;
             self.tell_word();
             self.refresh();
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -23,6 +23,7 @@
         };
         match message {
             PeerMessage::Gateway(word) => control.take_word(&from.name, word),
+            PeerMessage::Kept(word) => control.take_kept(&from.name, word),
             PeerMessage::WantObjects { kind } => control.tell_objects(&from.name, kind),
             PeerMessage::Objects {
                 kind,
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -7,7 +7,7 @@
 use crate::prelude::*;
 
 /// Time after which a peer's word no longer counts.
-const STALE: Duration = Duration::from_millis(1_500);
+const STALE: Duration = Duration::from_secs(3);
 /// Tokens of one unit in a word.
 const UNIT: u32 = 64;
 
--- a/src/kept.rs
+++ b/src/kept.rs
@@ -10,6 +10,6 @@
 mod retirement;
 
 pub use directory::{Directory, KeptPlan};
-pub(crate) use follower::StoreFollower;
+pub(crate) use follower::{StoreFollower, StoreRelay};
 pub use port::{ContextStores, StoreChange, StoreNews, StorePart};
 pub use retirement::{FETCH_TIME, Retired, Retirement};
--- a/src/kept/directory.rs
+++ b/src/kept/directory.rs
@@ -159,6 +159,56 @@
         }
     }
 
+    /// Takes changes that a peer passes on; tells whether everything is to be asked for, because
+    /// changes before these are missing.
+    pub fn take_relayed(
+        &mut self,
+        now: Stamp,
+        addr: SocketAddr,
+        from: u64,
+        news: StoreNews,
+    ) -> bool {
+        let Some(store) = self.stores.get_mut(&addr) else {
+            return false;
+        };
+        if from == 0 {
+            let newer = news.epoch != store.epoch || news.next >= store.next;
+            if newer {
+                self.take_list(now, addr, news);
+            }
+            return false;
+        }
+        if news.epoch != store.epoch || from > store.next {
+            store.answered = None;
+            return true;
+        }
+        if news.next < store.next {
+            // Another follower was faster.
+            return false;
+        }
+        self.take_changes(now, addr, news);
+        false
+    }
+
+    /// Everything known of a store that answered.
+    #[must_use]
+    pub fn known(&self, now: Stamp, addr: SocketAddr) -> Option<StoreNews> {
+        let store = self.stores.get(&addr).filter(|s| s.is_fresh(now))?;
+        let parts = store.parts.iter();
+        Some(StoreNews {
+            epoch: store.epoch,
+            next: store.next,
+            gap: false,
+            changes: parts
+                .map(|(part, tokens)| StoreChange {
+                    part: part.clone(),
+                    tokens: *tokens,
+                })
+                .collect(),
+            clock_ms: None,
+        })
+    }
+
     /// Takes note that a store does not answer.
     pub fn lost(&mut self, addr: SocketAddr) {
         if let Some(store) = self.stores.get_mut(&addr) {
--- a/src/kept/follower.rs
+++ b/src/kept/follower.rs
@@ -7,7 +7,7 @@
 use futures_lite::FutureExt;
 
 use crate::clock::boot_time;
-use crate::kept::{ContextStores, Directory};
+use crate::kept::{ContextStores, Directory, StoreNews};
 use crate::prelude::*;
 
 /// Time for which a store waits for changes.
@@ -33,6 +33,16 @@
     pub origin: Duration,
     /// Clock of fetches' deadlines.
     pub clock: Arc<crate::gateway::FetchClock>,
+    /// Who follows which store, and who is told.
+    pub relay: Arc<dyn StoreRelay>,
+}
+
+/// The other entries, as far as following stores is shared among them.
+pub(crate) trait StoreRelay: Send + Sync {
+    /// Whether this entry is to follow a store itself.
+    fn follows(&self, store: SocketAddr) -> bool;
+    /// Passes on changes from number `from` on, or everything when that is zero.
+    fn pass_on(&self, store: SocketAddr, from: u64, news: &StoreNews);
 }
 
 impl StoreFollower {
@@ -40,6 +50,10 @@
     pub(crate) async fn run(self) {
         let mut known = true;
         while let Some(since) = self.next() {
+            if !self.relay.follows(self.store) {
+                Timer::after(PAUSE).await;
+                continue;
+            }
             let reached = self.step(since).await;
             if reached != known {
                 let event = if reached { "regained" } else { "lost" };
@@ -71,6 +85,9 @@
             return false;
         };
         self.clock.observe(news.clock_ms);
+        if !news.gap && since > 0 {
+            self.relay.pass_on(self.store, since, &news);
+        }
         if !self.directory().take_changes(self.now(), self.store, news) {
             return true;
         }
@@ -81,6 +98,7 @@
         let Some(list) = self.stores.list(self.store).or(late).await else {
             return false;
         };
+        self.relay.pass_on(self.store, 0, &list);
         self.directory().take_list(self.now(), self.store, list);
         true
     }
--- a/src/kept/retirement.rs
+++ b/src/kept/retirement.rs
@@ -10,7 +10,7 @@
 use crate::prelude::*;
 
 /// Age from which a peer's word no longer counts.
-const WORD_AGE: Duration = Duration::from_millis(1_500);
+const WORD_AGE: Duration = Duration::from_secs(3);
 /// Time for which a fetch may go on after its request was sent.
 pub const FETCH_TIME: Duration = Duration::from_secs(2);
 /// Further time, for clocks that run at different rates and requests on their way.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,7 +5,7 @@
 use crate::catalog::{Catalog, ReleaseNote};
 use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
 use crate::gateway::PeerObject;
-use crate::peer::{GatewayWord, LoadWord};
+use crate::peer::{GatewayWord, KeptWord, LoadWord};
 use crate::platform::Vm;
 use crate::prelude::*;
 
@@ -85,6 +85,9 @@
     /// What a gateway's entries tell each other at short intervals; its keys are short as well.
     #[serde(rename = "g")]
     Gateway(GatewayWord),
+    /// What a store of context told the sender, for entries that do not follow it themselves.
+    #[serde(rename = "k")]
+    Kept(KeptWord),
     /// Asks for the objects of one kind that a gateway follows, because the store is away.
     WantObjects {
         /// Index of the kind.
