--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, FutureExt};
+use socket2::SockRef;
 
 use crate::decide::AttemptOutcome;
 use crate::desk::Waiter;
@@ -188,6 +189,20 @@
     }
 }
 
+/// Resets a connection whose exchange is given up: bytes that still wait to be sent, such as behind
+/// a partition, would otherwise reach the target long afterwards.
+struct Abandoned<'a>(Option<&'a Async<TcpStream>>);
+
+impl Drop for Abandoned<'_> {
+    fn drop(&mut self) {
+        if let Some(stream) = self.0
+            && let Err(err) = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))
+        {
+            log::debug!("event=socket_option_failed error={:?}", err.to_string());
+        }
+    }
+}
+
 /// One attempt at a target.
 pub(crate) struct Attempt<'a> {
     /// Shared state of the entry.
@@ -245,8 +260,10 @@
             handed_over.store(written.is_ok(), Ordering::Release);
             std::future::pending().await
         };
+        let mut abandoned = Abandoned(Some(&stream));
         let mut outbound = Outbound::new(&stream);
         let (received, facts) = self.receive(&mut outbound, reply).or(send).await?;
+        abandoned.0 = None;
         let reusable = outbound.is_clean() && handed_over.load(Ordering::Acquire) && !facts.close;
         drop(outbound);
         if reusable {
