--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -264,6 +264,7 @@
         let mut outbound = Outbound::new(&stream);
         let (received, facts) = self.receive(&mut outbound, reply).or(send).await?;
         abandoned.0 = None;
+        drop(abandoned);
         let reusable = outbound.is_clean() && handed_over.load(Ordering::Acquire) && !facts.close;
         drop(outbound);
         if reusable {
