--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -20,6 +20,11 @@
 /// Time after which a peer's word about targets that are held back lapses.
 const HELD_TIME: Duration = Duration::from_millis(2_500);
 
+/// Entries up to which words about load are fresh enough to keep all waiting at the entries.
+const FEW_ENTRIES: usize = 10;
+/// Part of a target's room that many entries fill: they hear of each other late, and what waits at a
+/// target is served sooner than what waits for a word.
+const CROWD: f64 = 1.5;
 /// Time after the last target left a weight version from which nobody fetches for it any more: its
 /// runs have ended, and no request may begin on it.
 const LEFT_FOR: Duration = Duration::from_secs(3);
@@ -264,6 +269,8 @@
         own: &HashMap<Name, OwnLoad>,
     ) -> Vec<(Name, LoadReport)> {
         let sums = self.loads.sums();
+        let many = self.entries() > FEW_ENTRIES;
+        let crowd = if many { CROWD } else { 1.0 };
         let targets = self.targets.iter();
         targets
             .map(|t| {
@@ -275,12 +282,16 @@
                 let held = self.is_held(t);
                 let weights = t.weights.iter();
                 let weights = weights.map(|(m, v)| label(m, self.version(now, t, *v)));
+                // Short requests have ended long before a word about them comes.
+                let short = many && t.weights.is_empty();
+                let elsewhere = if short { 0 } else { others.requests };
+                let limit = service.map_or(0, |s| s.context_tokens);
                 let report = LoadReport {
-                    running: mine + others.requests,
+                    running: mine + elsewhere,
                     queued_tokens: u64::from(others.work_tokens()),
                     context_tokens: others.context_tokens(),
-                    context_limit: service.map_or(0, |s| s.context_tokens),
-                    slots: t.slots,
+                    context_limit: scaled(limit, crowd),
+                    slots: scaled(t.slots, crowd),
                     weights: weights.filter(|_| !held).collect(),
                     ..LoadReport::default()
                 };
@@ -289,3 +300,8 @@
             .collect()
     }
 }
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn scaled(room: u32, factor: f64) -> u32 {
+    (f64::from(room) * factor).round() as u32
+}
