--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -229,7 +229,18 @@
             if careful || !dropped {
                 return result;
             }
+            let again = self.run_fresh(reply).await;
+            // The target may have run what it received on the kept connection.
+            return again.map_err(|fault| match fault {
+                Fault::NotSent | Fault::Refused(_) => Fault::Broken(Broken::Silent),
+                fault => fault,
+            });
         }
+        self.run_fresh(reply).await
+    }
+
+    /// Sends the request on a new connection.
+    async fn run_fresh(&self, reply: &mut Reply<'_>) -> Result<Received, Fault> {
         let opened = connect(self.chosen.address).await;
         self.shared.metrics.connections.inc();
         let stream = opened.map_err(|_| Fault::NotSent)?;
