--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -8,9 +8,9 @@
 
 use async_io::Async;
 use futures_lite::FutureExt;
-use socket2::{SockRef, TcpKeepalive};
 
 use crate::clock::coarse_sleep;
+use crate::http::watch_for_silence;
 use crate::prelude::*;
 
 /// Longest time until a connection is made.
@@ -23,13 +23,6 @@
 const IDLE_PART: f64 = 0.7;
 /// Part of it that is used for requests that must not run twice.
 const CAREFUL_PART: f64 = 0.4;
-/// Silence after which a connection's peer is asked for a sign of life.
-const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Questions without an answer until a connection counts as dead.
-const KEEPALIVE_TRIES: u32 = 2;
-/// Longest time for which sent bytes may stay unacknowledged.
-const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
-
 struct Idle {
     stream: Async<TcpStream>,
     since: Instant,
@@ -124,19 +117,3 @@
     watch_for_silence(stream.get_ref());
     Ok(stream)
 }
-
-/// Has the system notice a peer that is gone without a word.
-pub(crate) fn watch_for_silence(stream: &TcpStream) {
-    let sock = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE)
-        .with_retries(KEEPALIVE_TRIES);
-    let set = sock
-        .set_tcp_nodelay(true)
-        .and_then(|()| sock.set_tcp_keepalive(&keepalive))
-        .and_then(|()| sock.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
-    if let Err(err) = set {
-        log::debug!("event=socket_option_failed error={:?}", err.to_string());
-    }
-}
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -7,11 +7,11 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
 use crate::clock::coarse_sleep;
-use crate::gateway::connections::watch_for_silence;
 use crate::gateway::inbound::{Inbound, NoRequest};
 use crate::gateway::refusal::rejected;
 use crate::gateway::serve::serve;
 use crate::gateway::shared::Shared;
+use crate::http::watch_for_silence;
 use crate::prelude::*;
 
 /// Pause after a failed accept, such as when file descriptors run out.
--- a/src/http.rs
+++ b/src/http.rs
@@ -20,6 +20,7 @@
 mod response;
 mod server;
 mod serving;
+mod silence;
 mod sse;
 
 pub use buffered::poll_read_buffered;
@@ -36,4 +37,5 @@
 pub use pool::Pool;
 pub use problem::{Problem, RunState};
 pub use server::Server;
+pub(crate) use silence::watch_for_silence;
 pub use sse::{EventParser, EventSender, SseEvent, event_body};
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -11,7 +11,7 @@
 use http_types::{Method, Request, Response};
 
 use crate::http::response::AnswerReader;
-use crate::http::{ExchangeError, HeadError};
+use crate::http::{ExchangeError, HeadError, watch_for_silence};
 
 /// A connection that carries one exchange at a time.
 #[derive(Debug)]
@@ -31,7 +31,7 @@
             Err(io::ErrorKind::TimedOut.into())
         };
         let stream = connect.or(late).await.map_err(ExchangeError::Connect)?;
-        let _ = stream.get_ref().set_nodelay(true);
+        watch_for_silence(stream.get_ref());
         Ok(Self {
             stream: Arc::new(stream),
         })
