--- /dev/null
+++ b/tests/placement_load.rs
@@ -0,0 +1,246 @@
+//! Placement under a load in which one shared part gets a quarter of the requests: many entries, few
+//! targets, prompts of two sizes; what counts is how many callers get their first token in time.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use guavahold::cache::BlockKey;
+use guavahold::catalog::Policy;
+use guavahold::decide::{
+    Arrival, AttemptOutcome, Desk, DeskSettings, Effect, Event, Placement, RequestId, TargetInfo,
+};
+use guavahold::prelude::Name;
+use guavahold::target::LoadReport;
+
+const ENTRIES: usize = 8;
+const TARGETS: usize = 6;
+/// Prompt tokens that a target reads in a millisecond.
+const SPEED: u64 = 66;
+/// Requests a second of all entries.
+const RATE: f64 = 80.0;
+/// Interval of words between entries, in milliseconds.
+const WORDS: u64 = 60;
+/// Time within which a first token is in time, in milliseconds.
+const AIM: u64 = 400;
+const SECONDS: u64 = 40;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// A target that reads prompts one after the other.
+#[derive(Default)]
+struct Target {
+    busy_until: u64,
+    cached: BTreeSet<u64>,
+}
+
+struct World {
+    now: u64,
+    desks: Vec<Desk>,
+    targets: BTreeMap<Name, Target>,
+    /// First tokens to come: time, entry, request, attempt.
+    coming: BTreeSet<(u64, usize, RequestId, u32)>,
+    /// Arrival and shared part of each request.
+    open: HashMap<RequestId, (u64, u64, u64)>,
+    in_time: u64,
+    late: u64,
+    refused: u64,
+}
+
+impl World {
+    fn new(placement: Placement) -> Self {
+        let names: Vec<Name> = (0..TARGETS).map(|n| format!("t{n}").into()).collect();
+        let list: Vec<TargetInfo> = names
+            .iter()
+            .map(|name| TargetInfo {
+                name: name.clone(),
+                domain: "a".into(),
+                address: "10.0.0.1:80".parse().unwrap(),
+                serves: "llm".into(),
+                leaving: false,
+            })
+            .collect();
+        let desk = |n: usize| {
+            let mut desk = Desk::new(DeskSettings {
+                seed: n as u64 + 1,
+                hedges: false,
+                ask_after_refusal: false,
+                placement,
+                ..DeskSettings::new("a".into())
+            });
+            desk.on(ms(0), Event::Targets(list.clone()), &mut Vec::new());
+            desk
+        };
+        let mut world = Self {
+            now: 0,
+            desks: (0..ENTRIES).map(desk).collect(),
+            targets: names.into_iter().map(|n| (n, Target::default())).collect(),
+            coming: BTreeSet::new(),
+            open: HashMap::new(),
+            in_time: 0,
+            late: 0,
+            refused: 0,
+        };
+        world.tell_words();
+        world
+    }
+
+    /// Every entry hears what the others have under way.
+    fn tell_words(&mut self) {
+        let loads: Vec<_> = self.desks.iter().map(Desk::loads).collect();
+        let names: Vec<Name> = self.targets.keys().cloned().collect();
+        for (n, desk) in self.desks.iter_mut().enumerate() {
+            for target in &names {
+                let sum = |f: fn(&guavahold::decide::OwnLoad) -> u32, own: bool| -> u32 {
+                    let entries = loads.iter().enumerate().filter(|(m, _)| own || *m != n);
+                    entries.map(|(_, l)| l.get(target).map_or(0, f)).sum()
+                };
+                let report = LoadReport {
+                    running: sum(|l| l.requests, true),
+                    queued_tokens: u64::from(sum(|l| l.work, false)),
+                    context_tokens: sum(|l| l.context, false),
+                    context_limit: 99_000,
+                    slots: 64,
+                    weights: vec!["m/1".into()],
+                    ..LoadReport::default()
+                };
+                let target = target.clone();
+                desk.on(
+                    ms(self.now),
+                    Event::Report { target, report },
+                    &mut Vec::new(),
+                );
+            }
+        }
+    }
+
+    fn arrive(&mut self, entry: usize, id: u64, shared: u64, sizes: (u32, u32)) {
+        let policy = Policy {
+            first_token_ms: 2_400,
+            total_ms: 3_000,
+            ..Policy::default()
+        };
+        let mut key = [0; 32];
+        key[..8].copy_from_slice(&shared.to_le_bytes());
+        let mut own = [1; 32];
+        own[..8].copy_from_slice(&id.to_le_bytes());
+        let id = RequestId(id);
+        self.open.insert(id, (self.now, shared, u64::from(sizes.0)));
+        let arrival = Arrival {
+            id,
+            customer: "c".into(),
+            serves: "llm".into(),
+            weights: std::iter::once(Name::from("m/1")).collect(),
+            policy: Arc::new(policy),
+            fingerprint: BlockKey::from_bytes(own),
+            affinity: BlockKey::from_bytes(key),
+            tokens: sizes.0 + sizes.1,
+            shared_tokens: sizes.0,
+            kept_tokens: std::iter::once(0).collect(),
+            output_tokens: 16,
+            attempts: 1,
+            resumable: false,
+        };
+        self.feed(entry, Event::Arrive(arrival), sizes.1);
+    }
+
+    fn feed(&mut self, entry: usize, event: Event, fresh: u32) {
+        let mut effects = Vec::new();
+        self.desks[entry].on(ms(self.now), event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Dispatch {
+                    id,
+                    attempt,
+                    target,
+                    ..
+                } => {
+                    let (_, shared, shared_tokens) = self.open[&id];
+                    let target = self.targets.get_mut(&target).unwrap();
+                    let cached = !target.cached.insert(shared);
+                    let shared_tokens = if cached { 0 } else { shared_tokens };
+                    let reads = (shared_tokens + u64::from(fresh)) / SPEED;
+                    target.busy_until = target.busy_until.max(self.now) + reads;
+                    if target.cached.len() > 24 {
+                        target.cached.pop_first();
+                    }
+                    self.coming
+                        .insert((target.busy_until + 60, entry, id, attempt));
+                }
+                Effect::Refuse { .. } => self.refused += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn first_tokens(&mut self) {
+        while let Some((at, entry, id, attempt)) = self.coming.first().copied() {
+            if at > self.now {
+                return;
+            }
+            self.coming.pop_first();
+            let (arrived, ..) = self.open[&id];
+            if at - arrived <= AIM {
+                self.in_time += 1;
+            } else {
+                self.late += 1;
+            }
+            self.feed(entry, Event::FirstToken { id, attempt }, 0);
+            let outcome = AttemptOutcome::Done;
+            let ended = Event::Ended {
+                id,
+                attempt,
+                outcome,
+            };
+            self.feed(entry, ended, 0);
+        }
+    }
+
+    /// Plays the load; the share of callers served in time.
+    fn play(placement: Placement, seed: u64) -> f64 {
+        let mut world = Self::new(placement);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut id = 0;
+        for now in 0..SECONDS * 1_000 {
+            world.now = now;
+            world.first_tokens();
+            if now.is_multiple_of(WORDS) {
+                world.tell_words();
+            }
+            if rng.f64() < RATE / 1_000.0 {
+                id += 1;
+                let large = rng.f64() < 0.35;
+                // One shared part gets most of the large prompts.
+                let hot = large && rng.f64() < 0.7;
+                let shared = match (hot, large) {
+                    (true, _) => 0,
+                    (false, true) => rng.u64(1..40),
+                    (false, false) => rng.u64(0..200),
+                };
+                let sizes = if large { (8_600, 2_900) } else { (1_500, 500) };
+                let part = shared + if large { 1_000 } else { 0 };
+                world.arrive(rng.usize(..ENTRIES), id, part, sizes);
+            }
+        }
+        let all = world.in_time + world.late + world.refused;
+        assert!(all > SECONDS * 50, "too little was asked: {all}");
+        #[allow(clippy::cast_precision_loss)]
+        let share = world.in_time as f64 / all as f64;
+        share
+    }
+}
+
+#[test]
+fn placement_by_least_work_serves_more_callers_in_time() {
+    for seed in [1, 2, 3] {
+        let least_work = World::play(Placement::LeastWork, seed);
+        let first_with_room = World::play(Placement::FirstWithRoom, seed);
+        let (late, late_before) = (1.0 - least_work, 1.0 - first_with_room);
+        assert!(
+            late * 2.0 <= late_before,
+            "seed {seed}: {late:.3} late, {late_before:.3} by the first with room"
+        );
+    }
+}
