--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! are the desk's ([`crate::decide`]).
 
 mod answer;
+mod arrival;
 mod attempt;
 mod body;
 mod builder;
@@ -25,6 +26,7 @@
 mod outbound;
 mod probe;
 mod refusal;
+mod reply;
 mod serve;
 mod shared;
 mod targets;
--- a/src/gateway/trail.rs
+++ b/src/gateway/trail.rs
@@ -2,7 +2,8 @@
 
 use std::fmt;
 
-use crate::gateway::attempt::{Reply, Work};
+use crate::gateway::attempt::Work;
+use crate::gateway::reply::Reply;
 use crate::gateway::{Call, OwnAnswer};
 use crate::prelude::*;
 use crate::telemetry::GatewayMetrics;
