--- a/tests/kept.rs
+++ b/tests/kept.rs
@@ -128,6 +128,43 @@
     assert!(directory.unused(ms(20), Retired::default()).is_empty());
 }
 
+/// A directory that hears of store 1 from a peer that follows it.
+fn relayed() -> (Directory, Directory) {
+    let mut follower = directory();
+    follower.take_changes(ms(10), store(1), news(7, 5, &[("1", "p", 1_000)]));
+    let mut other = Directory::default();
+    other.set_usable(Retired::default(), true);
+    other.take_stores(&[(store(1), 10_000), (store(2), 10_000)]);
+    (follower, other)
+}
+
+#[test]
+fn relayed_changes_are_taken_in_their_order() {
+    let (follower, mut other) = relayed();
+    let next = news(7, 6, &[("1", "q", 500)]);
+    assert!(other.take_relayed(ms(20), store(1), 5, next.clone()));
+    assert_eq!(plan(&mut other, 20, "q").0, None);
+    let known = follower.known(ms(20), store(1)).unwrap();
+    assert!(!other.take_relayed(ms(30), store(1), 0, known));
+    assert_eq!(plan(&mut other, 30, "p").0, Some(store(1)));
+    assert!(!other.take_relayed(ms(40), store(1), 5, next.clone()));
+    assert_eq!(plan(&mut other, 40, "q").0, Some(store(1)));
+    // The second follower says the same once more, and then something older.
+    assert!(!other.take_relayed(ms(50), store(1), 5, next));
+    assert!(!other.take_relayed(ms(60), store(1), 4, news(7, 5, &[("1", "q", 0)])));
+    assert_eq!(plan(&mut other, 60, "q").0, Some(store(1)));
+}
+
+#[test]
+fn relayed_changes_of_another_start_are_not_mixed() {
+    let (follower, mut other) = relayed();
+    let known = follower.known(ms(20), store(1)).unwrap();
+    other.take_relayed(ms(20), store(1), 0, known);
+    assert!(other.take_relayed(ms(30), store(1), 5, news(9, 6, &[("1", "q", 500)])));
+    assert_eq!(plan(&mut other, 40, "p").0, None);
+    assert_eq!(follower.known(ms(9_000), store(1)), None);
+}
+
 /// An entry of the random test.
 #[derive(Default)]
 struct Entry {
