--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -373,5 +373,6 @@
         address: vm.address,
         serves: vm.serves.clone(),
         leaving: vm.phase == VmPhase::Leaving,
+        started_ms: 0,
     })
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -32,6 +32,7 @@
 mod response_reader;
 mod serve;
 mod shared;
+mod target_history;
 mod target_table;
 mod versions;
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,13 +14,13 @@
 use crate::gateway::connection_pool::connect;
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::response_reader::{ResponseError, ResponseReader};
-use crate::gateway::shared::Shared;
+use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::{
     BodyReader, Dispatch, EventSplitter, RawEvent, RequestHead, ResponseInfo, RunReport,
 };
 use crate::prelude::*;
 use crate::route::{KeyHolder, Route};
-use crate::scheduler::{AttemptOutcome, LoadEstimate};
+use crate::scheduler::{AttemptOutcome, Event, LoadEstimate, Signal};
 use crate::shared_scheduler::RequestHandle;
 
 /// Factor of the fetches in an attempt's transfer counts, which share one atomic integer.
@@ -88,8 +88,10 @@
 /// Why an attempt got no response.
 #[derive(Debug)]
 pub(crate) enum AttemptError {
-    /// No byte was sent to the target.
+    /// No connection to the target was made, so that no byte was sent.
     NotSent,
+    /// No byte was sent, since the target is leaving or asked for a pause.
+    Withheld,
     /// The target stated that it did not run the request.
     Refused(ResponseInfo),
     /// No valid response was received, and the target may have run the request.
@@ -103,6 +105,7 @@
     pub(crate) fn outcome(&self) -> AttemptOutcome {
         match self {
             Self::NotSent => AttemptOutcome::NotSent,
+            Self::Withheld => AttemptOutcome::Withheld,
             Self::Refused(info) => AttemptOutcome::Refused {
                 retry_after: info.retry_after,
             },
@@ -117,6 +120,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent => f.write_str("not-sent (no connection)"),
+            Self::Withheld => f.write_str("withheld (the target is leaving or asked for a pause)"),
             Self::Refused(info) if info.run == RunReport::Misdirected => {
                 let weights = info.weights.unwrap_or_default();
                 write!(f, "misdirected (another target or weights {weights})")
@@ -190,7 +194,7 @@
             let retried = self.run_on_new_connection(response).await;
             // The target may have run the request that it received on the idle connection.
             return retried.map_err(|error| match error {
-                AttemptError::NotSent | AttemptError::Refused(_) => {
+                AttemptError::NotSent | AttemptError::Withheld | AttemptError::Refused(_) => {
                     AttemptError::Response(ResponseError::NoResponse)
                 }
                 error => error,
@@ -215,6 +219,12 @@
         stream: Async<TcpStream>,
         response: &mut CallerResponse<'_>,
     ) -> Result<TargetResponse, AttemptError> {
+        // Connecting may have taken long.
+        if !self.shared.scheduler.may_send(&self.assignment.target) {
+            let addr = self.assignment.address;
+            self.shared.connections.put(addr, stream, None);
+            return Err(AttemptError::Withheld);
+        }
         let head = self.encode(response);
         let sent_completely = AtomicBool::new(false);
         let send = async {
@@ -315,6 +325,7 @@
     ) -> Result<(TargetResponse, ResponseInfo), AttemptError> {
         let head = reader.read_head(&self.request.head, &*self.shared.dialect);
         let head = head.await.map_err(AttemptError::Response)?;
+        self.observe(&head);
         if head.info.encoded || (head.is_success() && !head.info.from_target) {
             return Err(AttemptError::Response(ResponseError::Malformed));
         }
@@ -330,6 +341,33 @@
         Ok((TargetResponse::Complete(head, body), info))
     }
 
+    /// Reports what a response says about its target: that it is leaving, or wants a pause.
+    fn observe(&self, head: &ResponseHead) {
+        let info = &head.info;
+        let target = info.target.as_ref().unwrap_or(&self.assignment.target);
+        let mut signals: SmallVec<[Signal; 2]> = SmallVec::new();
+        if info.leaving {
+            signals.push(Signal::Leaving);
+        }
+        if let Some(pause) = info.retry_after.filter(|_| head.status == 503) {
+            signals.push(Signal::Pause(pause));
+        }
+        for signal in signals {
+            // Takes effect at once here, before the control tasks have seen it.
+            let event = Event::Signal {
+                target: target.clone(),
+                signal,
+            };
+            self.shared.scheduler.submit(event);
+            let _ = self.shared.target_observations.try_send(TargetObservation {
+                target: target.clone(),
+                signal,
+                weights: None,
+                said_leaving: info.leaving,
+            });
+        }
+    }
+
     /// Relays complete events until the stream ends.
     async fn relay_stream(
         &self,
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -19,7 +19,7 @@
 use crate::gateway::listener::accept;
 use crate::gateway::peer_handler::PeerHandler;
 use crate::gateway::probe::ProbeHandler;
-use crate::gateway::registration::register;
+use crate::gateway::registration::keep_registered;
 use crate::gateway::request_log::DEFAULT_LOG_SAMPLE;
 use crate::gateway::shared::Shared;
 use crate::gateway::versions::AllowedVersions;
@@ -54,6 +54,9 @@
 const MAX_ENTRIES_SHORT_HEARTBEAT: u32 = 24;
 /// Interval at which a shutdown checks whether all connections have closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Heartbeats of a target after which its registration has surely expired: the platform removes it
+/// after three, and the fourth allows for lag.
+const LIFETIME_HEARTBEATS: u32 = 4;
 /// Delay between the end of the last request and the exit, in which its response is sent.
 const FINAL_RESPONSE_DELAY: Duration = Duration::from_millis(100);
 
@@ -74,6 +77,7 @@
     balancer_lag: Duration,
     shutdown_timeout: Duration,
     rollout: RolloutSettings,
+    target_heartbeat: Duration,
 }
 
 impl GatewayBuilder {
@@ -103,6 +107,7 @@
             balancer_lag: Duration::from_millis(2_600),
             shutdown_timeout: Duration::from_secs(8),
             rollout: RolloutSettings::default(),
+            target_heartbeat: Duration::from_millis(1_200),
         }
     }
 
@@ -160,6 +165,13 @@
         self
     }
 
+    /// Sets the interval at which targets renew their registrations.
+    #[must_use]
+    pub fn target_heartbeat(mut self, interval: Duration) -> Self {
+        self.target_heartbeat = interval;
+        self
+    }
+
     /// Binds all addresses and starts the gateway.
     ///
     /// # Errors
@@ -224,7 +236,7 @@
         }
         let kind = control.decoder.kind(WatchedKind::Members);
         control_ex
-            .spawn(register(platform, kind, self.own_vm()))
+            .spawn(keep_registered(platform, kind, self.own_vm()))
             .detach();
         let run = mesh.clone().run(peer_listener, control_ex.clone());
         control_ex.spawn(run).detach();
@@ -316,9 +328,11 @@
             domain: self.domain.clone(),
             own_vm: self.own_vm(),
             shared: shared.clone(),
+            platform: platform.clone(),
             decoder,
             targets,
             stores,
+            registration_lifetime: self.target_heartbeat * LIFETIME_HEARTBEATS,
             lease: LeaseClient::new(platform.clone(), "orders".into(), cfg),
             mesh: OnceLock::default(),
             executor: executor.clone(),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -19,7 +19,7 @@
 use crate::gateway::{Decoder, WatchedKind};
 use crate::lease::LeaseClient;
 use crate::peer::{Mesh, PeerLinks, PeerMessage};
-use crate::platform::{Listing, PlatformError, Vm, WatchEvent};
+use crate::platform::{Listing, Platform, PlatformError, StoreRevision, Vm, WatchEvent};
 use crate::prelude::*;
 use crate::scheduler::{Effect, Event, Signal};
 
@@ -29,6 +29,8 @@
 /// Receiver of requests' observations about targets.
 pub(crate) type TargetObservationReceiver = async_channel::Receiver<TargetObservation>;
 
+/// Time in which entries register again after the platform store was restored.
+const MEMBER_REWRITE_TIME: Duration = Duration::from_secs(10);
 /// Time for which a target gets no new work after it refused a request for its weight version
 /// without reporting the version that it runs.
 const UNKNOWN_VERSION_PAUSE: Duration = Duration::from_millis(600);
@@ -43,6 +45,8 @@
     pub own_vm: Vm,
     /// State shared with the request tasks.
     pub shared: Arc<Shared>,
+    /// Client of the platform store.
+    pub platform: Arc<dyn Platform>,
     /// Decoder of objects in the platform store.
     pub decoder: Arc<dyn Decoder>,
     /// Client for weight orders and status queries to targets.
@@ -55,6 +59,8 @@
     pub mesh: OnceLock<Arc<Mesh>>,
     /// Executor of the control thread, on which further control tasks are spawned.
     pub executor: Arc<Executor<'static>>,
+    /// Time after which the registration of a target that is gone has expired.
+    pub registration_lifetime: Duration,
     /// State of the control tasks.
     pub state: Mutex<State>,
 }
@@ -73,10 +79,40 @@
     pub(crate) fn apply_listing(self: &Arc<Self>, watched: WatchedKind, listing: Listing) {
         let mut state = self.state();
         self.record_store_success(&mut state, watched);
-        state.caches[watched.index()].replace(listing);
+        let cache = &mut state.caches[watched.index()];
+        if cache.is_outdated(&listing) {
+            return;
+        }
+        if cache.is_restored_by(&listing) {
+            self.merge_restored(&mut state, watched, listing);
+        } else {
+            cache.replace(listing);
+        }
         self.update_derived(&mut state, watched);
     }
 
+    /// Adopts the first listing after the store was restored from an older copy. What it lacks or
+    /// states in an older version is lost only if its writer does not write it again.
+    fn merge_restored(&self, state: &mut State, watched: WatchedKind, listing: Listing) {
+        let now = self.now();
+        let era = StoreRevision::of(&listing.version).era();
+        let kind = watched.as_str();
+        let items = listing.items.len();
+        log::warn!("event=objects_restored kind={kind} era={era} listed={items}");
+        let cache = &mut state.caches[watched.index()];
+        match watched {
+            WatchedKind::Routes | WatchedKind::Weights => {
+                cache.merge_versioned(listing, |spec| self.decoder.version(watched, spec));
+            }
+            WatchedKind::Members => cache.merge_restored(listing, now + MEMBER_REWRITE_TIME),
+            WatchedKind::Targets => {
+                cache.replace(listing);
+                let lifetime = self.registration_lifetime;
+                state.targets.record_store_restore(now, lifetime);
+            }
+        }
+    }
+
     /// Applies a watch event from the platform store.
     pub(crate) fn apply_event(self: &Arc<Self>, watched: WatchedKind, event: WatchEvent) {
         let mut state = self.state();
@@ -283,6 +319,13 @@
                 }
                 self.submit_targets(&mut state);
             }
+            if observation.said_leaving {
+                let mut state = self.state();
+                if state.targets.record_said_leaving(&target) {
+                    log::info!("event=target_said_leaving target={target}");
+                    self.submit_targets(&mut state);
+                }
+            }
             let signal = observation.signal;
             self.shared
                 .scheduler
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -5,6 +5,7 @@
 use crate::gateway::{PeerObject, TargetLoad, WatchedKind};
 use crate::name_hash::name_hash;
 use crate::peer::{GatewayStatus, Mesh, PeerInfo, PeerLinks, PeerMessage};
+use crate::platform::StoreRevision;
 use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
 use crate::scheduler::{Event, Signal};
@@ -74,6 +75,10 @@
     /// Applies the parts that an entry's status and a hub's digest have in common.
     pub(crate) fn apply_common(&self, state: &mut State, peer: &Name, status: &GatewayStatus) {
         let now = self.now();
+        for revision in status.revisions {
+            let era = StoreRevision::from_bits(revision).era();
+            self.platform.observe_era(era);
+        }
         let mut changed = state.record_peer_cordons(now, peer, &status.cordoned_targets);
         for (key, version) in &status.target_versions {
             changed |= state.record_version_by_hash(now, *key, *version);
@@ -134,11 +139,17 @@
             return;
         };
         let mut state = self.state();
+        let former = StoreRevision::from_bits(state.caches[kind].revision());
         if state.unreachable_since[kind].is_none()
             || !state.caches[kind].replace_from_peer(revision, objects)
         {
             return;
         }
+        let restored = StoreRevision::from_bits(revision).era() > former.era();
+        if watched == WatchedKind::Targets && restored && former.to_bits() > 0 {
+            let (now, lifetime) = (self.now(), self.registration_lifetime);
+            state.targets.record_store_restore(now, lifetime);
+        }
         let kind = watched.as_str();
         log::info!("event=objects_adopted kind={kind} peer={peer} revision={revision}");
         self.update_derived(&mut state, watched);
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -2,6 +2,7 @@
 
 use async_io::Timer;
 
+use crate::gateway::WatchedKind;
 use crate::gateway::control::Control;
 use crate::prelude::*;
 use crate::rollout::RolloutEvent;
@@ -43,7 +44,7 @@
         }
     }
 
-    fn expire_and_submit(&self) {
+    fn expire_and_submit(self: &Arc<Self>) {
         let now = self.now();
         let mut state = self.state();
         state.retire_context(now);
@@ -54,6 +55,9 @@
             .store_directory()
             .restrict_fetches(retired, may_fetch);
         let expired = state.expire(now);
+        if state.expire_members(now) {
+            self.update_derived(&mut state, WatchedKind::Members);
+        }
         state.loads.expire(now);
         if expired {
             self.submit_targets(&mut state);
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -236,6 +236,12 @@
         resumed || removed
     }
 
+    /// Removes the entries that did not register again after the platform store was restored;
+    /// returns whether there were any.
+    pub(crate) fn expire_members(&mut self, now: Timestamp) -> bool {
+        self.caches[WatchedKind::Members.index()].expire(now)
+    }
+
     /// Whether a target gets no new work, because this entry or a peer has cordoned it or its
     /// weight version is unknown.
     fn is_cordoned(&self, target: &RegisteredTarget) -> bool {
--- a/src/gateway/decoder.rs
+++ b/src/gateway/decoder.rs
@@ -90,4 +90,8 @@
     /// # Errors
     /// A description of the field or value that cannot be decoded.
     fn weights(&self, name: &str, spec: &Value) -> Result<DeclaredWeights, String>;
+
+    /// Version of a configuration or of declared weights, which their writers only raise; `None` for
+    /// other kinds and for objects that cannot be decoded.
+    fn version(&self, watched: WatchedKind, spec: &Value) -> Option<u64>;
 }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -91,6 +91,8 @@
     pub from_target: bool,
     /// Whether the body has a content coding, which no caller requested.
     pub encoded: bool,
+    /// Whether the target says that it is leaving.
+    pub leaving: bool,
     /// Time after which the target accepts a retry.
     pub retry_after: Option<Duration>,
 }
--- a/src/gateway/object_cache.rs
+++ b/src/gateway/object_cache.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::platform::{Listing, Object, Version, WatchEvent};
+use crate::platform::{Listing, Object, StoreRevision, Version, WatchEvent};
 use crate::prelude::*;
 
 /// An object as sent between entries.
@@ -22,10 +22,14 @@
 pub struct ObjectCache {
     revision: u64,
     objects: BTreeMap<Name, Arc<Value>>,
+    /// Objects that a restored store lacks, and until when they are kept for their writers to write
+    /// them again.
+    unconfirmed: BTreeMap<Name, Timestamp>,
 }
 
 impl ObjectCache {
-    /// Store revision up to which the cache is complete; zero before the first listing.
+    /// Store revision up to which the cache is complete, encoded by [`StoreRevision::to_bits`]; zero
+    /// before the first listing.
     #[must_use]
     pub fn revision(&self) -> u64 {
         self.revision
@@ -36,11 +40,71 @@
         self.objects.iter()
     }
 
+    /// Whether a listing is the first one after the store was restored from an older copy.
+    #[must_use]
+    pub fn is_restored_by(&self, listing: &Listing) -> bool {
+        let era = StoreRevision::from_bits(self.revision).era();
+        self.revision > 0 && StoreRevision::of(&listing.version).era() > era
+    }
+
+    /// Whether a listing is of a former era of the store.
+    #[must_use]
+    pub fn is_outdated(&self, listing: &Listing) -> bool {
+        let era = StoreRevision::from_bits(self.revision).era();
+        StoreRevision::of(&listing.version).era() < era
+    }
+
     /// Replaces all objects with a full listing.
     pub fn replace(&mut self, listing: Listing) {
         self.revision = self.revision.max(revision_of(&listing.version));
         let items = listing.items.into_iter();
         self.objects = items.map(|o| (o.name, Arc::new(o.spec))).collect();
+        self.unconfirmed.clear();
+    }
+
+    /// Adopts the first listing of a restored store. Objects that it lacks are kept until
+    /// `keep_until`, or longer if they are written again.
+    pub fn merge_restored(&mut self, listing: Listing, keep_until: Timestamp) {
+        let known = std::mem::take(&mut self.objects);
+        self.replace(listing);
+        for (name, spec) in known {
+            if !self.objects.contains_key(&name) {
+                self.unconfirmed.insert(name.clone(), keep_until);
+                self.objects.insert(name, spec);
+            }
+        }
+    }
+
+    /// Adopts the first listing of a restored store, but keeps the objects whose `version` is newer
+    /// than the listed one or which are not listed: their writer only ever raises it.
+    pub fn merge_versioned(&mut self, listing: Listing, version: impl Fn(&Value) -> Option<u64>) {
+        let known = std::mem::take(&mut self.objects);
+        self.replace(listing);
+        for (name, spec) in known {
+            let listed = self.objects.get(&name).and_then(|spec| version(spec));
+            if version(&spec) > listed {
+                self.objects.insert(name, spec);
+            }
+        }
+    }
+
+    /// Removes the objects that were not written again in time after a restore; returns whether
+    /// there were any.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        let before = self.objects.len();
+        let Self {
+            objects,
+            unconfirmed,
+            ..
+        } = self;
+        unconfirmed.retain(|name, until| {
+            let keep = now < *until;
+            if !keep {
+                objects.remove(name);
+            }
+            keep
+        });
+        objects.len() < before
     }
 
     /// Applies a watch event; returns whether an object changed.
@@ -50,7 +114,10 @@
                 self.revision = self.revision.max(revision_of(&object.version));
                 self.put(object)
             }
-            WatchEvent::Deleted(object) => self.objects.remove(&object.name).is_some(),
+            WatchEvent::Deleted(object) => {
+                self.unconfirmed.remove(&object.name);
+                self.objects.remove(&object.name).is_some()
+            }
             WatchEvent::Bookmark(version) => {
                 self.revision = self.revision.max(revision_of(&version));
                 false
@@ -60,6 +127,7 @@
 
     fn put(&mut self, object: Object) -> bool {
         let spec = Arc::new(object.spec);
+        self.unconfirmed.remove(&object.name);
         let old = self.objects.insert(object.name, spec.clone());
         old != Some(spec)
     }
@@ -78,6 +146,7 @@
             Ok(objects) => {
                 self.objects = objects;
                 self.revision = revision;
+                self.unconfirmed.clear();
                 true
             }
             Err(err) => {
@@ -100,7 +169,7 @@
     }
 }
 
-/// Parses an opaque store version as a number, so that entries can compare their revisions.
+/// Reads an opaque store version as a number, so that entries can compare their revisions.
 fn revision_of(version: &Version) -> u64 {
-    version.0.parse().unwrap_or_default()
+    StoreRevision::of(version).to_bits()
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -420,6 +420,7 @@
                 target: assignment.target.clone(),
                 signal,
                 weights: info.weights.or(Some(0)).filter(|_| !is_other_target),
+                said_leaving: false,
             });
         }
         self.handle.report_end(assignment.number, error.outcome());
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -90,4 +90,6 @@
     /// Weight version that the target reported; zero when it refused the requested version without
     /// reporting its own.
     pub weights: Option<u64>,
+    /// Whether the target itself said that it is leaving.
+    pub said_leaving: bool,
 }
--- a/src/gateway/target_table.rs
+++ b/src/gateway/target_table.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::gateway::RegisteredTarget;
+use crate::gateway::target_history::TargetHistory;
 use crate::prelude::*;
 
 /// Grace period in which targets whose registration expired during an outage of the platform store
@@ -15,10 +16,12 @@
 /// A registered target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetRecord {
-    /// Registration of the target.
+    /// Registration of the target; it counts as leaving also when only the history says so.
     pub registration: RegisteredTarget,
     /// When the target is removed unless it registers again; set while it is missing.
     pub missing_until: Option<Timestamp>,
+    /// Whether the registration itself says that the target is leaving.
+    registered_leaving: bool,
 }
 
 /// Registered targets by name. A target that is missing right after an outage of the platform store
@@ -28,6 +31,7 @@
     targets: BTreeMap<Name, TargetRecord>,
     /// End of the last outage of the platform store.
     recovered_at: Option<Timestamp>,
+    history: TargetHistory,
 }
 
 impl TargetTable {
@@ -36,13 +40,40 @@
         self.recovered_at = Some(now);
     }
 
+    /// Records that the platform store was restored from an older copy, before its first list is
+    /// applied. Missing targets get the grace period; targets that were leaving or gone stay so
+    /// for `registration_lifetime`, in which a registration that is only in the copy expires.
+    pub fn record_store_restore(&mut self, now: Timestamp, registration_lifetime: Duration) {
+        self.record_store_recovery(now);
+        let leaving = self.targets.values().filter(|r| r.registered_leaving);
+        let leaving = leaving.map(|r| (&r.registration.info.name, r.registration.started_ms));
+        self.history
+            .distrust_registrations(leaving, now + registration_lifetime);
+    }
+
+    /// Records that a target said in a response that it is leaving. This holds until the target
+    /// starts anew, even if its registration is removed and comes back. Returns whether it is news.
+    pub fn record_said_leaving(&mut self, name: &Name) -> bool {
+        let record = self.targets.get_mut(name);
+        let listed = record.as_ref().map(|r| r.registration.started_ms);
+        let news = self.history.record_said_leaving(name, listed);
+        if let Some(record) = record {
+            record.registration.info.leaving = true;
+        }
+        news
+    }
+
     /// Updates the table with all registered targets.
     pub fn set_registered(&mut self, now: Timestamp, registered: Vec<RegisteredTarget>) {
         let present: BTreeSet<Name> = registered.iter().map(|t| t.info.name.clone()).collect();
-        for registration in registered {
+        for mut registration in registered {
+            let registered_leaving = registration.info.leaving;
+            registration.info.leaving |= self.history.is_leaving(now, &registration);
+            self.history.record_registered(&registration.info.name);
             let record = TargetRecord {
                 registration,
                 missing_until: None,
+                registered_leaving,
             };
             let name = record.registration.info.name.clone();
             self.targets.insert(name, record);
@@ -61,12 +92,24 @@
         self.expire(now);
     }
 
-    /// Removes targets whose grace period has ended; returns whether there were any.
+    /// Removes targets whose grace period has ended, and trusts registrations again that were
+    /// distrusted after a restore; returns whether there were any.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         let before = self.targets.len();
         let gone = |r: &TargetRecord| r.missing_until.is_some_and(|until| until <= now);
+        for record in self.targets.values().filter(|r| gone(r)) {
+            self.history.record_removed(now, &record.registration);
+        }
         self.targets.retain(|_, record| !gone(record));
-        self.targets.len() < before
+        let removed = self.targets.len() < before;
+        let trusted = self.history.expire(now);
+        if trusted {
+            for record in self.targets.values_mut() {
+                let leaving = self.history.is_leaving(now, &record.registration);
+                record.registration.info.leaving = record.registered_leaving || leaving;
+            }
+        }
+        removed || trusted
     }
 
     /// Registrations of all targets.
--- a/src/http.rs
+++ b/src/http.rs
@@ -35,7 +35,7 @@
 pub use head::RequestHead;
 pub(crate) use keepalive::enable_dead_peer_detection;
 pub use limits::Limits;
-pub use pool::Pool;
+pub use pool::{FetchedResponse, Pool};
 pub use problem::{Problem, RunState};
 pub use server::Server;
 pub use sse::{EventParser, EventSender, SseEvent, event_body};
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -5,13 +5,24 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use http_types::Request;
+use http_types::{Request, StatusCode};
 
 use crate::http::{ClientResponse, Connection, ExchangeError};
 
 /// Maximum number of idle connections for each address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// A complete response and the header that was asked for.
+#[derive(Clone, Debug)]
+pub struct FetchedResponse {
+    /// Status of the response.
+    pub status: StatusCode,
+    /// Value of the header; `None` if the response does not have it.
+    pub header: Option<String>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
 /// Idle connections by address; only those whose last response ended cleanly are reused.
 #[derive(Debug)]
 pub struct Pool {
@@ -71,12 +82,31 @@
         addr: SocketAddr,
         req: Request,
         limit: usize,
-    ) -> Result<(http_types::StatusCode, Vec<u8>), ExchangeError> {
+    ) -> Result<(StatusCode, Vec<u8>), ExchangeError> {
+        let fetched = self.fetch_with_header(addr, req, limit, "").await?;
+        Ok((fetched.status, fetched.body))
+    }
+
+    /// Does the same as [`Pool::fetch`] and returns the value of one response header as well.
+    ///
+    /// # Errors
+    /// Those of [`Pool::fetch`].
+    pub async fn fetch_with_header(
+        &self,
+        addr: SocketAddr,
+        req: Request,
+        limit: usize,
+        header: &str,
+    ) -> Result<FetchedResponse, ExchangeError> {
         let mut response = self.send(addr, req).await?;
         let body = response.bytes(limit).await?;
-        let status = response.res.status();
+        let fetched = FetchedResponse {
+            status: response.res.status(),
+            header: response.header(header).map(str::to_owned),
+            body,
+        };
         self.put(addr, response);
-        Ok((status, body))
+        Ok(fetched)
     }
 
     /// Returns the connection of a fully read response to the pool, or closes it when it cannot be
--- a/src/lease/client.rs
+++ b/src/lease/client.rs
@@ -41,7 +41,10 @@
     /// The lease, if this process holds it now.
     #[must_use]
     pub fn held(&self) -> Option<HeldLease> {
-        self.state_machine().held(self.now())
+        let now = self.now();
+        let mut state_machine = self.state_machine();
+        state_machine.observe_era(now, self.platform.era());
+        state_machine.held(now)
     }
 
     /// Requires later fencing tokens to exceed `fencing`, which a target has already seen, and
@@ -57,7 +60,7 @@
         loop {
             let mut effects = Vec::new();
             let now = self.now();
-            self.state_machine().on(now, event, &mut effects);
+            self.handle(now, event, &mut effects);
             let Some(effect) = effects.pop() else {
                 return;
             };
@@ -65,6 +68,12 @@
         }
     }
 
+    fn handle(&self, now: Timestamp, event: LeaseEvent, effects: &mut Vec<LeaseEffect>) {
+        let mut state_machine = self.state_machine();
+        state_machine.observe_era(now, self.platform.era());
+        state_machine.on(now, event, effects);
+    }
+
     fn state_machine(&self) -> MutexGuard<'_, LeaseStateMachine> {
         self.state_machine
             .lock()
--- a/src/lease/state_machine.rs
+++ b/src/lease/state_machine.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::lease::LeaseRecord;
-use crate::platform::Version;
+use crate::platform::{StoreRevision, Version};
 use crate::prelude::*;
 
 /// Identity of a candidate and timing of its lease.
@@ -75,6 +75,8 @@
 struct PendingWrite {
     record: LeaseRecord,
     issued: Timestamp,
+    /// Fencing token of the lease that the write renews; `None` for an acquisition.
+    renewed_fencing: Option<u64>,
 }
 
 /// State of one candidate for a lease.
@@ -84,8 +86,10 @@
     observed: Option<ObservedLease>,
     pending_write: Option<PendingWrite>,
     held: Option<HeldLease>,
-    /// Greatest fencing token that a target is known to have seen.
+    /// Greatest fencing token that was used or that a target is known to have seen.
     fencing_floor: u64,
+    /// Newest era of the store, and since when it is known.
+    era: (u64, Timestamp),
     call_in_flight: bool,
     next_call: Timestamp,
 }
@@ -100,6 +104,7 @@
             pending_write: None,
             held: None,
             fencing_floor: 0,
+            era: (0, Timestamp::ZERO),
             call_in_flight: false,
             next_call: Timestamp::ZERO,
         }
@@ -119,6 +124,20 @@
         self.held = self.held.filter(|held| held.fencing > self.fencing_floor);
     }
 
+    /// Records the newest era of the store. A restored store has lost what was written after its
+    /// copy, so the lease is given up at once. A former holder may not have noticed yet; the lease
+    /// is acquired only after its own time has passed.
+    pub fn observe_era(&mut self, now: Timestamp, era: u64) {
+        if era <= self.era.0 {
+            return;
+        }
+        self.era = (era, now);
+        self.held = None;
+        self.pending_write = None;
+        self.observed = None;
+        self.next_call = now;
+    }
+
     /// Handles an event and appends the platform call that is due, if any. At most one call is in
     /// flight; its result is the next event other than [`LeaseEvent::Tick`].
     pub fn on(&mut self, now: Timestamp, event: LeaseEvent, effects: &mut Vec<LeaseEffect>) {
@@ -153,8 +172,8 @@
     fn on_read(&mut self, now: Timestamp, object: Option<(Version, LeaseRecord)>) {
         let pending = self.pending_write.take();
         let stored = pending.filter(|w| object.as_ref().is_some_and(|(_, r)| *r == w.record));
-        if let Some(write) = stored {
-            self.acquire_or_renew(&write);
+        if let (Some(write), Some((version, _))) = (stored, &object) {
+            self.acquire_or_renew(&write, version);
         }
         let record = object.as_ref().map(|(_, record)| record);
         let is_holder = record.is_some_and(|r| r.holder == self.cfg.holder);
@@ -176,7 +195,7 @@
         let Some(write) = self.pending_write.take() else {
             return;
         };
-        self.acquire_or_renew(&write);
+        self.acquire_or_renew(&write, &version);
         let object = Some((version, write.record));
         self.observed = Some(ObservedLease { object, since: now });
         self.next_call = now + self.call_interval();
@@ -188,8 +207,19 @@
         self.observed = None;
     }
 
-    fn acquire_or_renew(&mut self, write: &PendingWrite) {
-        let (fencing, until) = (write.record.fencing, write.issued + self.cfg.duration);
+    /// Holds the lease after a write that got `version`. In a store with eras, the token of an
+    /// acquisition is its era and revision: a record written again after a restore may repeat the
+    /// token of a lost one.
+    fn acquire_or_renew(&mut self, write: &PendingWrite, version: &Version) {
+        let until = write.issued + self.cfg.duration;
+        let revision = StoreRevision::of(version);
+        let acquired = if revision.era() > 0 {
+            write.record.fencing.max(revision.to_bits())
+        } else {
+            write.record.fencing
+        };
+        let fencing = write.renewed_fencing.unwrap_or(acquired);
+        self.fencing_floor = self.fencing_floor.max(fencing);
         let renewed = self.held.filter(|held| held.fencing == fencing);
         if let Some(old) = self.held {
             assert!(fencing >= old.fencing, "fencing token decreased");
@@ -207,7 +237,12 @@
         let Some(observed) = &self.observed else {
             return false;
         };
-        let expired = now >= observed.since + self.cfg.duration + self.cfg.takeover_margin;
+        let (era, era_since) = self.era;
+        let takeover_time = self.cfg.duration + self.cfg.takeover_margin;
+        if era > 0 && now < era_since + takeover_time {
+            return false;
+        }
+        let expired = now >= observed.since + takeover_time;
         let record = observed.object.as_ref().map(|(_, record)| record);
         expired || record.is_none_or(|record| record.holder == self.cfg.holder)
     }
@@ -227,19 +262,19 @@
         let old = object.as_ref().map(|(_, record)| record);
         let record = LeaseRecord {
             holder: self.cfg.holder.clone(),
-            fencing: held.map_or_else(
-                || {
-                    old.map_or(0, |record| record.fencing)
-                        .max(self.fencing_floor)
-                        + 1
-                },
-                |held| held.fencing,
-            ),
+            fencing: match (held, old) {
+                (Some(_), Some(record)) => record.fencing,
+                _ => {
+                    let known = old.map_or(0, |record| record.fencing);
+                    known.max(self.fencing_floor) + 1
+                }
+            },
             renewal: held.and(old).map_or(0, |record| record.renewal + 1),
         };
         self.pending_write = Some(PendingWrite {
             record: record.clone(),
             issued: now,
+            renewed_fencing: held.map(|held| held.fencing),
         });
         LeaseEffect::Write {
             version: object.map(|(version, _)| version),
--- a/src/peer/gateway_status.rs
+++ b/src/peer/gateway_status.rs
@@ -8,7 +8,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct GatewayStatus {
     /// Revision of the platform's store up to which this entry knows the objects of each watched
-    /// kind, by index of the kind.
+    /// kind, by index of the kind; encoded by
+    /// [`StoreRevision::to_bits`](crate::platform::StoreRevision::to_bits).
     #[serde(rename = "r")]
     pub revisions: [u64; 4],
     /// Load that this entry puts on targets, by the targets' name hashes.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -3,6 +3,7 @@
 mod error;
 mod object;
 mod remote;
+mod revision;
 mod vm;
 
 use futures_lite::future::Boxed;
@@ -11,6 +12,7 @@
 pub use error::PlatformError;
 pub use object::{Listing, Object, Version, WatchEvent};
 pub use remote::RemotePlatform;
+pub use revision::StoreRevision;
 pub use vm::{Role, Vm, VmPhase};
 
 /// Stream of watch events; after its end or an error, the watch must be opened again.
@@ -35,4 +37,11 @@
         name: Option<&str>,
         from: Version,
     ) -> Boxed<Result<WatchStream, PlatformError>>;
+    /// Newest era of the store that was seen in a response or reported by a peer; zero for a store
+    /// that is never restored from an older copy. See [`StoreRevision`].
+    fn era(&self) -> u64 {
+        0
+    }
+    /// Records an era that a peer has seen, so that answers of former eras are discarded.
+    fn observe_era(&self, _era: u64) {}
 }
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -74,6 +74,10 @@
     pub serves: Name,
     /// Whether the platform is about to stop it.
     pub leaving: bool,
+    /// Start of its process, in milliseconds since the Unix epoch; zero when unknown. A target that
+    /// has started anew counts as another one.
+    #[serde(default)]
+    pub started_ms: u64,
 }
 
 /// What an entry learned about a target, by itself or from a peer.
@@ -89,6 +93,8 @@
     ReportedUnreachable,
     /// A new connection succeeded.
     Reachable,
+    /// The target asked this entry to send it nothing for a time.
+    Pause(Duration),
 }
 
 /// How an attempt ended.
@@ -97,8 +103,10 @@
 pub enum AttemptOutcome {
     /// The whole response was received.
     Done,
-    /// No byte of the request was sent to the target.
+    /// No byte of the request was sent to the target, which could not be connected to.
     NotSent,
+    /// No byte of the request was sent, since the target had stopped taking work from this entry.
+    Withheld,
     /// The target proved that it did not run the request.
     Refused {
         /// Pause before the next request that the target asked for.
@@ -119,6 +127,14 @@
     Cancelled,
 }
 
+impl AttemptOutcome {
+    /// Whether no byte of the request was sent.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::NotSent | Self::Withheld)
+    }
+}
+
 /// Input of the state machine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -43,6 +43,8 @@
     by_name: HashMap<Name, TargetIx>,
     pools: Vec<Pool>,
     by_serves: HashMap<Name, PoolIx>,
+    /// Ends of the pauses that targets asked for; kept while a target is not listed.
+    paused: HashMap<Name, Timestamp>,
 }
 
 impl Fleet {
@@ -60,6 +62,7 @@
             by_name: HashMap::new(),
             pools: Vec::new(),
             by_serves: HashMap::new(),
+            paused: HashMap::new(),
         }
     }
 
@@ -155,6 +158,19 @@
         }
     }
 
+    /// Gives a target no new work until `until`, even if it is not listed meanwhile.
+    pub(crate) fn pause(&mut self, now: Timestamp, ix: TargetIx, until: Timestamp) {
+        let Some(target) = self.get_mut(ix) else {
+            return;
+        };
+        target.load.pause_until(until);
+        let name = target.info.name.clone();
+        self.paused.retain(|_, until| now < *until);
+        let end = self.paused.entry(name).or_default();
+        *end = until.max(*end);
+        self.refresh(now, ix);
+    }
+
     /// Counts an attempt as load of its target.
     pub(crate) fn take_slot(&mut self, now: Timestamp, ix: TargetIx, size: AttemptSize) {
         if let Some(target) = self.get_mut(ix) {
--- a/src/scheduler/fleet/load.rs
+++ b/src/scheduler/fleet/load.rs
@@ -147,6 +147,16 @@
         self.paused_until = self.paused_until.max(until);
     }
 
+    /// Whether the target gets no new work for a time.
+    pub(crate) fn is_paused(&self, now: Timestamp) -> bool {
+        now < self.paused_until
+    }
+
+    /// End of the pause in which the target gets no new work.
+    pub(crate) fn paused_until(&self) -> Timestamp {
+        self.paused_until
+    }
+
     /// Adds a first-token time, in seconds per unit of work.
     pub(crate) fn add_unit_seconds(&mut self, seconds: f64) {
         self.unit_seconds.add(seconds);
@@ -212,7 +222,7 @@
     /// share its slots evenly. Otherwise an entry may use any free slot, and its even share
     /// (rounded down) even when none is free.
     pub(crate) fn has_room(&self, now: Timestamp, slots: u32, entries: u32) -> bool {
-        if now < self.paused_until || !self.has_context_room(now) {
+        if self.is_paused(now) || !self.has_context_room(now) {
             return false;
         }
         let others = self.requests_of_others(now);
--- a/src/scheduler/fleet/selection.rs
+++ b/src/scheduler/fleet/selection.rs
@@ -111,7 +111,7 @@
         let candidates = group.all.candidates(isolation.key);
         candidates.into_iter().find(|ix| {
             self.get(*ix)
-                .is_some_and(|t| t.takes_work(now) && !isolation.victims.contains(&t.info.name))
+                .is_some_and(|t| t.is_healthy(now) && !isolation.victims.contains(&t.info.name))
         })
     }
 
--- a/src/scheduler/fleet/target.rs
+++ b/src/scheduler/fleet/target.rs
@@ -50,8 +50,13 @@
         }
     }
 
-    /// Whether the target takes new work.
+    /// Whether the target takes new work from this entry now.
     pub(crate) fn takes_work(&self, now: Timestamp) -> bool {
+        self.is_healthy(now) && !self.load.is_paused(now)
+    }
+
+    /// Whether the target takes new work, now or once its pause has ended.
+    pub(crate) fn is_healthy(&self, now: Timestamp) -> bool {
         self.listed && self.health.takes_work(now)
     }
 
--- a/src/scheduler/fleet/updates.rs
+++ b/src/scheduler/fleet/updates.rs
@@ -9,7 +9,8 @@
 
 impl Fleet {
     /// Applies the platform's list and returns the targets that were added and removed. A target
-    /// listed with another address, failure domain, model or service counts as removed and added.
+    /// listed with another address, failure domain, model, service or start counts as removed and
+    /// added.
     /// Added targets skip the ramp-up when no target was listed before.
     pub(crate) fn apply_list(&mut self, now: Timestamp, list: Vec<TargetInfo>) -> ListChange {
         let none_listed_before = self.by_name.is_empty();
@@ -46,6 +47,7 @@
             t.info.address == info.address
                 && t.info.serves == info.serves
                 && t.info.domain == info.domain
+                && t.info.started_ms == info.started_ms
         })
     }
 
@@ -64,6 +66,9 @@
         let pool = self.ensure_pool(&info.serves);
         let name = info.name.clone();
         let mut target = Target::new(info, pool, &self.domain);
+        if let Some(until) = self.paused.get(&name) {
+            target.load.pause_until(*until);
+        }
         if !skip_ramp_up {
             target.load.start_ramp_up(now);
         }
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -133,6 +133,14 @@
         self.fleet.get(ix).map(|t| t.load.own_attempts())
     }
 
+    /// Whether a request may be sent to a target now; it may have begun to leave, or asked for a
+    /// pause, since the request was dispatched.
+    #[must_use]
+    pub fn may_send(&self, target: &str) -> bool {
+        let target = self.fleet.find(target).and_then(|ix| self.fleet.get(ix));
+        target.is_none_or(|t| !t.health.is_leaving() && !t.load.is_paused(self.now))
+    }
+
     /// Number of fingerprints remembered as suspected, quarantined, running or proven harmless.
     #[must_use]
     pub fn fingerprint_count(&self) -> usize {
--- a/src/scheduler/machine/admit.rs
+++ b/src/scheduler/machine/admit.rs
@@ -98,6 +98,9 @@
             let retry_after = self.reserve_retry(id, pool, lane);
             return Some(Refusal::Overloaded { retry_after });
         }
+        if let Some(refusal) = self.paused_refusal(id, pool, lane) {
+            return Some(refusal);
+        }
         let too_late = !reserved && !self.meets_deadline(id, pool, lane);
         too_late.then(|| Refusal::DeadlineUnreachable {
             retry_after: self.reserve_retry(id, pool, lane),
--- a/src/scheduler/machine/outcome.rs
+++ b/src/scheduler/machine/outcome.rs
@@ -14,8 +14,8 @@
 };
 /// Time without new work for a target that refused a request, unless it asks for another.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(250);
-/// Longest time without new work that a target may ask for.
-const MAX_REFUSAL_PAUSE: Duration = Duration::from_secs(30);
+/// Longest time without new work that a target may ask for; a longer one is taken to be a mistake.
+const MAX_REFUSAL_PAUSE: Duration = Duration::from_hours(1);
 /// Most refused attempts of one request that do not count against its [`Arrival::max_attempts`].
 ///
 /// [`Arrival::max_attempts`]: crate::scheduler::Arrival::max_attempts
@@ -136,7 +136,7 @@
             req.tried.push(attempt.target);
         }
         match outcome {
-            AttemptOutcome::NotSent => req.attempts_unsent += 1,
+            AttemptOutcome::NotSent | AttemptOutcome::Withheld => req.attempts_unsent += 1,
             AttemptOutcome::Refused { .. } => req.attempts_refused += 1,
             _ => {}
         }
@@ -168,12 +168,12 @@
         if !repeatable || response_begun || !attempts_left || self.now >= req.deadline {
             return false;
         }
-        let unsent = *outcome == AttemptOutcome::NotSent;
+        let unsent = outcome.is_unsent();
         unsent || self.fleet.pool_mut(req.pool).budget.take()
     }
 
     fn retry(&mut self, id: RequestId, outcome: &AttemptOutcome, effects: &mut Vec<Effect>) {
-        if *outcome == AttemptOutcome::NotSent {
+        if outcome.is_unsent() {
             self.requeue(id);
             return;
         }
@@ -198,8 +198,8 @@
     ) {
         match outcome {
             AttemptOutcome::Refused { retry_after } => {
-                let pause = retry_after.unwrap_or(REFUSAL_PAUSE).min(MAX_REFUSAL_PAUSE);
-                self.pause_target(attempt.target, pause);
+                let pause = retry_after.unwrap_or(REFUSAL_PAUSE);
+                self.pause_target(attempt.target, pause, effects);
                 if self.cfg.probe_after_refusal {
                     self.probe_for_report(attempt.target, effects);
                 }
@@ -208,17 +208,23 @@
             AttemptOutcome::Lost | AttemptOutcome::CutShort => {
                 self.record_lost(id, attempt.target, effects);
             }
+            AttemptOutcome::Withheld => return,
             _ => {}
         }
         self.count_failure(attempt.target);
     }
 
-    fn pause_target(&mut self, target: crate::scheduler::fleet::TargetIx, pause: Duration) {
-        let until = self.now + pause;
-        if let Some(target) = self.fleet.get_mut(target) {
-            target.load.pause_until(until);
-        }
+    /// Gives a target no new work for a time, and refuses the requests that cannot wait for it.
+    pub(super) fn pause_target(
+        &mut self,
+        target: crate::scheduler::fleet::TargetIx,
+        pause: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        let until = self.now + pause.min(MAX_REFUSAL_PAUSE);
+        self.fleet.pause(self.now, target, until);
         self.refresh_at(target, until);
+        self.refuse_paused(effects);
     }
 
     /// Has a target that refused a request probed for its load at once, since it may be leaving.
@@ -254,7 +260,9 @@
 /// Run state of a request after one more attempt of it has ended.
 fn run_state_after(before: RunState, outcome: &AttemptOutcome) -> RunState {
     match outcome {
-        AttemptOutcome::NotSent | AttemptOutcome::Refused { .. } => before,
+        AttemptOutcome::NotSent | AttemptOutcome::Withheld | AttemptOutcome::Refused { .. } => {
+            before
+        }
         AttemptOutcome::Done | AttemptOutcome::WrongWeights | AttemptOutcome::TargetError => {
             RunState::Ran
         }
--- a/src/scheduler/machine/refuse.rs
+++ b/src/scheduler/machine/refuse.rs
@@ -3,7 +3,7 @@
 use crate::http::RunState;
 use crate::prelude::*;
 use crate::scheduler::fleet::PoolIx;
-use crate::scheduler::request::Timer;
+use crate::scheduler::request::{Stage, Timer};
 use crate::scheduler::{Effect, Refusal, RequestId, Scheduler};
 
 /// Time without a response after which a request that is given up counts as a failure of its
@@ -83,6 +83,62 @@
         Refusal::DeadlineUnreachable { retry_after }
     }
 
+    /// Refuses the queued requests whose targets all take no work until it is too late for them.
+    pub(super) fn refuse_paused(&mut self, effects: &mut Vec<Effect>) {
+        let waiting = self.requests.iter().filter_map(|(id, r)| match r.stage {
+            Stage::Queued(lane, _) => Some((*id, r.pool, lane)),
+            _ => None,
+        });
+        let mut waiting: Vec<_> = waiting.collect();
+        waiting.sort_unstable();
+        for (id, pool, lane) in waiting {
+            if let Some(refusal) = self.paused_refusal(id, pool, lane) {
+                self.refuse(id, refusal, effects);
+            }
+        }
+    }
+
+    /// The refusal of a request whose targets all asked for a pause beyond its deadline. Its caller
+    /// may retry once the first of them takes work again.
+    pub(super) fn paused_refusal(
+        &mut self,
+        id: RequestId,
+        pool: PoolIx,
+        lane: usize,
+    ) -> Option<Refusal> {
+        let until = self.paused_until(pool, lane)?;
+        let req = self.requests.get(&id)?;
+        if until < self.latest_dispatch(req) {
+            return None;
+        }
+        let retry_after = self.jittered(until.saturating_sub(self.now));
+        Some(Refusal::Overloaded { retry_after })
+    }
+
+    /// When the first target for the requests of a lane takes work again, if all of them asked for
+    /// a pause.
+    fn paused_until(&self, pool: PoolIx, lane: usize) -> Option<Timestamp> {
+        let weights = &self.lanes[pool.0][lane].weights;
+        let pool = self.fleet.pool(pool);
+        let targets = pool.groups[0]
+            .all
+            .iter()
+            .filter_map(|ix| self.fleet.get(ix));
+        let usable = targets.filter(|t| {
+            let fits = weights.is_empty() || weights.iter().any(|w| t.has_weights(w));
+            fits && t.health.may_recover()
+        });
+        let mut first: Option<Timestamp> = None;
+        for target in usable {
+            if !target.load.is_paused(self.now) {
+                return None;
+            }
+            let until = target.load.paused_until();
+            first = Some(first.map_or(until, |first| first.min(until)));
+        }
+        first
+    }
+
     fn find_lane(&self, id: RequestId, pool: PoolIx) -> Option<usize> {
         let weights = &self.requests.get(&id)?.arrival.weights;
         let lanes = self.lanes.get(pool.0)?;
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -65,6 +65,7 @@
             Signal::Unreachable => self.mark_unreachable(ix, effects),
             Signal::ReportedUnreachable => self.check_target(ix, effects),
             Signal::Reachable => self.mark_reachable(ix, effects),
+            Signal::Pause(pause) => self.pause_target(ix, pause, effects),
         }
         self.mark_pool_dirty(ix);
     }
--- a/src/scheduler/machine/timers.rs
+++ b/src/scheduler/machine/timers.rs
@@ -58,10 +58,15 @@
         }
         self.requeue(id);
         let stage = self.requests.get(&id).map(|r| (r.stage, r.pool));
-        if let Some((Stage::Queued(lane, _), pool)) = stage
-            && !self.is_servable(pool, lane)
-        {
-            let refusal = self.no_target_refusal();
+        let Some((Stage::Queued(lane, _), pool)) = stage else {
+            return;
+        };
+        let refusal = if self.is_servable(pool, lane) {
+            self.paused_refusal(id, pool, lane)
+        } else {
+            Some(self.no_target_refusal())
+        };
+        if let Some(refusal) = refusal {
             self.refuse(id, refusal, effects);
         }
     }
--- a/src/shared_scheduler/handle.rs
+++ b/src/shared_scheduler/handle.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
+use crate::clock::time_since_boot;
 use crate::prelude::*;
 use crate::scheduler::{Arrival, AttemptOutcome, Effect, Event, OwnLoad, RequestId, Scheduler};
 use crate::shared_scheduler::QuarantineNotices;
@@ -15,8 +15,9 @@
 pub struct SharedScheduler {
     state: Mutex<State>,
     next_id: AtomicU64,
-    /// Origin of the scheduler's time.
-    started: Instant,
+    /// Origin of the scheduler's time, as time since boot: pauses that targets ask for end on time
+    /// even if the VM was suspended meanwhile.
+    origin: Duration,
     control: async_channel::Sender<Effect>,
     notices: Arc<QuarantineNotices>,
 }
@@ -46,7 +47,7 @@
         Self {
             state: Mutex::new(state),
             next_id: AtomicU64::new(1),
-            started: Instant::now(),
+            origin: time_since_boot(),
             control,
             notices,
         }
@@ -82,10 +83,16 @@
         self.lock().scheduler.newly_unreachable()
     }
 
+    /// Whether a request may be sent to a target now.
+    #[must_use]
+    pub fn may_send(&self, target: &str) -> bool {
+        self.lock().scheduler.may_send(target)
+    }
+
     /// Time until an [`Event::Tick`] has to be submitted; `None` when no timer is set.
     #[must_use]
     pub fn until_wakeup(&self) -> Option<Duration> {
-        let now = self.started.elapsed();
+        let now = self.now();
         let wakeup = self.lock().scheduler.next_wakeup();
         wakeup.map(|at| at.saturating_sub(now))
     }
@@ -113,7 +120,7 @@
 
     /// Submits an event and sends out its effects.
     pub fn submit(&self, event: Event) {
-        let now = self.started.elapsed();
+        let now = self.now();
         let mut state = self.lock();
         let State {
             scheduler,
@@ -155,6 +162,10 @@
         }
     }
 
+    fn now(&self) -> Timestamp {
+        time_since_boot().saturating_sub(self.origin)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -9,11 +9,13 @@
 use guavahold::lease::{
     LeaseClient, LeaseEffect, LeaseEvent, LeaseRecord, LeaseSettings, LeaseStateMachine,
 };
-use guavahold::platform::Version;
+use guavahold::platform::{StoreRevision, Version};
 use guavahold::prelude::*;
 use support::{Fault, MemoryPlatform};
 
 const LEASE_DURATION: Duration = Duration::from_secs(6);
+/// Greatest age of a copy from which the store is restored.
+const COPY_AGE: Duration = Duration::from_secs(8);
 
 fn settings(n: usize) -> LeaseSettings {
     LeaseSettings {
@@ -26,15 +28,21 @@
 /// Simulation of candidates that compete for one lease object.
 struct Simulation {
     now: Timestamp,
+    /// Era of the store; zero if it states none.
+    era: u64,
     version: u64,
     object: Option<(Version, LeaseRecord)>,
+    /// Copies of the store from the last few seconds: time, version and object.
+    copies: Vec<(Timestamp, u64, Option<(Version, LeaseRecord)>)>,
     machines: Vec<LeaseStateMachine>,
     /// Calls that the platform has not executed yet, with the index of the candidate.
     calls: Vec<(usize, LeaseEffect)>,
-    /// Answers that have not reached their candidate yet.
-    answers: Vec<(usize, LeaseEvent)>,
+    /// Answers that have not reached their candidate yet, with the era in which they were given.
+    answers: Vec<(usize, u64, LeaseEvent)>,
     /// Candidate that held the lease under each fencing token.
     holders: BTreeMap<u64, usize>,
+    /// Newest era that each candidate has seen.
+    known_eras: [u64; 3],
     greatest_fencing: u64,
 }
 
@@ -42,14 +50,17 @@
     fn new() -> Self {
         Self {
             now: Timestamp::ZERO,
+            era: 0,
             version: 0,
             object: None,
+            copies: Vec::new(),
             machines: (0..3)
                 .map(|n| LeaseStateMachine::new(settings(n)))
                 .collect(),
             calls: Vec::new(),
             answers: Vec::new(),
             holders: BTreeMap::new(),
+            known_eras: [0; 3],
             greatest_fencing: 0,
         }
     }
@@ -72,19 +83,54 @@
         let event = match effect {
             LeaseEffect::Read => LeaseEvent::ObjectRead(self.object.clone()),
             LeaseEffect::Write { version, record } => {
-                let stored = self.object.as_ref().map(|(version, _)| version.clone());
-                if stored == version {
+                // The store compares revisions without their eras; its client knows better.
+                let number = |v: &Version| StoreRevision::of(v).number();
+                let stored = self.object.as_ref().map(|(version, _)| number(version));
+                let former = version.as_ref().map(|v| StoreRevision::of(v).era());
+                if stored == version.as_ref().map(number) {
                     self.version += 1;
-                    let version = Version(self.version.to_string());
+                    let version = StoreRevision::new(self.era, self.version).to_version();
                     self.object = Some((version.clone(), record));
-                    LeaseEvent::Written(version)
+                    if former.is_none_or(|era| era == self.era) {
+                        LeaseEvent::Written(version)
+                    } else {
+                        LeaseEvent::Conflict
+                    }
                 } else {
                     LeaseEvent::Conflict
                 }
             }
         };
         let lost = LeaseEvent::Unanswered;
-        self.answers.push((n, if answered { event } else { lost }));
+        let event = if answered { event } else { lost };
+        self.answers.push((n, self.era, event));
+    }
+
+    /// Tells a candidate the era of the store.
+    fn observe_era(&mut self, n: usize, era: u64) {
+        let now = self.clock(n);
+        self.known_eras[n] = self.known_eras[n].max(era);
+        self.machines[n].observe_era(now, era);
+    }
+
+    /// Keeps a copy of the store, of which the store may be restored for some seconds.
+    fn copy_store(&mut self) {
+        let now = self.now;
+        self.copies.retain(|(at, ..)| now < *at + COPY_AGE);
+        self.copies.push((now, self.version, self.object.clone()));
+    }
+
+    /// Restores the store from a copy.
+    fn restore(&mut self, copy: usize) {
+        let (_, version, object) = self.copies[copy].clone();
+        self.era += 1;
+        self.version = version;
+        // The store states revisions without an era.
+        self.object = object.map(|(version, record)| {
+            let number = StoreRevision::of(&version).number();
+            (StoreRevision::new(self.era, number).to_version(), record)
+        });
+        self.copies.clear();
     }
 
     /// Executes the only call and delivers its answer.
@@ -94,8 +140,12 @@
     }
 
     fn deliver(&mut self, answer: usize) {
-        let (n, event) = self.answers.remove(answer);
-        self.on(n, event);
+        let (n, era, event) = self.answers.remove(answer);
+        let known = self.known_eras[n];
+        self.observe_era(n, era);
+        // Unanswered calls tell no era, and the client discards answers of former ones.
+        let late = era < known;
+        self.on(n, if late { LeaseEvent::Unanswered } else { event });
     }
 
     /// Checks that at most one candidate holds the lease, that no two candidates use the same
@@ -157,6 +207,94 @@
     );
 }
 
+/// Runs a random schedule in which the store is restored now and then; returns the number of
+/// acquisitions.
+fn run_schedule_with_restores(seed: u64, steps: u32) -> usize {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut sim = Simulation::new();
+    sim.era = 1;
+    for _ in 0..steps {
+        match rng.u8(..12) {
+            0..4 => {
+                let n = rng.usize(..sim.machines.len());
+                sim.on(n, LeaseEvent::Tick);
+            }
+            4..6 if !sim.calls.is_empty() => {
+                let call = rng.usize(..sim.calls.len());
+                sim.execute(call, rng.u8(..5) > 0);
+            }
+            4..8 if !sim.answers.is_empty() => {
+                let answer = rng.usize(..sim.answers.len());
+                sim.deliver(answer);
+            }
+            8 => sim.now += Duration::from_millis(rng.u64(..2_000)),
+            9 => sim.copy_store(),
+            10 if rng.u8(..8) == 0 && !sim.copies.is_empty() => {
+                let copy = rng.usize(..sim.copies.len());
+                sim.restore(copy);
+            }
+            _ => sim.now += Duration::from_millis(rng.u64(..200)),
+        }
+        sim.check();
+    }
+    sim.holders.len()
+}
+
+/// After a restore, the former holder may not have noticed that its lease is gone, a late write may
+/// match a revision that was given out again, and the stored token goes back. Still there is one
+/// holder at most, and no token repeats or goes down.
+#[test]
+fn store_era_random_schedules_have_one_holder() {
+    let acquired: usize = (0..200)
+        .map(|seed| run_schedule_with_restores(seed, 1_500))
+        .sum();
+    assert!(
+        acquired > 200,
+        "the lease was acquired too seldom: {acquired}"
+    );
+}
+
+#[test]
+#[ignore = "long random run"]
+fn store_era_random_schedules_have_one_holder_long() {
+    let first = u64::from(fastrand::u32(..));
+    println!("seeds from {first}");
+    for seed in first..first + 20_000 {
+        run_schedule_with_restores(seed, 2_000);
+    }
+}
+
+/// The holder gives up its lease at the first sight of a new era, and gets it again, with a greater
+/// token, only when the time of a lease has passed.
+#[test]
+fn store_era_change_ends_lease_at_once() {
+    let mut sim = Simulation::new();
+    sim.era = 1;
+    sim.observe_era(0, 1);
+    sim.now += LEASE_DURATION + settings(0).takeover_margin;
+    sim.on(0, LeaseEvent::Tick);
+    sim.execute_and_deliver();
+    sim.execute_and_deliver();
+    let held = sim.machines[0].held(sim.clock(0)).unwrap();
+    sim.copy_store();
+    sim.restore(0);
+    sim.observe_era(0, 2);
+    assert_eq!(sim.machines[0].held(sim.clock(0)), None);
+    for _ in 0..100 {
+        sim.now += LEASE_DURATION / 60;
+        sim.on(0, LeaseEvent::Tick);
+        while !sim.calls.is_empty() {
+            sim.execute_and_deliver();
+        }
+        if let Some(again) = sim.machines[0].held(sim.clock(0)) {
+            assert!(sim.now >= (LEASE_DURATION + settings(0).takeover_margin) * 2);
+            assert!(again.fencing > held.fencing);
+            return;
+        }
+    }
+    panic!("the lease was not acquired again");
+}
+
 #[test]
 #[ignore = "long random run"]
 fn lease_random_schedules_have_one_holder_long() {
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -168,6 +168,7 @@
             address: ([127, 0, 0, 1], 1).into(),
             serves: "salon".into(),
             leaving: false,
+            started_ms: 0,
         };
         let infos = self.reports.keys().map(info).collect();
         self.submit(entry, OrderEvent::Catalog(catalog.clone()), delay);
--- a/tests/order_controller.rs
+++ b/tests/order_controller.rs
@@ -109,6 +109,7 @@
         address: *address,
         serves: "salon".into(),
         leaving: false,
+        started_ms: 0,
     };
     let targets: Vec<_> = engines.iter().enumerate().map(info).collect();
     let run = controller.clone();
--- a/tests/placement_load.rs
+++ b/tests/placement_load.rs
@@ -66,6 +66,7 @@
                 address: "10.0.0.1:80".parse().unwrap(),
                 serves: "llm".into(),
                 leaving: false,
+                started_ms: 0,
             })
             .collect();
         let scheduler = |n: usize| {
--- a/tests/probe_assignment.rs
+++ b/tests/probe_assignment.rs
@@ -15,6 +15,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         serves: "router".into(),
         leaving: false,
+        started_ms: 0,
     };
     (0..count).map(target).collect()
 }
--- a/tests/scheduler/machine.rs
+++ b/tests/scheduler/machine.rs
@@ -393,7 +393,7 @@
                 Signal::Leaving => self.leaving.insert(target.clone()),
                 Signal::Unreachable => self.unreachable.insert(target.clone()),
                 Signal::Reachable => self.unreachable.remove(&target),
-                Signal::ReportedUnreachable => false,
+                Signal::ReportedUnreachable | Signal::Pause(_) => false,
             };
         }
         self.submit(Event::Signal { target, signal });
--- a/tests/scheduler/simulation.rs
+++ b/tests/scheduler/simulation.rs
@@ -41,6 +41,7 @@
         address: "127.0.0.1:9000".parse().unwrap(),
         serves: "chat".into(),
         leaving: false,
+        started_ms: 0,
     }
 }
 
