--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use socket2::SockRef;
 
 use crate::context_store::{FETCH_TIMEOUT, TransferPlan};
+use crate::domain_scheduler::ScheduledRequest;
 use crate::gateway::caller_response::CallerResponse;
 use crate::gateway::connection_pool::connect;
 use crate::gateway::response_head::ResponseHead;
@@ -21,7 +22,6 @@
 use crate::prelude::*;
 use crate::route::{KeyHolder, Route};
 use crate::scheduler::{AttemptOutcome, Event, LoadEstimate, Signal};
-use crate::shared_scheduler::RequestHandle;
 
 /// Factor of the fetches in an attempt's transfer counts, which share one atomic integer.
 pub(crate) const FETCH_COUNT_FACTOR: usize = 1_000;
@@ -166,7 +166,7 @@
     /// [`FETCH_COUNT_FACTOR`], plus the number of saves.
     pub transfer_counts: &'a AtomicUsize,
     /// The scheduler's handle of the request, to which the first event is reported.
-    pub handle: &'a RequestHandle,
+    pub handle: &'a ScheduledRequest,
 }
 
 impl Attempt<'_> {
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -11,9 +11,10 @@
 
 use crate::clock::time_since_boot;
 use crate::context_store::ContextStoreClient;
+use crate::domain_scheduler::{DomainScheduler, SchedulerClient};
 use crate::entry::Threads;
 use crate::gateway::connection_pool::ConnectionPool;
-use crate::gateway::control::{Control, State, TargetControl, TargetObservationReceiver};
+use crate::gateway::control::{Control, HubLinks, State, TargetControl, TargetObservationReceiver};
 use crate::gateway::drain::Drain;
 use crate::gateway::kind_watcher::KindWatcher;
 use crate::gateway::listener::accept;
@@ -43,6 +44,9 @@
 const LEASE_DURATION: Duration = Duration::from_millis(1_500);
 /// Additional time after the lease's expiry before another entry takes it over.
 const LEASE_TAKEOVER_MARGIN: Duration = Duration::from_millis(400);
+/// Share of the saved-up retries that the schedulers of the failure domains use. Entries that
+/// schedule requests themselves use the others; together they stay within the budget.
+const HUB_BURST_SHARE: f64 = 0.4;
 /// Interval of heartbeats between entries, and the timeout after which a peer counts as lost.
 const HEARTBEAT_TIMING: (Duration, Duration) =
     (Duration::from_millis(800), Duration::from_millis(2_500));
@@ -192,9 +196,20 @@
         let (effects_tx, effects) = async_channel::unbounded();
         let (observations_tx, observations) = async_channel::unbounded();
         let (rollout_tx, rollout) = async_channel::unbounded();
-        let shared = Arc::new(self.build_shared(dialect, effects_tx, observations_tx, rollout_tx));
+        let (decisions_tx, decisions) = async_channel::unbounded();
+        let shared = self.build_shared(dialect, effects_tx.clone(), observations_tx, rollout_tx);
+        let shared = Arc::new(shared);
+        let domain_scheduler = self.build_domain_scheduler(&shared, effects_tx, decisions_tx);
         let (traffic_ex, control_ex) = (Arc::new(Executor::new()), Arc::new(Executor::new()));
-        let control = self.build_control(&shared, decoder, targets, stores, &platform, &control_ex);
+        let control = self.build_control(
+            &shared,
+            decoder,
+            targets,
+            stores,
+            &platform,
+            domain_scheduler,
+            &control_ex,
+        );
         let control = Arc::new(control);
         let peer_handler = Arc::new(PeerHandler(OnceLock::new()));
         let _ = peer_handler.0.set(Arc::downgrade(&control));
@@ -210,6 +225,10 @@
             .seeds(self.seeds.clone())
             .build(peer_handler);
         let _ = control.mesh.set(mesh.clone());
+        let links = HubLinks(Arc::downgrade(&control));
+        shared.scheduler_client.set_links(Box::new(links));
+        let run_decisions = control.clone().run_decisions(decisions);
+        control_ex.spawn(run_decisions).detach();
 
         let probe_control = Arc::new(ServerControl::default());
         let probe = Arc::new(ProbeHandler {
@@ -280,22 +299,17 @@
         rollout: async_channel::Sender<RolloutEffect>,
     ) -> Shared {
         let notices = Arc::new(QuarantineNotices::default());
-        let mut scheduler = Scheduler::new(SchedulerSettings {
-            seed: fastrand::u64(..),
-            retry_ratio: self.retry_ratio,
-            retry_burst: RetryBurst::Total(self.retry_burst),
-            hedging: false,
-            probe_after_refusal: false,
-            placement: Placement::LeastWork,
-            ..SchedulerSettings::new(self.domain.clone())
-        });
+        let mut scheduler = Scheduler::new(self.scheduler_settings(1.0));
         let entry_count = Event::EntryCount(self.entries);
         scheduler.on(Timestamp::ZERO, entry_count, &mut Vec::new());
+        let scheduler = SharedScheduler::new(scheduler, effects, notices.clone());
+        let scheduler = Arc::new(scheduler);
         Shared {
             dialect,
             routes: ArcSwapOption::empty(),
             versions: AllowedVersions::default(),
-            scheduler: Arc::new(SharedScheduler::new(scheduler, effects, notices.clone())),
+            scheduler_client: Arc::new(SchedulerClient::new(scheduler.clone())),
+            scheduler,
             connections: ConnectionPool::default(),
             quarantine_notices: notices,
             store_directory: Arc::default(),
@@ -309,6 +323,32 @@
         }
     }
 
+    /// Settings of a scheduler that uses a share of the retries that all entries save up.
+    fn scheduler_settings(&self, burst_share: f64) -> SchedulerSettings {
+        SchedulerSettings {
+            seed: fastrand::u64(..),
+            retry_ratio: self.retry_ratio,
+            retry_burst: RetryBurst::Total(self.retry_burst * burst_share),
+            hedging: false,
+            probe_after_refusal: false,
+            placement: Placement::LeastWork,
+            ..SchedulerSettings::new(self.domain.clone())
+        }
+    }
+
+    /// Builds the scheduler that this entry runs for all entries while it is a hub.
+    fn build_domain_scheduler(
+        &self,
+        shared: &Shared,
+        effects: async_channel::Sender<Effect>,
+        decisions: async_channel::Sender<Effect>,
+    ) -> DomainScheduler {
+        let scheduler = Scheduler::new(self.scheduler_settings(HUB_BURST_SHARE));
+        let notices = shared.quarantine_notices.clone();
+        let scheduler = SharedScheduler::new(scheduler, effects, notices);
+        DomainScheduler::new(Arc::new(scheduler), decisions)
+    }
+
     fn build_control(
         &self,
         shared: &Arc<Shared>,
@@ -316,6 +356,7 @@
         targets: Arc<dyn TargetControl>,
         stores: Arc<dyn ContextStoreClient>,
         platform: &Arc<dyn Platform>,
+        domain_scheduler: DomainScheduler,
         executor: &Arc<Executor<'static>>,
     ) -> Control {
         let cfg = LeaseSettings {
@@ -328,6 +369,7 @@
             domain: self.domain.clone(),
             own_vm: self.own_vm(),
             shared: shared.clone(),
+            domain_scheduler,
             platform: platform.clone(),
             decoder,
             targets,
@@ -355,6 +397,7 @@
     ex.spawn(control.clone().run_lease()).detach();
     ex.spawn(control.clone().run_periodic()).detach();
     ex.spawn(control.clone().run_scheduler()).detach();
+    ex.spawn(control.clone().run_domain_scheduler()).detach();
     ex.spawn(control.clone().run_store_cleanup()).detach();
 }
 
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,5 +1,6 @@
 //! Control tasks of a gateway: watches of the platform store, messages to peers, and weight orders.
 
+mod domain_scheduling;
 mod hub;
 mod orders;
 pub(crate) mod peers;
@@ -14,6 +15,7 @@
 use async_io::Timer;
 
 use crate::context_store::{ContextStoreClient, StoreInfo, StoreWatcher};
+use crate::domain_scheduler::DomainScheduler;
 use crate::gateway::connection_pool::connect;
 use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::{Decoder, WatchedKind};
@@ -23,8 +25,9 @@
 use crate::prelude::*;
 use crate::scheduler::{Effect, Event, Signal};
 
+pub(crate) use domain_scheduling::HubLinks;
 pub use orders::{TargetControl, TargetStatus};
-pub(crate) use state::State;
+pub(crate) use state::{State, TargetReport};
 
 /// Receiver of requests' observations about targets.
 pub(crate) type TargetObservationReceiver = async_channel::Receiver<TargetObservation>;
@@ -45,6 +48,8 @@
     pub own_vm: Vm,
     /// State shared with the request tasks.
     pub shared: Arc<Shared>,
+    /// Scheduler of the failure domain's targets, in use while this entry is a hub.
+    pub domain_scheduler: DomainScheduler,
     /// Client of the platform store.
     pub platform: Arc<dyn Platform>,
     /// Decoder of objects in the platform store.
@@ -222,7 +227,8 @@
     /// planner.
     pub(crate) fn submit_targets(&self, state: &mut State) {
         let now = self.now();
-        let infos = state.targets.iter().map(|t| t.info.clone()).collect();
+        let infos: Vec<_> = state.targets.iter().map(|t| t.info.clone()).collect();
+        self.submit_domain_targets(&infos);
         self.shared.scheduler.submit(Event::Targets(infos));
         let loaded: Vec<_> = state.effective_weights(now).collect();
         state.versions.set_loaded(loaded);
@@ -251,7 +257,10 @@
         let now = self.now();
         let table = self.shared.routes.load_full();
         let own = self.shared.scheduler.own_loads();
-        for (target, report) in state.load_reports(now, table.as_deref(), &own) {
+        let granted = self.domain_scheduler.scheduler.own_loads();
+        let reports = state.load_reports(now, table.as_deref(), &own, &granted);
+        self.submit_domain_reports(state, table.as_deref(), &reports);
+        for TargetReport { target, report, .. } in reports {
             self.shared
                 .scheduler
                 .submit(Event::Report { target, report });
@@ -292,9 +301,7 @@
             }
         };
         self.shared.metrics.connections.inc();
-        self.shared
-            .scheduler
-            .submit(Event::Signal { target, signal });
+        self.submit_signal(target, signal);
     }
 
     /// Applies requests' observations about targets; never returns while the gateway runs.
@@ -326,18 +333,19 @@
                     self.submit_targets(&mut state);
                 }
             }
-            let signal = observation.signal;
-            self.shared
-                .scheduler
-                .submit(Event::Signal { target, signal });
+            self.submit_signal(target, observation.signal);
         }
     }
 
     /// Sends a message to one peer.
     pub(crate) fn send(&self, to: &str, message: PeerMessage) {
-        if let Some(mesh) = self.mesh.get() {
-            mesh.send(to, message);
-        }
+        self.try_send(to, message);
+    }
+
+    /// Sends a message to one peer; `false` when there is no link or its queue is full.
+    pub(crate) fn try_send(&self, to: &str, message: PeerMessage) -> bool {
+        let mesh = self.mesh.get();
+        mesh.is_some_and(|mesh| mesh.send(to, message))
     }
 
     /// Sleeps with a jitter of ±10 %, so that entries do not act in lockstep.
--- a/src/gateway/control/hub.rs
+++ b/src/gateway/control/hub.rs
@@ -26,6 +26,7 @@
                 state.aggregator.clear();
             }
             state.loads_sent_to_hub.clone_from(&status.loads);
+            self.domain_scheduler.set_serving(false);
             drop(state);
             mesh.send(&hub, PeerMessage::Gateway(status));
             return;
@@ -35,7 +36,15 @@
             state.loads.clear();
         }
         let active = state.aggregator.live_hubs(now);
-        let (domain, all) = state.aggregator.digests(now, &self.name, status);
+        let (domain, all) = state
+            .aggregator
+            .digests(now, &self.own_domain_hub(), status);
+        self.shared.scheduler_client.set_hubs(all.hubs.clone());
+        let draining = self.shared.drain.is_draining();
+        if self.domain_scheduler.set_serving(!draining) && !draining {
+            log::info!("event=domain_scheduler_started");
+            self.submit_targets(&mut state);
+        }
         drop(state);
         for hub in HubSelector::other_domain_hubs(&own, &peers, &active) {
             mesh.send(&hub, PeerMessage::Digest(Box::new(domain.clone())));
@@ -60,6 +69,8 @@
             let sum = digest.merged.loads.clone();
             state.loads.record_sum(now, &from.name, sum, &own);
             state.loads_sent_to_hub = own;
+            let hubs = digest.hubs.clone();
+            self.shared.scheduler_client.set_hubs(hubs);
         } else {
             let loads = digest.merged.loads.clone();
             state.loads.record(now, &from.name, loads);
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -18,9 +18,12 @@
 impl Control {
     /// Builds the status that this entry sends to its peers.
     pub(crate) fn own_status(&self, state: &mut State) -> GatewayStatus {
-        let own = self.shared.scheduler.own_loads();
         let now = self.now();
-        let loads = own.iter().filter(|(_, load)| load.requests > 0);
+        let mut loads = self.shared.scheduler.own_loads();
+        for (target, granted) in self.domain_scheduler.scheduler.own_loads() {
+            loads.entry(target).or_default().add(granted);
+        }
+        let loads = loads.iter().filter(|(_, load)| load.requests > 0);
         let retired = state.retirement.retired();
         GatewayStatus {
             revisions: state.revisions(),
@@ -36,7 +39,8 @@
                 .map(|name| name_hash(name))
                 .collect(),
             unreachable_targets: {
-                let names = self.shared.scheduler.newly_unreachable();
+                let mut names = self.shared.scheduler.newly_unreachable();
+                names.extend(self.domain_scheduler.scheduler.newly_unreachable());
                 names.iter().map(|name| name_hash(name)).collect()
             },
             target_versions: state.fresh_reported_versions(now),
@@ -87,10 +91,7 @@
             self.submit_targets(state);
         }
         for target in state.targets_by_hash(&status.unreachable_targets) {
-            let signal = Signal::ReportedUnreachable;
-            self.shared
-                .scheduler
-                .submit(Event::Signal { target, signal });
+            self.submit_signal(target, Signal::ReportedUnreachable);
         }
         for (model, version, age) in &status.declared_versions {
             let age = Duration::from_millis(*age);
@@ -174,6 +175,9 @@
             .quarantine_notices
             .retain_peers(|name| names.iter().any(|n| **n == *name));
         self.shared.metrics.peers.set(live);
+        let is_live = |name: &str| *name == *self.name || names.iter().any(|n| **n == *name);
+        self.domain_scheduler.retain_entries(is_live);
+        self.shared.scheduler_client.retain_hubs(is_live);
         state.peers = names;
         state.set_hub_candidates(staying.cloned().collect());
         drop(state);
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -3,7 +3,7 @@
 use async_io::Timer;
 
 use crate::gateway::WatchedKind;
-use crate::gateway::control::Control;
+use crate::gateway::control::{Control, TargetReport};
 use crate::prelude::*;
 use crate::rollout::RolloutEvent;
 use crate::scheduler::Event;
@@ -72,8 +72,9 @@
 
     fn submit_rollout_loads(&self, state: &mut crate::gateway::control::State) {
         let own = self.shared.scheduler.own_loads();
-        let reports = state.load_reports(self.now(), None, &own);
-        for (target, report) in reports {
+        let granted = self.domain_scheduler.scheduler.own_loads();
+        let reports = state.load_reports(self.now(), None, &own, &granted);
+        for TargetReport { target, report, .. } in reports {
             let requests = report.running;
             self.plan_rollout(state, RolloutEvent::ActiveRequests { target, requests });
         }
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -305,6 +305,15 @@
         }
     }
 
+    /// Number of failure domains with live entries, including the own one.
+    pub(crate) fn domain_count(&self) -> usize {
+        let mut domains: SmallVec<[&Name; 8]> =
+            self.hub_candidates.iter().map(|c| &c.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains.len().max(1)
+    }
+
     /// Number of entries in the platform store, including this one; at least one.
     pub(crate) fn entry_count(&self) -> usize {
         self.caches[WatchedKind::Members.index()]
@@ -375,14 +384,17 @@
             .collect()
     }
 
-    /// Load reports for the scheduler: each target's slots and weights, the running requests of all
-    /// entries, and the work and context of the other entries.
+    /// Load reports for this entry's own scheduler: each target's slots and weights, the running
+    /// requests of all entries, and the work and context of the other entries. `own` is the load by
+    /// requests that this entry scheduled itself, `granted` that by requests that it scheduled as a
+    /// hub.
     pub(crate) fn load_reports(
         &self,
         now: Timestamp,
         table: Option<&RouteTable>,
         own: &HashMap<Name, OwnLoad>,
-    ) -> Vec<(Name, LoadReport)> {
+        granted: &HashMap<Name, OwnLoad>,
+    ) -> Vec<TargetReport> {
         let sums = self.loads.sums();
         let age = self.loads.max_age(now).as_millis();
         let age_ms = u64::try_from(age).unwrap_or(u64::MAX);
@@ -396,9 +408,9 @@
         targets
             .map(|t| {
                 let name = t.info.name.clone();
-                let others = sums.get(&name_hash(&name)).copied();
-                let others: TargetLoad = others.unwrap_or_default();
-                let own_requests = own.get(&name).map_or(0, |load| load.requests);
+                let others = sums.get(&name_hash(&name)).copied().unwrap_or_default();
+                let granted = granted.get(&name).copied().unwrap_or_default();
+                let own = own.get(&name).copied().unwrap_or_default();
                 let service = table.and_then(|table| table.service(&t.info.serves));
                 let is_cordoned = self.is_cordoned(t);
                 let weights = t.weights.iter();
@@ -410,21 +422,38 @@
                 let other_requests = if short_lived { 0 } else { others.requests };
                 let limit = service.map_or(0, |s| s.context_tokens);
                 let report = LoadReport {
-                    running: own_requests + other_requests,
-                    queued_tokens: u64::from(others.work_tokens()),
+                    running: own.requests + granted.requests + other_requests,
+                    queued_tokens: u64::from(others.work_tokens() + granted.work),
                     age_ms,
-                    context_tokens: others.context_tokens(),
+                    context_tokens: others.context_tokens() + granted.context,
                     context_limit: scaled(limit, capacity_factor),
                     slots: scaled(t.slots, capacity_factor),
                     weights: weights.filter(|_| !is_cordoned).collect(),
                     ..LoadReport::default()
                 };
-                (name, report)
+                TargetReport {
+                    target: name,
+                    report,
+                    others,
+                    own,
+                }
             })
             .collect()
     }
 }
 
+/// Load of a target, as reported to this entry's own scheduler.
+pub(crate) struct TargetReport {
+    /// Name of the target.
+    pub target: Name,
+    /// The report.
+    pub report: LoadReport,
+    /// Load by the other entries.
+    pub others: TargetLoad,
+    /// Load by requests that this entry scheduled itself.
+    pub own: OwnLoad,
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn scaled(capacity: u32, factor: f64) -> u32 {
     (f64::from(capacity) * factor).round() as u32
--- a/src/gateway/hub_aggregator.rs
+++ b/src/gateway/hub_aggregator.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::domain_scheduler::DomainHub;
 use crate::name_hash::name_hash;
 use crate::peer::{GatewayDigest, GatewayStatus, RelayedStoreUpdate};
 use crate::prelude::*;
@@ -64,12 +65,13 @@
     pub fn digests(
         &mut self,
         now: Timestamp,
-        own: &str,
+        own: &DomainHub,
         own_status: GatewayStatus,
     ) -> (GatewayDigest, GatewayDigest) {
         self.statuses.retain(|_, (at, _)| now < *at + STATUS_TTL);
         self.digests.retain(|_, (at, _)| now < *at + STATUS_TTL);
-        let mut domain = GatewayDigest::from_status(name_hash(own), own_status);
+        let mut domain = GatewayDigest::from_status(name_hash(&own.entry), own_status);
+        domain.hubs.push(own.clone());
         for (entry, (_, status)) in &self.statuses {
             domain.merge(&GatewayDigest::from_status(
                 name_hash(entry),
--- a/src/gateway/peer_handler.rs
+++ b/src/gateway/peer_handler.rs
@@ -24,6 +24,11 @@
         match message {
             PeerMessage::Gateway(status) => control.apply_status(from, &status),
             PeerMessage::Digest(digest) => control.apply_digest(from, *digest),
+            PeerMessage::SchedulerCall(call) => control.on_scheduler_call(&from.name, call),
+            PeerMessage::SchedulerReply(reply) => {
+                let client = &control.shared.scheduler_client;
+                client.on_reply(&from.name, reply);
+            }
             PeerMessage::StoreUpdate(update) => control.apply_store_update(from, update),
             PeerMessage::WantObjects { kind } => control.send_objects(&from.name, kind),
             PeerMessage::Objects {
@@ -39,7 +44,7 @@
             } => {
                 control.send(&from.name, PeerMessage::QuarantineAck { seq });
                 if let Ok(fingerprint) = fingerprint.parse() {
-                    control.shared.scheduler.submit(Event::Quarantine {
+                    control.submit_to_schedulers(&Event::Quarantine {
                         fingerprint,
                         victims,
                         ttl: Duration::from_millis(ttl_ms),
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -16,6 +16,11 @@
     }
 }
 
+/// The response to a request that failed and that a target may have run.
+pub(crate) fn unknown_fate() -> LocalResponse {
+    rejected(502, "target-failed")
+}
+
 /// The response to a request whose deadline has passed.
 pub(crate) fn deadline_passed(may_have_been_sent: bool) -> LocalResponse {
     LocalResponse {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -8,12 +8,13 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use crate::clock::coarse_sleep;
+use crate::domain_scheduler::ScheduledRequest;
 use crate::gateway::arrival::{arrival_of, version_of};
 use crate::gateway::attempt::{
     AdmittedRequest, Assignment, Attempt, AttemptError, FETCH_COUNT_FACTOR, TargetResponse,
 };
 use crate::gateway::caller_response::CallerResponse;
-use crate::gateway::refusal::{deadline_passed, refused, rejected, unconfigured};
+use crate::gateway::refusal::{deadline_passed, refused, rejected, unconfigured, unknown_fate};
 use crate::gateway::request_log::{AttemptRecord, OutcomeLabel, RequestLog};
 use crate::gateway::request_reader::{self, RequestReader};
 use crate::gateway::response_head::ResponseHead;
@@ -22,7 +23,6 @@
 use crate::prelude::*;
 use crate::route::{Route, RouteMatch, RouteTable};
 use crate::scheduler::{AttemptOutcome, Effect, Refusal, Signal};
-use crate::shared_scheduler::RequestHandle;
 
 /// Timeout of a request whose caller sets none; the route's timeout applies as well.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(2);
@@ -71,9 +71,7 @@
     let mut driver = RequestDriver {
         shared,
         request: &request,
-        handle: shared
-            .scheduler
-            .submit_request(arrival_of(shared, &request)),
+        handle: shared.scheduler_client.submit(arrival_of(shared, &request)),
         target_error: None,
         may_have_been_sent: false,
         abandoned: false,
@@ -85,7 +83,8 @@
         request_log,
         ..
     } = driver;
-    if !matches!(outcome, Outcome::CallerLeft) {
+    // Otherwise an attempt may still be running, which the handle takes back.
+    if matches!(outcome, Outcome::Response(..) | Outcome::Streamed) {
         handle.finish();
     }
     request_log.record_end(shared, &request, &outcome.label(), &response);
@@ -174,7 +173,7 @@
 struct RequestDriver<'a> {
     shared: &'a Arc<Shared>,
     request: &'a AdmittedRequest,
-    handle: RequestHandle,
+    handle: ScheduledRequest,
     /// Error response of a target, relayed if no later attempt succeeds.
     target_error: Option<(ResponseHead, Vec<u8>)>,
     /// Whether any byte of the request may have been sent to a target.
@@ -432,6 +431,8 @@
         }
         match self.target_error.take() {
             Some((head, body)) => Outcome::Response(head, body),
+            // The scheduler may not know of an attempt that it did not dispatch itself.
+            None if self.may_have_been_sent => Outcome::LocalResponse(unknown_fate()),
             None => Outcome::LocalResponse(refused(refusal)),
         }
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::time_since_boot;
 use crate::context_store::StoreDirectory;
+use crate::domain_scheduler::SchedulerClient;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::drain::Drain;
 use crate::gateway::versions::AllowedVersions;
@@ -25,8 +26,10 @@
     pub routes: ArcSwapOption<RouteTable>,
     /// Weight versions on which requests may start.
     pub versions: AllowedVersions,
-    /// Admission, placement and retries.
+    /// This entry's own admission, placement and retries.
     pub scheduler: Arc<SharedScheduler>,
+    /// Submits requests to the scheduler of a failure domain, or to the entry's own one.
+    pub scheduler_client: Arc<SchedulerClient>,
     /// Idle connections to targets.
     pub connections: ConnectionPool,
     /// Quarantine notices about requests suspected of crashing targets.
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -10,10 +10,11 @@
 pub const RUN_STATE_HEADER: &str = "guavahold-run";
 
 /// Whether a target ran a request that failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RunState {
     /// No target received any byte of the request, or the target stated that it did not run it.
+    #[default]
     NotRun,
     /// A target ran the request.
     Ran,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod claim;
 pub mod clock;
 pub mod context_store;
+pub mod domain_scheduler;
 pub mod entry;
 pub mod gateway;
 pub mod http;
--- a/src/peer/gateway_digest.rs
+++ b/src/peer/gateway_digest.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::domain_scheduler::DomainHub;
 use crate::peer::{GatewayStatus, RelayedStoreUpdate};
 
 /// Merged state of several entries, which replaces the sender's earlier digest.
@@ -22,6 +23,9 @@
     /// the first, half of it for versions below the second.
     #[serde(rename = "a")]
     pub retired_by_all: (u64, u64),
+    /// Hubs of the failure domains whose state is merged.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub hubs: Vec<DomainHub>,
     /// Updates of context stores since the sender's last digest.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub store_updates: Vec<RelayedStoreUpdate>,
@@ -35,6 +39,7 @@
             entries: vec![entry],
             retired_by_all: status.retired_below,
             merged: status,
+            hubs: Vec::new(),
             store_updates: Vec::new(),
         }
     }
@@ -44,6 +49,7 @@
     pub fn merge(&mut self, other: &Self) {
         self.merged.merge(&other.merged);
         self.entries.extend(&other.entries);
+        self.hubs.extend(other.hubs.iter().cloned());
         self.retired_by_all.0 = self.retired_by_all.0.min(other.retired_by_all.0);
         self.retired_by_all.1 = self.retired_by_all.1.min(other.retired_by_all.1);
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,6 +4,7 @@
 
 use crate::catalog::{Catalog, ReleaseNote};
 use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
+use crate::domain_scheduler::{SchedulerCall, SchedulerReply};
 use crate::gateway::PeerObject;
 use crate::peer::{GatewayDigest, GatewayStatus, LoadUpdate, RelayedStoreUpdate};
 use crate::platform::Vm;
@@ -91,6 +92,12 @@
     /// State of many entries, merged by the hub of a failure domain.
     #[serde(rename = "d")]
     Digest(Box<GatewayDigest>),
+    /// Steps of the sender's requests, for the scheduler that the receiver runs as a hub.
+    #[serde(rename = "s")]
+    SchedulerCall(SchedulerCall),
+    /// Decisions about requests of the receiver.
+    #[serde(rename = "t")]
+    SchedulerReply(SchedulerReply),
     /// Update of a context store, for entries that do not watch the store themselves.
     #[serde(rename = "k")]
     StoreUpdate(RelayedStoreUpdate),
--- a/src/prefix_keys/key.rs
+++ b/src/prefix_keys/key.rs
@@ -26,6 +26,13 @@
 pub struct BlockKey([u8; 32]);
 
 impl BlockKey {
+    /// The first bytes as a number, by which prompts are placed.
+    #[must_use]
+    pub fn placement_hash(&self) -> u64 {
+        let first = self.0.first_chunk::<8>().copied();
+        u64::from_le_bytes(first.unwrap_or_default())
+    }
+
     /// Makes a key from its raw bytes.
     #[must_use]
     pub const fn from_bytes(bytes: [u8; 32]) -> Self {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -26,6 +26,7 @@
 pub use effect::Effect;
 pub use event::{Arrival, AttemptOutcome, Event, RequestId, Signal, TargetInfo};
 pub use fleet::OwnLoad;
+pub(crate) use fleet::mix;
 pub use load_estimate::LoadEstimate;
 pub use machine::Scheduler;
 pub use refusal::Refusal;
--- a/src/scheduler/effect.rs
+++ b/src/scheduler/effect.rs
@@ -65,3 +65,16 @@
         address: SocketAddr,
     },
 }
+
+impl Effect {
+    /// The request that the effect concerns.
+    #[must_use]
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            Self::Dispatch { id, .. } | Self::Refuse { id, .. } | Self::Cancel { id, .. } => {
+                Some(*id)
+            }
+            Self::Quarantine { .. } | Self::Probe { .. } => None,
+        }
+    }
+}
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{Catalog, Policy};
+use crate::http::RunState;
 use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
 use crate::target::LoadReport;
@@ -128,6 +129,23 @@
 }
 
 impl AttemptOutcome {
+    /// Whether the request has ended with this attempt.
+    #[must_use]
+    pub fn ends_request(&self) -> bool {
+        matches!(self, Self::Done | Self::Cancelled)
+    }
+
+    /// Run state of a request after one more attempt of it has ended like this.
+    #[must_use]
+    pub fn run_state_after(&self, before: RunState) -> RunState {
+        match self {
+            Self::NotSent | Self::Withheld | Self::Refused { .. } => before,
+            Self::Done | Self::WrongWeights | Self::TargetError => RunState::Ran,
+            _ if before == RunState::Ran => before,
+            _ => RunState::Unknown,
+        }
+    }
+
     /// Whether no byte of the request was sent.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
--- a/src/scheduler/fleet/load.rs
+++ b/src/scheduler/fleet/load.rs
@@ -36,6 +36,15 @@
     pub context: u32,
 }
 
+impl OwnLoad {
+    /// Adds another load to this one.
+    pub fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.work += other.work;
+        self.context += other.context;
+    }
+}
+
 /// Estimated load of a target: this entry's own requests are counted exactly, those of other
 /// entries are known from load reports that lag. In a report, the running and queued requests
 /// include this entry's own; the queued work and the context are taken to be those of others.
--- a/src/scheduler/machine/outcome.rs
+++ b/src/scheduler/machine/outcome.rs
@@ -84,7 +84,7 @@
         let Some(attempt) = req.attempt(number) else {
             return;
         };
-        req.run_state = run_state_after(req.run_state, outcome);
+        req.run_state = outcome.run_state_after(req.run_state);
         let pool = req.pool;
         let done = *outcome == AttemptOutcome::Done;
         self.release_attempt(id, attempt, done);
@@ -256,17 +256,3 @@
         }
     }
 }
-
-/// Run state of a request after one more attempt of it has ended.
-fn run_state_after(before: RunState, outcome: &AttemptOutcome) -> RunState {
-    match outcome {
-        AttemptOutcome::NotSent | AttemptOutcome::Withheld | AttemptOutcome::Refused { .. } => {
-            before
-        }
-        AttemptOutcome::Done | AttemptOutcome::WrongWeights | AttemptOutcome::TargetError => {
-            RunState::Ran
-        }
-        _ if before == RunState::Ran => before,
-        _ => RunState::Unknown,
-    }
-}
--- a/src/scheduler/request.rs
+++ b/src/scheduler/request.rs
@@ -141,8 +141,7 @@
 
 /// Placement hash of a key: its first eight bytes, mixed.
 pub(super) fn key_hash(key: &BlockKey) -> u64 {
-    let first = key.as_bytes().first_chunk::<8>().copied();
-    mix(u64::from_le_bytes(first.unwrap_or_default()))
+    mix(key.placement_hash())
 }
 
 /// An action scheduled for a point in time.
--- a/src/shared_scheduler/handle.rs
+++ b/src/shared_scheduler/handle.rs
@@ -1,7 +1,7 @@
 //! The state machine behind a lock, and handles of the requests that receive its effects.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use crate::clock::time_since_boot;
@@ -114,12 +114,30 @@
             scheduler: self.clone(),
             id,
             rx,
-            finished: false,
+            finished: AtomicBool::new(false),
         }
     }
 
+    /// Submits a new request whose effects are sent to `effects` until [`SharedScheduler::close`];
+    /// returns whether there are any yet.
+    pub fn submit_for(&self, arrival: Arrival, effects: async_channel::Sender<Effect>) -> bool {
+        let id = arrival.id;
+        self.lock().handles.insert(id, effects);
+        self.submit_counting(Event::Arrive(arrival), id) > 0
+    }
+
+    /// Sends no further effects of a request.
+    pub fn close(&self, id: RequestId) {
+        self.lock().handles.remove(&id);
+    }
+
     /// Submits an event and sends out its effects.
     pub fn submit(&self, event: Event) {
+        self.submit_counting(event, RequestId(0));
+    }
+
+    /// Submits an event and sends out its effects; returns how many concern the request `counted`.
+    fn submit_counting(&self, event: Event, counted: RequestId) -> usize {
         let now = self.now();
         let mut state = self.lock();
         let State {
@@ -133,9 +151,14 @@
         let (notices, others): (Vec<_>, Vec<_>) = effects
             .drain(..)
             .partition(|effect| matches!(effect, Effect::Quarantine { .. }));
+        let mut count = 0;
         for effect in notices.into_iter().chain(others) {
+            if effect.request() == Some(counted) {
+                count += 1;
+            }
             self.send_effect(handles, effect);
         }
+        count
     }
 
     fn send_effect(
@@ -143,26 +166,21 @@
         handles: &HashMap<RequestId, async_channel::Sender<Effect>>,
         effect: Effect,
     ) {
-        let id = match &effect {
-            Effect::Dispatch { id, .. } | Effect::Refuse { id, .. } | Effect::Cancel { id, .. } => {
-                *id
-            }
-            Effect::Quarantine { .. } => {
-                self.notices.expect_notice();
-                let _ = self.control.try_send(effect);
-                return;
-            }
-            Effect::Probe { .. } => {
-                let _ = self.control.try_send(effect);
-                return;
+        if let Some(id) = effect.request() {
+            if let Some(tx) = handles.get(&id) {
+                let _ = tx.try_send(effect);
             }
-        };
-        if let Some(tx) = handles.get(&id) {
-            let _ = tx.try_send(effect);
+            return;
+        }
+        if matches!(effect, Effect::Quarantine { .. }) {
+            self.notices.expect_notice();
         }
+        let _ = self.control.try_send(effect);
     }
 
-    fn now(&self) -> Timestamp {
+    /// Current time on the scheduler's clock.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
         time_since_boot().saturating_sub(self.origin)
     }
 
@@ -178,7 +196,7 @@
     scheduler: Arc<SharedScheduler>,
     id: RequestId,
     rx: async_channel::Receiver<Effect>,
-    finished: bool,
+    finished: AtomicBool,
 }
 
 impl RequestHandle {
@@ -207,15 +225,15 @@
     }
 
     /// Closes the handle after the end of the last attempt was reported or the request was refused.
-    pub fn finish(mut self) {
-        self.finished = true;
+    pub fn finish(&self) {
+        self.finished.store(true, Ordering::Relaxed);
     }
 }
 
 impl Drop for RequestHandle {
     fn drop(&mut self) {
         self.scheduler.lock().handles.remove(&self.id);
-        if !self.finished {
+        if !self.finished.load(Ordering::Relaxed) {
             self.scheduler.submit(Event::CallerLeft(self.id));
         }
     }
