--- a/src/domain_scheduler/remote_arrival.rs
+++ b/src/domain_scheduler/remote_arrival.rs
@@ -58,6 +58,9 @@
     /// Whether another target may continue a stream that broke off.
     #[serde(rename = "r", default)]
     pub resumable: bool,
+    /// Latency objective, in milliseconds; zero for none.
+    #[serde(rename = "l", default)]
+    pub objective_ms: u64,
 }
 
 impl From<&Arrival> for RemoteArrival {
@@ -79,6 +82,7 @@
             output_tokens: arrival.output_tokens,
             max_attempts: arrival.max_attempts,
             resumable: arrival.resumable,
+            objective_ms: u64::try_from(arrival.objective.as_millis()).unwrap_or(u64::MAX),
         }
     }
 }
@@ -108,6 +112,7 @@
             output_tokens: self.output_tokens,
             max_attempts: self.max_attempts,
             resumable: self.resumable,
+            objective: Duration::from_millis(self.objective_ms),
         }
     }
 }
--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -48,6 +48,7 @@
         policy: Arc::new(policy),
         max_attempts: route.max_attempts,
         resumable: route.is_resumable(),
+        objective: route.latency_objective,
     }
 }
 
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -60,6 +60,9 @@
     /// Whether another target may continue a response stream that broke off.
     #[serde(default)]
     pub resumable: bool,
+    /// Latency objective: time within which the response should begin; zero for none.
+    #[serde(default, skip_serializing_if = "Duration::is_zero")]
+    pub objective: Duration,
 }
 
 /// A target as the platform lists it.
--- a/src/scheduler/fair_queue.rs
+++ b/src/scheduler/fair_queue.rs
@@ -14,8 +14,8 @@
 /// Number of flows at which idle ones are first removed.
 const MIN_FLOWS_TO_SWEEP: usize = 256;
 
-/// Start-time fair queueing among customers (Goyal, Vin and Cheng 1997), earliest deadline first
-/// within each customer.
+/// Start-time fair queueing among customers (Goyal, Vin and Cheng 1997); within each customer, the
+/// request that has to be dispatched first, as long as it can meet its time.
 #[derive(Debug)]
 pub(super) struct FairQueue {
     flows: HashMap<Name, Flow>,
@@ -81,11 +81,11 @@
     }
 
     /// Removes the next request: the first of the customer with the earliest virtual start.
-    pub(super) fn pop(&mut self) -> Option<QueueKey> {
+    pub(super) fn pop(&mut self, now: Timestamp) -> Option<QueueKey> {
         let (start, customer) = self.active.pop_first()?;
         self.virtual_time = self.virtual_time.max(start);
         let flow = self.flows.get_mut(&customer)?;
-        let (key, cost) = flow.waiting.pop_first()?;
+        let (key, cost) = flow.pop(now)?;
         self.len -= 1;
         let advance = VIRTUAL_TIME_PER_COST * u64::from(cost) / u64::from(flow.weight);
         flow.virtual_start = start.saturating_add(advance.max(1));
@@ -129,11 +129,11 @@
 
     /// Estimated number of requests dispatched up to and including the one at `key`: those of its
     /// customer, divided by the customer's share of the rate, but no more than all queued ones.
-    pub(super) fn requests_ahead(&self, customer: &str, key: QueueKey) -> f64 {
+    pub(super) fn requests_ahead(&self, now: Timestamp, customer: &str, key: QueueKey) -> f64 {
         let Some(flow) = self.flows.get(customer) else {
             return 0.0;
         };
-        let own = flow.waiting.range(..key).count();
+        let own = flow.ahead_of(now, key);
         let rounds = to_f64(own + 1) / f64::from(flow.weight.max(1));
         (rounds * self.active_weight()).min(to_f64(self.len))
     }
--- a/src/scheduler/lane.rs
+++ b/src/scheduler/lane.rs
@@ -14,7 +14,7 @@
 /// Queued requests of one pool that accept the same weight versions.
 ///
 /// Priority classes share the targets by weight (stride scheduling, Waldspurger and Weihl 1995),
-/// customers share each class by fair queueing, and the earliest deadline of a customer goes first.
+/// customers share each class by fair queueing, and a customer's requests go by their own times.
 #[derive(Debug, Default)]
 pub(super) struct Lane {
     /// Weight versions, preferred first.
@@ -61,12 +61,12 @@
     }
 
     /// Removes the next request: of the class with the lowest pass.
-    pub(super) fn pop(&mut self) -> Option<QueueKey> {
+    pub(super) fn pop(&mut self, now: Timestamp) -> Option<QueueKey> {
         let waiting = (0..3).filter(|n| self.classes[*n].len() > 0);
         let n = waiting.min_by_key(|n| self.passes[*n])?;
         self.pass = self.passes[n];
         self.passes[n] += STRIDE / u64::from(CLASS_WEIGHTS[n]);
-        self.classes[n].pop()
+        self.classes[n].pop(now)
     }
 
     /// Charges class and customer for a request that is dispatched without queueing, while the lane
--- a/src/scheduler/machine/admit.rs
+++ b/src/scheduler/machine/admit.rs
@@ -232,7 +232,7 @@
             if !self.fleet.any_free(pool, weights) {
                 return;
             }
-            let Some((_, id)) = self.lanes[pool.0][lane].pop() else {
+            let Some((_, id)) = self.lanes[pool.0][lane].pop(self.now) else {
                 return;
             };
             self.record_wait(id);
--- a/src/scheduler/machine/timers.rs
+++ b/src/scheduler/machine/timers.rs
@@ -25,6 +25,7 @@
             }
             self.timers.pop_first();
             match timer {
+                Timer::Overdue(id) => self.overdue(id, effects),
                 Timer::Expire(id) => self.expire(id, effects),
                 Timer::Retry(id) => self.retry_due(id, effects),
                 Timer::Hedge(id) => self.hedge(id, effects),
@@ -38,6 +39,19 @@
         }
     }
 
+    /// Refuses a queued request that has missed its time and, behind all that have not, has no
+    /// prospect of an answer before its deadline.
+    fn overdue(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
+        let stage = self.requests.get(&id).map(|r| (r.stage, r.pool));
+        if let Some((Stage::Queued(lane, _), pool)) = stage
+            && !self.meets_deadline(id, pool, lane)
+        {
+            self.record_wait(id);
+            let refusal = self.deadline_refusal(id);
+            self.refuse(id, refusal, effects);
+        }
+    }
+
     fn expire(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
         let stage = self.requests.get(&id).map(|r| r.stage);
         if matches!(stage, Some(Stage::Queued(..) | Stage::Delayed)) {
@@ -84,6 +98,10 @@
         };
         let at = req.deadline.saturating_sub(self.expected_first_token(req));
         let at = at.max(self.now);
+        let overdue_at = req.dispatch_by();
+        if overdue_at > self.now && overdue_at < at {
+            self.timers.insert((overdue_at, Timer::Overdue(id)));
+        }
         self.timers.insert((at, Timer::Expire(id)));
         if let Some(req) = self.requests.get_mut(&id) {
             req.expires_at = Some(at);
--- a/src/scheduler/machine/wait_prediction.rs
+++ b/src/scheduler/machine/wait_prediction.rs
@@ -32,7 +32,7 @@
         let class = req.arrival.policy.class;
         let lane = &self.lanes[pool.0][lane];
         let queue = lane.class(class);
-        let ahead = queue.requests_ahead(&req.arrival.customer, req.queue_key());
+        let ahead = queue.requests_ahead(self.now, &req.arrival.customer, req.queue_key());
         Some(ahead / (rate * lane.class_share(class)))
     }
 
--- a/src/scheduler/request.rs
+++ b/src/scheduler/request.rs
@@ -14,6 +14,9 @@
 /// of other prompts and slows each step a little, however many tokens follow.
 const MAX_GENERATION_WORK: u32 = 400;
 
+/// Share of its latency objective that a request may wait; the target needs the rest.
+const WAITING_SHARE: f64 = 0.5;
+
 /// A running attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Attempt {
@@ -98,9 +101,17 @@
         }
     }
 
-    /// Position in its customer's queue.
+    /// Position in its customer's queue: by the time until which it should be dispatched.
     pub(super) fn queue_key(&self) -> QueueKey {
-        (self.deadline, self.arrival.id)
+        (self.dispatch_by(), self.arrival.id)
+    }
+
+    /// Time until which it should be dispatched to meet its latency objective, or else its deadline.
+    pub(super) fn dispatch_by(&self) -> Timestamp {
+        if self.arrival.objective.is_zero() {
+            return self.deadline;
+        }
+        self.arrived + self.arrival.objective.mul_f64(WAITING_SHARE)
     }
 
     /// Cost in fair queueing, in prompt blocks; each request costs four on top of its prompt.
@@ -147,6 +158,8 @@
 /// An action scheduled for a point in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Timer {
+    /// Refuses a request that has missed its latency objective if it has no prospect any more.
+    Overdue(RequestId),
     /// Refuses a request that still waits, since it can no longer meet its deadline.
     Expire(RequestId),
     /// Puts a delayed request back into its queue.
--- a/tests/hubs.rs
+++ b/tests/hubs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use guavahold::context_store::{RetiredVersions, RetirementTracker};
+use guavahold::domain_scheduler::DomainHub;
 use guavahold::gateway::{HubAggregator, HubCandidate, HubSelector, LoadTable, TargetLoad};
 use guavahold::name_hash::name_hash;
 use guavahold::peer::{GatewayDigest, GatewayStatus};
@@ -14,6 +15,15 @@
 const TARGETS: u32 = 5;
 const ROUND_INTERVAL: Duration = Duration::from_millis(150);
 
+/// The entry `name` as the hub of a failure domain.
+fn domain_hub(name: &str) -> DomainHub {
+    DomainHub {
+        domain: "z".into(),
+        entry: name.into(),
+        queued: 0,
+    }
+}
+
 /// Creates entry `n`; the fourth of each failure domain has the largest CPU share.
 fn peer(n: usize) -> HubCandidate {
     HubCandidate {
@@ -93,7 +103,10 @@
                 sent.push((hub, entry.peer.clone(), Message::Status(status)));
                 continue;
             }
-            let (domain, whole) = entry.aggregator.digests(self.now, &entry.peer.name, status);
+            let (domain, whole) =
+                entry
+                    .aggregator
+                    .digests(self.now, &domain_hub(&entry.peer.name), status);
             let active = entry.aggregator.live_hubs(self.now);
             for hub in HubSelector::other_domain_hubs(&entry.peer, &live, &active) {
                 sent.push((hub, entry.peer.clone(), Message::Digest(domain.clone())));
@@ -245,7 +258,7 @@
     let now = Duration::from_secs(1);
     aggregator.record_status(now, &"b".into(), status(3));
     aggregator.record_status(now, &"c".into(), status(5));
-    let (digest, _) = aggregator.digests(now, "a", status(4));
+    let (digest, _) = aggregator.digests(now, &domain_hub("a"), status(4));
     assert_eq!(digest.retired_by_all, (3, 4));
     assert_eq!(digest.merged.retired_below, (5, 6));
     let names: Vec<Name> = ["a", "b", "c"].map(Name::from).into();
@@ -286,6 +299,10 @@
 fn hub_aggregator_omits_expired_statuses() {
     let mut aggregator = HubAggregator::default();
     aggregator.record_status(Duration::ZERO, &"b".into(), GatewayStatus::default());
-    let (digest, _) = aggregator.digests(Duration::from_secs(2), "a", GatewayStatus::default());
+    let (digest, _) = aggregator.digests(
+        Duration::from_secs(2),
+        &domain_hub("a"),
+        GatewayStatus::default(),
+    );
     assert_eq!(digest.entries, [name_hash("a")]);
 }
--- a/tests/placement_load.rs
+++ b/tests/placement_load.rs
@@ -152,6 +152,7 @@
             output_tokens: 16,
             max_attempts: 1,
             resumable: false,
+            objective: Duration::ZERO,
         };
         self.submit(entry, Event::Arrive(arrival), sizes.1);
     }
--- a/tests/scheduler/overload.rs
+++ b/tests/scheduler/overload.rs
@@ -266,3 +266,38 @@
     );
     assert!(most <= 2, "{most}");
 }
+
+/// Half more requests than the targets can serve, all with a deadline far beyond their objective. A
+/// queue in the order of arrival would answer nearly all of them late; here those that can still be
+/// in time go first, and those without a prospect are refused long before their deadline.
+#[test]
+fn overload_beyond_objective_serves_most_callers_in_time() {
+    let mut simulation = simulation();
+    let patient = policy(PriorityClass::Standard, 8_000);
+    let objective = ms(800);
+    simulation.add_poisson_arrivals(1, 1.5 * CAPACITY_PER_S, (ms(0), MEASURE_TO), |id| Arrival {
+        objective,
+        ..arrival(id, "a", &patient)
+    });
+    simulation.run_until(MEASURE_TO + ms(20_000));
+    let (mut all, mut in_time, mut late, mut refused_late) = (0, 0, 0, 0);
+    for record in simulation.arrived_between((MEASURE_FROM, MEASURE_TO)) {
+        all += 1;
+        let first = record
+            .first_token
+            .map(|at| at.saturating_sub(record.arrived));
+        match (first, &record.end) {
+            (Some(first), _) if first <= objective => in_time += 1,
+            (Some(_), _) => late += 1,
+            (None, Some((at, _))) if *at > record.arrived + ms(4_000) => refused_late += 1,
+            _ => {}
+        }
+    }
+    println!("{all} requests: {in_time} in time, {late} late, {refused_late} refused late");
+    assert!(in_time * 100 >= all * 50, "{in_time} of {all} in time");
+    assert!(
+        refused_late * 100 <= all * 5,
+        "{refused_late} of {all} refused late"
+    );
+    simulation.assert_idle();
+}
