--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -32,7 +32,11 @@
         .iter()
         .map(|w| stored_prompt(shared, request, w))
         .collect();
+    // Isolated customers share no cached context, so their prompts have places of their own.
+    let isolated = request.holder.as_ref().filter(|h| h.isolated);
+    let scope = isolated.map_or("", |h| &*h.customer);
     let affinity = shared_part.map_or(&*request.head.id, |part| &*part.id);
+    let affinity = format!("{affinity}{scope}");
     Arrival {
         id: shared.scheduler.next_id(),
         fingerprint: fingerprint(request, &customer),
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -343,7 +343,10 @@
         effects: async_channel::Sender<Effect>,
         decisions: async_channel::Sender<Effect>,
     ) -> DomainScheduler {
-        let scheduler = Scheduler::new(self.scheduler_settings(HUB_BURST_SHARE));
+        let scheduler = Scheduler::new(SchedulerSettings {
+            placement: Placement::LeastWorkOfAll,
+            ..self.scheduler_settings(HUB_BURST_SHARE)
+        });
         let notices = shared.quarantine_notices.clone();
         let scheduler = SharedScheduler::new(scheduler, effects, notices);
         DomainScheduler::new(Arc::new(scheduler), decisions)
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -5,6 +5,7 @@
 mod load;
 mod placement_query;
 mod pool;
+mod prefix_cache;
 mod ring;
 mod selection;
 mod target;
@@ -22,10 +23,15 @@
 pub(crate) use load::{AttemptSize, Load};
 pub(crate) use placement_query::{Isolation, PlacementQuery};
 pub(crate) use pool::{Pool, PoolIx, work_units};
+pub(crate) use prefix_cache::PrefixCache;
 pub(crate) use ring::{Ring, mix};
 pub(crate) use target::{Target, TargetIx};
 pub(crate) use weights_group::WeightsGroup;
 
+/// Part of a target's context capacity that caches starts of prompts, as a divisor; running requests
+/// occupy the rest.
+const PREFIX_CACHE_DIVISOR: u32 = 2;
+
 /// The targets that an entry knows, with indexes by name, by model or service and by room.
 ///
 /// A target that the platform no longer lists stays until the last own attempt there has ended.
@@ -171,6 +177,20 @@
         self.refresh(now, ix);
     }
 
+    /// Records that a prompt was sent to a target, which then has its shared start cached.
+    pub(crate) fn record_prefix(&mut self, ix: TargetIx, key: u64, shared_tokens: u32) {
+        if self.placement != Placement::LeastWorkOfAll || shared_tokens == 0 {
+            return;
+        }
+        if let Some(target) = self.get_mut(ix) {
+            let capacity = match target.load.report.context_limit {
+                0 => u32::MAX,
+                limit => limit / PREFIX_CACHE_DIVISOR,
+            };
+            target.prefixes.record_use(key, shared_tokens, capacity);
+        }
+    }
+
     /// Counts an attempt as load of its target.
     pub(crate) fn take_slot(&mut self, now: Timestamp, ix: TargetIx, size: AttemptSize) {
         if let Some(target) = self.get_mut(ix) {
--- a/src/scheduler/fleet/selection.rs
+++ b/src/scheduler/fleet/selection.rs
@@ -25,6 +25,9 @@
 /// Cost of fetching a token from a context store in another failure domain, over a path that takes
 /// twice as long.
 const FAR_FETCH_COST: f64 = 0.5;
+/// Cost of reading a start that no target has cached at its home, relative to other targets: it is
+/// preferred slightly, so that another scheduler of the same targets would choose it too.
+const NEW_PREFIX_HOME_COST: f64 = 0.9;
 /// Share of the shared tokens that the home of a prefix is expected to have cached.
 const HOME_HIT_SHARE: f64 = 0.9;
 
@@ -52,7 +55,7 @@
         let pool = self.pool(pool);
         let plain = [Name::from("")];
         let weights = if weights.is_empty() { &plain } else { weights };
-        let by_work = self.placement == Placement::LeastWork && query.has_prefix;
+        let by_work = self.placement != Placement::FirstWithRoom && query.has_prefix;
         if by_work && query.only.is_empty() && query.isolate.is_none() {
             return self.select_least_work(now, pool, weights, query, rng);
         }
@@ -199,8 +202,13 @@
         let all = &pool.groups[0];
         let free = |ix: &TargetIx| self.get(*ix).is_some_and(|t| t.free);
         let untried = |ix: &TargetIx| free(ix) && !query.avoid.contains(ix);
-        let sampled = self.sample_candidates(all, query, rng);
-        let home = sampled.first().copied();
+        let knows_all = self.placement == Placement::LeastWorkOfAll;
+        let sampled = if knows_all {
+            SmallVec::new()
+        } else {
+            self.sample_candidates(all, query, rng)
+        };
+        let home = all.all.candidates(query.key).first().copied();
         let least = |ixs: &[TargetIx], allowed: &dyn Fn(&TargetIx) -> bool| {
             let usable = ixs.iter().copied().filter(|ix| allowed(ix));
             let costs = usable.filter_map(|ix| {
@@ -240,17 +248,44 @@
             FAR_FETCH_COST
         };
         let uncached = f64::from(unstored) + f64::from(stored) * fetch;
-        let to_read = if home {
-            uncached * (1.0 - HOME_HIT_SHARE)
-        } else {
-            uncached
+        let to_read = match (self.placement, home) {
+            (Placement::LeastWorkOfAll, _) if target.prefixes.contains(query.key) => 0.0,
+            (Placement::LeastWorkOfAll, true) => uncached * NEW_PREFIX_HOME_COST,
+            (Placement::LeastWork, true) => uncached * (1.0 - HOME_HIT_SHARE),
+            _ => uncached,
         };
         let penalty = if rank == 0 { 0.0 } else { OLD_WEIGHTS_PENALTY };
         target.load.work(now, typical_unit_seconds) + to_read + penalty
     }
 
+    /// A target other than `target` from which the start of a prompt can be fetched: one that is
+    /// known to have it, or else its home. `None` if `target` itself is more likely to have it.
+    pub(crate) fn neighbour(
+        &self,
+        now: Timestamp,
+        pool: PoolIx,
+        key: u64,
+        weights: &str,
+        target: TargetIx,
+    ) -> Option<(TargetIx, std::net::SocketAddr)> {
+        if self.placement != Placement::LeastWorkOfAll {
+            let home = self.home_target(now, pool, key, weights);
+            return home.filter(|(ix, _)| *ix != target);
+        }
+        if self.get(target).is_some_and(|t| t.prefixes.contains(key)) {
+            return None;
+        }
+        let all = self.pool(pool).groups[0].all.iter();
+        let holders = all.filter_map(|ix| Some((ix, self.get(ix)?)));
+        let holders = holders.filter(|(_, t)| {
+            t.prefixes.contains(key) && t.takes_work(now) && t.has_weights(weights)
+        });
+        let idlest = holders.min_by_key(|(_, t)| t.load.own_load().work);
+        idlest.map(|(ix, t)| (ix, t.info.address))
+    }
+
     /// The first target in the rendezvous order of a prefix that has these weights and takes work.
-    pub(crate) fn home_target(
+    fn home_target(
         &self,
         now: Timestamp,
         pool: PoolIx,
@@ -292,6 +327,9 @@
     /// Prompt tokens that a target is expected to read: without those that it fetches from a store
     /// and, at the home of the prefix, without half of the other shared tokens.
     pub(crate) fn tokens_to_read(&self, ix: TargetIx, weights: &str, arrival: &Arrival) -> u32 {
+        if self.placement == Placement::LeastWorkOfAll {
+            return self.tokens_beyond_cache(ix, weights, arrival);
+        }
         let home = self.get(ix).is_some_and(|target| {
             let group = &self.pools[target.pool.0].groups[0];
             let key = crate::scheduler::request::key_hash(&arrival.affinity);
@@ -308,6 +346,20 @@
         }
     }
 
+    /// Prompt tokens that a target reads beyond those that it has cached or fetches from a store.
+    fn tokens_beyond_cache(&self, ix: TargetIx, weights: &str, arrival: &Arrival) -> u32 {
+        let key = crate::scheduler::request::key_hash(&arrival.affinity);
+        let cached = self.get(ix).is_some_and(|t| t.prefixes.contains(key));
+        if cached {
+            return arrival.prompt_tokens.saturating_sub(arrival.shared_tokens);
+        }
+        let n = arrival.weights.iter().position(|w| **w == *weights);
+        let stored = n.and_then(|n| arrival.stored_tokens.get(n)).copied();
+        arrival
+            .prompt_tokens
+            .saturating_sub(stored.unwrap_or_default())
+    }
+
     /// The less utilized of two random targets (Mitzenmacher 2001).
     fn two_choices(
         &self,
--- a/src/scheduler/fleet/target.rs
+++ b/src/scheduler/fleet/target.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use crate::scheduler::TargetInfo;
-use crate::scheduler::fleet::{Health, Load, PoolIx, mix};
+use crate::scheduler::fleet::{Health, Load, PoolIx, PrefixCache, mix};
 
 /// Index of a target within the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -23,10 +23,14 @@
     pub(crate) listed: bool,
     /// Health, which decides whether it takes new work.
     pub(crate) health: Health,
+    /// Weight versions in its last load report that named any.
+    pub(crate) weights: Vec<Name>,
     /// Estimated load, which decides whether it has room.
     pub(crate) load: Load,
     /// Whether it takes work and has room.
     pub(crate) free: bool,
+    /// Starts of prompts that it is expected to have cached.
+    pub(crate) prefixes: PrefixCache,
     /// Number of suspected requests that it runs for this entry.
     pub(crate) suspected_requests: u32,
 }
@@ -45,6 +49,8 @@
             health,
             load: Load::default(),
             free: false,
+            prefixes: PrefixCache::default(),
+            weights: Vec::new(),
             suspected_requests: 0,
             info,
         }
--- a/src/scheduler/fleet/updates.rs
+++ b/src/scheduler/fleet/updates.rs
@@ -136,6 +136,11 @@
             self.leave_groups(ix);
         }
         if let Some(target) = self.get_mut(ix) {
+            // A cordoned target reports no weights for a time, and keeps what it has cached.
+            if weights_changed && !report.weights.is_empty() && report.weights != target.weights {
+                target.prefixes.clear();
+                target.weights.clone_from(&report.weights);
+            }
             target.load.apply_report(now, report);
         }
         if weights_changed {
--- a/src/scheduler/machine/dispatch.rs
+++ b/src/scheduler/machine/dispatch.rs
@@ -9,6 +9,15 @@
 /// Delay before another try to place a request when no target that it may run on has room.
 const PLACEMENT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Where an attempt is sent.
+struct DispatchTo {
+    target: TargetIx,
+    /// Weight version to run.
+    weights: Name,
+    /// Another target that is more likely to have the start of the prompt cached.
+    neighbour: Option<(TargetIx, std::net::SocketAddr)>,
+}
+
 impl Scheduler {
     /// Dispatches a request that is not queued, delays it, or refuses it.
     pub(super) fn place_request(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
@@ -102,6 +111,7 @@
         let suspected = self.suspects.is_suspected(&fingerprint);
         let read = self.fleet.tokens_to_read(target, &weights, &req.arrival);
         let size = req.size(read);
+        let (key, shared) = (key_hash(&req.arrival.affinity), req.arrival.shared_tokens);
         req.attempts_started += 1;
         req.stage = Stage::Running;
         req.attempts.push(Attempt {
@@ -113,13 +123,23 @@
             size,
         });
         let (attempt, pool) = (req.attempts_started, req.pool);
+        let neighbour = self.fleet.neighbour(self.now, pool, key, &weights, target);
+        self.fleet.record_prefix(target, key, shared);
+        let Some(req) = self.requests.get(&id) else {
+            return;
+        };
         let class = req.arrival.policy.class;
         let may_hedge = self.cfg.hedging && req.arrival.policy.idempotent && !hedge && !suspected;
         self.take_slot(&fingerprint, target, suspected, size);
         if may_hedge && let Some(after) = self.fleet.pool(pool).hedge_after(class) {
             self.timers.insert((self.now + after, Timer::Hedge(id)));
         }
-        self.push_dispatch(id, attempt, target, weights, hedge, effects);
+        let dispatch = DispatchTo {
+            target,
+            weights,
+            neighbour,
+        };
+        self.push_dispatch(id, attempt, dispatch, hedge, effects);
     }
 
     fn check_dispatch(&mut self, id: RequestId, target: TargetIx) {
@@ -158,16 +178,15 @@
         &self,
         id: RequestId,
         attempt: u32,
-        target: TargetIx,
-        weights: Name,
+        to: DispatchTo,
         hedge: bool,
         effects: &mut Vec<Effect>,
     ) {
-        let home = self.requests.get(&id).and_then(|req| {
-            let key = key_hash(&req.arrival.affinity);
-            self.fleet.home_target(self.now, req.pool, key, &weights)
-        });
-        let neighbour = home.filter(|(ix, _)| *ix != target);
+        let DispatchTo {
+            target,
+            weights,
+            neighbour,
+        } = to;
         let estimate = self
             .fleet
             .load_estimate(self.now, target, neighbour.map(|(ix, _)| ix));
@@ -235,8 +254,15 @@
             plain.or_else(|| weights.clone().find(|w| t.has_weights(w)).cloned())
         });
         if let Some(weights) = weights_ready {
+            let (pool, key) = (req.pool, key_hash(&req.arrival.affinity));
             self.reset_start(id, attempt.number);
-            self.push_dispatch(id, attempt.number, attempt.target, weights, false, effects);
+            let target = attempt.target;
+            let dispatch = DispatchTo {
+                neighbour: self.fleet.neighbour(self.now, pool, key, &weights, target),
+                target,
+                weights,
+            };
+            self.push_dispatch(id, attempt.number, dispatch, false, effects);
         } else {
             self.move_claimed(id, attempt, effects);
         }
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -91,6 +91,7 @@
         };
         let newly = !target.health.unreachable;
         target.health.unreachable = true;
+        target.prefixes.clear();
         if newly {
             target.health.unreachable_since = Some(self.now);
         }
--- a/src/scheduler/settings.rs
+++ b/src/scheduler/settings.rs
@@ -58,6 +58,9 @@
     /// The target that is expected to generate the first token first, by the work queued there and
     /// the part of the prompt that it has to read.
     LeastWork,
+    /// The same over all targets, with the starts of prompts that each was sent lately: for the only
+    /// scheduler of its targets, which knows them all.
+    LeastWorkOfAll,
 }
 
 impl SchedulerSettings {
