--- a/src/domain_scheduler/scheduled_request.rs
+++ b/src/domain_scheduler/scheduled_request.rs
@@ -54,6 +54,10 @@
 struct State {
     decider: Decider,
     history: History,
+    /// Hub that scheduled the request, or first.
+    hub: Option<Name>,
+    /// Whether the entry took the request back from its hub.
+    fell_back: bool,
 }
 
 /// Handle of one request. Dropping it before [`ScheduledRequest::finish`] reports that the caller
@@ -84,9 +88,15 @@
     }
 
     fn with_decider(client: Arc<SchedulerClient>, arrival: Arrival, decider: Decider) -> Self {
+        let hub = match &decider {
+            Decider::Hub { hub, .. } => Some(hub.clone()),
+            _ => None,
+        };
         let state = State {
             decider,
             history: History::default(),
+            hub,
+            fell_back: false,
         };
         Self {
             submitted: client.local.now(),
@@ -169,6 +179,7 @@
         };
         let (hub, history) = (hub.clone(), state.history);
         state.decider = Decider::None;
+        state.fell_back = true;
         drop(state);
         self.client.close(self.arrival.id.0);
         self.client.call(&hub, self.arrival.id.0, CallStep::Left);
@@ -214,6 +225,18 @@
         })
     }
 
+    /// Which scheduler decided, for the log: the name of a hub, `own`, or `own-after-HUB` when the
+    /// entry took the request back.
+    #[must_use]
+    pub fn scheduler_label(&self) -> String {
+        let state = self.lock();
+        match &state.hub {
+            Some(hub) if state.fell_back => format!("own-after-{hub}"),
+            Some(hub) => hub.to_string(),
+            None => "own".to_owned(),
+        }
+    }
+
     /// Reports the first byte of an attempt's response.
     pub fn report_first_token(&self, attempt: u32) {
         let mut state = self.lock();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -40,7 +40,9 @@
 pub use builder::{Gateway, GatewayBuilder};
 pub use control::{TargetControl, TargetStatus};
 pub use decoder::{DeclaredWeights, Decoder, RegisteredTarget, WatchedKind};
-pub use dialect::{Dialect, Dispatch, LocalResponse, RequestHeadError, ResponseInfo, RunReport};
+pub use dialect::{
+    Dialect, Dispatch, LocalResponse, RequestHeadError, ResponseInfo, RunReport, TargetPresence,
+};
 pub use events::{EventSplitter, RawEvent};
 pub use fetch_clock::FetchClock;
 pub use hub_aggregator::HubAggregator;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::{
     BodyReader, Dispatch, EventSplitter, RawEvent, RequestHead, ResponseInfo, RunReport,
+    TargetPresence,
 };
 use crate::prelude::*;
 use crate::route::{KeyHolder, Route};
@@ -346,7 +347,8 @@
         let info = &head.info;
         let target = info.target.as_ref().unwrap_or(&self.assignment.target);
         let mut signals: SmallVec<[Signal; 2]> = SmallVec::new();
-        if info.leaving {
+        let leaving = info.presence == TargetPresence::Leaving;
+        if leaving {
             signals.push(Signal::Leaving);
         }
         if let Some(pause) = info.retry_after.filter(|_| head.status == 503) {
@@ -363,7 +365,7 @@
                 target: target.clone(),
                 signal,
                 weights: None,
-                said_leaving: info.leaving,
+                said_leaving: leaving,
             });
         }
     }
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -58,12 +58,22 @@
 const MAX_ENTRIES_SHORT_HEARTBEAT: u32 = 24;
 /// Interval at which a shutdown checks whether all connections have closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for noticing a change and for carrying it out, beside the pause between batches.
+const CHANGE_RESERVE: Duration = Duration::from_secs(1);
 /// Heartbeats of a target after which its registration has surely expired: the platform removes it
 /// after three, and the fourth allows for lag.
 const LIFETIME_HEARTBEATS: u32 = 4;
 /// Delay between the end of the last request and the exit, in which its response is sent.
 const FINAL_RESPONSE_DELAY: Duration = Duration::from_millis(100);
 
+/// Clients of the systems around a gateway.
+struct Clients {
+    decoder: Arc<dyn Decoder>,
+    platform: Arc<dyn Platform>,
+    targets: Arc<dyn TargetControl>,
+    stores: Arc<dyn ContextStoreClient>,
+}
+
 /// Settings and listen addresses of a [`Gateway`].
 pub struct GatewayBuilder {
     name: Name,
@@ -82,6 +92,7 @@
     shutdown_timeout: Duration,
     rollout: RolloutSettings,
     target_heartbeat: Duration,
+    change_deadline: Duration,
 }
 
 impl GatewayBuilder {
@@ -112,6 +123,7 @@
             shutdown_timeout: Duration::from_secs(8),
             rollout: RolloutSettings::default(),
             target_heartbeat: Duration::from_millis(1_200),
+            change_deadline: Duration::from_secs(2),
         }
     }
 
@@ -176,6 +188,13 @@
         self
     }
 
+    /// Sets the time within which changes in the platform store must take effect.
+    #[must_use]
+    pub fn change_deadline(mut self, deadline: Duration) -> Self {
+        self.change_deadline = deadline;
+        self
+    }
+
     /// Binds all addresses and starts the gateway.
     ///
     /// # Errors
@@ -201,15 +220,13 @@
         let shared = Arc::new(shared);
         let domain_scheduler = self.build_domain_scheduler(&shared, effects_tx, decisions_tx);
         let (traffic_ex, control_ex) = (Arc::new(Executor::new()), Arc::new(Executor::new()));
-        let control = self.build_control(
-            &shared,
+        let clients = Clients {
             decoder,
+            platform: platform.clone(),
             targets,
             stores,
-            &platform,
-            domain_scheduler,
-            &control_ex,
-        );
+        };
+        let control = self.build_control(&shared, clients, domain_scheduler, &control_ex);
         let control = Arc::new(control);
         let peer_handler = Arc::new(PeerHandler(OnceLock::new()));
         let _ = peer_handler.0.set(Arc::downgrade(&control));
@@ -279,6 +296,11 @@
         })
     }
 
+    /// Pause after each batch of changes: it takes less than half of the time that a change has.
+    fn batch_pause(&self) -> Duration {
+        (self.change_deadline / 2).saturating_sub(CHANGE_RESERVE)
+    }
+
     fn own_vm(&self) -> Vm {
         Vm {
             name: self.name.clone(),
@@ -355,10 +377,7 @@
     fn build_control(
         &self,
         shared: &Arc<Shared>,
-        decoder: Arc<dyn Decoder>,
-        targets: Arc<dyn TargetControl>,
-        stores: Arc<dyn ContextStoreClient>,
-        platform: &Arc<dyn Platform>,
+        clients: Clients,
         domain_scheduler: DomainScheduler,
         executor: &Arc<Executor<'static>>,
     ) -> Control {
@@ -373,12 +392,13 @@
             own_vm: self.own_vm(),
             shared: shared.clone(),
             domain_scheduler,
-            platform: platform.clone(),
-            decoder,
-            targets,
-            stores,
+            lease: LeaseClient::new(clients.platform.clone(), "orders".into(), cfg),
+            platform: clients.platform,
+            decoder: clients.decoder,
+            targets: clients.targets,
+            stores: clients.stores,
+            batch_pause: self.batch_pause(),
             registration_lifetime: self.target_heartbeat * LIFETIME_HEARTBEATS,
-            lease: LeaseClient::new(platform.clone(), "orders".into(), cfg),
             mesh: OnceLock::default(),
             executor: executor.clone(),
             state: Mutex::new(State::new(self.rollout.clone())),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -64,6 +64,8 @@
     pub mesh: OnceLock<Arc<Mesh>>,
     /// Executor of the control thread, on which further control tasks are spawned.
     pub executor: Arc<Executor<'static>>,
+    /// Pause after each batch of changes in the platform store, in a large system.
+    pub batch_pause: Duration,
     /// Time after which the registration of a target that is gone has expired.
     pub registration_lifetime: Duration,
     /// State of the control tasks.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -72,6 +72,16 @@
     }
 }
 
+/// What a target says of itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TargetPresence {
+    /// It says nothing, or that it goes on taking requests.
+    #[default]
+    Staying,
+    /// It is leaving and wants no further requests.
+    Leaving,
+}
+
 /// Decoded headers of a target's response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponseInfo {
@@ -92,7 +102,7 @@
     /// Whether the body has a content coding, which no caller requested.
     pub encoded: bool,
     /// Whether the target says that it is leaving.
-    pub leaving: bool,
+    pub presence: TargetPresence,
     /// Time after which the target accepts a retry.
     pub retry_after: Option<Duration>,
 }
--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -12,9 +12,9 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 /// Maximum backoff after a failed call.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
-/// Pause after each batch of changes in a large system, in which changes accumulate for the next
-/// batch: each call to the platform has a price, and changes must take effect within three seconds.
-const BATCH_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after each batch of changes to the list of entries in a large system. Nothing waits for
+/// them: an entry that starts connects to the others by itself.
+const MEMBERS_BATCH_PAUSE: Duration = Duration::from_millis(3_500);
 
 /// Keeps the control's cache of one kind up to date.
 pub(crate) struct KindWatcher {
@@ -68,6 +68,15 @@
         Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
     }
 
+    /// Pause after each batch of changes in a large system, in which changes accumulate for the next
+    /// batch: each call to the platform has a price.
+    fn batch_pause(&self) -> Duration {
+        match self.watched {
+            WatchedKind::Members => MEMBERS_BATCH_PAUSE,
+            _ => self.control.batch_pause,
+        }
+    }
+
     async fn list(&self) -> Result<Version, (Option<Version>, PlatformError)> {
         let kind = self.control.decoder.kind(self.watched);
         let listing = self.platform.list(kind).await.map_err(|err| (None, err))?;
@@ -90,7 +99,7 @@
             }
             self.control.apply_event(self.watched, event);
             if batch_ended && self.control.state().uses_hubs() {
-                Timer::after(BATCH_PAUSE).await;
+                Timer::after(self.batch_pause()).await;
             }
         }
         Ok(reached.unwrap_or_else(|| from.clone()))
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use crate::domain_scheduler::ScheduledRequest;
 use crate::gateway::attempt::AdmittedRequest;
 use crate::gateway::caller_response::CallerResponse;
 use crate::gateway::shared::Shared;
@@ -111,6 +112,7 @@
         request: &AdmittedRequest,
         end: &OutcomeLabel,
         response: &CallerResponse<'_>,
+        handle: &ScheduledRequest,
     ) {
         let metrics = &shared.metrics;
         metrics.request_seconds.observe(request.age().as_secs_f64());
@@ -126,11 +128,17 @@
             metrics.attempts.with_label_values(&[label]).inc();
         }
         if end.label() != "success" || is_sampled(&request.head.id, shared.log_sample) {
-            self.log(request, end, first);
+            self.log(request, end, first, &handle.scheduler_label());
         }
     }
 
-    fn log(&self, request: &AdmittedRequest, end: &OutcomeLabel, first: Option<Duration>) {
+    fn log(
+        &self,
+        request: &AdmittedRequest,
+        end: &OutcomeLabel,
+        first: Option<Duration>,
+        scheduler: &str,
+    ) {
         let id = &request.head.id;
         for (n, record) in self.0.iter().enumerate() {
             log::info!(
@@ -155,7 +163,8 @@
         let timeout = request.deadline.saturating_duration_since(request.arrived);
         log::info!(
             "event=request_ended request={id} route={} service={} customer={} tokens={tokens} \
-             waited_ms={} first_ms={first_ms} took_ms={} deadline_ms={} attempts={} {end}",
+             waited_ms={} first_ms={first_ms} took_ms={} deadline_ms={} scheduler={scheduler} \
+             attempts={} {end}",
             request.route.name,
             request.service,
             request.holder.as_ref().map_or("-", |h| &*h.customer),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -87,7 +87,7 @@
     if matches!(outcome, Outcome::Response(..) | Outcome::Streamed) {
         handle.finish();
     }
-    request_log.record_end(shared, &request, &outcome.label(), &response);
+    request_log.record_end(shared, &request, &outcome.label(), &response, &handle);
     match outcome {
         Outcome::Response(head, body) => {
             response.close |= shared.drain.is_draining();
--- a/src/lease/state_machine.rs
+++ b/src/lease/state_machine.rs
@@ -262,12 +262,11 @@
         let old = object.as_ref().map(|(_, record)| record);
         let record = LeaseRecord {
             holder: self.cfg.holder.clone(),
-            fencing: match (held, old) {
-                (Some(_), Some(record)) => record.fencing,
-                _ => {
-                    let known = old.map_or(0, |record| record.fencing);
-                    known.max(self.fencing_floor) + 1
-                }
+            fencing: if let (Some(_), Some(record)) = (held, old) {
+                record.fencing
+            } else {
+                let known = old.map_or(0, |record| record.fencing);
+                known.max(self.fencing_floor) + 1
             },
             renewal: held.and(old).map_or(0, |record| record.renewal + 1),
         };
--- a/src/scheduler/machine/timers.rs
+++ b/src/scheduler/machine/timers.rs
@@ -91,13 +91,14 @@
         self.set_expiry(id);
     }
 
-    /// Sets the timer that refuses a waiting request when it can no longer meet its deadline.
+    /// Sets the timer that refuses a waiting request when it can no longer meet its deadline, or has
+    /// missed its objective and waited for too much of its time.
     pub(super) fn set_expiry(&mut self, id: RequestId) {
         let Some(req) = self.requests.get(&id) else {
             return;
         };
         let at = req.deadline.saturating_sub(self.expected_first_token(req));
-        let at = at.max(self.now);
+        let at = at.min(req.give_up_at().unwrap_or(at)).max(self.now);
         let overdue_at = req.dispatch_by();
         if overdue_at > self.now && overdue_at < at {
             self.timers.insert((overdue_at, Timer::Overdue(id)));
--- a/src/scheduler/request.rs
+++ b/src/scheduler/request.rs
@@ -17,6 +17,10 @@
 /// Share of its latency objective that a request may wait; the target needs the rest.
 const WAITING_SHARE: f64 = 0.5;
 
+/// Share of its time after which a request that has missed its objective in the queue is refused:
+/// its caller can come back in the rest.
+const GIVE_UP_SHARE: f64 = 0.5;
+
 /// A running attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Attempt {
@@ -106,6 +110,16 @@
         (self.dispatch_by(), self.arrival.id)
     }
 
+    /// When a request with an objective that has not been dispatched yet is refused.
+    pub(super) fn give_up_at(&self) -> Option<Timestamp> {
+        if self.arrival.objective.is_zero() || self.attempts_started > 0 {
+            return None;
+        }
+        let time = self.deadline.saturating_sub(self.arrived);
+        let give_up_at = self.arrived + time.mul_f64(GIVE_UP_SHARE);
+        Some(give_up_at.max(self.dispatch_by()))
+    }
+
     /// Time until which it should be dispatched to meet its latency objective, or else its deadline.
     pub(super) fn dispatch_by(&self) -> Timestamp {
         if self.arrival.objective.is_zero() {
