--- a/src/domain_scheduler/scheduled_request.rs
+++ b/src/domain_scheduler/scheduled_request.rs
@@ -151,7 +151,14 @@
                 Some(grant.into_effect(id))
             }
             // A hub that has just begun may not know its targets yet.
-            Some(Decision::Refuse(Refusal::NoTarget { .. }) | Decision::Declined) | None => {
+            Some(Decision::Refuse(Refusal::NoTarget { .. })) => {
+                drop(state);
+                self.fall_back()
+            }
+            Some(Decision::Declined) | None => {
+                if let Decider::Hub { hub, .. } = &state.decider {
+                    self.client.exclude(hub);
+                }
                 drop(state);
                 self.fall_back()
             }
@@ -183,7 +190,6 @@
         drop(state);
         self.client.close(self.arrival.id.0);
         self.client.call(&hub, self.arrival.id.0, CallStep::Left);
-        self.client.exclude(&hub);
         let Some(arrival) = self.remaining_arrival(history) else {
             return Some(Effect::Refuse {
                 id: self.arrival.id,
--- a/src/rollout/planner.rs
+++ b/src/rollout/planner.rs
@@ -173,8 +173,11 @@
             // Versions that the target itself reported are newer than those in the platform's list.
             let reported = std::mem::take(&mut target.info.weights);
             target.info = info;
-            for ((_, version), (_, reported)) in target.info.weights.iter_mut().zip(reported) {
-                *version = reported.max(*version);
+            for (model, version) in reported {
+                let mut listed = target.info.weights.iter_mut();
+                if let Some((_, listed)) = listed.find(|(name, _)| *name == model) {
+                    *listed = version.max(*listed);
+                }
             }
             self.targets.insert(name, target);
         }
--- a/src/scheduler/fleet/health.rs
+++ b/src/scheduler/fleet/health.rs
@@ -31,9 +31,8 @@
     pub(crate) unreachable_since: Option<Timestamp>,
     /// Whether a probe is running that decides if it takes new work again.
     pub(crate) awaiting_probe: bool,
-    /// Failed connections and further probes since the last successful connection. A probe of an
-    /// unreachable target counts when it is sent, and once more when its connection fails.
-    pub(crate) probes: u32,
+    /// Failed connections since the last successful one.
+    pub(crate) failed_connections: u32,
     /// Time of the next probe, or of the timeout of the running one.
     pub(crate) probe_at: Option<Timestamp>,
     consecutive_failures: u32,
@@ -87,7 +86,7 @@
         self.unreachable = false;
         self.unreachable_since = None;
         self.awaiting_probe = false;
-        self.probes = 0;
+        self.failed_connections = 0;
     }
 
     /// Records a successful exchange.
--- a/src/scheduler/machine/failover.rs
+++ b/src/scheduler/machine/failover.rs
@@ -3,11 +3,11 @@
 use crate::scheduler::fleet::TargetIx;
 use crate::scheduler::{AttemptOutcome, Effect, RequestId, Scheduler};
 
-/// Value of [`Health::probes`] that confirms that a target is unreachable: two failed connections in
-/// a row, with no further probe sent between them.
+/// Value of [`Health::failed_connections`] that confirms that a target is unreachable: two failed
+/// connections in a row.
 ///
-/// [`Health::probes`]: crate::scheduler::fleet::Health::probes
-const CONFIRMING_PROBES: u32 = 2;
+/// [`Health::failed_connections`]: crate::scheduler::fleet::Health::failed_connections
+const CONFIRMING_FAILURES: u32 = 2;
 
 impl Scheduler {
     /// Ends the attempts that wait for a response of a target as lost, at the moment that it is
@@ -16,7 +16,7 @@
         let confirmed = self
             .fleet
             .get(ix)
-            .is_some_and(|t| t.health.probes == CONFIRMING_PROBES);
+            .is_some_and(|t| t.health.failed_connections == CONFIRMING_FAILURES);
         if !confirmed {
             return;
         }
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -96,8 +96,8 @@
             target.health.unreachable_since = Some(self.now);
         }
         target.health.awaiting_probe = false;
-        let tries = target.health.probes;
-        target.health.probes = tries.saturating_add(1);
+        let tries = target.health.failed_connections;
+        target.health.failed_connections = tries.saturating_add(1);
         let (name, domain) = (target.info.name.clone(), target.info.domain.clone());
         self.fleet.refresh(self.now, ix);
         let pause = PROBE_BACKOFF.equal_jitter(tries, &mut self.rng);
@@ -207,12 +207,9 @@
             return;
         }
         if target.health.unreachable {
-            let (tries, address) = (target.health.probes, target.info.address);
+            let (tries, address) = (target.health.failed_connections, target.info.address);
             let target = target.info.name.clone();
             effects.push(Effect::Probe { target, address });
-            if let Some(target) = self.fleet.get_mut(ix) {
-                target.health.probes = tries.saturating_add(1);
-            }
             let pause = PROBE_BACKOFF.equal_jitter(tries, &mut self.rng);
             self.schedule_probe(ix, pause.max(PROBE_TIMEOUT));
         }
--- a/tests/domain_scheduler.rs
+++ b/tests/domain_scheduler.rs
@@ -343,6 +343,24 @@
     }
 }
 
+/// A hub without a target for the weights of one request goes on scheduling others.
+#[test]
+fn submit_goes_on_using_hub_that_had_no_target() {
+    let entry = Entry::new(RecordedLinks::default());
+    let first = entry.submit(request(1, true));
+    let hub = entry.last_hub();
+    let retry_after = ms(1_000);
+    let refusal = Decision::Refuse(Refusal::NoTarget { retry_after });
+    entry.reply(&hub, 1, refusal);
+    next_effect(&first);
+    let same_prompt = Arrival {
+        id: guavahold::scheduler::RequestId(2),
+        ..request(1, true)
+    };
+    let _second = entry.submit(same_prompt);
+    assert_eq!(entry.last_hub(), hub);
+}
+
 #[test]
 fn submit_uses_own_scheduler_without_link_or_hub() {
     let broken = RecordedLinks {
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -321,3 +321,30 @@
         prop_assert!(sim.max_loading <= 9);
     }
 }
+
+/// Targets may report their models in another order than the platform lists them.
+#[test]
+fn targets_listed_again_keep_reported_version_of_each_model() {
+    let mut planner = RolloutPlanner::new(RolloutSettings::default());
+    let weights = |pairs: [(&str, u64); 2]| pairs.map(|(m, v)| (Name::from(m), v)).into();
+    let listed = RolloutTarget {
+        name: "t".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        leaving: false,
+        weights: weights([("a", 1), ("b", 5)]),
+    };
+    let mut on = |event| planner.on(ms(0), event, &mut Vec::new());
+    on(RolloutEvent::VersionDeclared {
+        model: "a".into(),
+        version: 2,
+    });
+    on(RolloutEvent::Targets(vec![listed.clone()]));
+    on(RolloutEvent::TargetStatus {
+        target: "t".into(),
+        weights: weights([("b", 5), ("a", 1)]),
+        orders: 0,
+        busy: false,
+    });
+    on(RolloutEvent::Targets(vec![listed]));
+    assert_eq!(planner.outdated_count(), 1);
+}
--- a/tests/scheduler/refusals.rs
+++ b/tests/scheduler/refusals.rs
@@ -456,3 +456,42 @@
     scheduler.report("engine-0", report(1));
     assert!(scheduler.inner.may_send("engine-0"));
 }
+
+/// Two failed connections in a row show that a target is gone: the request that waits there is
+/// dispatched to another one. The probe between them must not count as a failure.
+#[test]
+fn unreachable_target_hands_over_its_waiting_requests() {
+    let mut scheduler = TestScheduler::new(2);
+    let patient = policy(PriorityClass::Interactive, 60_000);
+    scheduler.arrive(1, &patient);
+    let lost = scheduler.last_target();
+    scheduler.signal(&lost, Signal::Unreachable);
+    let probes = |s: &TestScheduler| {
+        let effects = s.effects.iter();
+        effects
+            .filter(|e| matches!(e, Effect::Probe { target, .. } if **target == *lost))
+            .count()
+    };
+    scheduler.wait(3_000);
+    assert!(probes(&scheduler) >= 1, "the target is probed");
+    let cancelled = |s: &TestScheduler| {
+        let is_cancel = |e: &Effect| {
+            matches!(
+                e,
+                Effect::Cancel {
+                    id: RequestId(1),
+                    ..
+                }
+            )
+        };
+        s.effects.iter().any(is_cancel)
+    };
+    assert!(
+        !cancelled(&scheduler),
+        "one failed connection proves nothing"
+    );
+    scheduler.signal(&lost, Signal::Unreachable);
+    assert!(cancelled(&scheduler));
+    scheduler.wait(100);
+    assert_ne!(scheduler.last_target(), lost);
+}
