--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -326,7 +326,10 @@
 #[test]
 fn targets_listed_again_keep_reported_version_of_each_model() {
     let mut planner = RolloutPlanner::new(RolloutSettings::default());
-    let weights = |pairs: [(&str, u64); 2]| pairs.map(|(m, v)| (Name::from(m), v)).into();
+    let weights = |pairs: [(&str, u64); 2]| {
+        let pairs = pairs.into_iter();
+        pairs.map(|(model, v)| (model.into(), v)).collect()
+    };
     let listed = RolloutTarget {
         name: "t".into(),
         address: "127.0.0.1:1".parse().unwrap(),
