--- a/src/scheduler/request.rs
+++ b/src/scheduler/request.rs
@@ -138,14 +138,13 @@
         self.arrival.prompt_tokens >= TOKENS_PER_BLOCK
     }
 
-    /// Size of an attempt at a target that has to read `read` tokens of the prompt.
-    pub(super) fn size(&self, read: u32) -> AttemptSize {
+    /// Size of an attempt at a target that has to read `read` tokens of the prompt and already holds
+    /// `held` tokens of it, which other requests use as well.
+    pub(super) fn size(&self, read: u32, held: u32) -> AttemptSize {
+        let prompt = self.arrival.prompt_tokens.saturating_sub(held);
         AttemptSize {
             work: read.saturating_add(self.generation()),
-            context: self
-                .arrival
-                .prompt_tokens
-                .saturating_add(self.arrival.output_tokens),
+            context: prompt.saturating_add(self.arrival.output_tokens),
         }
     }
 
