--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,7 @@
 
 mod arrival;
 mod attempt;
+mod attempt_error;
 mod body;
 mod builder;
 mod caller_response;
@@ -25,11 +26,13 @@
 mod probe;
 mod refusal;
 mod registration;
+mod request_driver;
 mod request_head;
 mod request_log;
 mod request_reader;
 mod response_head;
 mod response_reader;
+mod running;
 mod serve;
 mod shared;
 mod target_history;
@@ -37,7 +40,7 @@
 mod versions;
 
 pub use body::BodyReader;
-pub use builder::{Gateway, GatewayBuilder};
+pub use builder::GatewayBuilder;
 pub use control::{TargetControl, TargetStatus};
 pub use decoder::{DeclaredWeights, Decoder, RegisteredTarget, WatchedKind};
 pub use dialect::{
@@ -51,5 +54,6 @@
 pub use object_cache::{ObjectCache, PeerObject};
 pub use request_head::{Prompt, PromptPart, RequestHead};
 pub use request_log::DEFAULT_LOG_SAMPLE;
+pub use running::Gateway;
 pub use target_table::{TargetRecord, TargetTable};
 pub use versions::WeightVersions;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,5 @@
 //! A single attempt of a request at a target.
 
-use std::fmt;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Instant;
@@ -11,18 +10,18 @@
 
 use crate::context_store::{FETCH_TIMEOUT, TransferPlan};
 use crate::domain_scheduler::ScheduledRequest;
+use crate::gateway::attempt_error::{AttemptError, TargetResponse};
 use crate::gateway::caller_response::CallerResponse;
 use crate::gateway::connection_pool::connect;
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::response_reader::{ResponseError, ResponseReader};
 use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::{
-    BodyReader, Dispatch, EventSplitter, RawEvent, RequestHead, ResponseInfo, RunReport,
-    TargetPresence,
+    BodyReader, Dispatch, EventSplitter, RawEvent, RequestHead, ResponseInfo, TargetPresence,
 };
 use crate::prelude::*;
 use crate::route::{KeyHolder, Route};
-use crate::scheduler::{AttemptOutcome, Event, LoadEstimate, Signal};
+use crate::scheduler::{Event, LoadEstimate, Signal};
 
 /// Factor of the fetches in an attempt's transfer counts, which share one atomic integer.
 pub(crate) const FETCH_COUNT_FACTOR: usize = 1_000;
@@ -78,69 +77,6 @@
     pub estimate: LoadEstimate,
 }
 
-/// Response of a target.
-pub(crate) enum TargetResponse {
-    /// A complete response, which was not sent to the caller yet.
-    Complete(ResponseHead, Vec<u8>),
-    /// A stream, which was relayed to its end.
-    Streamed,
-}
-
-/// Why an attempt got no response.
-#[derive(Debug)]
-pub(crate) enum AttemptError {
-    /// No connection to the target was made, so that no byte was sent.
-    NotSent,
-    /// No byte was sent, since the target is leaving or asked for a pause.
-    Withheld,
-    /// The target stated that it did not run the request.
-    Refused(ResponseInfo),
-    /// No valid response was received, and the target may have run the request.
-    Response(ResponseError),
-    /// Writing to the caller failed.
-    CallerLeft,
-}
-
-impl AttemptError {
-    /// Outcome that is reported to the scheduler.
-    pub(crate) fn outcome(&self) -> AttemptOutcome {
-        match self {
-            Self::NotSent => AttemptOutcome::NotSent,
-            Self::Withheld => AttemptOutcome::Withheld,
-            Self::Refused(info) => AttemptOutcome::Refused {
-                retry_after: info.retry_after,
-            },
-            Self::Response(ResponseError::NoResponse) => AttemptOutcome::Lost,
-            Self::Response(_) => AttemptOutcome::CutShort,
-            Self::CallerLeft => AttemptOutcome::Cancelled,
-        }
-    }
-}
-
-impl fmt::Display for AttemptError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NotSent => f.write_str("not-sent (no connection)"),
-            Self::Withheld => f.write_str("withheld (the target is leaving or asked for a pause)"),
-            Self::Refused(info) if info.run == RunReport::Misdirected => {
-                let weights = info.weights.unwrap_or_default();
-                write!(f, "misdirected (another target or weights {weights})")
-            }
-            Self::Refused(_) => f.write_str("not-run (the target refused it)"),
-            Self::Response(ResponseError::NoResponse) => {
-                f.write_str("lost (connection ended without an answer)")
-            }
-            Self::Response(ResponseError::CutShort) => {
-                f.write_str("cut-short (connection ended in the answer)")
-            }
-            Self::Response(ResponseError::Malformed) => {
-                f.write_str("garbled (bytes that are no answer)")
-            }
-            Self::CallerLeft => f.write_str("caller-left (it cannot be written to)"),
-        }
-    }
-}
-
 /// Resets the connection when dropped before the exchange has completed: bytes in the send buffer,
 /// such as during a network partition, would otherwise reach the target long afterwards.
 struct ResetOnDrop<'a>(Option<&'a Async<TcpStream>>);
--- /dev/null
+++ b/src/gateway/attempt_error.rs
@@ -0,0 +1,71 @@
+//! What an attempt of a request came to.
+
+use std::fmt;
+
+use crate::gateway::response_head::ResponseHead;
+use crate::gateway::response_reader::ResponseError;
+use crate::gateway::{ResponseInfo, RunReport};
+use crate::scheduler::AttemptOutcome;
+
+/// Response of a target.
+pub(crate) enum TargetResponse {
+    /// A complete response, which was not sent to the caller yet.
+    Complete(ResponseHead, Vec<u8>),
+    /// A stream, which was relayed to its end.
+    Streamed,
+}
+
+/// Why an attempt got no response.
+#[derive(Debug)]
+pub(crate) enum AttemptError {
+    /// No connection to the target was made, so that no byte was sent.
+    NotSent,
+    /// No byte was sent, since the target is leaving or asked for a pause.
+    Withheld,
+    /// The target stated that it did not run the request.
+    Refused(ResponseInfo),
+    /// No valid response was received, and the target may have run the request.
+    Response(ResponseError),
+    /// Writing to the caller failed.
+    CallerLeft,
+}
+
+impl AttemptError {
+    /// Outcome that is reported to the scheduler.
+    pub(crate) fn outcome(&self) -> AttemptOutcome {
+        match self {
+            Self::NotSent => AttemptOutcome::NotSent,
+            Self::Withheld => AttemptOutcome::Withheld,
+            Self::Refused(info) => AttemptOutcome::Refused {
+                retry_after: info.retry_after,
+            },
+            Self::Response(ResponseError::NoResponse) => AttemptOutcome::Lost,
+            Self::Response(_) => AttemptOutcome::CutShort,
+            Self::CallerLeft => AttemptOutcome::Cancelled,
+        }
+    }
+}
+
+impl fmt::Display for AttemptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent => f.write_str("not-sent (no connection)"),
+            Self::Withheld => f.write_str("withheld (the target is leaving or asked for a pause)"),
+            Self::Refused(info) if info.run == RunReport::Misdirected => {
+                let weights = info.weights.unwrap_or_default();
+                write!(f, "misdirected (another target or weights {weights})")
+            }
+            Self::Refused(_) => f.write_str("not-run (the target refused it)"),
+            Self::Response(ResponseError::NoResponse) => {
+                f.write_str("lost (connection ended without an answer)")
+            }
+            Self::Response(ResponseError::CutShort) => {
+                f.write_str("cut-short (connection ended in the answer)")
+            }
+            Self::Response(ResponseError::Malformed) => {
+                f.write_str("garbled (bytes that are no answer)")
+            }
+            Self::CallerLeft => f.write_str("caller-left (it cannot be written to)"),
+        }
+    }
+}
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -3,11 +3,10 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Mutex, OnceLock};
-use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
 use async_executor::Executor;
-use async_io::{Async, Timer};
+use async_io::Async;
 
 use crate::clock::time_since_boot;
 use crate::context_store::ContextStoreClient;
@@ -24,7 +23,7 @@
 use crate::gateway::request_log::DEFAULT_LOG_SAMPLE;
 use crate::gateway::shared::Shared;
 use crate::gateway::versions::AllowedVersions;
-use crate::gateway::{Decoder, Dialect, WatchedKind};
+use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
 use crate::http::{Limits, Server, ServerControl};
 use crate::lease::{LeaseClient, LeaseSettings};
 use crate::peer::Mesh;
@@ -56,15 +55,11 @@
     (Duration::from_millis(2_400), Duration::from_millis(7_500));
 /// Maximum number of entries for [`HEARTBEAT_TIMING`].
 const MAX_ENTRIES_SHORT_HEARTBEAT: u32 = 24;
-/// Interval at which a shutdown checks whether all connections have closed.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for noticing a change and for carrying it out, beside the pause between batches.
 const CHANGE_RESERVE: Duration = Duration::from_secs(1);
 /// Heartbeats of a target after which its registration has surely expired: the platform removes it
 /// after three, and the fourth allows for lag.
 const LIFETIME_HEARTBEATS: u32 = 4;
-/// Delay between the end of the last request and the exit, in which its response is sent.
-const FINAL_RESPONSE_DELAY: Duration = Duration::from_millis(100);
 
 /// Clients of the systems around a gateway.
 struct Clients {
@@ -423,53 +418,3 @@
     ex.spawn(control.clone().run_domain_scheduler()).detach();
     ex.spawn(control.clone().run_store_cleanup()).detach();
 }
-
-/// A running gateway.
-pub struct Gateway {
-    shared: Arc<Shared>,
-    mesh: Arc<Mesh>,
-    stop_accepting: async_channel::Sender<()>,
-    balancer_lag: Duration,
-    shutdown_timeout: Duration,
-    traffic_threads: Threads,
-    control_executor: Arc<Executor<'static>>,
-}
-
-impl Gateway {
-    /// Runs the control tasks on the calling thread until `stop` completes, then shuts down
-    /// gracefully.
-    pub fn run(self, stop: impl Future<Output = ()>) {
-        let control = self.control_executor.clone();
-        async_io::block_on(control.run(async {
-            stop.await;
-            self.shut_down().await;
-        }));
-        self.traffic_threads.stop();
-    }
-
-    /// Fails readiness checks at once, accepts connections until the load balancer has noticed, and
-    /// waits until all connections have closed or the shutdown timeout has passed.
-    async fn shut_down(&self) {
-        let started = Instant::now();
-        log::info!(
-            "event=drain_started requests={}",
-            self.shared.drain.open_requests()
-        );
-        self.shared.drain.begin();
-        self.mesh.set_draining(true);
-        Timer::after(self.balancer_lag).await;
-        self.stop_accepting.close();
-        self.shared.drain.close_idle();
-        while self.shared.drain.open_connections() > 0 && started.elapsed() < self.shutdown_timeout
-        {
-            Timer::after(DRAIN_POLL_INTERVAL).await;
-        }
-        Timer::after(FINAL_RESPONSE_DELAY).await;
-        self.mesh.leave();
-        log::info!(
-            "event=drain_ended requests_left={} took_ms={}",
-            self.shared.drain.open_requests(),
-            started.elapsed().as_millis()
-        );
-    }
-}
--- a/src/gateway/caller_response.rs
+++ b/src/gateway/caller_response.rs
@@ -8,7 +8,7 @@
 use futures_lite::AsyncWriteExt;
 
 use crate::gateway::RawEvent;
-use crate::gateway::attempt::AttemptError;
+use crate::gateway::attempt_error::AttemptError;
 use crate::gateway::response_head::ResponseHead;
 
 /// Sends the response to one caller, across all attempts.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -8,6 +8,8 @@
 mod state;
 mod store_cleanup;
 mod store_relay;
+mod target_reports;
+mod target_versions;
 
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
@@ -27,7 +29,8 @@
 
 pub(crate) use domain_scheduling::HubLinks;
 pub use orders::{TargetControl, TargetStatus};
-pub(crate) use state::{State, TargetReport};
+pub(crate) use state::State;
+pub(crate) use target_reports::TargetReport;
 
 /// Receiver of requests' observations about targets.
 pub(crate) type TargetObservationReceiver = async_channel::Receiver<TargetObservation>;
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -2,8 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use crate::context_store::{RetiredVersions, RetirementTracker};
-use crate::gateway::versions::version_label;
+use crate::context_store::RetirementTracker;
 use crate::gateway::{
     DeclaredWeights, Decoder, HubAggregator, HubCandidate, HubSelector, LoadTable, ObjectCache,
     RegisteredTarget, TargetLoad, TargetTable, WatchedKind, WeightVersions,
@@ -13,25 +12,13 @@
 use crate::platform::Vm;
 use crate::prelude::*;
 use crate::rollout::{RolloutPlanner, RolloutSettings, RolloutTarget};
-use crate::route::RouteTable;
-use crate::scheduler::OwnLoad;
-use crate::target::LoadReport;
 
-/// Time for which a reported weight version overrides an older one in the target's registration.
-const REPORTED_VERSION_TTL: Duration = Duration::from_secs(8);
 /// Time after which a peer's list of cordoned targets expires.
 const PEER_CORDON_TTL: Duration = Duration::from_millis(2_500);
 
 /// Maximum number of entries that send their status to all peers. Their load reports are recent
 /// enough that requests wait at the entries and never at targets.
 const MAX_ENTRIES_WITHOUT_HUBS: usize = 10;
-/// Factor on a target's capacity with more than [`MAX_ENTRIES_WITHOUT_HUBS`] entries. Their load
-/// reports arrive late, and a request that waits at a target starts sooner than one that waits for
-/// a load report.
-const LARGE_SYSTEM_CAPACITY_FACTOR: f64 = 1.5;
-/// Time after the last target changed away from a weight version until its stored context is freed:
-/// by then its runs have ended, and no request may start on it.
-const VERSION_UNUSED_DELAY: Duration = Duration::from_secs(3);
 
 /// State of a gateway's control tasks.
 pub(crate) struct State {
@@ -56,7 +43,7 @@
     /// Planner of the rollout of new weights.
     pub rollout: RolloutPlanner,
     /// Weight versions that targets reported and when, by the hash of the target's name.
-    reported_versions: BTreeMap<u32, (u64, Timestamp)>,
+    pub(super) reported_versions: BTreeMap<u32, (u64, Timestamp)>,
     /// Hashes of the targets that each peer has cordoned, and when it reported them.
     peer_cordons: HashMap<Name, (Timestamp, Vec<u32>)>,
     /// Targets that get no new work because their weight version is unknown, and until when.
@@ -76,7 +63,7 @@
     /// Targets whose objects could not be decoded, so that each is logged only once.
     unreadable_targets: HashSet<Name>,
     /// Oldest weight version that any target has, and since when.
-    oldest_version: (u64, Timestamp),
+    pub(super) oldest_version: (u64, Timestamp),
 }
 
 impl State {
@@ -171,37 +158,6 @@
         read.collect()
     }
 
-    /// Records the weight version that a target reported.
-    pub(crate) fn record_reported_version(&mut self, now: Timestamp, target: &str, version: u64) {
-        self.record_version_by_hash(now, name_hash(target), version);
-    }
-
-    /// Records a target's weight version by the hash of its name, unless an equal or newer version
-    /// is recorded and has not expired; returns whether it was recorded.
-    pub(crate) fn record_version_by_hash(
-        &mut self,
-        now: Timestamp,
-        key: u32,
-        version: u64,
-    ) -> bool {
-        let known = self.reported_versions.get(&key);
-        let fresh = known.is_none_or(|(v, at)| *v < version || now >= *at + REPORTED_VERSION_TTL);
-        if fresh {
-            self.reported_versions.insert(key, (version, now));
-        }
-        fresh
-    }
-
-    /// Reported weight versions that have not expired, by the hash of the target's name.
-    pub(crate) fn fresh_reported_versions(&mut self, now: Timestamp) -> Vec<(u32, u64)> {
-        self.reported_versions
-            .retain(|_, (_, at)| now < *at + REPORTED_VERSION_TTL);
-        self.reported_versions
-            .iter()
-            .map(|(key, (v, _))| (*key, *v))
-            .collect()
-    }
-
     /// Gives a target no new work for a time, since its weight version is unknown.
     pub(crate) fn pause_target(&mut self, target: &Name, until: Timestamp) {
         self.paused_targets.insert(target.clone(), until);
@@ -244,7 +200,7 @@
 
     /// Whether a target gets no new work, because this entry or a peer has cordoned it or its
     /// weight version is unknown.
-    fn is_cordoned(&self, target: &RegisteredTarget) -> bool {
+    pub(super) fn is_cordoned(&self, target: &RegisteredTarget) -> bool {
         let name = &target.info.name;
         let key = name_hash(name);
         self.paused_targets.contains_key(name)
@@ -255,22 +211,6 @@
             || self.rollout.cordoned_targets().any(|n| n == name)
     }
 
-    /// The weight version that a target runs: the newer of the registered and the reported one.
-    fn effective_version(&self, now: Timestamp, target: &RegisteredTarget, version: u64) -> u64 {
-        let reported = self.reported_versions.get(&name_hash(&target.info.name));
-        let reported = reported.filter(|(_, at)| now < *at + REPORTED_VERSION_TTL);
-        reported.map_or(version, |(reported, _)| version.max(*reported))
-    }
-
-    /// Models and versions of all targets that are not leaving, one item for each target and model.
-    pub(crate) fn effective_weights(&self, now: Timestamp) -> impl Iterator<Item = (Name, u64)> {
-        let remaining = self.targets.iter().filter(|t| !t.info.leaving);
-        remaining.flat_map(move |t| {
-            let weights = t.weights.iter();
-            weights.map(move |(model, v)| (model.clone(), self.effective_version(now, t, *v)))
-        })
-    }
-
     /// Whether there are so many entries that they exchange their status through hubs.
     pub(crate) fn uses_hubs(&self) -> bool {
         self.entry_count() > MAX_ENTRIES_WITHOUT_HUBS
@@ -329,38 +269,6 @@
         names.filter(|name| **name != *own).collect()
     }
 
-    /// Versions older than any target has, once that has been so for [`VERSION_UNUSED_DELAY`].
-    pub(crate) fn versions_without_targets(&mut self, now: Timestamp) -> RetiredVersions {
-        let oldest = self.effective_weights(now).map(|(_, v)| v).min();
-        let Some(oldest) = oldest else {
-            return RetiredVersions::default();
-        };
-        if self.oldest_version.0 != oldest {
-            self.oldest_version = (oldest, now);
-        }
-        let settled = now >= self.oldest_version.1 + VERSION_UNUSED_DELAY;
-        RetiredVersions {
-            all_below: if settled { oldest } else { 0 },
-            half_below: 0,
-        }
-    }
-
-    /// Retires stored context of older weights: half of it once newer weights are declared, and all
-    /// of it once at least a third of the targets has them. Stores are too small to hold all
-    /// context of two versions.
-    pub(crate) fn retire_context(&mut self, now: Timestamp) {
-        let Some(newest) = self.versions.newest() else {
-            return;
-        };
-        let versions: Vec<u64> = self.effective_weights(now).map(|(_, v)| v).collect();
-        let fresh = versions.iter().filter(|v| **v >= newest).count();
-        let all = fresh * 3 >= versions.len() && fresh > 0;
-        self.retirement.retire(RetiredVersions {
-            all_below: if all { newest } else { 0 },
-            half_below: newest,
-        });
-    }
-
     /// Names of the registered targets with one of these name hashes.
     pub(crate) fn targets_by_hash(&self, keys: &[u32]) -> Vec<Name> {
         if keys.is_empty() {
@@ -383,78 +291,4 @@
             })
             .collect()
     }
-
-    /// Load reports for this entry's own scheduler: each target's slots and weights, the running
-    /// requests of all entries, and the work and context of the other entries. `own` is the load by
-    /// requests that this entry scheduled itself, `granted` that by requests that it scheduled as a
-    /// hub.
-    pub(crate) fn load_reports(
-        &self,
-        now: Timestamp,
-        table: Option<&RouteTable>,
-        own: &HashMap<Name, OwnLoad>,
-        granted: &HashMap<Name, OwnLoad>,
-    ) -> Vec<TargetReport> {
-        let sums = self.loads.sums();
-        let age = self.loads.max_age(now).as_millis();
-        let age_ms = u64::try_from(age).unwrap_or(u64::MAX);
-        let large = self.uses_hubs();
-        let capacity_factor = if large {
-            LARGE_SYSTEM_CAPACITY_FACTOR
-        } else {
-            1.0
-        };
-        let targets = self.targets.iter();
-        targets
-            .map(|t| {
-                let name = t.info.name.clone();
-                let others = sums.get(&name_hash(&name)).copied().unwrap_or_default();
-                let granted = granted.get(&name).copied().unwrap_or_default();
-                let own = own.get(&name).copied().unwrap_or_default();
-                let service = table.and_then(|table| table.service(&t.info.serves));
-                let is_cordoned = self.is_cordoned(t);
-                let weights = t.weights.iter();
-                let weights =
-                    weights.map(|(m, v)| version_label(m, self.effective_version(now, t, *v)));
-                // Requests to plain services are so short that they end before a load report about
-                // them arrives.
-                let short_lived = large && t.weights.is_empty();
-                let other_requests = if short_lived { 0 } else { others.requests };
-                let limit = service.map_or(0, |s| s.context_tokens);
-                let report = LoadReport {
-                    running: own.requests + granted.requests + other_requests,
-                    queued_tokens: u64::from(others.work_tokens() + granted.work),
-                    age_ms,
-                    context_tokens: others.context_tokens() + granted.context,
-                    context_limit: scaled(limit, capacity_factor),
-                    slots: scaled(t.slots, capacity_factor),
-                    weights: weights.filter(|_| !is_cordoned).collect(),
-                    ..LoadReport::default()
-                };
-                TargetReport {
-                    target: name,
-                    report,
-                    others,
-                    own,
-                }
-            })
-            .collect()
-    }
-}
-
-/// Load of a target, as reported to this entry's own scheduler.
-pub(crate) struct TargetReport {
-    /// Name of the target.
-    pub target: Name,
-    /// The report.
-    pub report: LoadReport,
-    /// Load by the other entries.
-    pub others: TargetLoad,
-    /// Load by requests that this entry scheduled itself.
-    pub own: OwnLoad,
-}
-
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn scaled(capacity: u32, factor: f64) -> u32 {
-    (f64::from(capacity) * factor).round() as u32
 }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -5,8 +5,12 @@
 mod machine;
 #[path = "scheduler/overload.rs"]
 mod overload;
+#[path = "scheduler/pauses.rs"]
+mod pauses;
 #[path = "scheduler/placement.rs"]
 mod placement;
+#[path = "scheduler/prefix_cache.rs"]
+mod prefix_cache;
 #[path = "scheduler/quarantine.rs"]
 mod quarantine;
 #[path = "scheduler/refusals.rs"]
--- a/tests/scheduler/refusals.rs
+++ b/tests/scheduler/refusals.rs
@@ -14,14 +14,14 @@
 use crate::simulation::{arrival, key, ms, policy, report, target};
 
 /// A scheduler with its clock and the effects that it returned.
-struct TestScheduler {
-    inner: Scheduler,
+pub struct TestScheduler {
+    pub inner: Scheduler,
     now: Timestamp,
-    effects: Vec<Effect>,
+    pub effects: Vec<Effect>,
 }
 
 impl TestScheduler {
-    fn new(targets: u32) -> Self {
+    pub fn new(targets: u32) -> Self {
         let mut cfg = SchedulerSettings::new("domain-0".into());
         cfg.max_queued = 4;
         cfg.max_queued_per_customer = 2;
@@ -39,22 +39,22 @@
         scheduler
     }
 
-    fn report(&mut self, name: &str, report: LoadReport) {
+    pub fn report(&mut self, name: &str, report: LoadReport) {
         self.submit(Event::Report {
             target: name.into(),
             report,
         });
     }
 
-    fn submit(&mut self, event: Event) {
+    pub fn submit(&mut self, event: Event) {
         self.inner.on(self.now, event, &mut self.effects);
     }
 
-    fn arrive(&mut self, id: u64, policy: &Arc<Policy>) {
+    pub fn arrive(&mut self, id: u64, policy: &Arc<Policy>) {
         self.submit(Event::Arrive(arrival(id, "a", policy)));
     }
 
-    fn end(&mut self, id: u64, attempt: u32, outcome: AttemptOutcome) {
+    pub fn end(&mut self, id: u64, attempt: u32, outcome: AttemptOutcome) {
         self.submit(Event::AttemptEnded {
             id: RequestId(id),
             attempt,
@@ -62,14 +62,14 @@
         });
     }
 
-    fn signal(&mut self, name: &str, signal: Signal) {
+    pub fn signal(&mut self, name: &str, signal: Signal) {
         self.submit(Event::Signal {
             target: name.into(),
             signal,
         });
     }
 
-    fn wait(&mut self, time: u64) {
+    pub fn wait(&mut self, time: u64) {
         for _ in 0..time / 5 {
             self.now += ms(5);
             self.submit(Event::Tick);
@@ -77,7 +77,7 @@
     }
 
     /// Target of the latest dispatch.
-    fn last_target(&self) -> String {
+    pub fn last_target(&self) -> String {
         let mut dispatches = self.effects.iter().rev().filter_map(|e| match e {
             Effect::Dispatch { target, .. } => Some(target.to_string()),
             _ => None,
@@ -85,12 +85,12 @@
         dispatches.next().unwrap()
     }
 
-    fn dispatches(&self) -> usize {
+    pub fn dispatches(&self) -> usize {
         let dispatched = |e: &&Effect| matches!(e, Effect::Dispatch { .. });
         self.effects.iter().filter(dispatched).count()
     }
 
-    fn refusal(&self, id: u64) -> Refusal {
+    pub fn refusal(&self, id: u64) -> Refusal {
         let mut refusals = self.effects.iter().filter_map(|e| match e {
             Effect::Refuse {
                 id: refused,
@@ -383,80 +383,6 @@
     }
 }
 
-/// Refuses the running request of a target, which asks for a pause.
-fn pause_by_refusal(scheduler: &mut TestScheduler, id: u64, pause: u64) {
-    let outcome = AttemptOutcome::Refused {
-        retry_after: Some(ms(pause)),
-    };
-    scheduler.end(id, 1, outcome);
-}
-
-fn dispatches_to(scheduler: &TestScheduler, name: &str) -> usize {
-    let effects = scheduler.effects.iter();
-    let dispatched =
-        effects.filter(|e| matches!(e, Effect::Dispatch { target, .. } if **target == *name));
-    dispatched.count()
-}
-
-/// Not even a target's success, a probe or its registration anew lifts a pause.
-#[test]
-fn target_pause_is_lifted_by_nothing() {
-    let mut scheduler = TestScheduler::new(1);
-    let patient = policy(PriorityClass::Interactive, 60_000);
-    scheduler.arrive(1, &patient);
-    pause_by_refusal(&mut scheduler, 1, 10_000);
-    let before = dispatches_to(&scheduler, "engine-0");
-    scheduler.signal("engine-0", Signal::Reachable);
-    scheduler.submit(Event::Targets(Vec::new()));
-    scheduler.submit(Event::Targets(vec![target("engine-0", "domain-0")]));
-    scheduler.report("engine-0", report(1));
-    scheduler.arrive(2, &patient);
-    scheduler.wait(9_900);
-    assert_eq!(dispatches_to(&scheduler, "engine-0"), before);
-    scheduler.wait(2_000);
-    assert!(dispatches_to(&scheduler, "engine-0") > before);
-}
-
-/// A request that no target takes before its deadline is refused at once, and its caller learns
-/// when the first target takes work again. One that can wait is queued.
-#[test]
-fn target_pause_beyond_deadline_refuses_at_once() {
-    let mut scheduler = TestScheduler::new(1);
-    let (hasty, patient) = (
-        policy(PriorityClass::Interactive, 2_000),
-        policy(PriorityClass::Interactive, 90_000),
-    );
-    scheduler.arrive(1, &patient);
-    scheduler.submit(Event::Signal {
-        target: "engine-0".into(),
-        signal: Signal::Pause(ms(45_000)),
-    });
-    scheduler.arrive(2, &hasty);
-    let refused = scheduler.effects.iter().find_map(|e| match e {
-        Effect::Refuse { id, refusal } if *id == RequestId(2) => Some(refusal.clone()),
-        _ => None,
-    });
-    let wait = refused.expect("refused at once").retry_after();
-    assert!(wait >= ms(45_000), "told to come back after {wait:?}");
-    scheduler.arrive(3, &patient);
-    let is_refused = |e: &Effect| matches!(e, Effect::Refuse { id, .. } if *id == RequestId(3));
-    assert!(!scheduler.effects.iter().any(is_refused));
-    assert!(!scheduler.inner.may_send("engine-0"));
-}
-
-/// A target that has started anew under its name is another one: it is no longer leaving.
-#[test]
-fn says_leaving_does_not_bind_a_new_start() {
-    let mut scheduler = TestScheduler::new(1);
-    scheduler.signal("engine-0", Signal::Leaving);
-    assert!(!scheduler.inner.may_send("engine-0"));
-    let mut anew = target("engine-0", "domain-0");
-    anew.started_ms = 1;
-    scheduler.submit(Event::Targets(vec![anew]));
-    scheduler.report("engine-0", report(1));
-    assert!(scheduler.inner.may_send("engine-0"));
-}
-
 /// Two failed connections in a row show that a target is gone: the request that waits there is
 /// dispatched to another one. The probe between them must not count as a failure.
 #[test]
