--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -28,9 +28,9 @@
 pub(crate) use target::{Target, TargetIx};
 pub(crate) use weights_group::WeightsGroup;
 
-/// Least part of a target's context capacity that caches starts of prompts, as a divisor; running
-/// requests may occupy the rest.
-const PREFIX_CACHE_DIVISOR: u32 = 4;
+/// Part of a target's context capacity that caches starts of prompts, as a divisor; running requests
+/// occupy the rest.
+const PREFIX_CACHE_DIVISOR: u32 = 2;
 
 /// The targets that an entry knows, with indexes by name, by model or service and by room.
 ///
@@ -177,23 +177,15 @@
         self.refresh(now, ix);
     }
 
-    /// Whether a target is known to have the start of a prompt.
-    pub(crate) fn holds_prefix(&self, ix: TargetIx, key: u64) -> bool {
-        self.get(ix).is_some_and(|t| t.prefixes.contains(key))
-    }
-
     /// Records that a prompt was sent to a target, which then has its shared start cached.
     pub(crate) fn record_prefix(&mut self, ix: TargetIx, key: u64, shared_tokens: u32) {
         if self.placement != Placement::LeastWorkOfAll || shared_tokens == 0 {
             return;
         }
         if let Some(target) = self.get_mut(ix) {
-            let running = target.load.own_load().context;
             let capacity = match target.load.report.context_limit {
                 0 => u32::MAX,
-                limit => limit
-                    .saturating_sub(running)
-                    .max(limit / PREFIX_CACHE_DIVISOR),
+                limit => limit / PREFIX_CACHE_DIVISOR,
             };
             target.prefixes.record_use(key, shared_tokens, capacity);
         }
--- a/src/scheduler/machine/dispatch.rs
+++ b/src/scheduler/machine/dispatch.rs
@@ -110,9 +110,8 @@
         let fingerprint = req.arrival.fingerprint;
         let suspected = self.suspects.is_suspected(&fingerprint);
         let read = self.fleet.tokens_to_read(target, &weights, &req.arrival);
+        let size = req.size(read);
         let (key, shared) = (key_hash(&req.arrival.affinity), req.arrival.shared_tokens);
-        let is_held = self.fleet.holds_prefix(target, key);
-        let size = req.size(read, if is_held { shared } else { 0 });
         req.attempts_started += 1;
         req.stage = Stage::Running;
         req.attempts.push(Attempt {
--- a/src/scheduler/request.rs
+++ b/src/scheduler/request.rs
@@ -138,13 +138,14 @@
         self.arrival.prompt_tokens >= TOKENS_PER_BLOCK
     }
 
-    /// Size of an attempt at a target that has to read `read` tokens of the prompt and already holds
-    /// `held` tokens of it, which other requests use as well.
-    pub(super) fn size(&self, read: u32, held: u32) -> AttemptSize {
-        let prompt = self.arrival.prompt_tokens.saturating_sub(held);
+    /// Size of an attempt at a target that has to read `read` tokens of the prompt.
+    pub(super) fn size(&self, read: u32) -> AttemptSize {
         AttemptSize {
             work: read.saturating_add(self.generation()),
-            context: prompt.saturating_add(self.arrival.output_tokens),
+            context: self
+                .arrival
+                .prompt_tokens
+                .saturating_add(self.arrival.output_tokens),
         }
     }
 
