--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -156,8 +156,8 @@
         stream: Async<TcpStream>,
         response: &mut CallerResponse<'_>,
     ) -> Result<TargetResponse, AttemptError> {
-        // Connecting may have taken long.
-        if !self.shared.scheduler.may_send(&self.assignment.target) {
+        // Waiting in a queue and connecting may have taken long.
+        if !self.may_send() {
             let addr = self.assignment.address;
             self.shared.connections.put(addr, stream, None);
             return Err(AttemptError::Withheld);
@@ -201,6 +201,17 @@
         }
     }
 
+    /// Whether the target still takes requests from this entry, and runs a version on which they may
+    /// still start.
+    fn may_send(&self) -> bool {
+        let prompt = self.request.head.prompt.as_ref();
+        let outdated = match (prompt, self.assignment.weights) {
+            (Some(prompt), Some(version)) => !self.shared.versions.permits(&prompt.model, version),
+            _ => false,
+        };
+        !outdated && self.shared.scheduler.may_send(&self.assignment.target)
+    }
+
     fn encode(&self, response: &CallerResponse<'_>) -> Vec<u8> {
         let request = self.request;
         let scope = self.assignment.weights.map(|w| self.request.cache_scope(w));
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -154,6 +154,13 @@
         self.0.load().get(model).cloned().unwrap_or_default()
     }
 
+    /// Whether a request may start on a version now.
+    pub(crate) fn permits(&self, model: &str, version: u64) -> bool {
+        let label = version_label(model, version);
+        let allowed = self.0.load();
+        allowed.get(model).is_some_and(|all| all.contains(&label))
+    }
+
     /// Replaces the snapshot.
     pub(crate) fn set(&self, versions: &WeightVersions, now: Timestamp) {
         let view = versions
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -133,12 +133,13 @@
         self.fleet.get(ix).map(|t| t.load.own_attempts())
     }
 
-    /// Whether a request may be sent to a target now; it may have begun to leave, or asked for a
-    /// pause, since the request was dispatched.
+    /// Whether a request may be sent to a target now. Since the request was dispatched, or where
+    /// the scheduler that dispatched it knows less, the target may be gone, be leaving or have asked
+    /// for a pause.
     #[must_use]
     pub fn may_send(&self, target: &str) -> bool {
         let target = self.fleet.find(target).and_then(|ix| self.fleet.get(ix));
-        target.is_none_or(|t| !t.health.is_leaving() && !t.load.is_paused(self.now))
+        target.is_some_and(|t| !t.health.is_leaving() && !t.load.is_paused(self.now))
     }
 
     /// Number of fingerprints remembered as suspected, quarantined, running or proven harmless.
--- a/tests/scheduler/pauses.rs
+++ b/tests/scheduler/pauses.rs
@@ -79,3 +79,16 @@
     scheduler.report("engine-0", report(1));
     assert!(scheduler.inner.may_send("engine-0"));
 }
+
+/// The scheduler that granted a target may not know yet that it is gone or leaving.
+#[test]
+fn may_send_only_to_listed_targets_that_stay() {
+    let mut scheduler = TestScheduler::new(2);
+    assert!(scheduler.inner.may_send("engine-0") && scheduler.inner.may_send("engine-1"));
+    let mut leaving = target("engine-0", "domain-0");
+    leaving.leaving = true;
+    scheduler.submit(Event::Targets(vec![leaving]));
+    assert!(!scheduler.inner.may_send("engine-0"), "it is leaving");
+    assert!(!scheduler.inner.may_send("engine-1"), "it is gone");
+    assert!(!scheduler.inner.may_send("engine-2"), "it was never listed");
+}
