--- a/src/scheduler/machine/admit.rs
+++ b/src/scheduler/machine/admit.rs
@@ -168,6 +168,17 @@
         self.dirty_pools.insert(pool);
     }
 
+    /// All queued requests in a fixed order, with their pools and lanes.
+    pub(super) fn queued_requests(&self) -> Vec<(RequestId, PoolIx, usize)> {
+        let queued = self.requests.iter().filter_map(|(id, r)| match r.stage {
+            Stage::Queued(lane, _) => Some((*id, r.pool, lane)),
+            _ => None,
+        });
+        let mut queued: Vec<_> = queued.collect();
+        queued.sort_unstable();
+        queued
+    }
+
     /// Removes a request from its queue, if it is queued.
     pub(super) fn dequeue(&mut self, id: RequestId) {
         let Some(req) = self.requests.get_mut(&id) else {
--- a/src/scheduler/machine/refuse.rs
+++ b/src/scheduler/machine/refuse.rs
@@ -3,7 +3,7 @@
 use crate::http::RunState;
 use crate::prelude::*;
 use crate::scheduler::fleet::PoolIx;
-use crate::scheduler::request::{Stage, Timer};
+use crate::scheduler::request::Timer;
 use crate::scheduler::{Effect, Refusal, RequestId, Scheduler};
 
 /// Time without a response after which a request that is given up counts as a failure of its
@@ -85,13 +85,7 @@
 
     /// Refuses the queued requests whose targets all take no work until it is too late for them.
     pub(super) fn refuse_paused(&mut self, effects: &mut Vec<Effect>) {
-        let waiting = self.requests.iter().filter_map(|(id, r)| match r.stage {
-            Stage::Queued(lane, _) => Some((*id, r.pool, lane)),
-            _ => None,
-        });
-        let mut waiting: Vec<_> = waiting.collect();
-        waiting.sort_unstable();
-        for (id, pool, lane) in waiting {
+        for (id, pool, lane) in self.queued_requests() {
             if let Some(refusal) = self.paused_refusal(id, pool, lane) {
                 self.refuse(id, refusal, effects);
             }
--- a/src/scheduler/machine/timers.rs
+++ b/src/scheduler/machine/timers.rs
@@ -119,13 +119,7 @@
 
     /// Refuses the queued requests that no target can run.
     pub(super) fn refuse_unservable(&mut self, effects: &mut Vec<Effect>) {
-        let waiting = self.requests.iter().filter_map(|(id, r)| match r.stage {
-            Stage::Queued(lane, _) => Some((*id, r.pool, lane)),
-            _ => None,
-        });
-        let mut waiting: Vec<_> = waiting.collect();
-        waiting.sort_unstable();
-        for (id, pool, lane) in waiting {
+        for (id, pool, lane) in self.queued_requests() {
             if !self.is_servable(pool, lane) {
                 let refusal = self.no_target_refusal();
                 self.refuse(id, refusal, effects);
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -162,6 +162,27 @@
         self.on(n, if late { LeaseEvent::Unanswered } else { event });
     }
 
+    /// Makes one random step: a candidate acts, the store executes a call, an answer arrives, or
+    /// time passes.
+    fn step(&mut self, rng: &mut fastrand::Rng, choice: u8) {
+        match choice {
+            0..4 => {
+                let n = rng.usize(..self.machines.len());
+                self.on(n, LeaseEvent::Tick);
+            }
+            4..6 if !self.calls.is_empty() => {
+                let call = rng.usize(..self.calls.len());
+                self.execute(call, rng.u8(..5) > 0);
+            }
+            4..8 if !self.answers.is_empty() => {
+                let answer = rng.usize(..self.answers.len());
+                self.deliver(answer);
+            }
+            8 => self.now += Duration::from_millis(rng.u64(..2_000)),
+            _ => self.now += Duration::from_millis(rng.u64(..200)),
+        }
+    }
+
     /// Checks that at most one candidate holds the lease, that no two candidates use the same
     /// fencing token, and that tokens never decrease.
     fn check(&mut self) {
@@ -187,21 +208,8 @@
     let mut sim = Simulation::new();
     for _ in 0..steps {
         match rng.u8(..10) {
-            0..4 => {
-                let n = rng.usize(..sim.machines.len());
-                sim.on(n, LeaseEvent::Tick);
-            }
-            4..6 if !sim.calls.is_empty() => {
-                let call = rng.usize(..sim.calls.len());
-                sim.execute(call, rng.u8(..5) > 0);
-            }
-            4..8 if !sim.answers.is_empty() => {
-                let answer = rng.usize(..sim.answers.len());
-                sim.deliver(answer);
-            }
-            8 => sim.now += Duration::from_millis(rng.u64(..2_000)),
             9 if rng.u8(..20) == 0 => sim.now += LEASE_DURATION,
-            _ => sim.now += Duration::from_millis(rng.u64(..200)),
+            choice => sim.step(&mut rng, choice),
         }
         sim.check();
     }
@@ -229,25 +237,12 @@
     sim.era = 1;
     for _ in 0..steps {
         match rng.u8(..12) {
-            0..4 => {
-                let n = rng.usize(..sim.machines.len());
-                sim.on(n, LeaseEvent::Tick);
-            }
-            4..6 if !sim.calls.is_empty() => {
-                let call = rng.usize(..sim.calls.len());
-                sim.execute(call, rng.u8(..5) > 0);
-            }
-            4..8 if !sim.answers.is_empty() => {
-                let answer = rng.usize(..sim.answers.len());
-                sim.deliver(answer);
-            }
-            8 => sim.now += Duration::from_millis(rng.u64(..2_000)),
             9 => sim.copy_store(),
             10 if rng.u8(..8) == 0 && !sim.copies.is_empty() => {
                 let copy = rng.usize(..sim.copies.len());
                 sim.restore(copy);
             }
-            _ => sim.now += Duration::from_millis(rng.u64(..200)),
+            choice => sim.step(&mut rng, choice),
         }
         sim.check();
     }
--- a/tests/placement_load.rs
+++ b/tests/placement_load.rs
@@ -1,37 +1,124 @@
-//! Placement under a skewed load: many entries, few targets, and one prefix that a quarter of all
-//! prompts start with. Counts how many callers get their first token in time: compared with
-//! placement on the first target with room, placement by least work must halve the share that does
-//! not.
+//! Placement under a skewed load: many entries and one prefix that a quarter of all prompts start
+//! with. Counts how many callers get their first token in time. Compared with placement on the first
+//! target with room, placement by least work must halve the share that does not; and in a large,
+//! overloaded system, one scheduler for each failure domain must serve far more than one for each
+//! entry.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use guavahold::catalog::Policy;
+use guavahold::domain_scheduler::{DomainCapacity, DomainChoice};
 use guavahold::prefix_keys::BlockKey;
 use guavahold::prelude::Name;
 use guavahold::scheduler::{
-    Arrival, AttemptOutcome, Effect, Event, Placement, RequestId, Scheduler, SchedulerSettings,
-    TargetInfo,
+    Arrival, AttemptOutcome, Effect, Event, OwnLoad, Placement, RequestId, Scheduler,
+    SchedulerSettings, TargetInfo,
 };
 use guavahold::target::LoadReport;
 
-const ENTRIES: usize = 8;
-const TARGETS: usize = 6;
 /// Prompt tokens that a target reads per millisecond.
 const READ_TOKENS_PER_MS: u64 = 66;
-/// Requests per second at all entries together.
-const REQUESTS_PER_S: f64 = 80.0;
-/// Interval at which entries exchange their loads, in milliseconds.
-const LOAD_INTERVAL_MS: u64 = 60;
+/// Time after which callers leave, in milliseconds.
+const CALLER_PATIENCE_MS: u64 = 2_400;
 /// Longest time to a first token that is in time, in milliseconds.
 const FIRST_TOKEN_LIMIT_MS: u64 = 400;
-const LOAD_DURATION_S: u64 = 40;
+/// Interval at which schedulers are ticked, in milliseconds.
+const TICK_MS: u64 = 5;
+/// Odd factor that spreads numbers of prefixes over all hashes.
+const HASH_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
+/// A system and its load.
+#[derive(Clone, Copy)]
+struct System {
+    /// Schedulers, among which requests are divided.
+    schedulers: usize,
+    /// Failure domains, each with a scheduler for its targets alone; zero if every scheduler uses all
+    /// targets.
+    domains: usize,
+    targets: usize,
+    placement: Placement,
+    /// Interval at which schedulers learn of the others' load, in milliseconds.
+    load_interval_ms: u64,
+    /// Slots and context tokens of a target, as far as schedulers may use them.
+    slots: u32,
+    context_limit: u32,
+    /// Requests per second.
+    rate: f64,
+    /// Latency objective.
+    objective: Duration,
+    /// Duration of the load, in seconds.
+    load_s: u64,
+}
+
+impl System {
+    /// Eight entries before six targets.
+    fn small(placement: Placement) -> Self {
+        Self {
+            schedulers: 8,
+            domains: 0,
+            targets: 6,
+            placement,
+            load_interval_ms: 60,
+            slots: 64,
+            context_limit: 99_000,
+            rate: 80.0,
+            objective: Duration::ZERO,
+            load_s: 40,
+        }
+    }
+
+    /// 58 entries before 30 targets that are offered more than they can serve. Each entry schedules
+    /// its own requests, and may use more than a target has, since it learns of ends late.
+    fn large_with_own_schedulers() -> Self {
+        Self {
+            schedulers: 58,
+            targets: 30,
+            load_interval_ms: 300,
+            slots: 24,
+            context_limit: 150_000,
+            rate: 800.0,
+            objective: ms(FIRST_TOKEN_LIMIT_MS),
+            load_s: 8,
+            ..Self::small(Placement::LeastWork)
+        }
+    }
+
+    /// The same with a scheduler for each of three failure domains.
+    fn large_with_domain_schedulers() -> Self {
+        Self {
+            schedulers: 3,
+            domains: 3,
+            placement: Placement::LeastWorkOfAll,
+            slots: 16,
+            context_limit: 99_000,
+            ..Self::large_with_own_schedulers()
+        }
+    }
+}
+
+/// What callers got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    in_time: u64,
+    late: u64,
+    /// The first token came when the caller had left.
+    abandoned: u64,
+    refused: u64,
+}
+
+impl Served {
+    #[allow(clippy::cast_precision_loss)]
+    fn share(self, count: u64) -> f64 {
+        count as f64 / (self.in_time + self.late + self.abandoned + self.refused) as f64
+    }
+}
+
 /// A simulated target that reads prompts one after the other.
 #[derive(Default)]
 struct Target {
@@ -42,6 +129,7 @@
 }
 
 struct Simulation {
+    system: System,
     now: u64,
     schedulers: Vec<Scheduler>,
     targets: BTreeMap<Name, Target>,
@@ -50,19 +138,21 @@
     first_tokens: BTreeSet<(u64, usize, RequestId, u32)>,
     /// Arrival time, prefix and tokens of the prefix of each request.
     requests: HashMap<RequestId, (u64, u64, u64)>,
-    in_time: u64,
-    late: u64,
-    refused: u64,
+    choice: DomainChoice,
+    served: Served,
 }
 
 impl Simulation {
-    fn new(placement: Placement) -> Self {
-        let names: Vec<Name> = (0..TARGETS).map(|n| format!("t{n}").into()).collect();
+    fn new(system: System) -> Self {
+        let names: Vec<Name> = (0..system.targets)
+            .map(|n| format!("t{n}").into())
+            .collect();
         let list: Vec<TargetInfo> = names
             .iter()
-            .map(|name| TargetInfo {
+            .enumerate()
+            .map(|(n, name)| TargetInfo {
                 name: name.clone(),
-                domain: "a".into(),
+                domain: domain_name(n, system.domains),
                 address: "10.0.0.1:80".parse().unwrap(),
                 serves: "llm".into(),
                 leaving: false,
@@ -74,27 +164,34 @@
                 seed: n as u64 + 1,
                 hedging: false,
                 probe_after_refusal: false,
-                placement,
-                ..SchedulerSettings::new("a".into())
+                placement: system.placement,
+                ..SchedulerSettings::new(domain_name(n, system.domains))
             });
-            scheduler.on(ms(0), Event::Targets(list.clone()), &mut Vec::new());
+            let known = list
+                .iter()
+                .filter(|t| system.domains == 0 || t.domain == domain_name(n, system.domains));
+            scheduler.on(
+                ms(0),
+                Event::Targets(known.cloned().collect()),
+                &mut Vec::new(),
+            );
             scheduler
         };
         let mut simulation = Self {
+            system,
             now: 0,
-            schedulers: (0..ENTRIES).map(scheduler).collect(),
+            schedulers: (0..system.schedulers).map(scheduler).collect(),
             targets: names.into_iter().map(|n| (n, Target::default())).collect(),
             first_tokens: BTreeSet::new(),
             requests: HashMap::new(),
-            in_time: 0,
-            late: 0,
-            refused: 0,
+            choice: DomainChoice::default(),
+            served: Served::default(),
         };
         simulation.exchange_loads();
         simulation
     }
 
-    /// Reports to each entry the load of the targets by all entries.
+    /// Reports to each scheduler the load of the targets by all schedulers.
     fn exchange_loads(&mut self) {
         let loads: Vec<_> = self.schedulers.iter().map(Scheduler::own_loads).collect();
         let names: Vec<Name> = self.targets.keys().cloned().collect();
@@ -108,8 +205,8 @@
                     running: sum(|l| l.requests, true),
                     queued_tokens: u64::from(sum(|l| l.work, false)),
                     context_tokens: sum(|l| l.context, false),
-                    context_limit: 99_000,
-                    slots: 64,
+                    context_limit: self.system.context_limit,
+                    slots: self.system.slots,
                     weights: vec!["m/1".into()],
                     ..LoadReport::default()
                 };
@@ -121,12 +218,39 @@
                 );
             }
         }
+        self.update_choice(&loads);
+    }
+
+    /// Updates the utilization of the failure domains, by which requests are divided among them.
+    fn update_choice(&mut self, loads: &[HashMap<Name, OwnLoad>]) {
+        let targets = self.system.targets / self.system.domains.max(1);
+        let slots = self.system.slots * u32::try_from(targets).unwrap();
+        let domains = loads.iter().enumerate().take(self.system.domains);
+        let capacities = domains.map(|(n, loads)| DomainCapacity {
+            domain: n.to_string().into(),
+            serves: "llm".into(),
+            slots,
+            requests: loads.values().map(|l| l.requests).sum::<u32>()
+                + u32::try_from(self.schedulers[n].queued()).unwrap(),
+        });
+        self.choice = DomainChoice::new(capacities);
+    }
+
+    /// Scheduler of a request: a random entry's own one, or that of the domain for its prefix.
+    fn scheduler_for(&self, prefix: u64, rng: &mut fastrand::Rng) -> usize {
+        let domain = self
+            .choice
+            .choose(prefix.wrapping_mul(HASH_FACTOR), |_| true);
+        domain.map_or_else(
+            || rng.usize(..self.system.schedulers),
+            |domain| domain.parse().unwrap(),
+        )
     }
 
     /// Submits a request whose prompt has `sizes.0` tokens of a shared prefix and `sizes.1` more.
     fn arrive(&mut self, entry: usize, id: u64, prefix: u64, sizes: (u32, u32)) {
         let policy = Policy {
-            first_token_ms: 2_400,
+            first_token_ms: CALLER_PATIENCE_MS,
             total_ms: 3_000,
             ..Policy::default()
         };
@@ -152,7 +276,7 @@
             output_tokens: 16,
             max_attempts: 1,
             resumable: false,
-            objective: Duration::ZERO,
+            objective: self.system.objective,
         };
         self.submit(entry, Event::Arrive(arrival), sizes.1);
     }
@@ -180,7 +304,7 @@
                     self.first_tokens
                         .insert((target.busy_until + 60, entry, id, attempt));
                 }
-                Effect::Refuse { .. } => self.refused += 1,
+                Effect::Refuse { .. } => self.served.refused += 1,
                 _ => {}
             }
         }
@@ -193,10 +317,10 @@
             }
             self.first_tokens.pop_first();
             let (arrived, ..) = self.requests[&id];
-            if at - arrived <= FIRST_TOKEN_LIMIT_MS {
-                self.in_time += 1;
-            } else {
-                self.late += 1;
+            match at - arrived {
+                ..=FIRST_TOKEN_LIMIT_MS => self.served.in_time += 1,
+                ..=CALLER_PATIENCE_MS => self.served.late += 1,
+                _ => self.served.abandoned += 1,
             }
             self.submit(entry, Event::FirstToken { id, attempt }, 0);
             let outcome = AttemptOutcome::Done;
@@ -209,18 +333,23 @@
         }
     }
 
-    /// Runs the load and returns the share of callers served in time.
-    fn run(placement: Placement, seed: u64) -> f64 {
-        let mut simulation = Self::new(placement);
+    /// Runs the load and returns what callers got.
+    fn run(system: System, seed: u64) -> Served {
+        let mut simulation = Self::new(system);
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut id = 0;
-        for now in 0..LOAD_DURATION_S * 1_000 {
+        for now in 0..system.load_s * 1_000 {
             simulation.now = now;
             simulation.deliver_first_tokens();
-            if now.is_multiple_of(LOAD_INTERVAL_MS) {
+            if now.is_multiple_of(system.load_interval_ms) {
                 simulation.exchange_loads();
             }
-            if rng.f64() < REQUESTS_PER_S / 1_000.0 {
+            if now.is_multiple_of(TICK_MS) {
+                for n in 0..system.schedulers {
+                    simulation.submit(n, Event::Tick, 0);
+                }
+            }
+            if rng.f64() < system.rate / 1_000.0 {
                 id += 1;
                 let large = rng.f64() < 0.35;
                 // Most large prompts start with the same prefix.
@@ -232,29 +361,53 @@
                 };
                 let sizes = if large { (8_600, 2_900) } else { (1_500, 500) };
                 let prefix = index + if large { 1_000 } else { 0 };
-                simulation.arrive(rng.usize(..ENTRIES), id, prefix, sizes);
+                let scheduler = simulation.scheduler_for(prefix, &mut rng);
+                simulation.arrive(scheduler, id, prefix, sizes);
             }
         }
-        let all = simulation.in_time + simulation.late + simulation.refused;
+        let served = simulation.served;
+        let all = served.in_time + served.late + served.abandoned + served.refused;
+        assert!(all > system.load_s * 50, "too few requests arrived: {all}");
+        served
+    }
+}
+
+/// Failure domain of the target or scheduler with this number.
+fn domain_name(n: usize, domains: usize) -> Name {
+    (n % domains.max(1)).to_string().into()
+}
+
+#[test]
+fn placement_by_least_work_serves_more_callers_in_time() {
+    for seed in [1, 2, 3] {
+        let late = |placement| {
+            let served = Simulation::run(System::small(placement), seed);
+            1.0 - served.share(served.in_time)
+        };
+        let (least_work, first_with_room) =
+            (late(Placement::LeastWork), late(Placement::FirstWithRoom));
         assert!(
-            all > LOAD_DURATION_S * 50,
-            "too few requests arrived: {all}"
+            least_work * 2.0 <= first_with_room,
+            "seed {seed}: {least_work:.3} not in time, {first_with_room:.3} by the first with room"
         );
-        #[allow(clippy::cast_precision_loss)]
-        let share = simulation.in_time as f64 / all as f64;
-        share
     }
 }
 
+/// The load of a day on which a large system is offered more than it can serve: with a scheduler at
+/// every entry, requests queue at the targets until their callers have left. With one for each
+/// domain they queue where they can be ordered and refused, and nearly nothing is read in vain.
 #[test]
-fn placement_by_least_work_serves_more_callers_in_time() {
+fn domain_schedulers_keep_queues_out_of_targets() {
     for seed in [1, 2, 3] {
-        let least_work = Simulation::run(Placement::LeastWork, seed);
-        let first_with_room = Simulation::run(Placement::FirstWithRoom, seed);
-        let (late, late_first_with_room) = (1.0 - least_work, 1.0 - first_with_room);
+        let own = Simulation::run(System::large_with_own_schedulers(), seed);
+        let domain = Simulation::run(System::large_with_domain_schedulers(), seed);
+        println!("seed {seed}: at entries {own:?}, at domains {domain:?}");
+        let abandoned = domain.share(domain.abandoned);
+        assert!(abandoned <= 0.01, "{abandoned:.3} abandoned at targets");
+        let (in_time, before) = (domain.share(domain.in_time), own.share(own.in_time));
         assert!(
-            late * 2.0 <= late_first_with_room,
-            "seed {seed}: {late:.3} not in time, {late_first_with_room:.3} by the first with room"
+            in_time >= before + 0.2,
+            "seed {seed}: {in_time:.3} in time, {before:.3} with a scheduler at every entry"
         );
     }
 }
