--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -11,7 +11,7 @@
 /// Interval at which the status is sent to all peers, in a small system.
 const STATUS_INTERVAL: Duration = Duration::from_millis(60);
 /// Interval at which statuses and digests are sent, in a large system with hubs.
-const HUB_INTERVAL: Duration = Duration::from_millis(150);
+const HUB_INTERVAL: Duration = Duration::from_millis(300);
 /// Minimum and maximum interval between two ticks of the scheduler.
 const SCHEDULER_TICK_INTERVAL: (Duration, Duration) =
     (Duration::from_millis(5), Duration::from_millis(50));
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -10,6 +10,8 @@
 mod timers;
 mod wait_prediction;
 
+pub(super) use refuse::MIN_OVERLOAD_PAUSE;
+
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use crate::catalog::Catalog;
--- a/src/scheduler/machine/refuse.rs
+++ b/src/scheduler/machine/refuse.rs
@@ -16,7 +16,7 @@
 /// Retry pause after a failure.
 const FAILURE_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Shortest retry pause after an overload.
-const MIN_OVERLOAD_PAUSE: Duration = Duration::from_secs(1);
+pub(in crate::scheduler) const MIN_OVERLOAD_PAUSE: Duration = Duration::from_secs(1);
 /// Longest retry pause after an overload.
 const MAX_OVERLOAD_PAUSE: Duration = Duration::from_mins(10);
 /// Share of the drain rate that is reserved for refused callers who retry.
--- a/src/scheduler/request.rs
+++ b/src/scheduler/request.rs
@@ -5,6 +5,7 @@
 use crate::prelude::*;
 use crate::scheduler::fleet::{AttemptSize, PoolIx, TargetIx, mix};
 use crate::scheduler::flow::QueueKey;
+use crate::scheduler::machine::MIN_OVERLOAD_PAUSE;
 use crate::scheduler::{Arrival, RequestId};
 
 /// Work of one generated token, in prompt tokens: while a target generates it, it could read this
@@ -21,6 +22,9 @@
 /// its caller can come back in the rest.
 const GIVE_UP_SHARE: f64 = 0.5;
 
+/// Share of the time that callers have left up to which they wait before they come back.
+const RETURN_SHARE: f64 = 1.0 / 3.0;
+
 /// A running attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Attempt {
@@ -110,14 +114,19 @@
         (self.dispatch_by(), self.arrival.id)
     }
 
-    /// When a request with an objective that has not been dispatched yet is refused.
+    /// When a request with an objective that has not been dispatched yet is refused, if its caller
+    /// has time to come back after that.
     pub(super) fn give_up_at(&self) -> Option<Timestamp> {
         if self.arrival.objective.is_zero() || self.attempts_started > 0 {
             return None;
         }
         let time = self.deadline.saturating_sub(self.arrived);
-        let give_up_at = self.arrived + time.mul_f64(GIVE_UP_SHARE);
-        Some(give_up_at.max(self.dispatch_by()))
+        let waited = time.mul_f64(GIVE_UP_SHARE);
+        let left = self.arrival.policy.total().saturating_sub(waited);
+        if left.mul_f64(RETURN_SHARE) < MIN_OVERLOAD_PAUSE {
+            return None;
+        }
+        Some((self.arrived + waited).max(self.dispatch_by()))
     }
 
     /// Time until which it should be dispatched to meet its latency objective, or else its deadline.
--- a/tests/scheduler/overload.rs
+++ b/tests/scheduler/overload.rs
@@ -301,3 +301,29 @@
     );
     simulation.assert_idle();
 }
+
+/// A refusal helps only a caller who can come back: one with little time stays queued as long as the
+/// deadline can be met, one with much is refused at half of its time.
+#[test]
+fn overload_refuses_early_only_who_can_return() {
+    let refused_after = |total: u64| {
+        let mut simulation = simulation();
+        let policy = Arc::new(guavahold::catalog::Policy {
+            first_token_ms: 2_400,
+            total_ms: total,
+            ..guavahold::catalog::Policy::default()
+        });
+        let load = 3.0 * CAPACITY_PER_S;
+        simulation.add_poisson_arrivals(1, load, (ms(0), MEASURE_TO), |id| Arrival {
+            objective: ms(400),
+            ..arrival(id, "a", &policy)
+        });
+        simulation.run_until(MEASURE_TO + ms(20_000));
+        let records = simulation.arrived_between((MEASURE_FROM, MEASURE_TO));
+        let refused = records.filter(|r| r.refusal().is_some());
+        let waits = refused.filter_map(|r| Some(r.end.as_ref()?.0.saturating_sub(r.arrived)));
+        waits.max().expect("some are refused")
+    };
+    assert!(refused_after(12_000) <= ms(1_210));
+    assert!(refused_after(2_400) > ms(1_210));
+}
