--- a/src/domain_scheduler/scheduled_request.rs
+++ b/src/domain_scheduler/scheduled_request.rs
@@ -1,5 +1,4 @@
-//! Handle of one request, which the scheduler of a failure domain or the entry's own one decides
-//! on.
+//! Handle of one request, on which the scheduler of a failure domain or the entry's own one decides.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -33,7 +32,7 @@
     /// The entry's own scheduler.
     Local(Arc<RequestHandle>),
     /// Nobody any more: the request has ended.
-    None,
+    Ended,
 }
 
 /// What happened to a request so far, as far as the entry knows.
@@ -116,7 +115,7 @@
             let decisions = match decider {
                 Decider::Local(handle) => return handle.next_effect().await,
                 Decider::Hub { decisions, .. } => decisions,
-                Decider::None => return std::future::pending().await,
+                Decider::Ended => return std::future::pending().await,
             };
             let silence = async {
                 coarse_sleep(silence_timeout(history)).await;
@@ -163,7 +162,7 @@
                 self.fall_back()
             }
             Some(Decision::Refuse(refusal)) => {
-                state.decider = Decider::None;
+                state.decider = Decider::Ended;
                 drop(state);
                 self.client.close(id.0);
                 Some(Effect::Refuse { id, refusal })
@@ -185,7 +184,7 @@
             return None;
         };
         let (hub, history) = (hub.clone(), state.history);
-        state.decider = Decider::None;
+        state.decider = Decider::Ended;
         state.fell_back = true;
         drop(state);
         self.client.close(self.arrival.id.0);
@@ -253,7 +252,7 @@
                 let step = CallStep::FirstToken(attempt);
                 self.client.call(&hub, self.arrival.id.0, step);
             }
-            Decider::None => {}
+            Decider::Ended => {}
         }
     }
 
@@ -269,7 +268,7 @@
                 }
                 state.history.run = outcome.run_state_after(state.history.run);
                 if outcome.ends_request() {
-                    state.decider = Decider::None;
+                    state.decider = Decider::Ended;
                 }
                 drop(state);
                 let ended = outcome.ends_request();
@@ -279,7 +278,7 @@
                     self.client.close(self.arrival.id.0);
                 }
             }
-            Decider::None => {}
+            Decider::Ended => {}
         }
     }
 
@@ -288,14 +287,15 @@
         let mut state = self.lock();
         match &state.decider {
             Decider::Local(handle) => handle.finish(),
+            // The hub learns that the running attempt ends when the handle is dropped.
             Decider::Hub { .. } if state.history.running => return,
             Decider::Hub { hub, .. } => {
                 let hub = hub.clone();
                 self.client.call(&hub, self.arrival.id.0, CallStep::Left);
             }
-            Decider::None => {}
+            Decider::Ended => {}
         }
-        state.decider = Decider::None;
+        state.decider = Decider::Ended;
         drop(state);
         self.client.close(self.arrival.id.0);
     }
