--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -88,6 +88,7 @@
     rollout: RolloutSettings,
     target_heartbeat: Duration,
     change_deadline: Duration,
+    version_deadline: Duration,
 }
 
 impl GatewayBuilder {
@@ -119,6 +120,7 @@
             rollout: RolloutSettings::default(),
             target_heartbeat: Duration::from_millis(1_200),
             change_deadline: Duration::from_secs(2),
+            version_deadline: Duration::from_secs(12),
         }
     }
 
@@ -190,6 +192,14 @@
         self
     }
 
+    /// Sets the time after the declaration of a weight version from which no request may start on an
+    /// older one.
+    #[must_use]
+    pub fn version_deadline(mut self, deadline: Duration) -> Self {
+        self.version_deadline = deadline;
+        self
+    }
+
     /// Binds all addresses and starts the gateway.
     ///
     /// # Errors
@@ -396,7 +406,7 @@
             registration_lifetime: self.target_heartbeat * LIFETIME_HEARTBEATS,
             mesh: OnceLock::default(),
             executor: executor.clone(),
-            state: Mutex::new(State::new(self.rollout.clone())),
+            state: Mutex::new(State::new(self.rollout.clone(), self.version_deadline)),
         }
     }
 }
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -67,13 +67,13 @@
 }
 
 impl State {
-    pub(crate) fn new(rollout: RolloutSettings) -> Self {
+    pub(crate) fn new(rollout: RolloutSettings, version_deadline: Duration) -> Self {
         Self {
             caches: Default::default(),
             unreachable_since: [Some(Timestamp::ZERO); 4],
             objects_requested_at: [None; 4],
             targets: TargetTable::default(),
-            versions: WeightVersions::default(),
+            versions: WeightVersions::with_deadline(version_deadline),
             loads: LoadTable::default(),
             retirement: RetirementTracker::default(),
             weights_read: false,
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -7,8 +7,12 @@
 use crate::name_hash::name_hash;
 use crate::prelude::*;
 
-/// Time after the declaration of a version during which requests may still start on older ones.
-const OLD_VERSION_PERIOD: Duration = Duration::from_secs(9);
+/// Longest time after the declaration of a version during which requests may still start on older
+/// ones.
+const MAX_OLD_VERSION_PERIOD: Duration = Duration::from_secs(9);
+/// Time before the deadline for a declared version from which no request starts on an older one: the
+/// declaration was noticed late, and a request may wait at its target.
+const VERSION_DEADLINE_RESERVE: Duration = Duration::from_secs(2);
 /// Age up to which declarations are reported to peers, so that an entry that was unreachable or
 /// restarted does not count the time for older versions from too late a moment.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(30);
@@ -34,15 +38,37 @@
 }
 
 /// Weight versions that operators declared and that targets have loaded, by model.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct WeightVersions {
     models: BTreeMap<Name, ModelVersions>,
+    /// Time after the declaration of a version during which requests may still start on older ones.
+    old_version_period: Duration,
+}
+
+impl Default for WeightVersions {
+    fn default() -> Self {
+        Self {
+            models: BTreeMap::new(),
+            old_version_period: MAX_OLD_VERSION_PERIOD,
+        }
+    }
 }
 
 impl WeightVersions {
+    /// Allows requests to start on older versions until shortly before `deadline` has passed since
+    /// the declaration of a newer one.
+    #[must_use]
+    pub fn with_deadline(deadline: Duration) -> Self {
+        let period = deadline.saturating_sub(VERSION_DEADLINE_RESERVE);
+        Self {
+            old_version_period: period.min(MAX_OLD_VERSION_PERIOD),
+            ..Self::default()
+        }
+    }
+
     /// Records a version that was just declared for a model.
     pub fn declare(&mut self, now: Timestamp, model: &Name, version: u64) {
-        self.add(model, version, Some(now + OLD_VERSION_PERIOD));
+        self.add(model, version, Some(now + self.old_version_period));
     }
 
     /// Records a version that was declared for a model at an unknown time, such as before this
@@ -68,22 +94,24 @@
         version: u64,
         age: Duration,
     ) {
+        let period = self.old_version_period;
         let mut models = self.models.iter_mut();
         let found = models.find(|(name, _)| name_hash(name) == model);
         let Some(cutoff) = found.and_then(|(_, m)| m.declared.get_mut(&version)) else {
             return;
         };
-        let reported = (now + OLD_VERSION_PERIOD).saturating_sub(age);
+        let reported = (now + period).saturating_sub(age);
         *cutoff = Some(cutoff.map_or(reported, |known| known.min(reported)));
     }
 
     /// Recent declarations: the hash of the model's name, the version, and the declaration's age.
     pub fn declaration_ages(&self, now: Timestamp) -> impl Iterator<Item = (u32, u64, Duration)> {
+        let period = self.old_version_period;
         let models = self.models.iter();
         models.flat_map(move |(name, model)| {
             let known = model.declared.iter();
             known.filter_map(move |(version, cutoff)| {
-                let age = (now + OLD_VERSION_PERIOD).saturating_sub((*cutoff)?);
+                let age = (now + period).saturating_sub((*cutoff)?);
                 (age < MAX_REPORTED_AGE).then(|| (name_hash(name), *version, age))
             })
         })
@@ -113,7 +141,7 @@
     }
 
     /// Loaded versions on which a request may start now, newest first. Some time after a version's
-    /// declaration (`OLD_VERSION_PERIOD`), older ones are excluded, unless no target has loaded
+    /// declaration (`old_version_period`), older ones are excluded, unless no target has loaded
     /// that version or a newer one.
     #[must_use]
     pub fn allowed(&self, now: Timestamp, model: &str) -> SmallVec<[u64; 2]> {
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -282,3 +282,14 @@
     }
     assert_eq!(kinds["line"] + dropped, 3_000);
 }
+
+/// Where a declared version has to be in use sooner, older ones are given up sooner.
+#[test]
+fn weight_versions_disallow_older_before_a_short_deadline() {
+    let mut versions = WeightVersions::with_deadline(ms(8_000));
+    versions.declare_at_unknown_time(&"m".into(), 1);
+    versions.declare(ms(0), &"m".into(), 2);
+    versions.set_loaded([("m".into(), 1), ("m".into(), 2)]);
+    assert_eq!(versions.allowed(ms(5_900), "m").as_slice(), [2, 1]);
+    assert_eq!(versions.allowed(ms(6_100), "m").as_slice(), [2]);
+}
