--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -12,7 +12,7 @@
 const MAX_OLD_VERSION_PERIOD: Duration = Duration::from_secs(9);
 /// Time before the deadline for a declared version from which no request starts on an older one: the
 /// declaration was noticed late, and a request may wait at its target.
-const VERSION_DEADLINE_RESERVE: Duration = Duration::from_secs(2);
+const VERSION_DEADLINE_RESERVE: Duration = Duration::from_secs(3);
 /// Age up to which declarations are reported to peers, so that an entry that was unreachable or
 /// restarted does not count the time for older versions from too late a moment.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(30);
