--- a/src/domain_scheduler/domain_choice.rs
+++ b/src/domain_scheduler/domain_choice.rs
@@ -53,7 +53,7 @@
     pub fn choose(&self, key: u64, allowed: impl Fn(&str) -> bool) -> Option<Name> {
         let usable = self.domains.iter().filter(|(_, d)| allowed(&d.domain));
         let mut ranked: SmallVec<[(f64, &DomainCapacity); 8]> = usable
-            .map(|(hash, d)| (rendezvous_score(key ^ hash, d.slots), d))
+            .map(|(hash, d)| (weighted_rank(key ^ hash, d.slots), d))
             .collect();
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut penalty = -RANK_PENALTY;
@@ -72,10 +72,10 @@
     u64::from_le_bytes(first.unwrap_or_default())
 }
 
-/// Score of weighted rendezvous hashing: the weight divided by the negative logarithm of a uniform
+/// Rank in weighted rendezvous hashing: the weight divided by the negative logarithm of a uniform
 /// hash.
 #[allow(clippy::cast_precision_loss)]
-fn rendezvous_score(hash: u64, weight: u32) -> f64 {
+fn weighted_rank(hash: u64, weight: u32) -> f64 {
     let mixed = crate::scheduler::mix(hash);
     let uniform = ((mixed >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
     f64::from(weight) / -uniform.ln()
