--- a/src/domain_scheduler/client.rs
+++ b/src/domain_scheduler/client.rs
@@ -43,8 +43,16 @@
     choices: HashMap<Name, DomainChoice>,
     /// Hubs that get no requests for a time.
     excluded: HashMap<Name, Timestamp>,
-    /// Requests that wait for decisions: their hub and the channel of their handle.
-    open: HashMap<u64, (Name, async_channel::Sender<Decision>)>,
+    /// Requests on which a hub decides, by their numbers.
+    open: HashMap<u64, OpenRequest>,
+}
+
+/// A request on which a hub decides.
+#[derive(Debug)]
+struct OpenRequest {
+    hub: Name,
+    /// Channel of the request's handle.
+    decisions: async_channel::Sender<Decision>,
 }
 
 /// Sends requests to the schedulers of failure domains, or to the entry's own scheduler.
@@ -99,7 +107,11 @@
         if let Some(hub) = self.choose_hub(&arrival) {
             let (tx, decisions) = async_channel::unbounded();
             let id = arrival.id.0;
-            self.lock().open.insert(id, (hub.clone(), tx));
+            let open = OpenRequest {
+                hub: hub.clone(),
+                decisions: tx,
+            };
+            self.lock().open.insert(id, open);
             let request = Box::new(RemoteArrival::from(&arrival));
             if self.call(&hub, id, CallStep::Arrive(request)) {
                 return ScheduledRequest::remote(self.clone(), arrival, hub, decisions);
@@ -130,10 +142,10 @@
     /// is ignored.
     pub fn on_reply(&self, hub: &str, reply: SchedulerReply) {
         let state = self.lock();
-        if let Some((owner, tx)) = state.open.get(&reply.id)
-            && **owner == *hub
+        if let Some(open) = state.open.get(&reply.id)
+            && *open.hub == *hub
         {
-            let _ = tx.try_send(reply.decision);
+            let _ = open.decisions.try_send(reply.decision);
         }
     }
 
@@ -146,7 +158,7 @@
 
     /// Closes the channels of the requests whose hub is not live any more.
     pub fn retain_hubs(&self, is_live: impl Fn(&str) -> bool) {
-        self.lock().open.retain(|_, (hub, _)| is_live(hub));
+        self.lock().open.retain(|_, open| is_live(&open.hub));
     }
 
     /// Sends one step of a request to its hub; `false` when it cannot be sent.
--- a/src/domain_scheduler/scheduled_request.rs
+++ b/src/domain_scheduler/scheduled_request.rs
@@ -13,11 +13,11 @@
 use crate::scheduler::{Arrival, AttemptOutcome, Effect, Refusal, RequestId};
 use crate::shared_scheduler::RequestHandle;
 
-/// Time without a word from the hub after which the entry schedules a request itself. Hubs repeat
+/// Time without a reply from the hub after which the entry schedules a request itself. Hubs repeat
 /// that a request waits more often than that.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
-/// The same time for the first word, which is sent at once.
-const FIRST_WORD_TIMEOUT: Duration = Duration::from_millis(350);
+/// The same time for the first reply, which is sent at once.
+const FIRST_REPLY_TIMEOUT: Duration = Duration::from_millis(350);
 /// Pause before a caller may retry a request that failed.
 const FAILURE_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -320,6 +320,6 @@
     if history.heard {
         SILENCE_TIMEOUT
     } else {
-        FIRST_WORD_TIMEOUT
+        FIRST_REPLY_TIMEOUT
     }
 }
--- a/src/domain_scheduler/server.rs
+++ b/src/domain_scheduler/server.rs
@@ -25,7 +25,7 @@
     /// When it is taken to be abandoned.
     expires_at: Timestamp,
     /// When its entry was last told that it waits; `None` while it runs.
-    waiting_since: Option<Timestamp>,
+    wait_reported_at: Option<Timestamp>,
 }
 
 #[derive(Debug, Default)]
@@ -93,7 +93,7 @@
             CallStep::Ended(attempt, outcome) => {
                 let id = self.find(entry, remote_id)?;
                 if let Some(open) = self.lock().open.get_mut(&id) {
-                    open.waiting_since = Some(now);
+                    open.wait_reported_at = Some(now);
                 }
                 self.scheduler.submit(Event::AttemptEnded {
                     id,
@@ -136,7 +136,7 @@
             entry: entry.clone(),
             remote_id,
             expires_at: now + timeout + ABANDONED_TIME,
-            waiting_since: Some(now),
+            wait_reported_at: Some(now),
         };
         state.open.insert(id, open);
         let ids = state.by_entry.entry(entry.clone()).or_default();
@@ -180,7 +180,7 @@
         let mut state = self.lock();
         let open = state.open.get_mut(&id)?;
         if matches!(decision, Decision::Dispatch(_)) {
-            open.waiting_since = None;
+            open.wait_reported_at = None;
         }
         let (entry, remote_id) = (open.entry.clone(), open.remote_id);
         drop(state);
@@ -203,8 +203,8 @@
         let mut reports = Vec::new();
         for open in state.open.values_mut() {
             let due = |at: Timestamp| now >= at + WAITING_REPORT_INTERVAL;
-            if open.waiting_since.is_some_and(due) {
-                open.waiting_since = Some(now);
+            if open.wait_reported_at.is_some_and(due) {
+                open.wait_reported_at = Some(now);
                 let reply = SchedulerReply {
                     id: open.remote_id,
                     decision: Decision::Queued,
