Log the limits that targets name and when they end

The header is now decoded and the newest limit of each target kept and logged with its source. Nothing depends on it yet.

Answers overtake each other: a stricter value counts unless its answer is certainly older (received before the known one was sent), a looser one or none only if certainly newer. What is no decimal number, or differs within one head, is logged and changes nothing.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -36,6 +36,7 @@
 mod serve;
 mod shared;
 mod target_history;
+mod target_limits;
 mod target_table;
 mod versions;
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::response_reader::{ResponseError, ResponseReader};
 use crate::gateway::shared::{Shared, TargetObservation};
+use crate::gateway::target_limits::Exchange;
 use crate::gateway::{
     BodyReader, Dispatch, EventSplitter, RawEvent, RequestHead, ResponseInfo, TargetPresence,
 };
@@ -184,7 +185,9 @@
         };
         let mut reset_on_drop = ResetOnDrop(Some(&stream));
         let mut reader = ResponseReader::new(&stream);
-        let (received, info) = self.receive(&mut reader, response).or(send).await?;
+        let sent_at = self.shared.now();
+        let received = self.receive(&mut reader, response, sent_at);
+        let (received, info) = received.or(send).await?;
         reset_on_drop.0 = None;
         drop(reset_on_drop);
         let reusable = reader.is_clean() && sent_completely.load(Ordering::Acquire) && !info.close;
@@ -270,10 +273,11 @@
         &self,
         reader: &mut ResponseReader<'_>,
         response: &mut CallerResponse<'_>,
+        sent_at: Timestamp,
     ) -> Result<(TargetResponse, ResponseInfo), AttemptError> {
         let head = reader.read_head(&self.request.head, &*self.shared.dialect);
         let head = head.await.map_err(AttemptError::Response)?;
-        self.observe(&head);
+        self.observe(&head, sent_at);
         if head.info.encoded || (head.is_success() && !head.info.from_target) {
             return Err(AttemptError::Response(ResponseError::Malformed));
         }
@@ -289,10 +293,16 @@
         Ok((TargetResponse::Complete(head, body), info))
     }
 
-    /// Reports what a response says about its target: that it is leaving, or wants a pause.
-    fn observe(&self, head: &ResponseHead) {
+    /// Reports what a response says about its target: that it is leaving, wants a pause, or limits
+    /// the requests sent to it.
+    fn observe(&self, head: &ResponseHead, sent_at: Timestamp) {
         let info = &head.info;
         let target = info.target.as_ref().unwrap_or(&self.assignment.target);
+        let exchange = Exchange {
+            sent: sent_at,
+            received: self.shared.now(),
+        };
+        self.shared.limits.observe(target, info, exchange);
         let mut signals: SmallVec<[Signal; 2]> = SmallVec::new();
         let leaving = info.presence == TargetPresence::Leaving;
         if leaving {
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -22,6 +22,7 @@
 use crate::gateway::registration::keep_registered;
 use crate::gateway::request_log::DEFAULT_LOG_SAMPLE;
 use crate::gateway::shared::Shared;
+use crate::gateway::target_limits::TargetLimits;
 use crate::gateway::versions::AllowedVersions;
 use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
 use crate::http::{Limits, Server, ServerControl};
@@ -339,6 +340,7 @@
             scheduler,
             connections: ConnectionPool::default(),
             quarantine_notices: notices,
+            limits: TargetLimits::default(),
             store_directory: Arc::default(),
             fetch_clock: Arc::default(),
             drain: Arc::new(Drain::default()),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -233,6 +233,8 @@
     pub(crate) fn submit_targets(&self, state: &mut State) {
         let now = self.now();
         let infos: Vec<_> = state.targets.iter().map(|t| t.info.clone()).collect();
+        let starts = infos.iter().map(|t| (t.name.clone(), t.started_ms));
+        self.shared.limits.set_targets(now, starts);
         self.submit_domain_targets(&infos);
         self.shared.scheduler.submit(Event::Targets(infos));
         let loaded: Vec<_> = state.effective_weights(now).collect();
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -5,6 +5,7 @@
 use crate::context_store::TransferPlan;
 use crate::gateway::RequestHead;
 use crate::prelude::*;
+use crate::rate_limit::NamedLimit;
 
 /// Why a request's head was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,6 +106,8 @@
     pub presence: TargetPresence,
     /// Time after which the target accepts a retry.
     pub retry_after: Option<Duration>,
+    /// Limit on the requests that all entries together may send to the target.
+    pub limit: NamedLimit,
 }
 
 /// A response that the gateway generates itself.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,6 +9,7 @@
 use crate::domain_scheduler::SchedulerClient;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::drain::Drain;
+use crate::gateway::target_limits::TargetLimits;
 use crate::gateway::versions::AllowedVersions;
 use crate::gateway::{Dialect, FetchClock, LocalResponse};
 use crate::prelude::*;
@@ -34,6 +35,8 @@
     pub connections: ConnectionPool,
     /// Quarantine notices about requests suspected of crashing targets.
     pub quarantine_notices: Arc<QuarantineNotices>,
+    /// Limits that targets set on the requests sent to them.
+    pub limits: TargetLimits,
     /// Contents of the context stores, as last reported.
     pub store_directory: Arc<Mutex<StoreDirectory>>,
     /// Estimate of the targets' clock, for the deadlines of fetches.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod platform;
 pub mod prefix_keys;
 pub mod prelude;
+pub mod rate_limit;
 pub mod rollout;
 pub mod route;
 pub mod scheduler;
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -12,9 +12,11 @@
 /// Largest number of context events that are shown; the latest ones are kept.
 const MAX_CONTEXT_EVENTS: usize = 12;
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 16] = [
+const STATE_EVENTS: [&str; 18] = [
     "target_unreachable",
     "target_word",
+    "target_limit",
+    "target_limit_lifted",
     "target_unreadable",
     "config_in_force",
     "weights_named",
@@ -223,7 +225,9 @@
             out.push_str("what its entries came to believe before:\n");
         }
         for line in &self.around {
-            let about = ["target", "kind", "peer", "version", "store", "result"];
+            let about = [
+                "target", "per_s", "kind", "peer", "version", "store", "result",
+            ];
             let about = about.iter().map(|key| line.get(key));
             let about: Vec<&str> = about.filter(|v| !v.is_empty()).collect();
             let _ = writeln!(
--- /dev/null
+++ b/tests/rate_limit.rs
@@ -0,0 +1,113 @@
+//! Limits of targets: their values, and what an entry knows of them when answers arrive out of order.
+
+use guavahold::prelude::*;
+use guavahold::rate_limit::{LimitChange, LimitObservation, LimitTable, NamedLimit, RequestRate};
+
+fn ms(n: u64) -> Timestamp {
+    Timestamp::from_millis(n)
+}
+
+fn rate(text: &str) -> RequestRate {
+    text.parse().unwrap()
+}
+
+/// An observation of a limit, or of none, by a request sent and answered at these milliseconds.
+fn seen(limit: Option<&str>, sent: u64, received: u64) -> LimitObservation {
+    LimitObservation {
+        rate: limit.map(rate),
+        sent: ms(sent),
+        received: ms(received),
+    }
+}
+
+/// The rate known after observations in this order of arrival.
+fn known_after(observations: &[LimitObservation]) -> Option<RequestRate> {
+    let mut table = LimitTable::default();
+    for observation in observations {
+        table.observe(&"t".into(), *observation);
+    }
+    table.rate("t")
+}
+
+#[test]
+fn request_rate_parses_decimal_numbers() {
+    assert_eq!(rate("2.3"), RequestRate::from_thousandths(2_300));
+    assert_eq!(rate("17"), RequestRate::from_thousandths(17_000));
+    assert_eq!(rate("0"), RequestRate::from_thousandths(0));
+    assert_eq!(rate("0.0019"), RequestRate::from_thousandths(1));
+    let huge = "9".repeat(40);
+    assert_eq!(rate(&huge), RequestRate::from_thousandths(u32::MAX));
+}
+
+#[test]
+fn request_rate_rejects_what_is_no_decimal_number() {
+    let endless = "9".repeat(400);
+    let malformed = [
+        "", ".", "-1", "+1", "1e3", "inf", "NaN", "1,5", "1.2.3", "0x2", "2 3", &endless,
+    ];
+    for text in malformed {
+        assert!(text.parse::<RequestRate>().is_err(), "{text:?}");
+    }
+}
+
+#[test]
+fn named_limit_mentioned_twice_must_agree() {
+    let two = NamedLimit::Rate(rate("2"));
+    assert_eq!(NamedLimit::None.and(two), two);
+    assert_eq!(two.and(two), two);
+    let three = NamedLimit::Rate(rate("3"));
+    assert_eq!(two.and(three), NamedLimit::Unreadable);
+    assert_eq!(two.and(NamedLimit::Unreadable), NamedLimit::Unreadable);
+}
+
+#[test]
+fn observe_old_answer_lifts_no_newer_limit() {
+    let limit = seen(Some("2"), 100, 200);
+    assert_eq!(known_after(&[limit, seen(None, 150, 300)]), limit.rate);
+    assert_eq!(known_after(&[limit, seen(Some("9"), 199, 300)]), limit.rate);
+    assert_eq!(known_after(&[limit, seen(None, 200, 300)]), None);
+    let raised = seen(Some("9"), 200, 300);
+    assert_eq!(known_after(&[limit, raised]), raised.rate);
+}
+
+#[test]
+fn observe_stricter_limit_counts_unless_certainly_older() {
+    let limit = seen(Some("5"), 100, 200);
+    let overlapping = seen(Some("2"), 50, 120);
+    assert_eq!(known_after(&[limit, overlapping]), overlapping.rate);
+    let older = seen(Some("2"), 50, 100);
+    assert_eq!(known_after(&[limit, older]), limit.rate);
+    let lifted = seen(None, 300, 400);
+    let late = seen(Some("5"), 150, 250);
+    assert_eq!(known_after(&[limit, lifted, late]), None);
+}
+
+/// A limit that is named again and again must not stay known after the target has stopped.
+#[test]
+fn observe_repeated_limit_is_lifted_by_first_later_answer() {
+    let mut table = LimitTable::default();
+    for n in 0..10 {
+        let change = table.observe(&"t".into(), seen(Some("2"), n * 100, n * 100 + 90));
+        assert_eq!(change == LimitChange::None, n > 0);
+    }
+    assert_eq!(table.since("t"), Some(ms(90)));
+    let lifted = table.observe(&"t".into(), seen(None, 990, 1_050));
+    assert_eq!(lifted, LimitChange::Lifted);
+}
+
+/// A process that starts anew has no limit, whatever the former one under its name had.
+#[test]
+fn set_targets_forgets_limits_of_former_processes_and_gone_targets() {
+    let mut table = LimitTable::default();
+    table.set_targets(ms(0), [("t".into(), 7)]);
+    table.observe(&"t".into(), seen(Some("2"), 10, 20));
+    table.set_targets(ms(30), []);
+    table.set_targets(ms(60_000), [("t".into(), 7)]);
+    assert_eq!(table.rate("t"), Some(rate("2")), "its registration is back");
+    table.set_targets(ms(60_000), [("t".into(), 8)]);
+    assert_eq!(table.rate("t"), None, "it has started anew");
+    table.observe(&"t".into(), seen(Some("2"), 61_000, 61_100));
+    table.set_targets(ms(62_000), []);
+    table.set_targets(ms(62_000 + 120_000), []);
+    assert_eq!(table.rate("t"), None, "it is gone");
+}
