Keep together to the limit that a target names

Cause: no process read the header, and no place divided a rate that is stated for all VMs together.

Every scheduler now has a fixed share of the limit, which needs no agreement: entries that schedule alone divide nine tenths by the number of entries in the platform's store (live or not, since one that is only cut off goes on sending). Where a hub schedules for the target, the hub uses half and the entries together three tenths, so that two hubs at once stay within one and a half times the limit. A share is one request in each interval, lost after 500 ms, so that nothing is saved up for a surge; the intervals of the entries are offset by their rank. Entries gossip what targets name, with the ages of request and answer, so that an old answer lifts no newer limit. A send that was not counted against a limit that all should know by now is withheld at the one place that all sends pass; limited targets get no idle connection, since a request lost on one is sent twice.

--- a/src/domain_scheduler/message.rs
+++ b/src/domain_scheduler/message.rs
@@ -86,6 +86,9 @@
     /// Another target that is more likely to have the start of the prompt cached.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub neighbour: Option<SocketAddr>,
+    /// Whether the request was counted against a limit of the target.
+    #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
+    pub within_limit: bool,
     /// Work at the target in prompt tokens and requests there, for the log.
     #[serde(rename = "l", default)]
     pub load: (u32, u32),
@@ -104,6 +107,7 @@
             weights: self.weights,
             hedge: false,
             neighbour: self.neighbour,
+            within_limit: self.within_limit,
             estimate: LoadEstimate {
                 work,
                 requests,
--- a/src/domain_scheduler/server.rs
+++ b/src/domain_scheduler/server.rs
@@ -160,6 +160,7 @@
                 address,
                 weights,
                 neighbour,
+                within_limit,
                 estimate,
                 ..
             } => {
@@ -169,6 +170,7 @@
                     address,
                     weights,
                     neighbour,
+                    within_limit,
                     load: (estimate.work, estimate.requests),
                 };
                 (id, Decision::Dispatch(Box::new(grant)))
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -74,6 +74,8 @@
     pub weights: Option<u64>,
     /// Another target that is more likely to have the start of the prompt cached.
     pub neighbour: Option<SocketAddr>,
+    /// Whether the scheduler counted the request against a limit of the target.
+    pub within_limit: bool,
     /// Load estimate by which the target was chosen, for the log.
     pub estimate: LoadEstimate,
 }
@@ -114,10 +116,13 @@
         response: &mut CallerResponse<'_>,
     ) -> Result<TargetResponse, AttemptError> {
         let run_once = !self.request.route.is_repeatable();
-        let idle = self
-            .shared
-            .connections
-            .take(self.assignment.address, run_once);
+        // A request that an idle connection loses is sent again, which a limit does not allow for.
+        let idle = if self.assignment.within_limit {
+            None
+        } else {
+            let connections = &self.shared.connections;
+            connections.take(self.assignment.address, run_once)
+        };
         if let Some(stream) = idle {
             let result = self.exchange(stream, response).await;
             // The target may have closed the idle connection meanwhile, which is no failure of the
@@ -204,15 +209,18 @@
         }
     }
 
-    /// Whether the target still takes requests from this entry, and runs a version on which they may
-    /// still start.
+    /// Whether the target still takes requests from this entry, within its limit if it has one, and
+    /// runs a version on which they may still start.
     fn may_send(&self) -> bool {
         let prompt = self.request.head.prompt.as_ref();
         let outdated = match (prompt, self.assignment.weights) {
             (Some(prompt), Some(version)) => !self.shared.versions.permits(&prompt.model, version),
             _ => false,
         };
-        !outdated && self.shared.scheduler.may_send(&self.assignment.target)
+        let target = &self.assignment.target;
+        let limits = &self.shared.limits;
+        let exceeds = !self.assignment.within_limit && limits.binds_all(self.shared.now(), target);
+        !outdated && !exceeds && self.shared.scheduler.may_send(target)
     }
 
     fn encode(&self, response: &CallerResponse<'_>) -> Vec<u8> {
--- a/src/gateway/attempt_error.rs
+++ b/src/gateway/attempt_error.rs
@@ -20,7 +20,8 @@
 pub(crate) enum AttemptError {
     /// No connection to the target was made, so that no byte was sent.
     NotSent,
-    /// No byte was sent, since the target is leaving or asked for a pause.
+    /// No byte was sent, since the target is leaving, asked for a pause or has a limit against which
+    /// the request was not counted.
     Withheld,
     /// The target stated that it did not run the request.
     Refused(ResponseInfo),
@@ -50,7 +51,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent => f.write_str("not-sent (no connection)"),
-            Self::Withheld => f.write_str("withheld (the target is leaving or asked for a pause)"),
+            Self::Withheld => {
+                f.write_str("withheld (the target is leaving, paused or at its limit)")
+            }
             Self::Refused(info) if info.run == RunReport::Misdirected => {
                 let weights = info.weights.unwrap_or_default();
                 write!(f, "misdirected (another target or weights {weights})")
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -5,6 +5,7 @@
 mod orders;
 pub(crate) mod peers;
 mod periodic;
+mod rate_shares;
 mod state;
 mod store_cleanup;
 mod store_relay;
--- a/src/gateway/control/domain_scheduling.rs
+++ b/src/gateway/control/domain_scheduling.rs
@@ -6,6 +6,7 @@
 
 use crate::domain_scheduler::{DomainCapacity, DomainHub, SchedulerCall, SchedulerLinks};
 use crate::gateway::control::{Control, State, TargetReport};
+use crate::gateway::target_limits::TargetLimits;
 use crate::peer::PeerMessage;
 use crate::prelude::*;
 use crate::route::RouteTable;
@@ -20,6 +21,8 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(200);
 /// Fewest schedulers among which the saved-up retries are divided.
 const MIN_SCHEDULERS: u32 = 2;
+/// Slots with which a target counts that limits the requests sent to it.
+const SLOTS_OF_LIMITED_TARGET: u32 = 1;
 
 /// Links of the scheduler client to the hubs; the entry itself may be one.
 pub(crate) struct HubLinks(pub Weak<Control>);
@@ -130,7 +133,7 @@
     ) {
         if state.uses_hubs() {
             let client = &self.shared.scheduler_client;
-            client.set_capacities(capacities(state, reports));
+            client.set_capacities(capacities(state, reports, &self.shared.limits));
         }
         if !self.domain_scheduler.is_active() {
             return;
@@ -169,7 +172,11 @@
 }
 
 /// Slots and running requests of each failure domain, by model.
-fn capacities(state: &State, reports: &[TargetReport]) -> Vec<DomainCapacity> {
+fn capacities(
+    state: &State,
+    reports: &[TargetReport],
+    limits: &TargetLimits,
+) -> Vec<DomainCapacity> {
     let mut capacities: Vec<DomainCapacity> = Vec::new();
     for report in reports {
         let Some(target) = state.targets.get(&report.target) else {
@@ -179,17 +186,22 @@
         if info.leaving || report.report.weights.is_empty() {
             continue;
         }
+        let slots = if limits.is_limited(&report.target) {
+            target.slots.min(SLOTS_OF_LIMITED_TARGET)
+        } else {
+            target.slots
+        };
         let known = capacities
             .iter_mut()
             .find(|c| c.domain == info.domain && c.serves == info.serves);
         if let Some(capacity) = known {
-            capacity.slots += target.slots;
+            capacity.slots += slots;
             capacity.requests += report.report.running;
         } else {
             capacities.push(DomainCapacity {
                 domain: info.domain.clone(),
                 serves: info.serves.clone(),
-                slots: target.slots,
+                slots,
                 requests: report.report.running,
             });
         }
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -50,6 +50,7 @@
                     .collect()
             },
             retired_below: (retired.all_below, retired.half_below),
+            limits: self.shared.limits.reports(now),
         }
     }
 
@@ -90,6 +91,7 @@
         if changed {
             self.submit_targets(state);
         }
+        self.shared.limits.merge(now, peer, &status.limits);
         for target in state.targets_by_hash(&status.unreachable_targets) {
             self.submit_signal(target, Signal::ReportedUnreachable);
         }
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -64,6 +64,7 @@
         } else {
             self.submit_reports(&mut state);
         }
+        self.submit_rate_shares(&mut state);
         self.shared.versions.set(&state.versions, now);
         if state.rollout.outdated_count() > 0 {
             self.submit_rollout_loads(&mut state);
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -1,6 +1,6 @@
 //! State of a gateway's control tasks.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use crate::context_store::RetirementTracker;
 use crate::gateway::{
@@ -48,6 +48,8 @@
     peer_cordons: HashMap<Name, (Timestamp, Vec<u32>)>,
     /// Targets that get no new work because their weight version is unknown, and until when.
     paused_targets: HashMap<Name, Timestamp>,
+    /// Targets of whose limits the schedulers have shares.
+    pub limited_targets: BTreeSet<Name>,
     /// Live entries that are not draining, excluding this one.
     pub peers: Vec<Name>,
     /// The entries in `peers`, as candidates for hubs.
@@ -81,6 +83,7 @@
             reported_versions: BTreeMap::new(),
             peer_cordons: HashMap::new(),
             paused_targets: HashMap::new(),
+            limited_targets: BTreeSet::new(),
             peers: Vec::new(),
             hub_candidates: Vec::new(),
             hub_selector: HubSelector::default(),
--- a/src/gateway/hub_aggregator.rs
+++ b/src/gateway/hub_aggregator.rs
@@ -72,15 +72,15 @@
         self.digests.retain(|_, (at, _)| now < *at + STATUS_TTL);
         let mut domain = GatewayDigest::from_status(name_hash(&own.entry), own_status);
         domain.hubs.push(own.clone());
-        for (entry, (_, status)) in &self.statuses {
-            domain.merge(&GatewayDigest::from_status(
-                name_hash(entry),
-                status.clone(),
-            ));
+        for (entry, (at, status)) in &self.statuses {
+            let status = status.clone().aged_by(now.saturating_sub(*at));
+            domain.merge(&GatewayDigest::from_status(name_hash(entry), status));
         }
         let mut all = domain.clone();
-        for (_, digest) in self.digests.values() {
-            all.merge(digest);
+        for (at, digest) in self.digests.values() {
+            let mut digest = digest.clone();
+            digest.merged = digest.merged.aged_by(now.saturating_sub(*at));
+            all.merge(&digest);
         }
         domain.store_updates = std::mem::take(&mut self.for_hubs);
         all.store_updates = std::mem::take(&mut self.for_entries);
--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -100,11 +100,13 @@
                     address,
                     weights,
                     neighbour,
+                    within_limit,
                     estimate,
                     ..
                 }) => {
                     let assignment = Assignment {
                         neighbour,
+                        within_limit,
                         estimate,
                         number: attempt,
                         weights: version_of(&weights),
--- a/src/gateway/target_limits.rs
+++ b/src/gateway/target_limits.rs
@@ -4,7 +4,9 @@
 
 use crate::gateway::ResponseInfo;
 use crate::prelude::*;
-use crate::rate_limit::{LimitChange, LimitObservation, LimitTable, NamedLimit};
+use crate::rate_limit::{
+    LimitChange, LimitObservation, LimitReport, LimitTable, NamedLimit, TargetLimit,
+};
 
 /// When a request was sent, and when the head of its response arrived.
 #[derive(Clone, Copy, Debug)]
@@ -15,6 +17,10 @@
     pub received: Timestamp,
 }
 
+/// Time after a limit was first known from which every scheduler counts requests against it: entries
+/// tell each other within that time.
+const SPREADING_TIME: Duration = Duration::from_secs(1);
+
 /// Known limits of targets, shared by the request and control tasks.
 #[derive(Debug, Default)]
 pub(crate) struct TargetLimits(Mutex<LimitTable>);
@@ -50,6 +56,37 @@
         self.lock().set_targets(now, targets);
     }
 
+    /// Whether a target has a limit that every scheduler should know by now.
+    pub(crate) fn binds_all(&self, now: Timestamp, target: &str) -> bool {
+        let since = self.lock().since(target);
+        since.is_some_and(|since| now >= since + SPREADING_TIME)
+    }
+
+    /// Whether a target has a limit.
+    pub(crate) fn is_limited(&self, target: &str) -> bool {
+        self.lock().rate(target).is_some()
+    }
+
+    /// The limits that are in force.
+    pub(crate) fn in_force(&self) -> Vec<TargetLimit> {
+        self.lock().in_force().collect()
+    }
+
+    /// Reports for the peers.
+    pub(crate) fn reports(&self, now: Timestamp) -> Vec<LimitReport> {
+        self.lock().reports(now)
+    }
+
+    /// Records the reports of a peer.
+    pub(crate) fn merge(&self, now: Timestamp, peer: &str, reports: &[LimitReport]) {
+        for report in reports {
+            let changed = self.lock().merge(now, report);
+            if let Some((target, change)) = changed {
+                log_change(&target, change, peer);
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, LimitTable> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -12,11 +12,12 @@
 /// Largest number of context events that are shown; the latest ones are kept.
 const MAX_CONTEXT_EVENTS: usize = 12;
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 18] = [
+const STATE_EVENTS: [&str; 19] = [
     "target_unreachable",
     "target_word",
     "target_limit",
     "target_limit_lifted",
+    "target_limit_shared",
     "target_unreadable",
     "config_in_force",
     "weights_named",
--- a/src/peer/gateway_status.rs
+++ b/src/peer/gateway_status.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::TargetLoad;
+use crate::prelude::*;
+use crate::rate_limit::LimitReport;
 
 /// State of one entry, sent at short intervals; it replaces the entry's earlier one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -33,11 +35,23 @@
     /// time since the declaration in milliseconds.
     #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
     pub declared_versions: Vec<(u32, u64, u64)>,
+    /// Limits that targets set on the requests sent to them.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitReport>,
 }
 
 impl GatewayStatus {
-    /// Merges another entry's state: sums of loads, unions of target sets, newest versions, largest
-    /// ages and highest bounds of retired context. The revisions stay as they are.
+    /// This state some time after it was received: what it says of limits is so much older.
+    #[must_use]
+    pub fn aged_by(mut self, time: Duration) -> Self {
+        for limit in &mut self.limits {
+            *limit = limit.aged_by(time);
+        }
+        self
+    }
+
+    /// Merges another entry's state: sums of loads, unions of target sets, newest versions and
+    /// limits, largest ages and highest bounds of retired context. The revisions stay as they are.
     pub fn merge(&mut self, other: &Self) {
         for (target, load) in &other.loads {
             match self.loads.iter_mut().find(|(key, _)| key == target) {
@@ -72,6 +86,13 @@
                 None => self.declared_versions.push((*model, *version, *age)),
             }
         }
+        for limit in &other.limits {
+            let mut known = self.limits.iter_mut();
+            match known.find(|known| known.target == limit.target) {
+                Some(known) => *known = known.merge(*limit),
+                None => self.limits.push(*limit),
+            }
+        }
         self.retired_below.0 = self.retired_below.0.max(other.retired_below.0);
         self.retired_below.1 = self.retired_below.1.max(other.retired_below.1);
     }
--- a/src/rate_limit/observation.rs
+++ b/src/rate_limit/observation.rs
@@ -50,6 +50,17 @@
         }
     }
 
+    /// Whether another observation takes the place of this one: if it is stricter unless it is
+    /// certainly older, if it is looser only if it is certainly newer.
+    #[must_use]
+    pub fn is_replaced_by(&self, new: &Self) -> bool {
+        if new.is_stricter_than(self) {
+            !self.is_after(new)
+        } else {
+            new.is_after(self)
+        }
+    }
+
     /// Whether the response was certainly generated after that of another observation.
     #[must_use]
     pub fn is_after(&self, other: &Self) -> bool {
--- a/src/rate_limit/table.rs
+++ b/src/rate_limit/table.rs
@@ -3,11 +3,13 @@
 use std::collections::HashMap;
 
 use crate::prelude::*;
-use crate::rate_limit::{LimitObservation, RequestRate};
+use crate::rate_limit::{LimitObservation, LimitReport, RequestRate, millis, process_hash};
 
 /// Time for which the limit of a target that is no longer listed is remembered, since its
 /// registration may come back.
 const UNLISTED_TIME: Duration = Duration::from_mins(2);
+/// Time for which the end of a limit is remembered and reported.
+const LIFTED_TIME: Duration = Duration::from_secs(30);
 
 /// A target's newest limit.
 #[derive(Clone, Copy, Debug)]
@@ -33,13 +35,26 @@
     Lifted,
 }
 
-/// The limits of targets, by name. Observations arrive out of order: a stricter one counts unless it
-/// is certainly older, a looser one only if it is certainly newer.
+/// A limit that is in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetLimit {
+    /// Name of the target.
+    pub target: Name,
+    /// The limit.
+    pub rate: RequestRate,
+    /// When it was first known.
+    pub since: Timestamp,
+}
+
+/// The limits of targets, by name; observations may arrive out of order
+/// (see [`LimitObservation::is_replaced_by`]).
 #[derive(Debug, Default)]
 pub struct LimitTable {
     known: HashMap<Name, KnownLimit>,
     /// Start of the process of each listed target.
     listed: HashMap<Name, u64>,
+    /// Names of the listed targets by [`process_hash`].
+    by_hash: HashMap<u32, Name>,
 }
 
 impl LimitTable {
@@ -48,6 +63,10 @@
     pub fn set_targets(&mut self, now: Timestamp, targets: impl IntoIterator<Item = (Name, u64)>) {
         self.listed = targets.into_iter().collect();
         let listed = &self.listed;
+        let hashes = listed.iter();
+        self.by_hash = hashes
+            .map(|(name, started_ms)| (process_hash(name, *started_ms), name.clone()))
+            .collect();
         self.known.retain(|name, known| match listed.get(name) {
             Some(started_ms) => {
                 known.unlisted_since = None;
@@ -71,13 +90,7 @@
             known.observation.received = old.received.max(new.received);
             return LimitChange::None;
         }
-        let is_outdated = old.is_after(&new);
-        let counts = if new.is_stricter_than(&old) {
-            !is_outdated
-        } else {
-            new.is_after(&old)
-        };
-        if !counts {
+        if !old.is_replaced_by(&new) {
             return LimitChange::None;
         }
         known.observation = new;
@@ -102,6 +115,48 @@
         LimitChange::Named(rate)
     }
 
+    /// Records a peer's report; returns the target and what changed, unless nothing did.
+    pub fn merge(&mut self, now: Timestamp, report: &LimitReport) -> Option<(Name, LimitChange)> {
+        let name = self.by_hash.get(&report.target)?.clone();
+        let change = self.observe(&name, report.observation(now));
+        if let Some(known) = self.known.get_mut(&name)
+            && report.rate.is_some()
+            && known.observation.rate.is_some()
+        {
+            known.since = known.since.min(report.since(now));
+        }
+        (change != LimitChange::None).then_some((name, change))
+    }
+
+    /// Reports on all limits, and on those that ended lately, for the peers.
+    pub fn reports(&mut self, now: Timestamp) -> Vec<LimitReport> {
+        self.known.retain(|_, known| {
+            let observation = known.observation;
+            observation.rate.is_some() || now < observation.received + LIFTED_TIME
+        });
+        let known = self.known.iter();
+        known
+            .map(|(name, known)| LimitReport {
+                target: process_hash(name, known.started_ms),
+                rate: known.observation.rate,
+                sent_ms: millis(now.saturating_sub(known.observation.sent)),
+                received_ms: millis(now.saturating_sub(known.observation.received)),
+                since_ms: millis(now.saturating_sub(known.since)),
+            })
+            .collect()
+    }
+
+    /// The limits that are in force.
+    pub fn in_force(&self) -> impl Iterator<Item = TargetLimit> {
+        self.known.iter().filter_map(|(name, known)| {
+            Some(TargetLimit {
+                target: name.clone(),
+                rate: known.observation.rate?,
+                since: known.since,
+            })
+        })
+    }
+
     /// The limit of a target, if it has one.
     #[must_use]
     pub fn rate(&self, target: &str) -> Option<RequestRate> {
--- a/src/scheduler/effect.rs
+++ b/src/scheduler/effect.rs
@@ -26,6 +26,9 @@
         weights: Name,
         /// Whether an earlier attempt of the request is still running.
         hedge: bool,
+        /// Whether the request was counted against a limit of the target.
+        #[serde(skip)]
+        within_limit: bool,
         /// Another target that is more likely to have the start of the prompt cached.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         neighbour: Option<SocketAddr>,
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -8,6 +8,7 @@
 use crate::http::RunState;
 use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
+use crate::rate_limit::RateShare;
 use crate::target::LoadReport;
 
 /// Number of a request, unique within one entry process.
@@ -201,6 +202,14 @@
         /// What it learned.
         signal: Signal,
     },
+    /// This scheduler's share of the limit that a target set on the requests sent to it changed.
+    #[serde(skip)]
+    RateShare {
+        /// Name of the target.
+        target: Name,
+        /// The share; `None` when the target has no limit.
+        share: Option<RateShare>,
+    },
     /// The catalog in force changed.
     Catalog(Arc<Catalog>),
     /// Number of entries that share the targets and the retry budget, this one included. The
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -15,6 +15,7 @@
 use std::collections::HashMap;
 
 use crate::prelude::*;
+use crate::rate_limit::{RateShare, ShareMeter};
 use crate::scheduler::{Placement, RetryBurst, SchedulerSettings};
 
 pub(crate) use free_set::FreeSet;
@@ -138,7 +139,8 @@
             return;
         };
         let slots = self.slots(now, target);
-        let free = target.takes_work(now) && target.load.has_room(now, slots, self.entries);
+        let has_room = target.load.has_room(now, slots, self.entries);
+        let free = target.takes_work(now) && has_room && target.is_within_limit(now);
         if free == target.free {
             return;
         }
@@ -177,6 +179,41 @@
         self.refresh(now, ix);
     }
 
+    /// Sets the share of a target's limit; returns whether it changed.
+    pub(crate) fn set_rate_share(
+        &mut self,
+        now: Timestamp,
+        ix: TargetIx,
+        share: Option<RateShare>,
+    ) -> bool {
+        let Some(target) = self.get_mut(ix) else {
+            return false;
+        };
+        if target.rate_share.map(|meter| meter.share()) == share {
+            return false;
+        }
+        target.rate_share = match (target.rate_share, share) {
+            (Some(mut meter), Some(share)) => {
+                meter.set_share(share);
+                Some(meter)
+            }
+            (_, share) => share.map(ShareMeter::new),
+        };
+        self.refresh(now, ix);
+        true
+    }
+
+    /// Requests per second that the limits of a pool's targets permit; `None` if any target without
+    /// a limit may take work.
+    pub(crate) fn limited_rate(&self, pool: PoolIx) -> Option<f64> {
+        let targets = self.pool(pool).groups[0].all.iter();
+        let targets = targets.filter_map(|ix| self.get(ix));
+        let usable = targets.filter(|t| t.health.may_recover());
+        let rates = usable.map(|t| t.rate_share.map(|meter| meter.share().per_second()));
+        let sum: Option<f64> = rates.sum();
+        sum.filter(|rate| *rate > 0.0)
+    }
+
     /// Records that a prompt was sent to a target, which then has its shared start cached.
     pub(crate) fn record_prefix(&mut self, ix: TargetIx, key: u64, shared_tokens: u32) {
         if self.placement != Placement::LeastWorkOfAll || shared_tokens == 0 {
@@ -195,6 +232,9 @@
     pub(crate) fn take_slot(&mut self, now: Timestamp, ix: TargetIx, size: AttemptSize) {
         if let Some(target) = self.get_mut(ix) {
             target.load.add_attempt(size);
+            if let Some(meter) = &mut target.rate_share {
+                meter.record_use(now);
+            }
             let pool = target.pool;
             self.pools[pool.0].in_flight += 1;
         }
--- a/src/scheduler/fleet/selection.rs
+++ b/src/scheduler/fleet/selection.rs
@@ -65,7 +65,7 @@
             };
             if let Some(isolation) = query.isolate {
                 if let Some(ix) = self.isolation_target(now, group, isolation) {
-                    return self.can_isolate_at(ix).then(|| (ix, weights.clone()));
+                    return self.can_isolate_at(now, ix).then(|| (ix, weights.clone()));
                 }
             } else if let Some(ix) = self.select_in_group(now, group, query, rng) {
                 return Some((ix, weights.clone()));
@@ -74,8 +74,8 @@
         None
     }
 
-    /// Selects the least utilized of the candidates for `key` that take work, even when it has no
-    /// room.
+    /// Selects the least utilized of the candidates for `key` that take work and whose limit
+    /// permits a request, even when it has no room.
     pub(crate) fn select_ignoring_room(
         &self,
         now: Timestamp,
@@ -90,7 +90,7 @@
             let candidates = pool.group(weights)?.all.candidates(key);
             let usable = candidates
                 .into_iter()
-                .filter(|ix| self.takes_work(now, *ix));
+                .filter(|ix| self.may_get_work(now, *ix));
             let best = usable.min_by(|a, b| {
                 self.utilization(now, *a)
                     .total_cmp(&self.utilization(now, *b))
@@ -99,8 +99,9 @@
         })
     }
 
-    fn takes_work(&self, now: Timestamp, ix: TargetIx) -> bool {
-        self.get(ix).is_some_and(|t| t.takes_work(now))
+    fn may_get_work(&self, now: Timestamp, ix: TargetIx) -> bool {
+        self.get(ix)
+            .is_some_and(|t| t.takes_work(now) && t.is_within_limit(now))
     }
 
     /// The target at which every entry isolates a suspected request: the first in the rendezvous
@@ -119,9 +120,9 @@
     }
 
     /// Whether a target has room and runs no suspected request of this entry.
-    fn can_isolate_at(&self, ix: TargetIx) -> bool {
+    fn can_isolate_at(&self, now: Timestamp, ix: TargetIx) -> bool {
         self.get(ix)
-            .is_some_and(|t| t.free && t.suspected_requests == 0)
+            .is_some_and(|t| t.has_room(now) && t.suspected_requests == 0)
     }
 
     /// Selects a target with room: of the only ones allowed, else the first candidate in the
@@ -134,7 +135,7 @@
         query: &PlacementQuery<'_>,
         rng: &mut fastrand::Rng,
     ) -> Option<TargetIx> {
-        let allowed = |ix: &TargetIx| self.get(*ix).is_some_and(|t| t.free);
+        let allowed = |ix: &TargetIx| self.get(*ix).is_some_and(|t| t.has_room(now));
         if !query.only.is_empty() {
             let fits = |ix: &TargetIx| {
                 let target = self.get(*ix);
@@ -155,7 +156,7 @@
             .or_else(|| self.two_choices(now, &group.free, rng));
         let any = any.filter(untried);
         any.or_else(|| group.all.candidates(query.key).into_iter().find(untried))
-            .or_else(|| self.two_choices(now, &group.free, rng))
+            .or_else(|| self.two_choices(now, &group.free, rng).filter(allowed))
     }
 
     /// Candidates for a prompt: its home targets and random ones. Entries learn of each other's
@@ -200,7 +201,7 @@
         rng: &mut fastrand::Rng,
     ) -> Option<(TargetIx, Name)> {
         let all = &pool.groups[0];
-        let free = |ix: &TargetIx| self.get(*ix).is_some_and(|t| t.free);
+        let free = |ix: &TargetIx| self.get(*ix).is_some_and(|t| t.has_room(now));
         let untried = |ix: &TargetIx| free(ix) && !query.avoid.contains(ix);
         let knows_all = self.placement == Placement::LeastWorkOfAll;
         let sampled = if knows_all {
--- a/src/scheduler/fleet/target.rs
+++ b/src/scheduler/fleet/target.rs
@@ -1,6 +1,7 @@
 //! State of one target.
 
 use crate::prelude::*;
+use crate::rate_limit::ShareMeter;
 use crate::scheduler::TargetInfo;
 use crate::scheduler::fleet::{Health, Load, PoolIx, PrefixCache, mix};
 
@@ -33,6 +34,10 @@
     pub(crate) prefixes: PrefixCache,
     /// Number of suspected requests that it runs for this entry.
     pub(crate) suspected_requests: u32,
+    /// Use of the share of the limit that it set on the requests sent to it.
+    pub(crate) rate_share: Option<ShareMeter>,
+    /// When it is next recomputed what the share permits.
+    pub(crate) share_refresh_at: Option<Timestamp>,
 }
 
 impl Target {
@@ -52,6 +57,8 @@
             prefixes: PrefixCache::default(),
             weights: Vec::new(),
             suspected_requests: 0,
+            rate_share: None,
+            share_refresh_at: None,
             info,
         }
     }
@@ -66,6 +73,16 @@
         self.listed && self.health.takes_work(now)
     }
 
+    /// Whether the limit that the target set, if any, permits one more request now.
+    pub(crate) fn is_within_limit(&self, now: Timestamp) -> bool {
+        self.rate_share.is_none_or(|meter| meter.permits(now))
+    }
+
+    /// Whether the target has room for a request, as last computed, and its limit permits one now.
+    pub(crate) fn has_room(&self, now: Timestamp) -> bool {
+        self.free && self.is_within_limit(now)
+    }
+
     /// Whether the target has a weight version ready; the empty version fits every target.
     pub(crate) fn has_weights(&self, weights: &str) -> bool {
         weights.is_empty() || self.load.report.weights.iter().any(|w| **w == *weights)
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -5,6 +5,7 @@
 mod failover;
 mod hedge;
 mod outcome;
+mod rate_share;
 mod refuse;
 mod signal;
 mod timers;
@@ -86,6 +87,7 @@
             Event::Targets(list) => self.apply_list(list, effects),
             Event::Report { target, report } => self.apply_report(&target, report),
             Event::Signal { target, signal } => self.apply_signal(&target, signal, effects),
+            Event::RateShare { target, share } => self.apply_rate_share(&target, share),
             Event::Catalog(catalog) => self.catalog = catalog,
             Event::EntryCount(n) => self.apply_entry_count(n),
             Event::Quarantine {
--- a/src/scheduler/machine/dispatch.rs
+++ b/src/scheduler/machine/dispatch.rs
@@ -172,6 +172,7 @@
             t.suspected_requests += 1;
         }
         self.fleet.take_slot(self.now, target, size);
+        self.schedule_share_refresh(target);
     }
 
     fn push_dispatch(
@@ -202,6 +203,7 @@
             address: target.info.address,
             weights,
             hedge,
+            within_limit: target.rate_share.is_some(),
         });
     }
 
--- a/src/scheduler/machine/refuse.rs
+++ b/src/scheduler/machine/refuse.rs
@@ -149,11 +149,7 @@
         let customer = req.arrival.customer.clone();
         let fingerprint = req.arrival.fingerprint;
         let weight = self.customer_weight(&customer);
-        let rate = self
-            .fleet
-            .pool(pool)
-            .drain_rate()
-            .unwrap_or(DEFAULT_DRAIN_RATE);
+        let rate = self.drain_rate(pool).unwrap_or(DEFAULT_DRAIN_RATE);
         let queue = &mut self.lanes[pool.0][lane];
         let share = queue.class_share(class) * queue.class(class).rate_share(&customer, weight);
         let gap = Duration::from_secs_f64(1.0 / (rate * share * RETURNING_CALLER_SHARE).max(1e-3));
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -247,6 +247,7 @@
         {
             self.schedule_ramp_step(ix);
         }
+        self.schedule_share_refresh(ix);
     }
 
     pub(super) fn mark_pool_dirty(&mut self, ix: TargetIx) {
--- a/src/scheduler/machine/wait_prediction.rs
+++ b/src/scheduler/machine/wait_prediction.rs
@@ -28,7 +28,7 @@
     /// rate; `None` when no drain rate is known.
     fn predicted_wait(&self, id: RequestId, pool: PoolIx, lane: usize) -> Option<f64> {
         let req = self.requests.get(&id)?;
-        let rate = self.fleet.pool(pool).drain_rate()?;
+        let rate = self.drain_rate(pool)?;
         let class = req.arrival.policy.class;
         let lane = &self.lanes[pool.0][lane];
         let queue = lane.class(class);
--- a/tests/domain_scheduler/client.rs
+++ b/tests/domain_scheduler/client.rs
@@ -84,6 +84,7 @@
             address: "127.0.0.1:1".parse().unwrap(),
             weights: "v1".into(),
             neighbour: None,
+            within_limit: false,
             load: (0, 0),
         };
         self.reply(hub, id, Decision::Dispatch(Box::new(grant)));
