Log which software version a target runs and which stream a request takes up

Registrations carry the version of a target's software, dispatches and grants pass it on, attempts log it, and request_ended names what it resumes. Nothing depends on it yet.

--- a/src/domain_scheduler/message.rs
+++ b/src/domain_scheduler/message.rs
@@ -86,6 +86,9 @@
     /// Another target that is more likely to have the start of the prompt cached.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub neighbour: Option<SocketAddr>,
+    /// Version of the target's software; empty when unknown.
+    #[serde(rename = "v", default)]
+    pub software: Name,
     /// Whether the request was counted against a limit of the target.
     #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
     pub within_limit: bool,
@@ -108,6 +111,7 @@
             hedge: false,
             neighbour: self.neighbour,
             within_limit: self.within_limit,
+            software: self.software,
             estimate: LoadEstimate {
                 work,
                 requests,
--- a/src/domain_scheduler/server.rs
+++ b/src/domain_scheduler/server.rs
@@ -161,6 +161,7 @@
                 weights,
                 neighbour,
                 within_limit,
+                software,
                 estimate,
                 ..
             } => {
@@ -171,6 +172,7 @@
                     weights,
                     neighbour,
                     within_limit,
+                    software,
                     load: (estimate.work, estimate.requests),
                 };
                 (id, Decision::Dispatch(Box::new(grant)))
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -374,5 +374,6 @@
         serves: vm.serves.clone(),
         leaving: vm.phase == VmPhase::Leaving,
         started_ms: 0,
+        software: Name::default(),
     })
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -72,6 +72,8 @@
     pub address: SocketAddr,
     /// Weight version that must run the request; `None` for plain services.
     pub weights: Option<u64>,
+    /// Version of the target's software; empty when unknown.
+    pub software: Name,
     /// Another target that is more likely to have the start of the prompt cached.
     pub neighbour: Option<SocketAddr>,
     /// Whether the scheduler counted the request against a limit of the target.
--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -101,12 +101,14 @@
                     weights,
                     neighbour,
                     within_limit,
+                    software,
                     estimate,
                     ..
                 }) => {
                     let assignment = Assignment {
                         neighbour,
                         within_limit,
+                        software,
                         estimate,
                         number: attempt,
                         weights: version_of(&weights),
@@ -249,6 +251,7 @@
         self.request_log.push(AttemptRecord {
             target: assignment.target.clone(),
             weights: assignment.weights,
+            software: assignment.software.clone(),
             started_after: started.saturating_duration_since(self.request.arrived),
             duration: started.elapsed(),
             transfers: (counts / FETCH_COUNT_FACTOR, counts % FETCH_COUNT_FACTOR),
--- a/src/gateway/request_head.rs
+++ b/src/gateway/request_head.rs
@@ -63,6 +63,9 @@
     pub prompt: Option<Prompt>,
     /// ID of the last event that the caller has received in an earlier response.
     pub last_event: Option<u64>,
+    /// ID of the request whose response brought the first event of the stream that the caller takes
+    /// up again.
+    pub resumes: Option<Name>,
     /// Header lines that are forwarded unchanged, each with its line end.
     pub forwarded_headers: Vec<u8>,
 }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -65,6 +65,8 @@
     pub target: Name,
     /// Requested weight version.
     pub weights: Option<u64>,
+    /// Version of the target's software; empty when unknown.
+    pub software: Name,
     /// Time from the request's arrival to the attempt's start.
     pub started_after: Duration,
     /// Duration of the attempt.
@@ -142,11 +144,13 @@
         let id = &request.head.id;
         for (n, record) in self.0.iter().enumerate() {
             log::info!(
-                "event=attempt request={id} number={} target={} weights={} work={} requests={} \
+                "event=attempt request={id} number={} target={} weights={} software={} work={} \
+                 requests={} \
                  age_ms={} home_work={} after_ms={} took_ms={} fetched={} saved={} result={:?}",
                 n + 1,
                 record.target,
                 record.weights.unwrap_or_default(),
+                record.software,
                 record.estimate.work,
                 record.estimate.requests,
                 record.estimate.age.map_or(-1, millis),
@@ -164,7 +168,7 @@
         log::info!(
             "event=request_ended request={id} route={} service={} customer={} tokens={tokens} \
              waited_ms={} first_ms={first_ms} took_ms={} deadline_ms={} scheduler={scheduler} \
-             attempts={} {end}",
+             resumes={:?} attempts={} {end}",
             request.route.name,
             request.service,
             request.holder.as_ref().map_or("-", |h| &*h.customer),
@@ -174,6 +178,7 @@
                 .as_millis(),
             request.age().as_millis(),
             timeout.as_millis(),
+            request.head.resumes.as_deref().unwrap_or("-"),
             self.0.len()
         );
     }
--- a/src/scheduler/effect.rs
+++ b/src/scheduler/effect.rs
@@ -26,6 +26,9 @@
         weights: Name,
         /// Whether an earlier attempt of the request is still running.
         hedge: bool,
+        /// Version of the target's software; empty when unknown.
+        #[serde(skip)]
+        software: Name,
         /// Whether the request was counted against a limit of the target.
         #[serde(skip)]
         within_limit: bool,
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -83,6 +83,10 @@
     /// has started anew counts as another one.
     #[serde(default)]
     pub started_ms: u64,
+    /// Version of the software that it runs; empty when unknown. A stream can go on only at the
+    /// version that began it.
+    #[serde(default)]
+    pub software: Name,
 }
 
 /// What an entry learned about a target, by itself or from a peer.
--- a/src/scheduler/fleet/updates.rs
+++ b/src/scheduler/fleet/updates.rs
@@ -48,6 +48,7 @@
                 && t.info.serves == info.serves
                 && t.info.domain == info.domain
                 && t.info.started_ms == info.started_ms
+                && t.info.software == info.software
         })
     }
 
--- a/src/scheduler/machine/dispatch.rs
+++ b/src/scheduler/machine/dispatch.rs
@@ -204,6 +204,7 @@
             weights,
             hedge,
             within_limit: target.rate_share.is_some(),
+            software: target.info.software.clone(),
         });
     }
 
--- a/tests/domain_scheduler/client.rs
+++ b/tests/domain_scheduler/client.rs
@@ -85,6 +85,7 @@
             weights: "v1".into(),
             neighbour: None,
             within_limit: false,
+            software: "v1".into(),
             load: (0, 0),
         };
         self.reply(hub, id, Decision::Dispatch(Box::new(grant)));
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -96,6 +96,7 @@
             serves: "llm".into(),
             leaving,
             started_ms: 0,
+            software: Name::default(),
         },
         slots: 4,
         weights: std::iter::once(("m".into(), 1)).collect(),
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -169,6 +169,7 @@
             serves: "salon".into(),
             leaving: false,
             started_ms: 0,
+            software: Name::default(),
         };
         let infos = self.reports.keys().map(info).collect();
         self.submit(entry, OrderEvent::Catalog(catalog.clone()), delay);
--- a/tests/order_controller.rs
+++ b/tests/order_controller.rs
@@ -110,6 +110,7 @@
         serves: "salon".into(),
         leaving: false,
         started_ms: 0,
+        software: "v1".into(),
     };
     let targets: Vec<_> = engines.iter().enumerate().map(info).collect();
     let run = controller.clone();
--- a/tests/placement_load.rs
+++ b/tests/placement_load.rs
@@ -157,6 +157,7 @@
                 serves: "llm".into(),
                 leaving: false,
                 started_ms: 0,
+                software: Name::default(),
             })
             .collect();
         let scheduler = |n: usize| {
--- a/tests/probe_assignment.rs
+++ b/tests/probe_assignment.rs
@@ -16,6 +16,7 @@
         serves: "router".into(),
         leaving: false,
         started_ms: 0,
+        software: Name::default(),
     };
     (0..count).map(target).collect()
 }
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -25,6 +25,7 @@
             serves: "llm".into(),
             leaving: false,
             started_ms,
+            software: "v1".into(),
         },
         slots: 4,
         weights: std::iter::once(("m".into(), 1)).collect(),
--- a/tests/scheduler/simulation.rs
+++ b/tests/scheduler/simulation.rs
@@ -42,6 +42,7 @@
         serves: "chat".into(),
         leaving: false,
         started_ms: 0,
+        software: Name::default(),
     }
 }
 
