Let a stream go on only at the software version that began it

Cause: resumed requests were placed like new ones. Nothing read Resumes, no entry knew at which version a stream began, and within one answer the next attempt took any target with room.

The version is part of a target; a request that goes on with a stream requires it, in the scheduler of the entry, of the hub and after a fall-back, and once more at the one place that all sends pass. A pool without a target of that version refuses at once. The entry that relays the first event tells others before the caller sees it: all of them with the next status in a small system, two keepers by rendezvous hash in a large one, in different failure domains. A stream that is not known here is asked for and awaited for 250 ms, then refused as not run. The key has the customer and the path, since callers choose request IDs; two versions under one key make it unknown. Without Resumes a stream goes on only if the service has had one version since this process started, or for a minute.

--- a/src/caller/arrival.rs
+++ b/src/caller/arrival.rs
@@ -35,6 +35,7 @@
         output_tokens: 0,
         max_attempts: 0,
         resumable: false,
+        software: None,
         objective: Duration::ZERO,
     }
 }
--- a/src/domain_scheduler/remote_arrival.rs
+++ b/src/domain_scheduler/remote_arrival.rs
@@ -58,6 +58,9 @@
     /// Whether another target may continue a stream that broke off.
     #[serde(rename = "r", default)]
     pub resumable: bool,
+    /// Software version that must run the request.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<Name>,
     /// Latency objective, in milliseconds; zero for none.
     #[serde(rename = "l", default)]
     pub objective_ms: u64,
@@ -82,6 +85,7 @@
             output_tokens: arrival.output_tokens,
             max_attempts: arrival.max_attempts,
             resumable: arrival.resumable,
+            software: arrival.software.clone(),
             objective_ms: u64::try_from(arrival.objective.as_millis()).unwrap_or(u64::MAX),
         }
     }
@@ -112,6 +116,7 @@
             output_tokens: self.output_tokens,
             max_attempts: self.max_attempts,
             resumable: self.resumable,
+            software: self.software,
             objective: Duration::from_millis(self.objective_ms),
         }
     }
--- a/src/domain_scheduler/scheduled_request.rs
+++ b/src/domain_scheduler/scheduled_request.rs
@@ -36,7 +36,7 @@
 }
 
 /// What happened to a request so far, as far as the entry knows.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct History {
     /// Attempts of which anything was sent.
     sent: u32,
@@ -48,6 +48,8 @@
     heard: bool,
     /// Whether the response has begun.
     first_token_received: bool,
+    /// Software version of the target of the last attempt.
+    software: Name,
 }
 
 struct State {
@@ -110,7 +112,7 @@
         loop {
             let (decider, history) = {
                 let state = self.lock();
-                (state.decider.clone(), state.history)
+                (state.decider.clone(), state.history.clone())
             };
             let decisions = match decider {
                 Decider::Local(handle) => return handle.next_effect().await,
@@ -118,7 +120,7 @@
                 Decider::Ended => return std::future::pending().await,
             };
             let silence = async {
-                coarse_sleep(silence_timeout(history)).await;
+                coarse_sleep(silence_timeout(&history)).await;
                 None
             };
             let decision = async { decisions.recv().await.ok() };
@@ -147,6 +149,7 @@
             Some(Decision::Queued) => None,
             Some(Decision::Dispatch(grant)) => {
                 state.history.running = true;
+                state.history.software.clone_from(&grant.software);
                 Some(grant.into_effect(id))
             }
             // A hub that has just begun may not know its targets yet.
@@ -183,13 +186,13 @@
         let Decider::Hub { hub, .. } = &state.decider else {
             return None;
         };
-        let (hub, history) = (hub.clone(), state.history);
+        let (hub, history) = (hub.clone(), state.history.clone());
         state.decider = Decider::Ended;
         state.fell_back = true;
         drop(state);
         self.client.close(self.arrival.id.0);
         self.client.call(&hub, self.arrival.id.0, CallStep::Left);
-        let Some(arrival) = self.remaining_arrival(history) else {
+        let Some(arrival) = self.remaining_arrival(&history) else {
             return Some(Effect::Refuse {
                 id: self.arrival.id,
                 refusal: Refusal::Failed {
@@ -204,7 +207,7 @@
     }
 
     /// The request as the entry's own scheduler gets it; `None` if it may not run again.
-    fn remaining_arrival(&self, history: History) -> Option<Arrival> {
+    fn remaining_arrival(&self, history: &History) -> Option<Arrival> {
         let policy = &self.arrival.policy;
         let repeatable = history.run == RunState::NotRun || policy.idempotent;
         let begun = history.first_token_received && !self.arrival.resumable;
@@ -216,6 +219,9 @@
         if !repeatable || begun || exhausted {
             return None;
         }
+        let began_at = history
+            .first_token_received
+            .then(|| history.software.clone());
         let passed = self.client.local.now().saturating_sub(self.submitted);
         let passed_ms = u64::try_from(passed.as_millis()).unwrap_or(u64::MAX);
         Some(Arrival {
@@ -226,6 +232,7 @@
                 ..(**policy).clone()
             }),
             max_attempts,
+            software: self.arrival.software.clone().or(began_at),
             ..self.arrival.clone()
         })
     }
@@ -316,7 +323,7 @@
     }
 }
 
-fn silence_timeout(history: History) -> Duration {
+fn silence_timeout(history: &History) -> Duration {
     if history.heard {
         SILENCE_TIMEOUT
     } else {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -35,6 +35,7 @@
 mod running;
 mod serve;
 mod shared;
+mod stream_origins;
 mod target_history;
 mod target_limits;
 mod target_table;
--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -8,8 +8,13 @@
 use crate::prelude::*;
 use crate::scheduler::Arrival;
 
-/// Describes a request to the scheduler.
-pub(crate) fn arrival_of(shared: &Shared, request: &AdmittedRequest) -> Arrival {
+/// Describes a request to the scheduler; `software` is the version that must run it, if it goes on
+/// with a stream.
+pub(crate) fn arrival_of(
+    shared: &Shared,
+    request: &AdmittedRequest,
+    software: Option<Name>,
+) -> Arrival {
     let route = &request.route;
     let customer = request.holder.as_ref().map(|h| h.customer.clone());
     let customer = customer.unwrap_or_default();
@@ -52,6 +57,7 @@
         policy: Arc::new(policy),
         max_attempts: route.max_attempts,
         resumable: route.is_resumable(),
+        software,
         objective: route.latency_objective,
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,6 +23,7 @@
 use crate::prelude::*;
 use crate::route::{KeyHolder, Route};
 use crate::scheduler::{Event, LoadEstimate, Signal};
+use crate::stream_origin::StreamOrigin;
 
 /// Factor of the fetches in an attempt's transfer counts, which share one atomic integer.
 pub(crate) const FETCH_COUNT_FACTOR: usize = 1_000;
@@ -165,7 +166,7 @@
         response: &mut CallerResponse<'_>,
     ) -> Result<TargetResponse, AttemptError> {
         // Waiting in a queue and connecting may have taken long.
-        if !self.may_send() {
+        if !self.may_send(response) {
             let addr = self.assignment.address;
             self.shared.connections.put(addr, stream, None);
             return Err(AttemptError::Withheld);
@@ -212,8 +213,9 @@
     }
 
     /// Whether the target still takes requests from this entry, within its limit if it has one, and
-    /// runs a version on which they may still start.
-    fn may_send(&self) -> bool {
+    /// runs a weight version on which they may still start, and the software version that began
+    /// the stream.
+    fn may_send(&self, response: &CallerResponse<'_>) -> bool {
         let prompt = self.request.head.prompt.as_ref();
         let outdated = match (prompt, self.assignment.weights) {
             (Some(prompt), Some(version)) => !self.shared.versions.permits(&prompt.model, version),
@@ -222,7 +224,10 @@
         let target = &self.assignment.target;
         let limits = &self.shared.limits;
         let exceeds = !self.assignment.within_limit && limits.binds_all(self.shared.now(), target);
-        !outdated && !exceeds && self.shared.scheduler.may_send(target)
+        let software = &self.assignment.software;
+        let began_at = response.software.as_ref();
+        let fits = began_at.is_none_or(|began_at| !software.is_empty() && software == began_at);
+        !outdated && !exceeds && fits && self.shared.scheduler.may_send(target)
     }
 
     fn encode(&self, response: &CallerResponse<'_>) -> Vec<u8> {
@@ -337,6 +342,25 @@
         }
     }
 
+    /// Tells other entries at which software version the stream began, before its caller may take
+    /// it up at one of them; also when it goes on, so that they remember it.
+    fn announce_origin(&self, response: &mut CallerResponse<'_>) {
+        if !self.request.route.is_resumable() {
+            return;
+        }
+        let software = &self.assignment.software;
+        let software = response.software.get_or_insert_with(|| software.clone());
+        if software.is_empty() {
+            return;
+        }
+        let origin = StreamOrigin {
+            key: self.request.stream_key(),
+            software: software.clone(),
+        };
+        let now = self.shared.now();
+        self.shared.stream_origins.announce(now, origin);
+    }
+
     /// Relays complete events until the stream ends.
     async fn relay_stream(
         &self,
@@ -354,6 +378,7 @@
             if !whole.is_empty() {
                 if std::mem::take(&mut first) {
                     self.handle.report_first_token(self.assignment.number);
+                    self.announce_origin(response);
                 }
                 response.send_events(head, &whole).await?;
             }
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -21,7 +21,8 @@
 use crate::gateway::probe::ProbeHandler;
 use crate::gateway::registration::keep_registered;
 use crate::gateway::request_log::DEFAULT_LOG_SAMPLE;
-use crate::gateway::shared::Shared;
+use crate::gateway::shared::{Shared, TargetObservation};
+use crate::gateway::stream_origins::{OriginCall, StreamOrigins};
 use crate::gateway::target_limits::TargetLimits;
 use crate::gateway::versions::AllowedVersions;
 use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
@@ -70,6 +71,14 @@
     stores: Arc<dyn ContextStoreClient>,
 }
 
+/// Senders from the request tasks to the control tasks.
+struct SharedChannels {
+    effects: async_channel::Sender<Effect>,
+    observations: async_channel::Sender<TargetObservation>,
+    rollout: async_channel::Sender<RolloutEffect>,
+    origins: async_channel::Sender<OriginCall>,
+}
+
 /// Settings and listen addresses of a [`Gateway`].
 pub struct GatewayBuilder {
     name: Name,
@@ -222,7 +231,14 @@
         let (observations_tx, observations) = async_channel::unbounded();
         let (rollout_tx, rollout) = async_channel::unbounded();
         let (decisions_tx, decisions) = async_channel::unbounded();
-        let shared = self.build_shared(dialect, effects_tx.clone(), observations_tx, rollout_tx);
+        let (origins_tx, origin_calls) = async_channel::unbounded();
+        let channels = SharedChannels {
+            effects: effects_tx.clone(),
+            observations: observations_tx,
+            rollout: rollout_tx,
+            origins: origins_tx,
+        };
+        let shared = self.build_shared(dialect, channels);
         let shared = Arc::new(shared);
         let domain_scheduler = self.build_domain_scheduler(&shared, effects_tx, decisions_tx);
         let (traffic_ex, control_ex) = (Arc::new(Executor::new()), Arc::new(Executor::new()));
@@ -268,6 +284,8 @@
             control_ex.spawn(server.run(control_ex.clone())).detach();
         }
         spawn_control(&control, &control_ex, effects, observations, rollout);
+        let run_origins = control.clone().run_stream_origins(origin_calls);
+        control_ex.spawn(run_origins).detach();
         for watched in WatchedKind::ALL {
             let watcher = KindWatcher {
                 watched,
@@ -319,18 +337,12 @@
         }
     }
 
-    fn build_shared(
-        &self,
-        dialect: Arc<dyn Dialect>,
-        effects: async_channel::Sender<Effect>,
-        observations: async_channel::Sender<crate::gateway::shared::TargetObservation>,
-        rollout: async_channel::Sender<RolloutEffect>,
-    ) -> Shared {
+    fn build_shared(&self, dialect: Arc<dyn Dialect>, channels: SharedChannels) -> Shared {
         let notices = Arc::new(QuarantineNotices::default());
         let mut scheduler = Scheduler::new(self.scheduler_settings(1.0));
         let entry_count = Event::EntryCount(self.entries);
         scheduler.on(Timestamp::ZERO, entry_count, &mut Vec::new());
-        let scheduler = SharedScheduler::new(scheduler, effects, notices.clone());
+        let scheduler = SharedScheduler::new(scheduler, channels.effects, notices.clone());
         let scheduler = Arc::new(scheduler);
         Shared {
             dialect,
@@ -341,12 +353,13 @@
             connections: ConnectionPool::default(),
             quarantine_notices: notices,
             limits: TargetLimits::default(),
+            stream_origins: StreamOrigins::new(channels.origins),
             store_directory: Arc::default(),
             fetch_clock: Arc::default(),
             drain: Arc::new(Drain::default()),
             metrics: Arc::new(GatewayMetrics::new()),
-            target_observations: observations,
-            rollout,
+            target_observations: channels.observations,
+            rollout: channels.rollout,
             log_sample: self.log_sample,
             origin: time_since_boot(),
         }
--- a/src/gateway/caller_response.rs
+++ b/src/gateway/caller_response.rs
@@ -10,6 +10,7 @@
 use crate::gateway::RawEvent;
 use crate::gateway::attempt_error::AttemptError;
 use crate::gateway::response_head::ResponseHead;
+use crate::prelude::*;
 
 /// Sends the response to one caller, across all attempts.
 pub(crate) struct CallerResponse<'a> {
@@ -21,6 +22,8 @@
     pub head_sent: bool,
     /// ID of the last event sent, or of the last that the caller received in an earlier response.
     pub last_event: Option<u64>,
+    /// Software version at which the stream began; `None` before its first event.
+    pub software: Option<Name>,
     /// When the first event was sent.
     pub first_event_at: Option<Instant>,
 }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -9,6 +9,7 @@
 mod state;
 mod store_cleanup;
 mod store_relay;
+mod stream_origins;
 mod target_reports;
 mod target_versions;
 
--- a/src/gateway/control/hub.rs
+++ b/src/gateway/control/hub.rs
@@ -16,7 +16,11 @@
     pub(crate) fn exchange_with_hubs(&self, mesh: &Mesh) {
         let now = self.now();
         let mut state = self.state();
-        let status = self.own_status(&mut state);
+        let mut status = self.own_status(&mut state);
+        // They were kept for the status of a small system.
+        for origin in std::mem::take(&mut status.stream_origins) {
+            self.shared.stream_origins.announce(now, origin);
+        }
         let own = state.own_hub_candidate(&self.own_vm);
         let peers = state.hub_candidates.clone();
         let was_hub = state.hub_selector.current().is_none();
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -51,6 +51,7 @@
             },
             retired_below: (retired.all_below, retired.half_below),
             limits: self.shared.limits.reports(now),
+            stream_origins: std::mem::take(&mut state.new_origins),
         }
     }
 
@@ -92,6 +93,7 @@
             self.submit_targets(state);
         }
         self.shared.limits.merge(now, peer, &status.limits);
+        self.record_stream_origins(status.stream_origins.clone());
         for target in state.targets_by_hash(&status.unreachable_targets) {
             self.submit_signal(target, Signal::ReportedUnreachable);
         }
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -12,6 +12,7 @@
 use crate::platform::Vm;
 use crate::prelude::*;
 use crate::rollout::{RolloutPlanner, RolloutSettings, RolloutTarget};
+use crate::stream_origin::StreamOrigin;
 
 /// Time after which a peer's list of cordoned targets expires.
 const PEER_CORDON_TTL: Duration = Duration::from_millis(2_500);
@@ -48,6 +49,8 @@
     peer_cordons: HashMap<Name, (Timestamp, Vec<u32>)>,
     /// Targets that get no new work because their weight version is unknown, and until when.
     paused_targets: HashMap<Name, Timestamp>,
+    /// Origins of streams that the next status tells the peers of a small system.
+    pub new_origins: Vec<StreamOrigin>,
     /// Targets of whose limits the schedulers have shares.
     pub limited_targets: BTreeSet<Name>,
     /// Live entries that are not draining, excluding this one.
@@ -83,6 +86,7 @@
             reported_versions: BTreeMap::new(),
             peer_cordons: HashMap::new(),
             paused_targets: HashMap::new(),
+            new_origins: Vec::new(),
             limited_targets: BTreeSet::new(),
             peers: Vec::new(),
             hub_candidates: Vec::new(),
--- a/src/gateway/peer_handler.rs
+++ b/src/gateway/peer_handler.rs
@@ -29,6 +29,10 @@
                 let client = &control.shared.scheduler_client;
                 client.on_reply(&from.name, reply);
             }
+            PeerMessage::StreamOrigins(origins) => control.record_stream_origins(origins),
+            PeerMessage::WantStreamOrigins(wanted) => {
+                control.send_stream_origins(&from.name, wanted);
+            }
             PeerMessage::StoreUpdate(update) => control.apply_store_update(from, update),
             PeerMessage::WantObjects { kind } => control.send_objects(&from.name, kind),
             PeerMessage::Objects {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -30,6 +30,15 @@
     }
 }
 
+/// The response to a request that takes up a stream of which no entry knows where it began.
+pub(crate) fn unknown_origin() -> LocalResponse {
+    LocalResponse {
+        status: 503,
+        code: "stream-unknown",
+        retry_after: Some(Duration::from_millis(500)),
+    }
+}
+
 /// The response while no configuration is known.
 pub(crate) fn unconfigured() -> LocalResponse {
     LocalResponse {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -9,7 +9,7 @@
 use crate::gateway::arrival::arrival_of;
 use crate::gateway::attempt::AdmittedRequest;
 use crate::gateway::caller_response::CallerResponse;
-use crate::gateway::refusal::{rejected, unconfigured};
+use crate::gateway::refusal::{rejected, unconfigured, unknown_origin};
 use crate::gateway::request_driver::{Outcome, RequestDriver};
 use crate::gateway::request_log::RequestLog;
 use crate::gateway::request_reader::{self, RequestReader};
@@ -34,6 +34,7 @@
         head_sent: false,
         last_event: received.head.last_event,
         first_event_at: None,
+        software: None,
     };
     let routes = shared.routes.load_full();
     let resolved = match routes.map(|routes| resolve_route(&routes, &received)) {
@@ -48,10 +49,18 @@
         }
         Ok((route, holder, service)) => admitted_request(received, route, holder, service),
     };
+    let required = shared.stream_origins.required_software(shared, &request);
+    let Ok(software) = required.await else {
+        let local_response = unknown_origin();
+        RequestLog::record_rejection(&shared.metrics, &request.head, &local_response);
+        return send_local_response(shared, &request.head, &local_response, &mut response).await;
+    };
+    response.software = software;
+    let arrival = arrival_of(shared, &request, response.software.clone());
     let mut driver = RequestDriver {
         shared,
         request: &request,
-        handle: shared.scheduler_client.submit(arrival_of(shared, &request)),
+        handle: shared.scheduler_client.submit(arrival),
         target_error: None,
         may_have_been_sent: false,
         abandoned: false,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,6 +9,7 @@
 use crate::domain_scheduler::SchedulerClient;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::drain::Drain;
+use crate::gateway::stream_origins::StreamOrigins;
 use crate::gateway::target_limits::TargetLimits;
 use crate::gateway::versions::AllowedVersions;
 use crate::gateway::{Dialect, FetchClock, LocalResponse};
@@ -35,6 +36,8 @@
     pub connections: ConnectionPool,
     /// Quarantine notices about requests suspected of crashing targets.
     pub quarantine_notices: Arc<QuarantineNotices>,
+    /// Software versions at which streams began.
+    pub stream_origins: StreamOrigins,
     /// Limits that targets set on the requests sent to them.
     pub limits: TargetLimits,
     /// Contents of the context stores, as last reported.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,5 +45,6 @@
 pub mod secret;
 pub mod settings;
 pub mod shared_scheduler;
+pub mod stream_origin;
 pub mod target;
 pub mod telemetry;
--- a/src/peer/gateway_status.rs
+++ b/src/peer/gateway_status.rs
@@ -5,6 +5,7 @@
 use crate::gateway::TargetLoad;
 use crate::prelude::*;
 use crate::rate_limit::LimitReport;
+use crate::stream_origin::StreamOrigin;
 
 /// State of one entry, sent at short intervals; it replaces the entry's earlier one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -38,6 +39,9 @@
     /// Limits that targets set on the requests sent to them.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitReport>,
+    /// Origins of streams that began since the last status, in a small system.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub stream_origins: Vec<StreamOrigin>,
 }
 
 impl GatewayStatus {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -9,6 +9,7 @@
 use crate::peer::{GatewayDigest, GatewayStatus, LoadUpdate, RelayedStoreUpdate};
 use crate::platform::Vm;
 use crate::prelude::*;
+use crate::stream_origin::{StreamKey, StreamOrigin};
 
 /// Version of the message format; a peer with another version is refused.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -98,6 +99,11 @@
     /// Decisions about requests of the receiver.
     #[serde(rename = "t")]
     SchedulerReply(SchedulerReply),
+    /// Software versions at which streams began.
+    #[serde(rename = "o")]
+    StreamOrigins(Vec<StreamOrigin>),
+    /// Requests the origins of streams, as far as the receiver knows them.
+    WantStreamOrigins(Vec<StreamKey>),
     /// Update of a context store, for entries that do not watch the store themselves.
     #[serde(rename = "k")]
     StoreUpdate(RelayedStoreUpdate),
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -61,6 +61,9 @@
     /// Whether another target may continue a response stream that broke off.
     #[serde(default)]
     pub resumable: bool,
+    /// Software version that must run the request, since it goes on with a stream that began there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<Name>,
     /// Latency objective: time within which the response should begin; zero for none.
     #[serde(default, skip_serializing_if = "Duration::is_zero")]
     pub objective: Duration,
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -8,6 +8,7 @@
 mod prefix_cache;
 mod ring;
 mod selection;
+mod software_history;
 mod target;
 mod updates;
 mod weights_group;
@@ -26,6 +27,7 @@
 pub(crate) use pool::{Pool, PoolIx, work_units};
 pub(crate) use prefix_cache::PrefixCache;
 pub(crate) use ring::{Ring, mix};
+pub(crate) use software_history::SoftwareHistory;
 pub(crate) use target::{Target, TargetIx};
 pub(crate) use weights_group::WeightsGroup;
 
--- a/src/scheduler/fleet/placement_query.rs
+++ b/src/scheduler/fleet/placement_query.rs
@@ -20,6 +20,8 @@
     pub(crate) avoid: &'a [TargetIx],
     /// The only targets allowed; all are if it is empty.
     pub(crate) only: &'a [TargetIx],
+    /// Software version that must run the request.
+    pub(crate) software: Option<&'a Name>,
     /// Set for a suspected request: all entries select the same target for it, which must run no
     /// other suspected request of this entry.
     pub(crate) isolate: Option<Isolation<'a>>,
--- a/src/scheduler/fleet/pool.rs
+++ b/src/scheduler/fleet/pool.rs
@@ -4,7 +4,7 @@
 use crate::prelude::*;
 use crate::scheduler::budget::RetryBudget;
 use crate::scheduler::ewma::Ewma;
-use crate::scheduler::fleet::{TargetIx, WeightsGroup};
+use crate::scheduler::fleet::{SoftwareHistory, TargetIx, WeightsGroup};
 use crate::scheduler::quantile::Quantile;
 
 /// Quantile of the first-token times after which a request is hedged.
@@ -31,6 +31,8 @@
     pub(crate) service_seconds: Ewma,
     /// Median first-token time, in seconds per unit of work.
     pub(crate) typical_unit_seconds: Quantile,
+    /// Software versions of its targets.
+    pub(crate) software: SoftwareHistory,
     /// Own attempts that are running.
     pub(crate) in_flight: u32,
     /// First-token times by priority class.
@@ -49,6 +51,7 @@
             budget: RetryBudget::new(retry_ratio, retry_burst),
             service_seconds: Ewma::default(),
             typical_unit_seconds: Quantile::new(0.5),
+            software: SoftwareHistory::default(),
             in_flight: 0,
             first_token_seconds: [Quantile::new(HEDGE_QUANTILE); 3],
             waited_seconds: Ewma::default(),
--- a/src/scheduler/fleet/selection.rs
+++ b/src/scheduler/fleet/selection.rs
@@ -64,7 +64,7 @@
                 continue;
             };
             if let Some(isolation) = query.isolate {
-                if let Some(ix) = self.isolation_target(now, group, isolation) {
+                if let Some(ix) = self.isolation_target(now, group, isolation, query.software) {
                     return self.can_isolate_at(now, ix).then(|| (ix, weights.clone()));
                 }
             } else if let Some(ix) = self.select_in_group(now, group, query, rng) {
@@ -111,14 +111,31 @@
         now: Timestamp,
         group: &WeightsGroup,
         isolation: Isolation<'_>,
+        software: Option<&Name>,
     ) -> Option<TargetIx> {
         let candidates = group.all.candidates(isolation.key);
         candidates.into_iter().find(|ix| {
-            self.get(*ix)
-                .is_some_and(|t| t.is_healthy(now) && !isolation.victims.contains(&t.info.name))
+            self.get(*ix).is_some_and(|t| {
+                let is_victim = isolation.victims.contains(&t.info.name);
+                t.is_healthy(now) && !is_victim && t.runs_software(software)
+            })
         })
     }
 
+    /// Whether a target has room for a request and runs the software version that it requires.
+    fn may_run(&self, now: Timestamp, ix: TargetIx, query: &PlacementQuery<'_>) -> bool {
+        self.get(ix)
+            .is_some_and(|t| t.has_room(now) && t.runs_software(query.software))
+    }
+
+    /// Whether any target of a pool runs a software version and takes work, now or once it has
+    /// recovered.
+    pub(crate) fn has_software(&self, pool: PoolIx, software: &Name) -> bool {
+        let targets = self.pool(pool).groups[0].all.iter();
+        let mut targets = targets.filter_map(|ix| self.get(ix));
+        targets.any(|t| t.health.may_recover() && t.runs_software(Some(software)))
+    }
+
     /// Whether a target has room and runs no suspected request of this entry.
     fn can_isolate_at(&self, now: Timestamp, ix: TargetIx) -> bool {
         self.get(ix)
@@ -135,7 +152,7 @@
         query: &PlacementQuery<'_>,
         rng: &mut fastrand::Rng,
     ) -> Option<TargetIx> {
-        let allowed = |ix: &TargetIx| self.get(*ix).is_some_and(|t| t.has_room(now));
+        let allowed = |ix: &TargetIx| self.may_run(now, *ix, query);
         if !query.only.is_empty() {
             let fits = |ix: &TargetIx| {
                 let target = self.get(*ix);
@@ -157,6 +174,12 @@
         let any = any.filter(untried);
         any.or_else(|| group.all.candidates(query.key).into_iter().find(untried))
             .or_else(|| self.two_choices(now, &group.free, rng).filter(allowed))
+            .or_else(|| {
+                group
+                    .all
+                    .iter()
+                    .find(|ix| query.software.is_some() && allowed(ix))
+            })
     }
 
     /// Candidates for a prompt: its home targets and random ones. Entries learn of each other's
@@ -201,7 +224,7 @@
         rng: &mut fastrand::Rng,
     ) -> Option<(TargetIx, Name)> {
         let all = &pool.groups[0];
-        let free = |ix: &TargetIx| self.get(*ix).is_some_and(|t| t.has_room(now));
+        let free = |ix: &TargetIx| self.may_run(now, *ix, query);
         let untried = |ix: &TargetIx| free(ix) && !query.avoid.contains(ix);
         let knows_all = self.placement == Placement::LeastWorkOfAll;
         let sampled = if knows_all {
--- a/src/scheduler/fleet/target.rs
+++ b/src/scheduler/fleet/target.rs
@@ -83,6 +83,11 @@
         self.free && self.is_within_limit(now)
     }
 
+    /// Whether the target runs a software version, if one is required; an unknown one never fits.
+    pub(crate) fn runs_software(&self, required: Option<&Name>) -> bool {
+        required.is_none_or(|software| !software.is_empty() && self.info.software == *software)
+    }
+
     /// Whether the target has a weight version ready; the empty version fits every target.
     pub(crate) fn has_weights(&self, weights: &str) -> bool {
         weights.is_empty() || self.load.report.weights.iter().any(|w| **w == *weights)
--- a/src/scheduler/fleet/updates.rs
+++ b/src/scheduler/fleet/updates.rs
@@ -39,9 +39,19 @@
             self.unlist(now, ix);
             change.removed.push(ix);
         }
+        self.record_software(now);
         change
     }
 
+    fn record_software(&mut self, now: Timestamp) {
+        for n in 0..self.pools.len() {
+            let targets = self.pools[n].groups[0].all.iter();
+            let targets = targets.filter_map(|ix| self.get(ix));
+            let versions: Vec<Name> = targets.map(|t| t.info.software.clone()).collect();
+            self.pools[n].software.record(now, versions);
+        }
+    }
+
     fn is_same(&self, ix: TargetIx, info: &TargetInfo) -> bool {
         self.get(ix).is_some_and(|t| {
             t.info.address == info.address
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -146,6 +146,14 @@
         target.is_some_and(|t| !t.health.is_leaving() && !t.load.is_paused(self.now))
     }
 
+    /// The software version at which every stream of a model or service began that may still be
+    /// taken up; `None` if there are several or it is unknown.
+    #[must_use]
+    pub fn sole_software(&self, serves: &str) -> Option<Name> {
+        let pool = self.fleet.find_pool(serves)?;
+        self.fleet.pool(pool).software.sole(self.now)
+    }
+
     /// Number of fingerprints remembered as suspected, quarantined, running or proven harmless.
     #[must_use]
     pub fn fingerprint_count(&self) -> usize {
--- a/src/scheduler/machine/admit.rs
+++ b/src/scheduler/machine/admit.rs
@@ -90,6 +90,10 @@
             return Some(self.no_target_refusal());
         }
         let req = self.requests.get(&id)?;
+        if !self.has_software_for(req) {
+            return Some(self.no_target_refusal());
+        }
+        let req = self.requests.get(&id)?;
         let class = req.arrival.policy.class;
         let queue = &self.lanes[pool.0][lane];
         let full = queue.len() > self.cfg.max_queued
--- a/src/scheduler/machine/dispatch.rs
+++ b/src/scheduler/machine/dispatch.rs
@@ -29,6 +29,11 @@
             self.refuse(id, refusal, effects);
             return;
         }
+        if !self.has_software_for(req) {
+            let refusal = self.no_target_refusal();
+            self.refuse(id, refusal, effects);
+            return;
+        }
         let fingerprint = req.arrival.fingerprint;
         let permission = self.suspects.permission(self.now, &fingerprint);
         if let Permission::Quarantined(until) = permission {
@@ -76,6 +81,7 @@
             store_domain: req.arrival.store_domain.as_ref(),
             avoid: &req.tried,
             only,
+            software: req.arrival.software.as_ref(),
             isolate,
         };
         let weights = &req.arrival.weights;
@@ -83,6 +89,12 @@
             .select_target(self.now, req.pool, weights, &query, &mut self.rng)
     }
 
+    /// Whether any target may run a request that goes on with a stream; true for all others.
+    pub(super) fn has_software_for(&self, req: &Request) -> bool {
+        let required = req.arrival.software.as_ref();
+        required.is_none_or(|software| self.fleet.has_software(req.pool, software))
+    }
+
     /// Keeps a request out of the queue for `pause`.
     pub(super) fn delay_request(&mut self, id: RequestId, pause: Duration) {
         let Some(req) = self.requests.get_mut(&id) else {
--- a/src/scheduler/machine/outcome.rs
+++ b/src/scheduler/machine/outcome.rs
@@ -39,6 +39,10 @@
         let after = attempt.size;
         self.fleet.prompt_read(target, before, after);
         req.first_token_received = true;
+        if req.arrival.resumable {
+            let began_at = self.fleet.get(target).map(|t| t.info.software.clone());
+            req.arrival.software = req.arrival.software.take().or(began_at);
+        }
         req.run_state = RunState::Ran;
         let losers: SmallVec<[Attempt; 2]> = req.attempts.iter().copied().collect();
         for loser in losers.into_iter().filter(|a| a.number != number) {
--- a/src/shared_scheduler/handle.rs
+++ b/src/shared_scheduler/handle.rs
@@ -89,6 +89,13 @@
         self.lock().scheduler.may_send(target)
     }
 
+    /// The software version at which every stream of a model or service began that may still be
+    /// taken up; `None` if there are several or it is unknown.
+    #[must_use]
+    pub fn sole_software(&self, serves: &str) -> Option<Name> {
+        self.lock().scheduler.sole_software(serves)
+    }
+
     /// Time until an [`Event::Tick`] has to be submitted; `None` when no timer is set.
     #[must_use]
     pub fn until_wakeup(&self) -> Option<Duration> {
--- a/tests/placement_load.rs
+++ b/tests/placement_load.rs
@@ -277,6 +277,7 @@
             output_tokens: 16,
             max_attempts: 1,
             resumable: false,
+            software: None,
             objective: self.system.objective,
         };
         self.submit(entry, Event::Arrive(arrival), sizes.1);
--- a/tests/scheduler/simulation.rs
+++ b/tests/scheduler/simulation.rs
@@ -71,6 +71,7 @@
         output_tokens: 0,
         max_attempts: 0,
         resumable: false,
+        software: None,
         objective: Duration::ZERO,
     }
 }
