Bound what a target may send that is no response

Bytes without end held requests until their deadline (a head byte by byte; interim and foreign responses and trailers are skipped without a bound) and could take 16 MiB for each request. A head now has 2 s from its first byte; 16 skipped responses of 256 KiB, 8 KiB of trailers, 16 interim responses at the control clients; a stream 8 MiB; bodies beyond 256 KiB share 8 MiB, counted with their coding, since tiny chunks are longer than what they carry. The attempt fails, its connection is closed, and the request goes on elsewhere if it may.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,6 +30,7 @@
 mod request_head;
 mod request_log;
 mod request_reader;
+mod response_buffers;
 mod response_head;
 mod response_reader;
 mod running;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -28,6 +28,9 @@
 /// Factor of the fetches in an attempt's transfer counts, which share one atomic integer.
 pub(crate) const FETCH_COUNT_FACTOR: usize = 1_000;
 
+/// Maximum size of a response stream, in bytes with their transfer coding.
+const MAX_STREAM_BYTES: usize = 8 * 1024 * 1024;
+
 /// A request that has a route and was accepted for scheduling.
 pub(crate) struct AdmittedRequest {
     /// Decoded head.
@@ -302,7 +305,7 @@
             return Ok((TargetResponse::Streamed, info));
         }
         let body = reader
-            .read_body(&head)
+            .read_body(&head, &self.shared.response_buffers)
             .await
             .map_err(AttemptError::Response)?;
         Ok((TargetResponse::Complete(head, body), info))
@@ -383,7 +386,8 @@
                 response.send_events(head, &whole).await?;
             }
             let more = more.map_err(AttemptError::Response)?;
-            if events.is_overlong() || (!more && events.has_rest()) {
+            let overlong = events.is_overlong() || reader.received() > MAX_STREAM_BYTES;
+            if overlong || (!more && events.has_rest()) {
                 return Err(AttemptError::Response(ResponseError::CutShort));
             }
             if !more {
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -21,6 +21,7 @@
 use crate::gateway::probe::ProbeHandler;
 use crate::gateway::registration::keep_registered;
 use crate::gateway::request_log::DEFAULT_LOG_SAMPLE;
+use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::stream_origins::{OriginCall, StreamOrigins};
 use crate::gateway::target_limits::TargetLimits;
@@ -352,6 +353,7 @@
             scheduler,
             connections: ConnectionPool::default(),
             quarantine_notices: notices,
+            response_buffers: ResponseBuffers::default(),
             limits: TargetLimits::default(),
             stream_origins: StreamOrigins::new(channels.origins),
             store_directory: Arc::default(),
--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -4,16 +4,24 @@
 use std::net::TcpStream;
 
 use async_io::Async;
-use futures_lite::AsyncReadExt;
+use futures_lite::{AsyncReadExt, FutureExt};
 
+use crate::clock::coarse_sleep;
+use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::{BodyReader, Dialect, RequestHead};
 use crate::http::MessageError;
+use crate::prelude::*;
 
 /// Size of a read from a socket, in bytes.
 const READ_SIZE: usize = 8 * 1024;
-/// Maximum size of the body of a complete response, in bytes.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Longest time from the first byte of a head to its last.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of interim responses and of responses to other requests before the expected one, in
+/// bytes.
+const MAX_SKIPPED_BYTES: usize = 256 * 1024;
+/// Maximum number of these responses.
+const MAX_SKIPPED_RESPONSES: u32 = 16;
 
 /// Why a response was not received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +47,10 @@
     /// Whether the connection cannot be reused, since it closed or a response to another request
     /// was skipped.
     not_reusable: bool,
+    /// Number of responses that were skipped.
+    skipped_responses: u32,
+    /// Bytes received so far.
+    received: usize,
 }
 
 impl<'a> ResponseReader<'a> {
@@ -48,6 +60,8 @@
             stream,
             raw: Vec::new(),
             not_reusable: false,
+            skipped_responses: 0,
+            received: 0,
         }
     }
 
@@ -57,6 +71,11 @@
         self.raw.is_empty() && !self.not_reusable
     }
 
+    /// Bytes received so far.
+    pub(crate) fn received(&self) -> usize {
+        self.received
+    }
+
     /// Reads the head of the response to `request`; responses to other requests are skipped.
     pub(crate) async fn read_head(
         &mut self,
@@ -64,11 +83,9 @@
         dialect: &dyn Dialect,
     ) -> Result<ResponseHead, ResponseError> {
         loop {
-            let Some(head) = ResponseHead::parse(&mut self.raw, dialect)? else {
-                self.fill().await?;
-                continue;
-            };
+            let head = self.read_any_head(dialect).await?;
             if head.is_interim() {
+                self.count_skipped()?;
                 continue;
             }
             let is_expected = match &head.info.request {
@@ -83,15 +100,42 @@
         }
     }
 
+    /// Reads the next head, whether or not its response is expected.
+    async fn read_any_head(
+        &mut self,
+        dialect: &dyn Dialect,
+    ) -> Result<ResponseHead, ResponseError> {
+        if self.raw.is_empty() {
+            self.fill().await?;
+        }
+        let timeout = async {
+            coarse_sleep(HEAD_TIMEOUT).await;
+            Err(ResponseError::Malformed)
+        };
+        let read = async {
+            loop {
+                if let Some(head) = ResponseHead::parse(&mut self.raw, dialect)? {
+                    return Ok(head);
+                }
+                self.fill().await?;
+            }
+        };
+        read.or(timeout).await
+    }
+
     /// Reads the complete body of a response.
     pub(crate) async fn read_body(
         &mut self,
         head: &ResponseHead,
+        buffers: &ResponseBuffers,
     ) -> Result<Vec<u8>, ResponseError> {
         let mut body = Vec::new();
+        let mut buffered = buffers.begin();
+        let received_before = self.received;
         let mut reader = BodyReader::new(head.framing, head.is_bodiless());
         while self.read_part(&mut reader, &mut body).await? {
-            if body.len() > MAX_BODY_BYTES {
+            // With their coding, since tiny chunks are longer than what they carry.
+            if !buffered.grow_to(self.received - received_before) {
                 return Err(ResponseError::Malformed);
             }
         }
@@ -121,17 +165,31 @@
     /// Skips a response to another request.
     async fn skip_response(&mut self, head: &ResponseHead) -> Result<(), ResponseError> {
         self.not_reusable = true;
+        self.count_skipped()?;
         let mut reader = BodyReader::new(head.framing, head.is_bodiless());
         if reader.is_until_close() {
             return Err(ResponseError::Malformed);
         }
         let mut dropped = Vec::new();
+        let mut dropped_bytes = 0;
         while self.read_part(&mut reader, &mut dropped).await? {
+            dropped_bytes += dropped.len();
+            if dropped_bytes > MAX_SKIPPED_BYTES {
+                return Err(ResponseError::Malformed);
+            }
             dropped.clear();
         }
         Ok(())
     }
 
+    fn count_skipped(&mut self) -> Result<(), ResponseError> {
+        self.skipped_responses += 1;
+        if self.skipped_responses > MAX_SKIPPED_RESPONSES {
+            return Err(ResponseError::Malformed);
+        }
+        Ok(())
+    }
+
     async fn fill(&mut self) -> Result<(), ResponseError> {
         let begun = !self.raw.is_empty();
         match self.read().await {
@@ -146,7 +204,9 @@
         self.raw.resize(len + READ_SIZE, 0);
         let mut stream = self.stream;
         let read = stream.read(&mut self.raw[len..]).await;
-        self.raw.truncate(len + *read.as_ref().unwrap_or(&0));
+        let n = *read.as_ref().unwrap_or(&0);
+        self.raw.truncate(len + n);
+        self.received += n;
         read
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,6 +9,7 @@
 use crate::domain_scheduler::SchedulerClient;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::drain::Drain;
+use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::stream_origins::StreamOrigins;
 use crate::gateway::target_limits::TargetLimits;
 use crate::gateway::versions::AllowedVersions;
@@ -34,6 +35,8 @@
     pub scheduler_client: Arc<SchedulerClient>,
     /// Idle connections to targets.
     pub connections: ConnectionPool,
+    /// Memory for the bodies of responses that are being received.
+    pub response_buffers: ResponseBuffers,
     /// Quarantine notices about requests suspected of crashing targets.
     pub quarantine_notices: Arc<QuarantineNotices>,
     /// Software versions at which streams began.
--- a/src/http/chunk.rs
+++ b/src/http/chunk.rs
@@ -4,6 +4,8 @@
 
 /// Longest accepted chunk-size or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1024;
+/// Longest accepted trailer section, in bytes.
+const MAX_TRAILER_BYTES: usize = 8 * 1024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -21,6 +23,7 @@
 pub struct ChunkScanner {
     state: State,
     line: Vec<u8>,
+    trailer_bytes: usize,
 }
 
 impl Default for ChunkScanner {
@@ -36,6 +39,7 @@
         Self {
             state: State::Size,
             line: Vec::new(),
+            trailer_bytes: 0,
         }
     }
 
@@ -93,6 +97,10 @@
     }
 
     fn push_line_byte(&mut self, byte: u8) -> Result<(), MessageError> {
+        self.trailer_bytes += usize::from(self.state == State::Trailer);
+        if self.trailer_bytes > MAX_TRAILER_BYTES {
+            return Err(MessageError::BadChunk);
+        }
         if byte != b'\n' {
             if self.line.len() >= MAX_LINE_BYTES {
                 return Err(MessageError::BadChunk);
--- a/src/http/response_reader.rs
+++ b/src/http/response_reader.rs
@@ -16,6 +16,8 @@
 
 /// Longest accepted response head, in bytes; `async-h1` rejects heads of 8 KiB or more.
 const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
+/// Most interim responses before the final one.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 /// Bytes read from the socket in one call.
 const READ_BYTES: usize = 4 * 1024;
 
@@ -36,6 +38,7 @@
     stream: Arc<Async<TcpStream>>,
     phase: Phase,
     no_body: bool,
+    interim_responses: u32,
     /// Whether a body without stated length may end with the connection.
     until_close_allowed: bool,
     /// Bytes received and not yet delimited.
@@ -59,6 +62,7 @@
             stream,
             phase: Phase::Head,
             no_body,
+            interim_responses: 0,
             until_close_allowed,
             raw: Vec::new(),
             ready: Vec::new(),
@@ -126,6 +130,10 @@
         let code = res.code.unwrap_or_default();
         if (100..200).contains(&code) {
             self.raw.drain(..n);
+            self.interim_responses += 1;
+            if self.interim_responses > MAX_INTERIM_RESPONSES {
+                return Err(MessageError::Malformed);
+            }
             return Ok(true);
         }
         let framing = Framing::from_headers(res.headers)?;
