--- /dev/null
+++ b/src/gateway/attempt/stream.rs
@@ -0,0 +1,79 @@
+//! Relaying of a response stream to the caller.
+
+use crate::gateway::attempt::Attempt;
+use crate::gateway::attempt_error::AttemptError;
+use crate::gateway::caller_response::CallerResponse;
+use crate::gateway::response_head::ResponseHead;
+use crate::gateway::response_reader::{ResponseError, ResponseReader};
+use crate::gateway::{BodyReader, EventSplitter, RawEvent};
+use crate::stream_origin::StreamOrigin;
+
+/// Maximum size of a response stream, in bytes with their transfer coding.
+const MAX_STREAM_BYTES: usize = 8 * 1024 * 1024;
+
+impl Attempt<'_> {
+    /// Tells other entries at which software version the stream began, before its caller may take
+    /// it up at one of them; also when it goes on, so that they remember it.
+    fn announce_origin(&self, response: &mut CallerResponse<'_>) {
+        if !self.request.route.is_resumable() {
+            return;
+        }
+        let software = &self.assignment.software;
+        let software = response.software.get_or_insert_with(|| software.clone());
+        if software.is_empty() {
+            return;
+        }
+        let origin = StreamOrigin {
+            key: self.request.stream_key(),
+            software: software.clone(),
+        };
+        let now = self.shared.now();
+        self.shared.stream_origins.announce(now, origin);
+    }
+
+    /// Relays complete events until the stream ends.
+    pub(super) async fn relay_stream(
+        &self,
+        head: &ResponseHead,
+        reader: &mut ResponseReader<'_>,
+        response: &mut CallerResponse<'_>,
+    ) -> Result<(), AttemptError> {
+        let mut body = BodyReader::new(head.framing, head.is_bodiless());
+        let mut events = EventSplitter::default();
+        let mut first = true;
+        loop {
+            let more = reader.read_part(&mut body, events.buf()).await;
+            // Events that were complete before the connection broke are relayed.
+            let whole = take_events(&mut events, response.last_event);
+            if !whole.is_empty() {
+                if std::mem::take(&mut first) {
+                    self.handle.report_first_token(self.assignment.number);
+                    self.announce_origin(response);
+                }
+                response.send_events(head, &whole).await?;
+            }
+            let more = more.map_err(AttemptError::Response)?;
+            let overlong = events.is_overlong() || reader.received() > MAX_STREAM_BYTES;
+            if overlong || (!more && events.has_rest()) {
+                return Err(AttemptError::Response(ResponseError::CutShort));
+            }
+            if !more {
+                return response.end_stream(head).await;
+            }
+        }
+    }
+}
+
+/// Takes the complete events that the caller has not received yet.
+fn take_events(events: &mut EventSplitter, last: Option<u64>) -> Vec<RawEvent> {
+    let mut last = last;
+    let mut out = Vec::new();
+    while let Some(event) = events.next_event() {
+        let known = matches!((event.id, last), (Some(id), Some(last)) if id <= last);
+        if !known {
+            last = event.id.or(last);
+            out.push(event);
+        }
+    }
+    out
+}
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -1,54 +1,38 @@
 //! Construction, startup and graceful shutdown of a gateway.
 
+mod parts;
+
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Mutex, OnceLock};
+use std::sync::OnceLock;
 
-use arc_swap::ArcSwapOption;
 use async_executor::Executor;
 use async_io::Async;
 
-use crate::clock::time_since_boot;
 use crate::context_store::ContextStoreClient;
-use crate::domain_scheduler::{DomainScheduler, SchedulerClient};
 use crate::entry::Threads;
-use crate::gateway::connection_pool::ConnectionPool;
-use crate::gateway::control::{Control, HubLinks, State, TargetControl, TargetObservationReceiver};
-use crate::gateway::drain::Drain;
+use crate::gateway::control::{Control, HubLinks, TargetControl, TargetObservationReceiver};
 use crate::gateway::kind_watcher::KindWatcher;
 use crate::gateway::listener::accept;
 use crate::gateway::peer_handler::PeerHandler;
 use crate::gateway::probe::ProbeHandler;
 use crate::gateway::registration::keep_registered;
 use crate::gateway::request_log::DEFAULT_LOG_SAMPLE;
-use crate::gateway::response_buffers::ResponseBuffers;
-use crate::gateway::shared::{Shared, TargetObservation};
-use crate::gateway::stream_origins::{OriginCall, StreamOrigins};
-use crate::gateway::target_limits::TargetLimits;
-use crate::gateway::versions::AllowedVersions;
+use crate::gateway::shared::TargetObservation;
+use crate::gateway::stream_origins::OriginCall;
 use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
 use crate::http::{Limits, Server, ServerControl};
-use crate::lease::{LeaseClient, LeaseSettings};
 use crate::peer::Mesh;
 use crate::platform::{Platform, Role, Vm, VmPhase};
 use crate::prelude::*;
 use crate::rollout::{RolloutEffect, RolloutSettings};
-use crate::scheduler::{Effect, Event, Placement, RetryBurst, Scheduler, SchedulerSettings};
+use crate::scheduler::Effect;
 use crate::secret::Secret;
-use crate::shared_scheduler::{QuarantineNotices, SharedScheduler};
-use crate::telemetry::GatewayMetrics;
 
 /// Number of threads that serve callers.
 const TRAFFIC_THREADS: usize = 1;
 /// Input from which the shared secret of the connections between entries is derived.
 const PEER_SECRET_INPUT: &str = "gateway";
-/// Duration of the lease to issue weight orders, from each write.
-const LEASE_DURATION: Duration = Duration::from_millis(1_500);
-/// Additional time after the lease's expiry before another entry takes it over.
-const LEASE_TAKEOVER_MARGIN: Duration = Duration::from_millis(400);
-/// Share of the saved-up retries that the schedulers of the failure domains use. Entries that
-/// schedule requests themselves use the others; together they stay within the budget.
-const HUB_BURST_SHARE: f64 = 0.4;
 /// Interval of heartbeats between entries, and the timeout after which a peer counts as lost.
 const HEARTBEAT_TIMING: (Duration, Duration) =
     (Duration::from_millis(800), Duration::from_millis(2_500));
@@ -60,9 +44,6 @@
 const MAX_ENTRIES_SHORT_HEARTBEAT: u32 = 24;
 /// Time for noticing a change and for carrying it out, beside the pause between batches.
 const CHANGE_RESERVE: Duration = Duration::from_secs(1);
-/// Heartbeats of a target after which its registration has surely expired: the platform removes it
-/// after three, and the fourth allows for lag.
-const LIFETIME_HEARTBEATS: u32 = 4;
 
 /// Clients of the systems around a gateway.
 struct Clients {
@@ -337,95 +318,6 @@
             cpu_millis: self.cpu_millis,
         }
     }
-
-    fn build_shared(&self, dialect: Arc<dyn Dialect>, channels: SharedChannels) -> Shared {
-        let notices = Arc::new(QuarantineNotices::default());
-        let mut scheduler = Scheduler::new(self.scheduler_settings(1.0));
-        let entry_count = Event::EntryCount(self.entries);
-        scheduler.on(Timestamp::ZERO, entry_count, &mut Vec::new());
-        let scheduler = SharedScheduler::new(scheduler, channels.effects, notices.clone());
-        let scheduler = Arc::new(scheduler);
-        Shared {
-            dialect,
-            routes: ArcSwapOption::empty(),
-            versions: AllowedVersions::default(),
-            scheduler_client: Arc::new(SchedulerClient::new(scheduler.clone())),
-            scheduler,
-            connections: ConnectionPool::default(),
-            quarantine_notices: notices,
-            response_buffers: ResponseBuffers::default(),
-            limits: TargetLimits::default(),
-            stream_origins: StreamOrigins::new(channels.origins),
-            store_directory: Arc::default(),
-            fetch_clock: Arc::default(),
-            drain: Arc::new(Drain::default()),
-            metrics: Arc::new(GatewayMetrics::new()),
-            target_observations: channels.observations,
-            rollout: channels.rollout,
-            log_sample: self.log_sample,
-            origin: time_since_boot(),
-        }
-    }
-
-    /// Settings of a scheduler that uses a share of the retries that all entries save up.
-    fn scheduler_settings(&self, burst_share: f64) -> SchedulerSettings {
-        SchedulerSettings {
-            seed: fastrand::u64(..),
-            retry_ratio: self.retry_ratio,
-            retry_burst: RetryBurst::Total(self.retry_burst * burst_share),
-            hedging: false,
-            probe_after_refusal: false,
-            placement: Placement::LeastWork,
-            ..SchedulerSettings::new(self.domain.clone())
-        }
-    }
-
-    /// Builds the scheduler that this entry runs for all entries while it is a hub.
-    fn build_domain_scheduler(
-        &self,
-        shared: &Shared,
-        effects: async_channel::Sender<Effect>,
-        decisions: async_channel::Sender<Effect>,
-    ) -> DomainScheduler {
-        let scheduler = Scheduler::new(SchedulerSettings {
-            placement: Placement::LeastWorkOfAll,
-            ..self.scheduler_settings(HUB_BURST_SHARE)
-        });
-        let notices = shared.quarantine_notices.clone();
-        let scheduler = SharedScheduler::new(scheduler, effects, notices);
-        DomainScheduler::new(Arc::new(scheduler), decisions)
-    }
-
-    fn build_control(
-        &self,
-        shared: &Arc<Shared>,
-        clients: Clients,
-        domain_scheduler: DomainScheduler,
-        executor: &Arc<Executor<'static>>,
-    ) -> Control {
-        let cfg = LeaseSettings {
-            holder: format!("{}.{:x}", self.name, fastrand::u64(..)).into(),
-            duration: LEASE_DURATION,
-            takeover_margin: LEASE_TAKEOVER_MARGIN,
-        };
-        Control {
-            name: self.name.clone(),
-            domain: self.domain.clone(),
-            own_vm: self.own_vm(),
-            shared: shared.clone(),
-            domain_scheduler,
-            lease: LeaseClient::new(clients.platform.clone(), "orders".into(), cfg),
-            platform: clients.platform,
-            decoder: clients.decoder,
-            targets: clients.targets,
-            stores: clients.stores,
-            batch_pause: self.batch_pause(),
-            registration_lifetime: self.target_heartbeat * LIFETIME_HEARTBEATS,
-            mesh: OnceLock::default(),
-            executor: executor.clone(),
-            state: Mutex::new(State::new(self.rollout.clone(), self.version_deadline)),
-        }
-    }
 }
 
 fn spawn_control(
