Split events in linear time, and bound a stream by its tokens

Two causes: each event moved the rest of the buffer, and the bound on a stream did not know that no request generates more than its tokens. Events are now taken from a position; a stream has 256 KiB and 4 KiB a token, 8 MiB at most.

--- a/src/gateway/attempt/stream.rs
+++ b/src/gateway/attempt/stream.rs
@@ -10,6 +10,10 @@
 
 /// Maximum size of a response stream, in bytes with their transfer coding.
 const MAX_STREAM_BYTES: usize = 8 * 1024 * 1024;
+/// Size of a response stream beside its tokens, in bytes.
+const STREAM_OVERHEAD_BYTES: usize = 256 * 1024;
+/// Size of a token in a response stream, in bytes.
+const MAX_TOKEN_BYTES: usize = 4 * 1024;
 
 impl Attempt<'_> {
     /// Tells other entries at which software version the stream began, before its caller may take
@@ -31,6 +35,19 @@
         self.shared.stream_origins.announce(now, origin);
     }
 
+    /// Maximum size of the response stream: no request can generate more than its tokens.
+    fn max_stream_bytes(&self) -> usize {
+        let tokens = self.request.head.prompt.as_ref().map(|p| p.output_tokens);
+        let Some(tokens) = tokens.filter(|n| *n > 0) else {
+            return MAX_STREAM_BYTES;
+        };
+        let tokens = usize::try_from(tokens).unwrap_or(usize::MAX);
+        let bytes = tokens.saturating_mul(MAX_TOKEN_BYTES);
+        bytes
+            .saturating_add(STREAM_OVERHEAD_BYTES)
+            .min(MAX_STREAM_BYTES)
+    }
+
     /// Relays complete events until the stream ends.
     pub(super) async fn relay_stream(
         &self,
@@ -41,6 +58,7 @@
         let mut body = BodyReader::new(head.framing, head.is_bodiless());
         let mut events = EventSplitter::default();
         let mut first = true;
+        let max_bytes = self.max_stream_bytes();
         loop {
             let more = reader.read_part(&mut body, events.buf()).await;
             // Events that were complete before the connection broke are relayed.
@@ -53,7 +71,7 @@
                 response.send_events(head, &whole).await?;
             }
             let more = more.map_err(AttemptError::Response)?;
-            let overlong = events.is_overlong() || reader.received() > MAX_STREAM_BYTES;
+            let overlong = events.is_overlong() || reader.received() > max_bytes;
             if overlong || (!more && events.has_rest()) {
                 return Err(AttemptError::Response(ResponseError::CutShort));
             }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -17,22 +17,27 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: Vec<u8>,
-    /// Number of bytes at the front of `buf` in which no event ends.
+    /// Number of bytes at the front of `buf` that were returned as events.
+    taken: usize,
+    /// Position in `buf` before which no further event ends.
     scanned: usize,
 }
 
 impl EventSplitter {
     /// Input buffer, to which the next bytes of the stream must be appended.
     pub fn buf(&mut self) -> &mut Vec<u8> {
+        self.buf.drain(..self.taken);
+        self.scanned -= self.taken;
+        self.taken = 0;
         &mut self.buf
     }
 
     /// Removes the next complete event from the buffer; `None` when more bytes are needed.
     pub fn next_event(&mut self) -> Option<RawEvent> {
         let end = self.find_end()?;
-        let rest = self.buf.split_off(end);
-        let bytes = std::mem::replace(&mut self.buf, rest);
-        self.scanned = 0;
+        let bytes = self.buf[self.taken..end].to_vec();
+        self.taken = end;
+        self.scanned = end;
         let id = event_id(&bytes);
         Some(RawEvent { bytes, id })
     }
@@ -40,13 +45,13 @@
     /// Whether the buffered bytes exceed the maximum size of an event.
     #[must_use]
     pub fn is_overlong(&self) -> bool {
-        self.buf.len() > MAX_EVENT_BYTES
+        self.buf.len() - self.taken > MAX_EVENT_BYTES
     }
 
     /// Whether bytes of an incomplete event are buffered.
     #[must_use]
     pub fn has_rest(&self) -> bool {
-        !self.buf.is_empty()
+        self.buf.len() > self.taken
     }
 
     /// Finds the end of the first event: a line feed that is followed by an empty line.
