--- a/tests/limit_load.rs
+++ b/tests/limit_load.rs
@@ -121,6 +121,27 @@
     }
 }
 
+/// Two entries that both believe that they are the hub, each with half of the limit, beside all
+/// entries with three tenths together.
+#[test]
+fn share_meter_keeps_limit_with_two_hubs_at_once() {
+    for limit in ["0.4", "2.3", "17", "240"] {
+        let limit = rate(limit);
+        for shift in [0, 130, 700] {
+            let share = |fraction, of, index, since| {
+                let position = SharePosition { of, index };
+                ShareMeter::new(RateShare::new(limit, fraction, position, since))
+            };
+            let hubs = [share(0.5, 1, 0, ms(0)), share(0.5, 1, 0, ms(shift))];
+            let entries = (0..84).map(|index| share(0.3, 84, index, ms(0)));
+            let mut meters: Vec<ShareMeter> = hubs.into_iter().chain(entries).collect();
+            let sends = send_all(&mut meters, Duration::from_mins(1), |_, _| true);
+            let most = most_in_window(sends);
+            assert!(most <= allowed(limit), "{limit} {shift}: {most} in 4 s");
+        }
+    }
+}
+
 /// One scheduler with a limited and a free target, on virtual time; every request takes 50 ms.
 struct Entry {
     scheduler: Scheduler,
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -1,7 +1,9 @@
 //! Limits of targets: their values, and what an entry knows of them when answers arrive out of order.
 
 use guavahold::prelude::*;
-use guavahold::rate_limit::{LimitChange, LimitObservation, LimitTable, NamedLimit, RequestRate};
+use guavahold::rate_limit::{
+    LimitChange, LimitObservation, LimitReport, LimitTable, NamedLimit, RequestRate, process_hash,
+};
 
 fn ms(n: u64) -> Timestamp {
     Timestamp::from_millis(n)
@@ -111,3 +113,75 @@
     table.set_targets(ms(62_000 + 120_000), []);
     assert_eq!(table.rate("t"), None, "it is gone");
 }
+
+/// A table that lists one target.
+fn table() -> LimitTable {
+    let mut table = LimitTable::default();
+    table.set_targets(ms(0), [("t".into(), 7)]);
+    table
+}
+
+/// An entry that hears of a limit keeps to it, and counts from when it was first named anywhere.
+#[test]
+fn merge_adopts_limit_of_a_peer_with_its_age() {
+    let mut first = table();
+    first.observe(&"t".into(), seen(Some("2"), 900, 1_000));
+    let reports = first.reports(ms(1_500));
+    // The clocks of two entries have nothing in common.
+    let mut second = table();
+    let (name, change) = second.merge(ms(70_000), &reports[0]).expect("a change");
+    assert_eq!((&*name, change), ("t", LimitChange::Named(rate("2"))));
+    assert_eq!(second.since("t"), Some(ms(69_500)));
+    assert_eq!(second.merge(ms(70_000), &reports[0]), None, "nothing new");
+}
+
+#[test]
+fn merge_lifts_limit_that_a_peer_saw_end_later() {
+    let mut first = table();
+    first.observe(&"t".into(), seen(Some("2"), 900, 1_000));
+    let named = first.reports(ms(1_100));
+    let mut second = table();
+    second.merge(ms(1_100), &named[0]);
+    first.observe(&"t".into(), seen(None, 2_000, 2_050));
+    let lifted = first.reports(ms(2_100));
+    assert_eq!(lifted[0].rate, None);
+    let change = second.merge(ms(2_100), &lifted[0]);
+    assert_eq!(change, Some(("t".into(), LimitChange::Lifted)));
+    let late = named[0].aged_by(ms(1_000));
+    assert_eq!(second.merge(ms(2_100), &late), None, "the older report");
+    assert_eq!(first.reports(ms(40_000)), [], "an end is not told for ever");
+}
+
+/// A report about the former process of a target says nothing of the present one.
+#[test]
+fn merge_ignores_reports_about_other_processes() {
+    let report = LimitReport {
+        target: process_hash("t", 6),
+        rate: Some(rate("2")),
+        sent_ms: 10,
+        received_ms: 5,
+        since_ms: 5,
+    };
+    let mut table = table();
+    assert_eq!(table.merge(ms(1_000), &report), None);
+    assert_eq!(table.rate("t"), None);
+}
+
+/// A hub that merges the reports of several entries keeps the stricter one unless it is outdated.
+#[test]
+fn limit_report_merge_keeps_what_counts() {
+    let report = |limit: Option<&str>, sent_ms, received_ms| LimitReport {
+        target: 1,
+        rate: limit.map(rate),
+        sent_ms,
+        received_ms,
+        since_ms: received_ms,
+    };
+    let limit = report(Some("2"), 500, 400);
+    let overlapping = report(None, 450, 300);
+    let ended = report(None, 200, 100);
+    assert_eq!(limit.merge(overlapping).rate, limit.rate);
+    assert_eq!(overlapping.merge(limit).rate, limit.rate);
+    assert_eq!(limit.merge(ended).rate, None);
+    assert_eq!(ended.merge(limit).rate, None);
+}
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -17,6 +17,8 @@
 mod refusals;
 #[path = "scheduler/simulation.rs"]
 mod simulation;
+#[path = "scheduler/software.rs"]
+mod software;
 #[path = "scheduler/timing.rs"]
 mod timing;
 #[path = "scheduler/traces.rs"]
