Serve requests that go on with a stream before others at targets of its version

A resumed request took its turn in the queue like new ones; when the slot that came free was at another version, it went back for 20 ms, and new requests, which may run anywhere, took the slots of its few targets. Such requests are now tried first whenever a target of the pool changes. resumed_request_goes_before_queued_ones_at_its_version fails without the call: the slot goes to a queued request.

--- a/src/rate_limit/report.rs
+++ b/src/rate_limit/report.rs
@@ -70,6 +70,14 @@
         // Any moment after all of the observations.
         let now = Duration::from_millis(self.sent_ms.max(other.sent_ms)) + TRANSIT_ALLOWANCE;
         let (own, new) = (self.observation(now), other.observation(now));
+        if own.rate == new.rate {
+            return Self {
+                sent_ms: self.sent_ms.min(other.sent_ms),
+                received_ms: self.received_ms.min(other.received_ms),
+                since_ms: self.since_ms.max(other.since_ms),
+                ..self
+            };
+        }
         let mut merged = if own.is_replaced_by(&new) {
             other
         } else {
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod rate_share;
 mod refuse;
+mod resumed;
 mod signal;
 mod timers;
 mod wait_prediction;
@@ -39,6 +40,8 @@
     /// Pools whose targets or queues changed, so that requests may be dispatched.
     dirty_pools: BTreeSet<PoolIx>,
     suspects: SuspectRequests,
+    /// Requests that wait for a target of the software version that began their stream.
+    resumed_waiting: BTreeSet<(PoolIx, RequestId)>,
     /// Targets that became unreachable: time, failure domain and name.
     recent_deaths: VecDeque<(Timestamp, Name, Name)>,
     reservations: Reservations,
@@ -60,6 +63,7 @@
             timers: BTreeSet::new(),
             dirty_pools: BTreeSet::new(),
             suspects: SuspectRequests::new(cfg.quarantine_time),
+            resumed_waiting: BTreeSet::new(),
             recent_deaths: VecDeque::new(),
             reservations: Reservations::default(),
             catalog: Arc::default(),
--- a/src/scheduler/machine/admit.rs
+++ b/src/scheduler/machine/admit.rs
@@ -35,6 +35,7 @@
             return;
         }
         self.enqueue(id);
+        self.wait_for_software(id);
         self.serve(pool, effects);
         let Some(Stage::Queued(lane, _)) = self.requests.get(&id).map(|r| r.stage) else {
             return;
@@ -232,6 +233,7 @@
     }
 
     fn serve(&mut self, pool: PoolIx, effects: &mut Vec<Effect>) {
+        self.serve_resumed(pool, effects);
         let lanes = self.lanes.get(pool.0).map_or(0, Vec::len);
         for lane in 0..lanes {
             self.serve_lane(pool, lane, effects);
--- a/src/scheduler/machine/dispatch.rs
+++ b/src/scheduler/machine/dispatch.rs
@@ -40,9 +40,11 @@
             self.refuse_quarantined(id, until, effects);
             return;
         }
-        match self.select(id, &permission) {
-            Some((target, weights)) => self.start_attempt(id, target, weights, false, effects),
-            None => self.delay_request(id, PLACEMENT_RETRY_DELAY),
+        if let Some((target, weights)) = self.select(id, &permission) {
+            self.start_attempt(id, target, weights, false, effects);
+        } else {
+            self.delay_request(id, PLACEMENT_RETRY_DELAY);
+            self.wait_for_software(id);
         }
     }
 
--- a/tests/scheduler/software.rs
+++ b/tests/scheduler/software.rs
@@ -136,3 +136,37 @@
     submit(&mut scheduler, 62_000, Event::Tick);
     assert_eq!(scheduler.sole_software("chat"), Some("v2".into()));
 }
+
+/// While all targets are busy and others queue, a slot at the only target of its version goes to the
+/// request that can run nowhere else.
+#[test]
+fn resumed_request_goes_before_queued_ones_at_its_version() {
+    let mut scheduler = scheduler(Placement::LeastWork, &[("t-1", "v1"), ("t-2", "v2")]);
+    let mut at_first = None;
+    for id in 0..16 {
+        let effects = submit(&mut scheduler, 0, Event::Arrive(request(id, None, false)));
+        if dispatched_to(&effects) == Some("t-1") {
+            at_first = Some(RequestId(id));
+        }
+    }
+    let at_first = at_first.expect("a request at t-1");
+    for id in 16..24 {
+        submit(&mut scheduler, 1, Event::Arrive(request(id, None, false)));
+    }
+    let resumed = RequestId(24);
+    submit(
+        &mut scheduler,
+        2,
+        Event::Arrive(request(24, Some("v1"), false)),
+    );
+    let ended = Event::AttemptEnded {
+        id: at_first,
+        attempt: 1,
+        outcome: AttemptOutcome::Done,
+    };
+    let effects = submit(&mut scheduler, 50, ended);
+    let [Effect::Dispatch { id, target, .. }] = &effects[..] else {
+        panic!("expected a dispatch, got {effects:?}");
+    };
+    assert_eq!((*id, &**target), (resumed, "t-1"));
+}
