Log how recently an entry's objects were confirmed, and by whom

The record of CONFIG can't tell an entry that waits for an answer that never comes from one to which nothing was said: neither logs anything. objects_unconfirmed says what the entry believes (version of the configuration, revision, newest revision that a peer reported, who confirmed last and when) once the objects of a kind were not confirmed for as long as a change may take; objects_confirmed ends it. No logic is changed.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,6 +1,7 @@
 //! Control tasks of a gateway: watches of the platform store, messages to peers, and weight orders.
 
 mod domain_scheduling;
+mod freshness;
 mod hub;
 mod orders;
 pub(crate) mod peers;
@@ -22,7 +23,7 @@
 use crate::domain_scheduler::DomainScheduler;
 use crate::gateway::connection_pool::connect;
 use crate::gateway::shared::{Shared, TargetObservation};
-use crate::gateway::{Decoder, WatchedKind};
+use crate::gateway::{ConfirmedBy, Decoder, WatchedKind};
 use crate::lease::LeaseClient;
 use crate::peer::{Mesh, PeerLinks, PeerMessage};
 use crate::platform::{Listing, Platform, PlatformError, StoreRevision, Vm, WatchEvent};
@@ -69,6 +70,8 @@
     pub mesh: OnceLock<Arc<Mesh>>,
     /// Executor of the control thread, on which further control tasks are spawned.
     pub executor: Arc<Executor<'static>>,
+    /// Time within which a change in the platform store must take effect.
+    pub change_deadline: Duration,
     /// Pause after each batch of changes in the platform store, in a large system.
     pub batch_pause: Duration,
     /// Time after which the registration of a target that is gone has expired.
@@ -136,6 +139,7 @@
 
     fn record_store_success(&self, state: &mut State, watched: WatchedKind) {
         let now = self.now();
+        self.confirm_objects(state, watched, ConfirmedBy::Store);
         if let Some(since) = state.unreachable_since[watched.index()].take() {
             let away_ms = now.saturating_sub(since).as_millis();
             let kind = watched.as_str();
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::context_store::RetiredVersions;
 use crate::gateway::control::{Control, State};
-use crate::gateway::{PeerObject, TargetLoad, WatchedKind};
+use crate::gateway::{ConfirmedBy, PeerObject, TargetLoad, WatchedKind};
 use crate::name_hash::name_hash;
 use crate::peer::{GatewayStatus, Mesh, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::StoreRevision;
@@ -105,6 +105,7 @@
         }
         for watched in WatchedKind::ALL {
             let n = watched.index();
+            state.freshness[n].observe_peer_revision(status.revisions[n]);
             let unreachable =
                 state.unreachable_since[n].is_some_and(|since| now >= since + OBJECT_REQUEST_DELAY);
             let behind = status.revisions[n] > state.caches[n].revision();
@@ -150,6 +151,7 @@
         {
             return;
         }
+        self.confirm_objects(&mut state, watched, ConfirmedBy::Peer(peer.into()));
         let restored = StoreRevision::from_bits(revision).era() > former.era();
         if watched == WatchedKind::Targets && restored && former.to_bits() > 0 {
             let (now, lifetime) = (self.now(), self.registration_lifetime);
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -59,6 +59,7 @@
             self.update_derived(&mut state, WatchedKind::Members);
         }
         state.loads.expire(now);
+        self.log_overdue_objects(&mut state);
         if expired {
             self.submit_targets(&mut state);
         } else {
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -4,8 +4,8 @@
 
 use crate::context_store::RetirementTracker;
 use crate::gateway::{
-    DeclaredWeights, Decoder, HubAggregator, HubCandidate, HubSelector, LoadTable, ObjectCache,
-    RegisteredTarget, TargetLoad, TargetTable, WatchedKind, WeightVersions,
+    DeclaredWeights, Decoder, HubAggregator, HubCandidate, HubSelector, KindFreshness, LoadTable,
+    ObjectCache, RegisteredTarget, TargetLoad, TargetTable, WatchedKind, WeightVersions,
 };
 use crate::name_hash::name_hash;
 use crate::peer::PeerInfo;
@@ -28,6 +28,8 @@
     /// Since when the platform store has been unreachable, by kind; from the start of the process
     /// until the first successful call.
     pub unreachable_since: [Option<Timestamp>; 4],
+    /// How recently the objects were confirmed, by kind.
+    pub freshness: [KindFreshness; 4],
     /// When objects were last requested from a peer, by kind.
     pub objects_requested_at: [Option<Timestamp>; 4],
     /// Registered targets.
@@ -76,6 +78,7 @@
         Self {
             caches: Default::default(),
             unreachable_since: [Some(Timestamp::ZERO); 4],
+            freshness: Default::default(),
             objects_requested_at: [None; 4],
             targets: TargetTable::default(),
             versions: WeightVersions::with_deadline(version_deadline),
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -12,7 +12,7 @@
 /// Largest number of context events that are shown; the latest ones are kept.
 const MAX_CONTEXT_EVENTS: usize = 12;
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 19] = [
+const STATE_EVENTS: [&str; 21] = [
     "target_unreachable",
     "target_word",
     "target_limit",
@@ -24,6 +24,8 @@
     "store_lost",
     "store_regained",
     "objects_adopted",
+    "objects_unconfirmed",
+    "objects_confirmed",
     "peer_lost",
     "peer_found",
     "request_suspected",
--- /dev/null
+++ b/tests/kind_freshness.rs
@@ -0,0 +1,31 @@
+//! How recently an entry's objects were confirmed, without a network.
+
+use std::time::Duration;
+
+use guavahold::gateway::{ConfirmedBy, KindFreshness};
+
+const LIMIT: Duration = Duration::from_secs(2);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn newly_overdue_reports_each_silence_once() {
+    let mut freshness = KindFreshness::default();
+    assert_eq!(freshness.confirm(ms(100), ConfirmedBy::Store), None);
+    assert_eq!(freshness.newly_overdue(ms(2_100), LIMIT), None);
+    assert_eq!(freshness.newly_overdue(ms(2_101), LIMIT), Some(ms(2_001)));
+    assert_eq!(freshness.newly_overdue(ms(3_000), LIMIT), None);
+    let peer = ConfirmedBy::Peer("front-2".into());
+    assert_eq!(freshness.confirm(ms(4_100), peer), Some(ms(4_000)));
+    assert_eq!(freshness.newly_overdue(ms(6_200), LIMIT), Some(ms(2_100)));
+}
+
+#[test]
+fn observe_peer_revision_keeps_the_newest() {
+    let mut freshness = KindFreshness::default();
+    freshness.observe_peer_revision(7);
+    freshness.observe_peer_revision(5);
+    assert_eq!(freshness.peer_revision(), 7);
+}
