Bound the silence of watches, so that a call that is never answered hides no change (CONFIG)

What callers saw: routes and keys that were gone were still served 2.6 s after the acknowledgement of the configuration that removed them, and longer.

Change: whoever watches names the longest silence that it allows (Platform::watch). After a failed call the next one asks for what there is now and has 0.9 s, so that a store that returns is heard within 1.8 s whatever was pending. Entries and declared weights keep their long wait.

--- a/src/catalog/sync.rs
+++ b/src/catalog/sync.rs
@@ -14,7 +14,9 @@
     ReplicaSettings, SnapshotRef,
 };
 use crate::peer::{PeerEvents, PeerInfo, PeerLinks, PeerMessage};
-use crate::platform::{Platform, PlatformError, Version, WatchEvent, WatchStream};
+use crate::platform::{
+    MAX_WATCH_SILENCE, Platform, PlatformError, Version, WatchEvent, WatchStream,
+};
 use crate::prelude::*;
 use crate::telemetry::log_event;
 
@@ -203,7 +205,10 @@
             None => self.read_head().await?,
         };
         let (kind, name) = (CatalogHead::KIND, CatalogHead::NAME);
-        self.platform.watch(kind, Some(name), version).await
+        let max_silence = MAX_WATCH_SILENCE;
+        self.platform
+            .watch(kind, Some(name), version, max_silence)
+            .await
     }
 
     async fn read_head(&self) -> Result<Version, PlatformError> {
--- a/src/entry/vm_list_watcher.rs
+++ b/src/entry/vm_list_watcher.rs
@@ -7,7 +7,7 @@
 use futures_lite::{FutureExt, StreamExt};
 use log::Level;
 
-use crate::platform::{Platform, PlatformError, Version, Vm, WatchEvent};
+use crate::platform::{MAX_WATCH_SILENCE, Platform, PlatformError, Version, Vm, WatchEvent};
 use crate::prelude::*;
 use crate::telemetry::log_event;
 
@@ -92,7 +92,9 @@
     }
 
     async fn watch(&mut self, from: Version) -> Result<(), PlatformError> {
-        let mut events = self.platform.watch(Vm::KIND, None, from).await?;
+        let max_silence = MAX_WATCH_SILENCE;
+        let watch = self.platform.watch(Vm::KIND, None, from, max_silence);
+        let mut events = watch.await?;
         while let Some(event) = events.next().await {
             match event? {
                 WatchEvent::Put(object) => {
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -80,6 +80,7 @@
     rollout: RolloutSettings,
     target_heartbeat: Duration,
     change_deadline: Duration,
+    recovery_deadline: Duration,
     version_deadline: Duration,
 }
 
@@ -112,6 +113,7 @@
             rollout: RolloutSettings::default(),
             target_heartbeat: Duration::from_millis(1_200),
             change_deadline: Duration::from_secs(2),
+            recovery_deadline: Duration::from_secs(3),
             version_deadline: Duration::from_secs(12),
         }
     }
@@ -184,6 +186,14 @@
         self
     }
 
+    /// Sets the time after a disruption of the platform store within which its changes must be
+    /// known.
+    #[must_use]
+    pub fn recovery_deadline(mut self, deadline: Duration) -> Self {
+        self.recovery_deadline = deadline;
+        self
+    }
+
     /// Sets the time after the declaration of a weight version from which no request may start on an
     /// older one.
     #[must_use]
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -120,7 +120,7 @@
             decoder: clients.decoder,
             targets: clients.targets,
             stores: clients.stores,
-            change_deadline: self.change_deadline,
+            recovery_deadline: self.recovery_deadline,
             batch_pause: self.batch_pause(),
             registration_lifetime: self.target_heartbeat * LIFETIME_HEARTBEATS,
             mesh: OnceLock::default(),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -70,8 +70,8 @@
     pub mesh: OnceLock<Arc<Mesh>>,
     /// Executor of the control thread, on which further control tasks are spawned.
     pub executor: Arc<Executor<'static>>,
-    /// Time within which a change in the platform store must take effect.
-    pub change_deadline: Duration,
+    /// Time after a disruption of the platform store within which its changes must be known.
+    pub recovery_deadline: Duration,
     /// Pause after each batch of changes in the platform store, in a large system.
     pub batch_pause: Duration,
     /// Time after which the registration of a target that is gone has expired.
--- a/src/gateway/control/freshness.rs
+++ b/src/gateway/control/freshness.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 
 /// Time without a confirmation of entries or declared weights that is logged.
-const SLOW_KIND_LIMIT: Duration = Duration::from_secs(12);
+const SLOW_KIND_LIMIT: Duration = Duration::from_secs(15);
 
 impl Control {
     /// Records that the store or a peer confirmed the objects of a kind.
@@ -43,7 +43,7 @@
 
     fn confirmation_limit(&self, watched: WatchedKind) -> Duration {
         match watched {
-            WatchedKind::Routes | WatchedKind::Targets => self.change_deadline + self.batch_pause,
+            WatchedKind::Routes | WatchedKind::Targets => self.recovery_deadline + self.batch_pause,
             WatchedKind::Weights | WatchedKind::Members => SLOW_KIND_LIMIT,
         }
     }
--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -5,13 +5,20 @@
 
 use crate::gateway::WatchedKind;
 use crate::gateway::control::Control;
-use crate::platform::{Platform, PlatformError, Version, WatchEvent};
+use crate::platform::{Platform, PlatformError, Version, WatchEvent, WatchStream};
 use crate::prelude::*;
 
 /// Backoff after the first failed call, doubled after each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 /// Maximum backoff after a failed call.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// Maximum time without an answer while the entries or the declared weights are watched. Nothing
+/// urgent depends on them, and each call has a price.
+const SLOW_KIND_MAX_SILENCE: Duration = Duration::from_secs(10);
+/// Time in which the store must answer the first call after a failed one.
+const RETRY_MAX_SILENCE: Duration = Duration::from_millis(900);
+/// Part of the recovery deadline for opening a failed watch again and for applying its changes.
+const RECOVERY_RESERVE: Duration = Duration::from_millis(900);
 /// Pause after each batch of changes to the list of entries in a large system. Nothing waits for
 /// them: an entry that starts connects to the others by itself.
 const MEMBERS_BATCH_PAUSE: Duration = Duration::from_millis(3_500);
@@ -35,6 +42,7 @@
         loop {
             let result = match &from {
                 None => self.list().await,
+                Some(version) if failures > 0 => self.catch_up(version).await,
                 Some(version) => self.watch(version).await,
             };
             let reached = match result {
@@ -85,11 +93,48 @@
         Ok(version)
     }
 
+    /// Maximum time without an answer of the store. A call that it took and never answers must not
+    /// hide a change for longer than entries have to catch up.
+    fn max_silence(&self) -> Duration {
+        match self.watched {
+            WatchedKind::Routes | WatchedKind::Targets => self
+                .control
+                .recovery_deadline
+                .saturating_sub(RECOVERY_RESERVE),
+            WatchedKind::Weights | WatchedKind::Members => SLOW_KIND_MAX_SILENCE,
+        }
+    }
+
+    async fn open_watch(
+        &self,
+        from: &Version,
+        max_silence: Duration,
+    ) -> Result<WatchStream, (Option<Version>, PlatformError)> {
+        let kind = self.control.decoder.kind(self.watched);
+        let watch = self.platform.watch(kind, None, from.clone(), max_silence);
+        watch.await.map_err(|err| (None, err))
+    }
+
+    /// Applies the changes that the store has now.
+    async fn catch_up(&self, from: &Version) -> Result<Version, (Option<Version>, PlatformError)> {
+        let mut stream = self.open_watch(from, RETRY_MAX_SILENCE).await?;
+        while let Some(event) = stream.next().await {
+            let event = event.map_err(|err| (None, err))?;
+            let bookmark = match &event {
+                WatchEvent::Bookmark(version) => Some(version.clone()),
+                _ => None,
+            };
+            self.control.apply_event(self.watched, event);
+            if let Some(version) = bookmark {
+                return Ok(version);
+            }
+        }
+        Ok(from.clone())
+    }
+
     /// Applies changes until the watch ends; errors include the version that was reached.
     async fn watch(&self, from: &Version) -> Result<Version, (Option<Version>, PlatformError)> {
-        let kind = self.control.decoder.kind(self.watched);
-        let stream = self.platform.watch(kind, None, from.clone()).await;
-        let mut stream = stream.map_err(|err| (None, err))?;
+        let mut stream = self.open_watch(from, self.max_silence()).await?;
         let mut reached = None;
         while let Some(event) = stream.next().await {
             let event = event.map_err(|err| (reached.clone(), err))?;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,6 +9,8 @@
 use futures_lite::future::Boxed;
 use futures_lite::stream;
 
+use crate::prelude::*;
+
 pub use error::PlatformError;
 pub use object::{Listing, Object, Version, WatchEvent};
 pub use remote::RemotePlatform;
@@ -18,6 +20,9 @@
 /// Stream of watch events; after its end or an error, the watch must be opened again.
 pub type WatchStream = stream::Boxed<Result<WatchEvent, PlatformError>>;
 
+/// Time without data after which a watch of the object API has failed; bookmarks come more often.
+pub(crate) const MAX_WATCH_SILENCE: Duration = Duration::from_secs(15);
+
 /// Store of versioned objects with conditional updates and watches.
 pub trait Platform: Send + Sync {
     /// Reads an object; `None` when it does not exist.
@@ -30,12 +35,14 @@
     fn update(&self, object: Object) -> Boxed<Result<Object, PlatformError>>;
     /// Deletes an object if its current version is `version`.
     fn delete(&self, kind: &str, name: &str, version: Version) -> Boxed<Result<(), PlatformError>>;
-    /// Watches the changes after version `from` of a kind, or of one object of it.
+    /// Watches the changes after version `from` of a kind, or of one object of it. The stream fails
+    /// when it brings nothing, not even a bookmark, for `max_silence`.
     fn watch(
         &self,
         kind: &str,
         name: Option<&str>,
         from: Version,
+        max_silence: Duration,
     ) -> Boxed<Result<WatchStream, PlatformError>>;
     /// Newest era of the store that was seen in a response or reported by a peer; zero for a store
     /// that is never restored from an older copy. See [`StoreRevision`].
--- a/src/platform/remote.rs
+++ b/src/platform/remote.rs
@@ -20,8 +20,6 @@
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 /// Longest accepted line of a watch, in bytes.
 const MAX_WATCH_LINE_BYTES: usize = 4 * 1024 * 1024;
-/// Time without data after which a watch is opened again; the platform sends bookmarks more often.
-const WATCH_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Client of the platform's object API.
 #[derive(Clone, Debug)]
@@ -207,6 +205,7 @@
         kind: &str,
         name: Option<&str>,
         from: Version,
+        max_silence: Duration,
     ) -> Boxed<Result<WatchStream, PlatformError>> {
         let (this, kind) = (self.0.clone(), Name::from(kind));
         let mut path = format!("{kind}?watch=true&resourceVersion={}", from.0);
@@ -218,6 +217,7 @@
             let reader = WatchReader {
                 response,
                 kind,
+                max_silence,
                 buf: Vec::new(),
             };
             let events = stream::unfold(Some(reader), |reader| async move {
@@ -235,6 +235,7 @@
 struct WatchReader {
     response: ClientResponse,
     kind: Name,
+    max_silence: Duration,
     buf: Vec<u8>,
 }
 
@@ -252,7 +253,7 @@
             let mut buf = vec![0; 16 * 1024];
             let read = self.response.read(&mut buf);
             let timed_out = async {
-                Timer::after(WATCH_IDLE_TIMEOUT).await;
+                Timer::after(self.max_silence).await;
                 Err(ExchangeError::Body(std::io::ErrorKind::TimedOut.into()))
             };
             match read.or(timed_out).await {
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -254,6 +254,7 @@
         kind: &str,
         name: Option<&str>,
         from: Version,
+        _max_silence: Duration,
     ) -> Boxed<Result<WatchStream, PlatformError>> {
         let (this, kind, name) = (self.clone(), Name::from(kind), name.map(Name::from));
         Box::pin(async move {
