--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -12,9 +12,10 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 /// Maximum backoff after a failed call.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
-/// Maximum time without an answer while the entries or the declared weights are watched. Nothing
-/// urgent depends on them, and each call has a price.
-const SLOW_KIND_MAX_SILENCE: Duration = Duration::from_secs(10);
+/// Maximum time without an answer while the entries are watched: they find each other by links.
+const MEMBERS_MAX_SILENCE: Duration = Duration::from_secs(10);
+/// The same for declared weights: requests may begin on older ones for some seconds.
+const WEIGHTS_MAX_SILENCE: Duration = Duration::from_secs(4);
 /// Time in which the store must answer the first call after a failed one.
 const RETRY_MAX_SILENCE: Duration = Duration::from_millis(900);
 /// Part of the recovery deadline for opening a failed watch again and for applying its changes.
@@ -101,7 +102,8 @@
                 .control
                 .recovery_deadline
                 .saturating_sub(RECOVERY_RESERVE),
-            WatchedKind::Weights | WatchedKind::Members => SLOW_KIND_MAX_SILENCE,
+            WatchedKind::Weights => WEIGHTS_MAX_SILENCE,
+            WatchedKind::Members => MEMBERS_MAX_SILENCE,
         }
     }
 
