Log which parts of prompts were at a target whose connection broke

The record of BUDGET names one suspected request per ended target, each with another fingerprint; what the requests had in common shows nowhere. prompt_broken_off names the parts that other prompts may have as well, and whether the answer had begun. No logic is changed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -107,6 +107,8 @@
     /// Transfers from and to context stores, for the log: the number of fetches times
     /// [`FETCH_COUNT_FACTOR`], plus the number of saves.
     pub transfer_counts: &'a AtomicUsize,
+    /// Set when the target has begun its answer: with the first whole event of a stream.
+    pub answer_began: &'a AtomicBool,
     /// The scheduler's handle of the request, to which the first event is reported.
     pub handle: &'a ScheduledRequest,
 }
--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -1,6 +1,6 @@
 //! Runs the attempts of one request, until its final outcome.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Instant;
 
 use futures_lite::FutureExt;
@@ -157,9 +157,11 @@
             !self.request.route.is_repeatable() && !self.request.route.is_streaming();
         let started = Instant::now();
         let transfer_counts = AtomicUsize::new(0);
+        let answer_began = AtomicBool::new(false);
         let result = {
             let attempt = Attempt {
                 transfer_counts: &transfer_counts,
+                answer_began: &answer_began,
                 shared: self.shared,
                 request: self.request,
                 assignment,
@@ -234,6 +236,9 @@
                     Some(error.to_string()),
                 );
                 self.may_have_been_sent = sent_before || matches!(error, AttemptError::Response(_));
+                if error.outcome().is_broken_off() {
+                    self.log_broken_off(assignment, answer_began.load(Ordering::Relaxed));
+                }
                 self.on_error(assignment, &error);
                 None
             }
@@ -292,6 +297,21 @@
         }
     }
 
+    /// Logs what the target had of a prompt when its connection broke: requests in which targets
+    /// end may have a part in common.
+    fn log_broken_off(&self, assignment: &Assignment, answer_began: bool) {
+        let Some(prompt) = &self.request.head.prompt else {
+            return;
+        };
+        let parts: Vec<&str> = prompt.shared_parts().iter().map(|p| &*p.id).collect();
+        log::info!(
+            "event=prompt_broken_off request={} target={} answer_began={answer_began} parts={}",
+            self.request.head.id,
+            assignment.target,
+            parts.join(",")
+        );
+    }
+
     fn on_error(&self, assignment: &Assignment, error: &AttemptError) {
         if let AttemptError::Refused(info) = error
             && info.run == RunReport::Misdirected
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -157,6 +157,12 @@
         }
     }
 
+    /// Whether the connection to the target broke after the request was sent.
+    #[must_use]
+    pub fn is_broken_off(&self) -> bool {
+        matches!(self, Self::Lost | Self::CutShort)
+    }
+
     /// Whether no byte of the request was sent.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
