--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,7 @@
 mod object_cache;
 mod peer_handler;
 mod probe;
+mod prompt_quarantine;
 mod refusal;
 mod registration;
 mod request_driver;
--- a/src/gateway/attempt/stream.rs
+++ b/src/gateway/attempt/stream.rs
@@ -68,6 +68,7 @@
             if !whole.is_empty() {
                 if std::mem::take(&mut first) {
                     self.answer_began.store(true, Ordering::Relaxed);
+                    self.shared.prompt_quarantine.record_answer(self.request);
                     self.handle.report_first_token(self.assignment.number);
                     self.announce_origin(response);
                 }
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -22,6 +22,7 @@
 use crate::gateway::stream_origins::OriginCall;
 use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
 use crate::http::{Limits, Server, ServerControl};
+use crate::part_quarantine::PartNotice;
 use crate::peer::Mesh;
 use crate::platform::{Platform, Role, Vm, VmPhase};
 use crate::prelude::*;
@@ -59,6 +60,7 @@
     observations: async_channel::Sender<TargetObservation>,
     rollout: async_channel::Sender<RolloutEffect>,
     origins: async_channel::Sender<OriginCall>,
+    part_notices: async_channel::Sender<PartNotice>,
 }
 
 /// Settings and listen addresses of a [`Gateway`].
@@ -224,11 +226,13 @@
         let (rollout_tx, rollout) = async_channel::unbounded();
         let (decisions_tx, decisions) = async_channel::unbounded();
         let (origins_tx, origin_calls) = async_channel::unbounded();
+        let (part_notices_tx, part_notices) = async_channel::unbounded();
         let channels = SharedChannels {
             effects: effects_tx.clone(),
             observations: observations_tx,
             rollout: rollout_tx,
             origins: origins_tx,
+            part_notices: part_notices_tx,
         };
         let shared = self.build_shared(dialect, channels);
         let shared = Arc::new(shared);
@@ -276,6 +280,8 @@
             control_ex.spawn(server.run(control_ex.clone())).detach();
         }
         spawn_control(&control, &control_ex, effects, observations, rollout);
+        let run_part_notices = control.clone().run_part_notices(part_notices);
+        control_ex.spawn(run_part_notices).detach();
         let run_origins = control.clone().run_stream_origins(origin_calls);
         control_ex.spawn(run_origins).detach();
         for watched in WatchedKind::ALL {
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -12,6 +12,7 @@
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::control::{Control, State};
 use crate::gateway::drain::Drain;
+use crate::gateway::prompt_quarantine::PromptQuarantine;
 use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream_origins::StreamOrigins;
@@ -54,6 +55,7 @@
             scheduler,
             connections: ConnectionPool::default(),
             quarantine_notices: notices,
+            prompt_quarantine: PromptQuarantine::new(self.name.clone(), channels.part_notices),
             response_buffers: ResponseBuffers::default(),
             limits: TargetLimits::default(),
             stream_origins: StreamOrigins::new(channels.origins),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -4,6 +4,7 @@
 mod freshness;
 mod hub;
 mod orders;
+mod part_notices;
 pub(crate) mod peers;
 mod periodic;
 mod rate_shares;
@@ -305,11 +306,13 @@
         let signal = match connect(address).await {
             Ok(stream) => {
                 self.shared.connections.put(address, stream, None);
+                self.shared.prompt_quarantine.record_alive(&target);
                 Signal::Reachable
             }
             Err(err) => {
                 let error = err.to_string();
                 log::info!("event=target_unreachable target={target} error={error:?}");
+                self.shared.prompt_quarantine.record_end(&target);
                 Signal::Unreachable
             }
         };
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -172,6 +172,7 @@
         }
         for found in names.iter().filter(|n| !state.peers.contains(n)) {
             log::info!("event=peer_found peer={found}");
+            self.exchange_part_notices(found);
         }
         // Entries that only this one cannot reach use their part of the retry budget as well.
         let entries = state.entry_count().max(names.len() + 1);
@@ -184,6 +185,7 @@
         let is_live = |name: &str| *name == *self.name || names.iter().any(|n| **n == *name);
         self.domain_scheduler.retain_entries(is_live);
         self.shared.scheduler_client.retain_hubs(is_live);
+        self.shared.prompt_quarantine.set_peers(names.clone());
         state.peers = names;
         state.set_hub_candidates(staying.cloned().collect());
         drop(state);
--- a/src/gateway/peer_handler.rs
+++ b/src/gateway/peer_handler.rs
@@ -29,6 +29,11 @@
                 let client = &control.shared.scheduler_client;
                 client.on_reply(&from.name, reply);
             }
+            PeerMessage::PromptParts(notice) => {
+                let quarantine = &control.shared.prompt_quarantine;
+                quarantine.apply(&from.name, notice);
+            }
+            PeerMessage::WantPromptParts => control.send_part_notices(&from.name),
             PeerMessage::StreamOrigins(origins) => control.record_stream_origins(origins),
             PeerMessage::WantStreamOrigins(wanted) => {
                 control.send_stream_origins(&from.name, wanted);
--- /dev/null
+++ b/src/gateway/prompt_quarantine.rs
@@ -0,0 +1,184 @@
+//! Quarantine of parts of prompts, shared by the request and control tasks.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use async_io::Timer;
+
+use crate::clock::time_since_boot;
+use crate::gateway::attempt::{AdmittedRequest, Assignment};
+use crate::part_quarantine::{LostPrompt, PartNotice, PartQuarantine, Permission};
+use crate::prelude::*;
+
+/// Interval at which a request that waits for a target is checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time on the quarantine's clock when the process starts: peers tell of ends before that.
+const CLOCK_AT_START: Duration = Duration::from_hours(24);
+/// Peers that an entry asks after its start.
+const ASKED_PEERS: usize = 3;
+
+/// Receiver of notices for the peers.
+pub(crate) type PartNoticeReceiver = async_channel::Receiver<PartNotice>;
+
+/// What the tasks of an entry know of parts that end targets.
+pub(crate) struct PromptQuarantine {
+    entry: Name,
+    /// Time since boot at the start of this process.
+    origin: Duration,
+    /// Live peers, among which one entry tries a part again.
+    peers: ArcSwap<Vec<Name>>,
+    table: Mutex<PartQuarantine>,
+    /// Number of peers asked so far.
+    asked: AtomicUsize,
+    notices: async_channel::Sender<PartNotice>,
+}
+
+impl PromptQuarantine {
+    /// Makes an empty quarantine whose notices go to `notices`.
+    pub(crate) fn new(entry: Name, notices: async_channel::Sender<PartNotice>) -> Self {
+        Self {
+            entry,
+            origin: time_since_boot(),
+            peers: ArcSwap::default(),
+            table: Mutex::default(),
+            asked: AtomicUsize::new(0),
+            notices,
+        }
+    }
+
+    /// Replaces the live peers.
+    pub(crate) fn set_peers(&self, peers: Vec<Name>) {
+        self.peers.store(Arc::new(peers));
+    }
+
+    fn now(&self) -> Timestamp {
+        CLOCK_AT_START + time_since_boot().saturating_sub(self.origin)
+    }
+
+    /// Time after which the caller of a request that is held back may come back.
+    pub(crate) fn held(&self, request: &AdmittedRequest) -> Option<Duration> {
+        let parts = request.shared_part_ids();
+        let may_try = |part: &str| self.tries(part);
+        let (now, scope) = (self.now(), request.part_scope());
+        match self.lock().permission(now, scope, &parts, may_try) {
+            Permission::Held(retry_after) => Some(retry_after),
+            Permission::Free | Permission::Trial => None,
+        }
+    }
+
+    /// Completes once a request that waits for a target is held back.
+    pub(crate) async fn until_held(&self, request: &AdmittedRequest) -> Duration {
+        if request.shared_part_ids().is_empty() {
+            return std::future::pending().await;
+        }
+        loop {
+            Timer::after(CHECK_INTERVAL).await;
+            if let Some(retry_after) = self.held(request) {
+                return retry_after;
+            }
+        }
+    }
+
+    /// Permits an attempt now, and counts it if it tries a part again.
+    pub(crate) fn begin_attempt(&self, request: &AdmittedRequest) -> Permission {
+        let parts = request.shared_part_ids();
+        let now = self.now();
+        let mut table = self.lock();
+        let may_try = |part: &str| self.tries(part);
+        let permission = table.permission(now, request.part_scope(), &parts, may_try);
+        if permission == Permission::Trial {
+            table.begin_trial(now, &parts);
+        }
+        permission
+    }
+
+    /// Records the end of an attempt that tried a part again.
+    pub(crate) fn end_trial(&self, request: &AdmittedRequest) {
+        self.lock().end_trial(&request.shared_part_ids());
+    }
+
+    /// Records that a target has begun its answer to a request.
+    pub(crate) fn record_answer(&self, request: &AdmittedRequest) {
+        let parts = request.shared_part_ids();
+        let notice = self.lock().record_answer(&parts);
+        self.send(notice);
+    }
+
+    /// Records that the connection to a target broke before it began its answer.
+    pub(crate) fn record_loss(&self, assignment: &Assignment, request: &AdmittedRequest) {
+        let parts = request.shared_part_ids();
+        if parts.is_empty() {
+            return;
+        }
+        let prompt = LostPrompt {
+            parts: parts.into_vec(),
+            scope: request.part_scope().into(),
+        };
+        let notices = self
+            .lock()
+            .record_loss(self.now(), &assignment.target, prompt);
+        self.send(notices);
+    }
+
+    /// Records that a target does not accept connections.
+    pub(crate) fn record_end(&self, target: &Name) {
+        let notices = self.lock().record_end(self.now(), target);
+        self.send(notices);
+    }
+
+    /// Records that a target accepts connections.
+    pub(crate) fn record_alive(&self, target: &str) {
+        self.lock().record_alive(target);
+    }
+
+    /// Applies a peer's notice.
+    pub(crate) fn apply(&self, peer: &str, notice: PartNotice) {
+        let answer = self.lock().apply(self.now(), peer, notice);
+        self.send(answer);
+    }
+
+    /// What this entry knows, for a peer that joins.
+    pub(crate) fn notices(&self) -> Vec<PartNotice> {
+        self.lock().notices(self.now())
+    }
+
+    /// Whether one more peer is to be asked for what it knows; counts it.
+    pub(crate) fn may_ask(&self) -> bool {
+        self.asked.fetch_add(1, Ordering::Relaxed) < ASKED_PEERS
+    }
+
+    /// Whether this entry is the one that tries a part again. Entries that see the same live peers
+    /// agree on it.
+    fn tries(&self, part: &str) -> bool {
+        let rank = |entry: &str| *blake3::hash(format!("{part} {entry}").as_bytes()).as_bytes();
+        let own = rank(&self.entry);
+        self.peers.load().iter().all(|peer| rank(peer) < own)
+    }
+
+    fn send(&self, notices: impl IntoIterator<Item = PartNotice>) {
+        for notice in notices {
+            let _ = self.notices.try_send(notice);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PartQuarantine> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl AdmittedRequest {
+    /// IDs of the parts of the prompt that other prompts may have as well.
+    fn shared_part_ids(&self) -> SmallVec<[Name; 4]> {
+        let prompt = self.head.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
+        parts.iter().map(|part| part.id.clone()).collect()
+    }
+
+    /// Scope of the evidence that the request gives: a customer that is isolated has its own.
+    fn part_scope(&self) -> &str {
+        let isolated = self.holder.as_ref().filter(|h| h.isolated);
+        isolated.map_or("", |holder| &holder.customer)
+    }
+}
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -16,6 +16,12 @@
     }
 }
 
+/// The response to a request with a part of a prompt that is held back.
+pub(crate) fn held_back(retry_after: Duration) -> LocalResponse {
+    let run = RunState::NotRun;
+    refused(&Refusal::Quarantined { retry_after, run })
+}
+
 /// The response to a request that failed and that a target may have run.
 pub(crate) fn unknown_fate() -> LocalResponse {
     rejected(502, "target-failed")
--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -17,8 +17,10 @@
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::{LocalResponse, RunReport};
+use crate::http::RunState;
+use crate::part_quarantine::Permission;
 use crate::prelude::*;
-use crate::scheduler::{AttemptOutcome, Effect, Refusal, Signal};
+use crate::scheduler::{AttemptOutcome, Effect, Event, Refusal, Signal};
 
 /// Outcome of a request.
 pub(crate) enum Outcome {
@@ -51,6 +53,25 @@
     }
 }
 
+/// Why a running attempt is stopped.
+enum Interruption {
+    DeadlinePassed,
+    CallerLeft,
+    /// The scheduler needs it no longer.
+    Cancelled,
+}
+
+impl Interruption {
+    /// Label for the log.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::DeadlinePassed => "late",
+            Self::CallerLeft => "caller-left",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// Processing of a request between its admission and its final response.
 pub(crate) struct RequestDriver<'a> {
     /// State shared by the tasks of the gateway.
@@ -73,6 +94,8 @@
 /// Next event that a request waits for.
 enum NextEvent {
     Effect(Effect),
+    /// A part of its prompt is held back; its caller may come back after this time.
+    Held(Duration),
     DeadlinePassed,
     CallerLeft,
 }
@@ -91,7 +114,11 @@
                     reader.caller_closed().await;
                     NextEvent::CallerLeft
                 };
-                effect.or(self.deadline()).or(caller_left).await
+                effect
+                    .or(self.deadline())
+                    .or(caller_left)
+                    .or(self.until_held())
+                    .await
             };
             match next {
                 NextEvent::Effect(Effect::Dispatch {
@@ -123,12 +150,23 @@
                     return self.on_refusal(&refusal, response);
                 }
                 NextEvent::Effect(_) => {}
+                NextEvent::Held(retry_after) => return self.held_outcome(retry_after, response),
                 NextEvent::DeadlinePassed => return self.deadline_outcome(response),
                 NextEvent::CallerLeft => return Outcome::CallerLeft,
             }
         }
     }
 
+    async fn until_held(&self) -> NextEvent {
+        let quarantine = &self.shared.prompt_quarantine;
+        NextEvent::Held(quarantine.until_held(self.request).await)
+    }
+
+    fn held_outcome(&mut self, retry_after: Duration, response: &CallerResponse<'_>) -> Outcome {
+        let run = RunState::NotRun;
+        self.on_refusal(&Refusal::Quarantined { retry_after, run }, response)
+    }
+
     async fn deadline(&self) -> NextEvent {
         coarse_sleep(self.request.time_left()).await;
         NextEvent::DeadlinePassed
@@ -151,10 +189,12 @@
         if self.abandoned {
             return Some(Outcome::CallerLeft);
         }
+        let quarantine = &self.shared.prompt_quarantine;
+        let permission = quarantine.begin_attempt(self.request);
+        if let Permission::Held(retry_after) = permission {
+            return Some(self.held_outcome(retry_after, response));
+        }
         let sent_before = std::mem::replace(&mut self.may_have_been_sent, true);
-        // A run that must not be repeated continues after its caller has disconnected.
-        let run_continues =
-            !self.request.route.is_repeatable() && !self.request.route.is_streaming();
         let started = Instant::now();
         let transfer_counts = AtomicUsize::new(0);
         let answer_began = AtomicBool::new(false);
@@ -168,83 +208,58 @@
                 handle: &self.handle,
             };
             let run = async { Ok(attempt.run(response).await) };
-            let cancelled = async {
-                loop {
-                    if let Effect::Cancel { .. } = self.handle.next_effect().await {
-                        return Err(NextEvent::Effect(Effect::Cancel {
-                            id: crate::scheduler::RequestId(0),
-                            attempt: 0,
-                        }));
-                    }
-                }
-            };
-            let caller_left = async {
-                reader.caller_closed().await;
-                if run_continues {
-                    std::future::pending::<()>().await;
-                }
-                Err(NextEvent::CallerLeft)
-            };
-            let deadline = async { Err(self.deadline().await) };
-            run.or(cancelled).or(deadline).or(caller_left).await
+            run.or(self.interruption(reader)).await
         };
-        let result = match result {
-            Ok(result) => result,
-            Err(NextEvent::DeadlinePassed) => {
-                self.record_attempt(assignment, started, &transfer_counts, Some("late".into()));
-                return Some(self.deadline_outcome(response));
-            }
-            Err(NextEvent::CallerLeft) => {
-                self.record_attempt(
-                    assignment,
-                    started,
-                    &transfer_counts,
-                    Some("caller-left".into()),
-                );
-                return Some(Outcome::CallerLeft);
-            }
-            // The scheduler has already ended the attempt.
-            Err(NextEvent::Effect(_)) => {
-                self.record_attempt(
-                    assignment,
-                    started,
-                    &transfer_counts,
-                    Some("cancelled".into()),
-                );
-                return None;
-            }
+        let broken_off = matches!(&result, Ok(Err(error)) if error.outcome().is_broken_off());
+        // A trial whose connection broke has its result once the target's state is known.
+        if permission == Permission::Trial && !broken_off {
+            quarantine.end_trial(self.request);
+        }
+        let label = match &result {
+            Ok(Ok(_)) => None,
+            Ok(Err(error)) => Some(error.to_string()),
+            Err(interruption) => Some(interruption.label().to_owned()),
         };
+        self.record_attempt(assignment, started, &transfer_counts, label);
         match result {
-            Ok(received) => {
-                self.record_attempt(assignment, started, &transfer_counts, None);
-                self.on_response(assignment, received)
-            }
-            Err(error @ AttemptError::CallerLeft) => {
-                self.record_attempt(
-                    assignment,
-                    started,
-                    &transfer_counts,
-                    Some(error.to_string()),
-                );
+            Ok(Ok(received)) => self.on_response(assignment, received),
+            Ok(Err(AttemptError::CallerLeft)) | Err(Interruption::CallerLeft) => {
                 Some(Outcome::CallerLeft)
             }
-            Err(error) => {
-                self.record_attempt(
-                    assignment,
-                    started,
-                    &transfer_counts,
-                    Some(error.to_string()),
-                );
+            Ok(Err(error)) => {
                 self.may_have_been_sent = sent_before || matches!(error, AttemptError::Response(_));
-                if error.outcome().is_broken_off() {
-                    self.log_broken_off(assignment, answer_began.load(Ordering::Relaxed));
-                }
-                self.on_error(assignment, &error);
+                self.on_error(assignment, &error, answer_began.load(Ordering::Relaxed));
                 None
             }
+            Err(Interruption::DeadlinePassed) => Some(self.deadline_outcome(response)),
+            // The scheduler has already ended the attempt.
+            Err(Interruption::Cancelled) => None,
         }
     }
 
+    /// Completes when a running attempt must be stopped.
+    async fn interruption<T>(&self, reader: &mut RequestReader) -> Result<T, Interruption> {
+        // A run that must not be repeated continues after its caller has disconnected.
+        let run_continues =
+            !self.request.route.is_repeatable() && !self.request.route.is_streaming();
+        let cancelled = async {
+            while !matches!(self.handle.next_effect().await, Effect::Cancel { .. }) {}
+            Err(Interruption::Cancelled)
+        };
+        let caller_left = async {
+            reader.caller_closed().await;
+            if run_continues {
+                std::future::pending::<()>().await;
+            }
+            Err(Interruption::CallerLeft)
+        };
+        let deadline = async {
+            self.deadline().await;
+            Err(Interruption::DeadlinePassed)
+        };
+        cancelled.or(deadline).or(caller_left).await
+    }
+
     fn record_attempt(
         &mut self,
         assignment: &Assignment,
@@ -270,6 +285,7 @@
         assignment: &Assignment,
         received: TargetResponse,
     ) -> Option<Outcome> {
+        self.shared.prompt_quarantine.record_answer(self.request);
         match received {
             TargetResponse::Streamed => {
                 self.handle
@@ -312,7 +328,20 @@
         );
     }
 
-    fn on_error(&self, assignment: &Assignment, error: &AttemptError) {
+    /// Records a prompt that its target may have ended on, and has the target checked.
+    fn record_loss(&self, assignment: &Assignment) {
+        let quarantine = &self.shared.prompt_quarantine;
+        quarantine.record_loss(assignment, self.request);
+        self.shared.scheduler.submit(Event::Signal {
+            target: assignment.target.clone(),
+            signal: Signal::ReportedUnreachable,
+        });
+    }
+
+    fn on_error(&self, assignment: &Assignment, error: &AttemptError, answer_began: bool) {
+        if error.outcome().is_broken_off() {
+            self.log_broken_off(assignment, answer_began);
+        }
         if let AttemptError::Refused(info) = error
             && info.run == RunReport::Misdirected
         {
@@ -335,6 +364,9 @@
             });
         }
         self.handle.report_end(assignment.number, error.outcome());
+        if error.outcome().is_broken_off() && !answer_began {
+            self.record_loss(assignment);
+        }
     }
 
     fn on_refusal(&mut self, refusal: &Refusal, response: &CallerResponse<'_>) -> Outcome {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -9,7 +9,7 @@
 use crate::gateway::arrival::arrival_of;
 use crate::gateway::attempt::AdmittedRequest;
 use crate::gateway::caller_response::CallerResponse;
-use crate::gateway::refusal::{rejected, unconfigured, unknown_origin};
+use crate::gateway::refusal::{held_back, rejected, unconfigured, unknown_origin};
 use crate::gateway::request_driver::{Outcome, RequestDriver};
 use crate::gateway::request_log::RequestLog;
 use crate::gateway::request_reader::{self, RequestReader};
@@ -55,6 +55,11 @@
         RequestLog::record_rejection(&shared.metrics, &request.head, &local_response);
         return send_local_response(shared, &request.head, &local_response, &mut response).await;
     };
+    if let Some(retry_after) = shared.prompt_quarantine.held(&request) {
+        let local_response = held_back(retry_after);
+        RequestLog::record_rejection(&shared.metrics, &request.head, &local_response);
+        return send_local_response(shared, &request.head, &local_response, &mut response).await;
+    }
     response.software = software;
     let arrival = arrival_of(shared, &request, response.software.clone());
     let mut driver = RequestDriver {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,6 +9,7 @@
 use crate::domain_scheduler::SchedulerClient;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::drain::Drain;
+use crate::gateway::prompt_quarantine::PromptQuarantine;
 use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::stream_origins::StreamOrigins;
 use crate::gateway::target_limits::TargetLimits;
@@ -39,6 +40,8 @@
     pub response_buffers: ResponseBuffers,
     /// Quarantine notices about requests suspected of crashing targets.
     pub quarantine_notices: Arc<QuarantineNotices>,
+    /// Parts of prompts that end targets.
+    pub prompt_quarantine: PromptQuarantine,
     /// Software versions at which streams began.
     pub stream_origins: StreamOrigins,
     /// Limits that targets set on the requests sent to them.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod name_hash;
 pub mod operator;
 pub mod order;
+pub mod part_quarantine;
 pub mod peer;
 pub mod platform;
 pub mod prefix_keys;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -6,6 +6,7 @@
 use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
 use crate::domain_scheduler::{SchedulerCall, SchedulerReply};
 use crate::gateway::PeerObject;
+use crate::part_quarantine::PartNotice;
 use crate::peer::{GatewayDigest, GatewayStatus, LoadUpdate, RelayedStoreUpdate};
 use crate::platform::Vm;
 use crate::prelude::*;
@@ -99,6 +100,11 @@
     /// Decisions about requests of the receiver.
     #[serde(rename = "t")]
     SchedulerReply(SchedulerReply),
+    /// What the sender learned about parts of prompts that end targets.
+    #[serde(rename = "p")]
+    PromptParts(PartNotice),
+    /// Requests what the receiver knows of such parts, from an entry that has started.
+    WantPromptParts,
     /// Software versions at which streams began.
     #[serde(rename = "o")]
     StreamOrigins(Vec<StreamOrigin>),
