--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -18,6 +18,7 @@
 use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::{LocalResponse, RunReport};
 use crate::http::RunState;
+use crate::name_hash::hash_label;
 use crate::part_quarantine::Permission;
 use crate::prelude::*;
 use crate::scheduler::{AttemptOutcome, Effect, Event, Refusal, Signal};
@@ -319,7 +320,8 @@
         let Some(prompt) = &self.request.head.prompt else {
             return;
         };
-        let parts: Vec<&str> = prompt.shared_parts().iter().map(|p| &*p.id).collect();
+        let parts = prompt.shared_parts().iter().map(|p| hash_label(&p.id));
+        let parts: Vec<String> = parts.collect();
         log::info!(
             "event=prompt_broken_off request={} target={} answer_began={answer_began} parts={}",
             self.request.head.id,
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -12,7 +12,7 @@
 /// Largest number of context events that are shown; the latest ones are kept.
 const MAX_CONTEXT_EVENTS: usize = 12;
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 22] = [
+const STATE_EVENTS: [&str; 24] = [
     "target_unreachable",
     "target_word",
     "target_limit",
@@ -30,6 +30,8 @@
     "peer_found",
     "request_suspected",
     "prompt_broken_off",
+    "part_quarantined",
+    "part_cleared",
     "order",
     "context_store_lost",
     "context_store_regained",
--- a/src/part_quarantine/table.rs
+++ b/src/part_quarantine/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::name_hash::hash_label;
 use crate::part_quarantine::{LostPrompt, LostPrompts, PartNotice, RecentParts, Suspect, Victim};
 use crate::prelude::*;
 
@@ -104,7 +105,8 @@
             let victims = suspect.victims().iter().map(|v| &*v.target);
             let victims: Vec<&str> = victims.collect();
             log::warn!(
-                "event=part_quarantined part={part} victims={} once_sound={once_sound} time_ms={}",
+                "event=part_quarantined part={} victims={} once_sound={once_sound} time_ms={}",
+                hash_label(part),
                 victims.join(","),
                 suspect.time_left(now).as_millis()
             );
@@ -151,7 +153,7 @@
             return false;
         };
         if suspect.is_quarantined() {
-            log::info!("event=part_cleared part={part} by={by}");
+            log::info!("event=part_cleared part={} by={by}", hash_label(part));
         }
         true
     }
