Take a stream without a length, chunks or any event as broken off

What callers saw: nothing yet. A target that ended right after the head of such a stream gave its caller a complete stream of no event.

Cause: the end of the connection ends such a body, so that a target's end looks like the stream's. A stream from its beginning has events; one that goes on after the last event may have none left.

--- a/src/gateway/attempt/stream.rs
+++ b/src/gateway/attempt/stream.rs
@@ -8,6 +8,7 @@
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::response_reader::{ResponseError, ResponseReader};
 use crate::gateway::{BodyReader, EventSplitter, RawEvent};
+use crate::http::Framing;
 use crate::stream_origin::StreamOrigin;
 
 /// Maximum size of a response stream, in bytes with their transfer coding.
@@ -76,7 +77,10 @@
             }
             let more = more.map_err(AttemptError::Response)?;
             let overlong = events.is_overlong() || reader.received() > max_bytes;
-            if overlong || (!more && events.has_rest()) {
+            // Without a length or chunks, nothing else tells the end from a broken connection.
+            let is_unframed = head.framing == Framing::Unspecified;
+            let is_empty = is_unframed && first && response.last_event.is_none();
+            if overlong || (!more && (events.has_rest() || is_empty)) {
                 return Err(AttemptError::Response(ResponseError::CutShort));
             }
             if !more {
