--- a/src/catalog/sync.rs
+++ b/src/catalog/sync.rs
@@ -13,6 +13,7 @@
     CatalogCell, CatalogHead, CatalogStore, EntryRevision, Replica, ReplicaEffect, ReplicaEvent,
     ReplicaSettings, SnapshotRef,
 };
+use crate::clock::whole_millis;
 use crate::peer::{PeerEvents, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::{
     MAX_WATCH_SILENCE, Platform, PlatformError, Version, WatchEvent, WatchStream,
@@ -91,7 +92,7 @@
             entry: self.name.clone(),
             domain: self.domain.clone(),
             revision: replica.catalog().revision,
-            since_ms: millis(self.started.elapsed().saturating_sub(replica.since())),
+            since_ms: whole_millis(self.started.elapsed().saturating_sub(replica.since())),
         };
         drop(replica);
         let peers = self.links.get().map(|l| l.live()).unwrap_or_default();
@@ -270,10 +271,6 @@
     log_event(Level::Warn, kind, &[("error", err)]);
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -14,9 +14,15 @@
     Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
 }
 
+/// Whole milliseconds of a duration.
+#[must_use]
+pub fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Wall-clock time, in milliseconds since the Unix epoch.
 #[must_use]
 pub fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(since_epoch.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+    whole_millis(since_epoch.unwrap_or_default())
 }
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -1,5 +1,6 @@
 //! Messages between entries: status, objects of the platform store, and quarantine notices.
 
+use crate::clock::whole_millis;
 use crate::context_store::RetiredVersions;
 use crate::gateway::control::{Control, State};
 use crate::gateway::{ConfirmedBy, PeerObject, TargetLoad, WatchedKind};
@@ -46,7 +47,7 @@
             target_versions: state.fresh_reported_versions(now),
             declared_versions: {
                 let ages = state.versions.declaration_ages(now);
-                ages.map(|(model, version, age)| (model, version, millis(age)))
+                ages.map(|(model, version, age)| (model, version, whole_millis(age)))
                     .collect()
             },
             retired_below: (retired.all_below, retired.half_below),
@@ -216,15 +217,11 @@
             seq: notice.seq,
             fingerprint: notice.fingerprint,
             victims: notice.victims,
-            ttl_ms: millis(notice.ttl),
+            ttl_ms: whole_millis(notice.ttl),
         });
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Converts retired versions from their wire format.
 pub(crate) fn retired_versions((all_below, half_below): (u64, u64)) -> RetiredVersions {
     RetiredVersions {
--- a/src/part_quarantine/table.rs
+++ b/src/part_quarantine/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::clock::whole_millis;
 use crate::name_hash::hash_label;
 use crate::part_quarantine::{LostPrompt, LostPrompts, PartNotice, RecentParts, Suspect, Victim};
 use crate::prelude::*;
@@ -78,7 +79,7 @@
             parts,
             scope,
             target: target.clone(),
-            age_ms: millis(now.saturating_sub(ended_at)),
+            age_ms: whole_millis(now.saturating_sub(ended_at)),
         }
     }
 
@@ -206,7 +207,7 @@
                         parts: vec![part.clone()],
                         scope: scope.clone(),
                         target: victim.target.clone(),
-                        age_ms: millis(now.saturating_sub(victim.ended_at)),
+                        age_ms: whole_millis(now.saturating_sub(victim.ended_at)),
                     });
                 }
             }
@@ -272,7 +273,3 @@
         held.map(|(part, _)| part)
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/rate_limit.rs
+++ b/src/rate_limit.rs
@@ -13,7 +13,6 @@
 
 pub use observation::{LimitObservation, NamedLimit};
 pub use rate::{RateError, RequestRate};
-pub(crate) use report::millis;
 pub use report::{LimitReport, process_hash};
 pub use share::{RateShare, ShareMeter, SharePosition};
 pub use table::{LimitChange, LimitTable, TargetLimit};
--- a/src/rate_limit/report.rs
+++ b/src/rate_limit/report.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::whole_millis;
 use crate::name_hash::name_hash;
 use crate::prelude::*;
 use crate::rate_limit::{LimitObservation, RequestRate};
@@ -55,7 +56,7 @@
     /// This report some time later.
     #[must_use]
     pub fn aged_by(self, time: Duration) -> Self {
-        let ms = millis(time);
+        let ms = whole_millis(time);
         Self {
             sent_ms: self.sent_ms.saturating_add(ms),
             received_ms: self.received_ms.saturating_add(ms),
@@ -93,8 +94,3 @@
 fn before(now: Timestamp, ms: u64) -> Timestamp {
     now.saturating_sub(Duration::from_millis(ms))
 }
-
-/// Whole milliseconds of an age.
-pub(crate) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/rate_limit/table.rs
+++ b/src/rate_limit/table.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashMap;
 
+use crate::clock::whole_millis;
 use crate::prelude::*;
-use crate::rate_limit::{LimitObservation, LimitReport, RequestRate, millis, process_hash};
+use crate::rate_limit::{LimitObservation, LimitReport, RequestRate, process_hash};
 
 /// Time for which the limit of a target that is no longer listed is remembered, since its
 /// registration may come back.
@@ -139,9 +140,9 @@
             .map(|(name, known)| LimitReport {
                 target: process_hash(name, known.started_ms),
                 rate: known.observation.rate,
-                sent_ms: millis(now.saturating_sub(known.observation.sent)),
-                received_ms: millis(now.saturating_sub(known.observation.received)),
-                since_ms: millis(now.saturating_sub(known.since)),
+                sent_ms: whole_millis(now.saturating_sub(known.observation.sent)),
+                received_ms: whole_millis(now.saturating_sub(known.observation.received)),
+                since_ms: whole_millis(now.saturating_sub(known.since)),
             })
             .collect()
     }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -1,5 +1,6 @@
 //! The targets that an entry knows, indexed for placement.
 
+mod estimate;
 mod free_set;
 mod health;
 mod load;
