Forget victims after ten minutes; explain shows parts, quarantines and unconfirmed objects

Evidence against a part that is not quarantined added up without end: three ends within hours, with no answer in between, would have quarantined it. Test: permission_is_free_when_victims_are_long_ago. explain took prompt_broken_off for a request's end and had no words for requests that were rejected before scheduling.

--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -11,8 +11,11 @@
 const CONTEXT_WINDOW_MS: u64 = 15_000;
 /// Largest number of context events that are shown; the latest ones are kept.
 const MAX_CONTEXT_EVENTS: usize = 12;
+/// Cause of a refusal in quarantine.
+const QUARANTINED: &str = "targets ended one after the other with equal requests or with a part of its \
+     prompt, so it was not sent";
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 24] = [
+const STATE_EVENTS: [&str; 23] = [
     "target_unreachable",
     "target_word",
     "target_limit",
@@ -29,7 +32,6 @@
     "peer_lost",
     "peer_found",
     "request_suspected",
-    "prompt_broken_off",
     "part_quarantined",
     "part_cleared",
     "order",
@@ -107,7 +109,7 @@
     /// Cause of the request's outcome, in one sentence.
     fn cause(&self) -> String {
         let Some(end) = self.steps.iter().rev().find(|l| !l.get("end").is_empty()) else {
-            return self.cause_unknown();
+            return self.cause_without_end();
         };
         let attempts = self.steps.iter().filter(|l| l.get("event") == "attempt");
         let failures: Vec<&str> = attempts
@@ -147,6 +149,7 @@
             ("refused", "target-failed") => format!(
                 "a target may have run it and gave no answer: {last}; the outcome is unknown"
             ),
+            ("refused", "quarantined") => QUARANTINED.into(),
             ("refused", reason) => format!("it was refused: {reason}"),
             ("cut-short", _) => {
                 format!("its stream broke ({last}) and could not go on at another target")
@@ -156,6 +159,15 @@
         }
     }
 
+    fn cause_without_end(&self) -> String {
+        let mut steps = self.steps.iter();
+        match steps.find(|l| l.get("event") == "request_rejected") {
+            Some(line) if line.get("reason") == "quarantined" => QUARANTINED.into(),
+            Some(line) => format!("it was rejected: {}", line.get("reason")),
+            None => self.cause_unknown(),
+        }
+    }
+
     fn cause_unknown(&self) -> String {
         if self.dropped > 0 {
             return format!(
@@ -217,6 +229,17 @@
                     line.get("status"),
                     line.get("reason")
                 ),
+                "prompt_broken_off" => writeln!(
+                    out,
+                    "  {at} {vm} {} had parts {} of its prompt, its answer {}",
+                    line.get("target"),
+                    line.get("parts"),
+                    if line.get("answer_began") == "true" {
+                        "had begun"
+                    } else {
+                        "had not begun"
+                    }
+                ),
                 _ => writeln!(
                     out,
                     "  {at} {vm} {} after {} ms of {} ms; it waited {} ms for a place",
@@ -232,7 +255,20 @@
         }
         for line in &self.around {
             let about = [
-                "target", "per_s", "kind", "peer", "version", "store", "result",
+                "target",
+                "per_s",
+                "kind",
+                "peer",
+                "version",
+                "store",
+                "result",
+                "config",
+                "revision",
+                "peer_revision",
+                "by",
+                "silent_ms",
+                "part",
+                "victims",
             ];
             let about = about.iter().map(|key| line.get(key));
             let about: Vec<&str> = about.filter(|v| !v.is_empty()).collect();
--- a/src/part_quarantine/suspect.rs
+++ b/src/part_quarantine/suspect.rs
@@ -11,6 +11,8 @@
 const MIN_ROUNDS: usize = 2;
 /// Rounds from which a part is quarantined on which answers have begun before the victims.
 const MIN_ROUNDS_ONCE_SOUND: usize = 4;
+/// Time after which a victim no longer counts against a part that is not quarantined.
+const VICTIM_LIFETIME: Duration = Duration::from_mins(10);
 /// Duration of the first quarantine; it doubles with each further one.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
 /// Longest quarantine.
@@ -59,6 +61,11 @@
         if self.victims.iter().any(|known| known.is_same_end(&victim)) {
             return false;
         }
+        if !self.is_quarantined() {
+            let newest = victim.ended_at;
+            self.victims
+                .retain(|v| newest < v.ended_at + VICTIM_LIFETIME);
+        }
         self.victims.push(victim);
         self.victims.sort_by_key(|v| v.ended_at);
         if self.victims.len() > MAX_VICTIMS {
@@ -85,6 +92,12 @@
         self.victims.last().map_or(Timestamp::ZERO, |v| v.ended_at)
     }
 
+    /// Whether nothing counts against the part any more.
+    #[must_use]
+    pub fn is_forgotten(&self, now: Timestamp) -> bool {
+        !self.is_quarantined() && now >= self.last_end() + VICTIM_LIFETIME
+    }
+
     /// Starts or extends the quarantine if the evidence suffices; `once_sound` says whether an
     /// answer began on the part before. Returns whether a quarantine began.
     pub fn quarantine_if_due(&mut self, now: Timestamp, once_sound: bool) -> bool {
--- a/src/part_quarantine/table.rs
+++ b/src/part_quarantine/table.rs
@@ -7,8 +7,6 @@
 use crate::part_quarantine::{LostPrompt, LostPrompts, PartNotice, RecentParts, Suspect, Victim};
 use crate::prelude::*;
 
-/// Time after its last victim's end for which a part that is not quarantined stays suspected.
-const SUSPICION_TIME: Duration = Duration::from_mins(10);
 /// Most suspected parts.
 const MAX_SUSPECTS: usize = 4_096;
 /// Victims from which an entry on whose account a part is sound tells its peers.
@@ -47,7 +45,7 @@
         let ended = self.lost.record_loss(now, target, prompt);
         let victims = ended.into_iter();
         victims
-            .map(|(ended_at, prompt)| self.accuse(now, target, ended_at, prompt))
+            .map(|(ended_at, prompt)| self.count_victim(now, target, ended_at, prompt))
             .collect()
     }
 
@@ -55,7 +53,7 @@
     pub fn record_end(&mut self, now: Timestamp, target: &Name) -> Vec<PartNotice> {
         let prompts = self.lost.record_end(now, target).into_iter();
         prompts
-            .map(|prompt| self.accuse(now, target, now, prompt))
+            .map(|prompt| self.count_victim(now, target, now, prompt))
             .collect()
     }
 
@@ -64,7 +62,7 @@
         self.lost.record_alive(target);
     }
 
-    fn accuse(
+    fn count_victim(
         &mut self,
         now: Timestamp,
         target: &Name,
@@ -119,8 +117,7 @@
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        self.suspects
-            .retain(|_, s| s.is_quarantined() || now < s.last_end() + SUSPICION_TIME);
+        self.suspects.retain(|_, s| !s.is_forgotten(now));
         while self.suspects.len() >= MAX_SUSPECTS {
             let oldest = self.suspects.iter().min_by_key(|(_, s)| s.last_end());
             let Some(oldest) = oldest.map(|(part, _)| part.clone()) else {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -11,6 +11,12 @@
 ts_ms=1100 level=info vm=front-2 event=request_ended request=bb route=r service=s customer=c tokens=9 waited_ms=1 first_ms=-1 took_ms=1 deadline_ms=3000 attempts=0 end=refused status=503 reason=deadline-unreachable retry_after_ms=700
 ts_ms=1200 level=info vm=front-2 event=attempt request=cc number=1 target=i-9 weights=2 work=5200 requests=3 age_ms=140 home_work=900 after_ms=0 took_ms=80 fetched=0 saved=0 result="cut-short (connection ended in the answer)"
 ts_ms=1201 level=info vm=front-2 event=request_ended request=cc route=r service=s customer=c tokens=9 waited_ms=0 first_ms=30 took_ms=81 deadline_ms=3000 attempts=1 end=cut-short
+ts_ms=1300 level=warn vm=front-3 event=part_quarantined part=22cc33dd victims=i-2,i-3,i-4 once_sound=false time_ms=30000
+ts_ms=1310 level=info vm=front-3 event=request_rejected request=dd0 status=503 reason=quarantined
+ts_ms=1400 level=info vm=front-3 event=objects_unconfirmed kind=routes config=15 revision=40 peer_revision=47 by=store silent_ms=3010
+ts_ms=1500 level=info vm=front-3 event=attempt request=ee number=1 target=i-4 weights=2 after_ms=0 took_ms=80 fetched=0 saved=0 result="lost (connection ended without an answer)"
+ts_ms=1500 level=info vm=front-3 event=prompt_broken_off request=ee target=i-4 answer_began=false parts=0011aabb,22cc33dd
+ts_ms=1501 level=info vm=front-3 event=request_ended request=ee route=r service=s customer=c tokens=9 waited_ms=0 first_ms=-1 took_ms=81 deadline_ms=3000 attempts=1 end=refused status=502 reason=target-failed retry_after_ms=0
 level=warn event=log_lines_dropped count=17
 "#;
 
@@ -69,3 +75,20 @@
     assert!(report.text(Paint(false)).contains("17 lines were left out"));
     assert_eq!(report.json()["dropped"], 17);
 }
+
+#[test]
+fn explain_quarantined_prompt_names_the_part_and_its_victims() {
+    let text = text("dd0");
+    assert!(text.contains("with a part of its prompt"), "{text}");
+    let quarantine = "front-3 part_quarantined 22cc33dd i-2,i-3,i-4";
+    assert!(text.contains(quarantine), "{text}");
+}
+
+#[test]
+fn explain_prompt_broken_off_shows_its_parts_and_the_entry_s_configuration() {
+    let text = text("ee");
+    let parts = "i-4 had parts 0011aabb,22cc33dd of its prompt, its answer had not begun";
+    assert!(text.contains(parts), "{text}");
+    let belief = "front-3 objects_unconfirmed routes 15 40 47 store 3010";
+    assert!(text.contains(belief), "{text}");
+}
--- a/tests/part_quarantine.rs
+++ b/tests/part_quarantine.rs
@@ -85,6 +85,15 @@
     assert_eq!(permission(&table, 1_100, &[CRASHING]), Permission::Free);
 }
 
+#[test]
+fn permission_is_free_when_victims_are_long_ago() {
+    let mut table = PartQuarantine::default();
+    for (ms, target) in [(0, "i-1"), (400_000, "i-2"), (800_000, "i-3")] {
+        end(&mut table, ms, target, &[CRASHING]);
+    }
+    assert_eq!(permission(&table, 800_100, &[CRASHING]), Permission::Free);
+}
+
 /// The loss of a rack ends many targets at once, whatever they run.
 #[test]
 fn permission_is_free_after_ends_at_one_moment() {
