Make another call beside those that wait for a store that does not answer (CONFIG)

Cause: a call after a failed one was dropped after 0.9 s, which bounds a silent store but never hears a slow one.

Change: the two cannot be told apart, so a call waits for 6 s, another one is made every 1.2 s beside it (four at most), and the first answer counts. A watch states how long the store may delay its answer and how long it may be silent (WatchTiming).

--- a/rig/tests/stand_ins.rs
+++ b/rig/tests/stand_ins.rs
@@ -6,7 +6,9 @@
 
 use futures_lite::{FutureExt, StreamExt};
 use guavahold::http::{ClientResponse, EventParser, ExchangeError, Pool};
-use guavahold::platform::{Object, Platform, PlatformError, RemotePlatform, Version, WatchEvent};
+use guavahold::platform::{
+    Object, Platform, PlatformError, RemotePlatform, Version, WatchEvent, WatchTiming,
+};
 use guavahold_rig::engine::response_words;
 use guavahold_rig::relay::RelayState;
 use guavahold_rig::{
@@ -206,7 +208,12 @@
         let duplicate = platform.create(Object::new("vms", "a", json!(1))).await;
         assert_eq!(duplicate, Err(PlatformError::Conflict));
         let mut watch = platform
-            .watch("vms", None, created.version.clone(), MAX_SILENCE)
+            .watch(
+                "vms",
+                None,
+                created.version.clone(),
+                WatchTiming::waiting(MAX_SILENCE),
+            )
             .await
             .unwrap();
         let put = Object {
@@ -230,7 +237,12 @@
             .unwrap();
         // The history of two changes no longer holds version 2, which follows version 1.
         let old = platform
-            .watch("vms", None, Version("1".into()), MAX_SILENCE)
+            .watch(
+                "vms",
+                None,
+                Version("1".into()),
+                WatchTiming::waiting(MAX_SILENCE),
+            )
             .await;
         assert_eq!(old.err(), Some(PlatformError::Expired));
         assert_eq!(stand_in.calls()["vms update"], 2);
--- a/src/catalog/sync.rs
+++ b/src/catalog/sync.rs
@@ -16,7 +16,7 @@
 use crate::clock::whole_millis;
 use crate::peer::{PeerEvents, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::{
-    MAX_WATCH_SILENCE, Platform, PlatformError, Version, WatchEvent, WatchStream,
+    MAX_WATCH_SILENCE, Platform, PlatformError, Version, WatchEvent, WatchStream, WatchTiming,
 };
 use crate::prelude::*;
 use crate::telemetry::log_event;
@@ -206,10 +206,8 @@
             None => self.read_head().await?,
         };
         let (kind, name) = (CatalogHead::KIND, CatalogHead::NAME);
-        let max_silence = MAX_WATCH_SILENCE;
-        self.platform
-            .watch(kind, Some(name), version, max_silence)
-            .await
+        let timing = WatchTiming::waiting(MAX_WATCH_SILENCE);
+        self.platform.watch(kind, Some(name), version, timing).await
     }
 
     async fn read_head(&self) -> Result<Version, PlatformError> {
--- a/src/entry/vm_list_watcher.rs
+++ b/src/entry/vm_list_watcher.rs
@@ -7,7 +7,9 @@
 use futures_lite::{FutureExt, StreamExt};
 use log::Level;
 
-use crate::platform::{MAX_WATCH_SILENCE, Platform, PlatformError, Version, Vm, WatchEvent};
+use crate::platform::{
+    MAX_WATCH_SILENCE, Platform, PlatformError, Version, Vm, WatchEvent, WatchTiming,
+};
 use crate::prelude::*;
 use crate::telemetry::log_event;
 
@@ -92,8 +94,8 @@
     }
 
     async fn watch(&mut self, from: Version) -> Result<(), PlatformError> {
-        let max_silence = MAX_WATCH_SILENCE;
-        let watch = self.platform.watch(Vm::KIND, None, from, max_silence);
+        let timing = WatchTiming::waiting(MAX_WATCH_SILENCE);
+        let watch = self.platform.watch(Vm::KIND, None, from, timing);
         let mut events = watch.await?;
         while let Some(event) = events.next().await {
             match event? {
--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -1,11 +1,13 @@
 //! Watch of one kind of objects in the platform store.
 
+mod catch_up;
+
 use async_io::Timer;
 use futures_lite::StreamExt;
 
 use crate::gateway::WatchedKind;
 use crate::gateway::control::Control;
-use crate::platform::{Platform, PlatformError, Version, WatchEvent, WatchStream};
+use crate::platform::{Platform, PlatformError, Version, WatchEvent, WatchTiming};
 use crate::prelude::*;
 
 /// Backoff after the first failed call, doubled after each further one.
@@ -16,8 +18,6 @@
 const MEMBERS_MAX_SILENCE: Duration = Duration::from_secs(10);
 /// The same for declared weights: requests may begin on older ones for some seconds.
 const WEIGHTS_MAX_SILENCE: Duration = Duration::from_secs(4);
-/// Time in which the store must answer the first call after a failed one.
-const RETRY_MAX_SILENCE: Duration = Duration::from_millis(900);
 /// Part of the recovery deadline for opening a failed watch again and for applying its changes.
 const RECOVERY_RESERVE: Duration = Duration::from_millis(900);
 /// Pause after each batch of changes to the list of entries in a large system. Nothing waits for
@@ -43,7 +43,10 @@
         loop {
             let result = match &from {
                 None => self.list().await,
-                Some(version) if failures > 0 => self.catch_up(version).await,
+                Some(version) if failures > 0 => {
+                    let caught_up = self.catch_up(version).await;
+                    caught_up.map_err(|err| (None, err))
+                }
                 Some(version) => self.watch(version).await,
             };
             let reached = match result {
@@ -66,17 +69,11 @@
                 failures = 0;
                 from = reached.filter(|_| from.is_some());
             }
-            self.back_off(failures).await;
+            back_off(failures).await;
             failures += 1;
         }
     }
 
-    async fn back_off(&self, failures: u32) {
-        let uncapped = INITIAL_BACKOFF * 2_u32.saturating_pow(failures.min(8));
-        let pause = uncapped.min(MAX_BACKOFF);
-        Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
-    }
-
     /// Pause after each batch of changes in a large system, in which changes accumulate for the next
     /// batch: each call to the platform has a price.
     fn batch_pause(&self) -> Duration {
@@ -107,36 +104,12 @@
         }
     }
 
-    async fn open_watch(
-        &self,
-        from: &Version,
-        max_silence: Duration,
-    ) -> Result<WatchStream, (Option<Version>, PlatformError)> {
-        let kind = self.control.decoder.kind(self.watched);
-        let watch = self.platform.watch(kind, None, from.clone(), max_silence);
-        watch.await.map_err(|err| (None, err))
-    }
-
-    /// Applies the changes that the store has now.
-    async fn catch_up(&self, from: &Version) -> Result<Version, (Option<Version>, PlatformError)> {
-        let mut stream = self.open_watch(from, RETRY_MAX_SILENCE).await?;
-        while let Some(event) = stream.next().await {
-            let event = event.map_err(|err| (None, err))?;
-            let bookmark = match &event {
-                WatchEvent::Bookmark(version) => Some(version.clone()),
-                _ => None,
-            };
-            self.control.apply_event(self.watched, event);
-            if let Some(version) = bookmark {
-                return Ok(version);
-            }
-        }
-        Ok(from.clone())
-    }
-
     /// Applies changes until the watch ends; errors include the version that was reached.
     async fn watch(&self, from: &Version) -> Result<Version, (Option<Version>, PlatformError)> {
-        let mut stream = self.open_watch(from, self.max_silence()).await?;
+        let kind = self.control.decoder.kind(self.watched);
+        let timing = WatchTiming::waiting(self.max_silence());
+        let stream = self.platform.watch(kind, None, from.clone(), timing).await;
+        let mut stream = stream.map_err(|err| (None, err))?;
         let mut reached = None;
         while let Some(event) = stream.next().await {
             let event = event.map_err(|err| (reached.clone(), err))?;
@@ -152,3 +125,10 @@
         Ok(reached.unwrap_or_else(|| from.clone()))
     }
 }
+
+/// Waits with a random delay below a bound that doubles with each failure.
+async fn back_off(failures: u32) {
+    let uncapped = INITIAL_BACKOFF * 2_u32.saturating_pow(failures.min(8));
+    let pause = uncapped.min(MAX_BACKOFF);
+    Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+}
--- /dev/null
+++ b/src/gateway/kind_watcher/catch_up.rs
@@ -0,0 +1,94 @@
+//! Reading of what has changed while calls to the platform store failed.
+//!
+//! A store that has gone silent cannot be told from one that answers late. So another call is made
+//! beside those that wait for an answer, and the first answer counts.
+
+use std::collections::VecDeque;
+
+use async_executor::Task;
+use async_io::Timer;
+use futures_lite::{FutureExt, StreamExt};
+
+use super::{KindWatcher, back_off};
+use crate::platform::{PlatformError, Version, WatchEvent, WatchTiming};
+use crate::prelude::*;
+
+/// Time after which another call is made.
+const CALL_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Time for which an answer is awaited.
+const MAX_SILENCE: Duration = Duration::from_secs(6);
+/// Most calls that wait for an answer.
+const MAX_CALLS: usize = 4;
+
+/// The answer to a call: changes, of which the last is a bookmark.
+type Answer = Result<Vec<WatchEvent>, PlatformError>;
+
+impl KindWatcher {
+    /// Applies the changes after a version that the store has now, and returns the version reached.
+    /// Calls until an answer comes, or until the store no longer has those changes.
+    pub(super) async fn catch_up(&self, from: &Version) -> Result<Version, PlatformError> {
+        let (tx, answers) = async_channel::unbounded();
+        // Dropping a task cancels its call.
+        let mut calls: VecDeque<Task<()>> = VecDeque::new();
+        let mut failures = 0;
+        loop {
+            let answer = self.call(from.clone());
+            let tx = tx.clone();
+            calls.push_back(self.control.executor.spawn(async move {
+                let _ = tx.send(answer.await).await;
+            }));
+            if calls.len() > MAX_CALLS {
+                calls.pop_front();
+            }
+            let next = async { answers.recv().await.ok() };
+            let interval = async {
+                Timer::after(CALL_INTERVAL).await;
+                None
+            };
+            match next.or(interval).await {
+                Some(Ok(events)) => return Ok(self.apply_all(from, events)),
+                Some(Err(PlatformError::Expired)) => return Err(PlatformError::Expired),
+                Some(Err(err)) => {
+                    self.control.record_store_failure(self.watched, &err);
+                    failures += 1;
+                    back_off(failures).await;
+                }
+                None => {
+                    let err = PlatformError::Unanswered("no response in time".into());
+                    self.control.record_store_failure(self.watched, &err);
+                }
+            }
+        }
+    }
+
+    /// Reads the changes after a version, up to a bookmark.
+    fn call(&self, from: Version) -> impl Future<Output = Answer> + use<> {
+        let platform = self.platform.clone();
+        let kind = self.control.decoder.kind(self.watched);
+        async move {
+            let timing = WatchTiming::at_once(MAX_SILENCE);
+            let mut stream = platform.watch(kind, None, from, timing).await?;
+            let mut events = Vec::new();
+            while let Some(event) = stream.next().await {
+                let event = event?;
+                let ended = matches!(event, WatchEvent::Bookmark(_));
+                events.push(event);
+                if ended {
+                    break;
+                }
+            }
+            Ok(events)
+        }
+    }
+
+    fn apply_all(&self, from: &Version, events: Vec<WatchEvent>) -> Version {
+        let mut reached = from.clone();
+        for event in events {
+            if let WatchEvent::Bookmark(version) = &event {
+                reached = version.clone();
+            }
+            self.control.apply_event(self.watched, event);
+        }
+        reached
+    }
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -5,6 +5,7 @@
 mod remote;
 mod revision;
 mod vm;
+mod watch_timing;
 
 use futures_lite::future::Boxed;
 use futures_lite::stream;
@@ -16,6 +17,7 @@
 pub use remote::RemotePlatform;
 pub use revision::StoreRevision;
 pub use vm::{Role, Vm, VmPhase};
+pub use watch_timing::WatchTiming;
 
 /// Stream of watch events; after its end or an error, the watch must be opened again.
 pub type WatchStream = stream::Boxed<Result<WatchEvent, PlatformError>>;
@@ -36,13 +38,13 @@
     /// Deletes an object if its current version is `version`.
     fn delete(&self, kind: &str, name: &str, version: Version) -> Boxed<Result<(), PlatformError>>;
     /// Watches the changes after version `from` of a kind, or of one object of it. The stream fails
-    /// when it brings nothing, not even a bookmark, for `max_silence`.
+    /// when it brings nothing, not even a bookmark, for the time that `timing` states.
     fn watch(
         &self,
         kind: &str,
         name: Option<&str>,
         from: Version,
-        max_silence: Duration,
+        timing: WatchTiming,
     ) -> Boxed<Result<WatchStream, PlatformError>>;
     /// Newest era of the store that was seen in a response or reported by a peer; zero for a store
     /// that is never restored from an older copy. See [`StoreRevision`].
--- a/src/platform/remote.rs
+++ b/src/platform/remote.rs
@@ -13,7 +13,9 @@
 use serde_json::Value;
 
 use crate::http::{ClientResponse, Connection, ExchangeError, Pool};
-use crate::platform::{Listing, Object, Platform, PlatformError, Version, WatchEvent, WatchStream};
+use crate::platform::{
+    Listing, Object, Platform, PlatformError, Version, WatchEvent, WatchStream, WatchTiming,
+};
 use crate::prelude::*;
 
 /// Longest accepted response body, in bytes.
@@ -205,7 +207,7 @@
         kind: &str,
         name: Option<&str>,
         from: Version,
-        max_silence: Duration,
+        timing: WatchTiming,
     ) -> Boxed<Result<WatchStream, PlatformError>> {
         let (this, kind) = (self.0.clone(), Name::from(kind));
         let mut path = format!("{kind}?watch=true&resourceVersion={}", from.0);
@@ -217,7 +219,7 @@
             let reader = WatchReader {
                 response,
                 kind,
-                max_silence,
+                max_silence: timing.max_silence,
                 buf: Vec::new(),
             };
             let events = stream::unfold(Some(reader), |reader| async move {
--- a/tests/catalog_sync.rs
+++ b/tests/catalog_sync.rs
@@ -16,7 +16,7 @@
 use guavahold::operator::{Applier, ApplyReport, NoteMetadata};
 use guavahold::peer::{Mesh, PeerEvents, PeerInfo, PeerLinks, PeerMessage};
 use guavahold::platform::{
-    Listing, Object, Platform, PlatformError, Role, Version, Vm, VmPhase, WatchStream,
+    Listing, Object, Platform, PlatformError, Role, Version, Vm, VmPhase, WatchStream, WatchTiming,
 };
 use guavahold::secret::Secret;
 use guavahold::settings::Document;
@@ -69,9 +69,9 @@
         kind: &str,
         name: Option<&str>,
         from: Version,
-        max_silence: Duration,
+        timing: WatchTiming,
     ) -> Boxed<Result<WatchStream, PlatformError>> {
-        self.if_reachable(self.inner.watch(kind, name, from, max_silence))
+        self.if_reachable(self.inner.watch(kind, name, from, timing))
     }
 }
 
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -7,7 +7,7 @@
 use futures_lite::future::Boxed;
 use futures_lite::stream::{self, StreamExt};
 use guavahold::platform::{
-    Listing, Object, Platform, PlatformError, Version, WatchEvent, WatchStream,
+    Listing, Object, Platform, PlatformError, Version, WatchEvent, WatchStream, WatchTiming,
 };
 use guavahold::prelude::*;
 
@@ -254,7 +254,7 @@
         kind: &str,
         name: Option<&str>,
         from: Version,
-        _max_silence: Duration,
+        _timing: WatchTiming,
     ) -> Boxed<Result<WatchStream, PlatformError>> {
         let (this, kind, name) = (self.clone(), Name::from(kind), name.map(Name::from));
         Box::pin(async move {
