--- a/src/gateway/kind_watcher/catch_up.rs
+++ b/src/gateway/kind_watcher/catch_up.rs
@@ -81,12 +81,21 @@
         }
     }
 
-    fn apply_all(&self, from: &Version, events: Vec<WatchEvent>) -> Version {
-        let mut reached = from.clone();
+    /// Applies the events of an answer and returns the version reached. Of an answer that is older
+    /// than what a peer has told since, only the bookmark counts.
+    fn apply_all(&self, from: &Version, mut events: Vec<WatchEvent>) -> Version {
+        let reached = match events.last() {
+            Some(WatchEvent::Bookmark(version)) => version.clone(),
+            _ => from.clone(),
+        };
+        let is_outdated = {
+            let state = self.control.state();
+            state.caches[self.watched.index()].is_ahead_of(&reached)
+        };
+        if is_outdated {
+            events.retain(|event| matches!(event, WatchEvent::Bookmark(_)));
+        }
         for event in events {
-            if let WatchEvent::Bookmark(version) = &event {
-                reached = version.clone();
-            }
             self.control.apply_event(self.watched, event);
         }
         reached
--- a/src/gateway/object_cache.rs
+++ b/src/gateway/object_cache.rs
@@ -40,6 +40,12 @@
         self.objects.iter()
     }
 
+    /// Whether the cache is complete beyond a version of the store.
+    #[must_use]
+    pub fn is_ahead_of(&self, version: &Version) -> bool {
+        self.revision > revision_of(version)
+    }
+
     /// Whether a listing is the first one after the store was restored from an older copy.
     #[must_use]
     pub fn is_restored_by(&self, listing: &Listing) -> bool {
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -228,6 +228,20 @@
     assert!(!cache.apply(WatchEvent::Deleted(object("b", 14, 2))));
 }
 
+#[test]
+fn object_cache_is_ahead_of_answers_older_than_a_peer_s_objects() {
+    let mut cache = ObjectCache::default();
+    cache.replace(Listing {
+        items: vec![object("a", 5, 1)],
+        version: Version("7".into()),
+    });
+    let answer = Version("9".into());
+    assert!(!cache.is_ahead_of(&answer));
+    assert!(cache.replace_from_peer(12, Vec::new()));
+    assert!(cache.is_ahead_of(&answer));
+    assert!(!cache.is_ahead_of(&Version("12".into())));
+}
+
 #[test]
 fn load_table_sums_peers_until_reports_expire() {
     let mut table = LoadTable::default();
