Let every entry try a quarantined part again in its turn

By reading: only the entry that ranked highest for a part could try it again after its quarantine. Callers stay with an entry, so that a part that was held back wrongly, and whose callers are all at another entry, would have stayed so for good. Entries now take turns of 5 s. Test: permission_tries_a_part_again_at_one_entry_after_the_other (it cannot be put into words of the code before).

--- a/src/gateway/prompt_quarantine.rs
+++ b/src/gateway/prompt_quarantine.rs
@@ -16,6 +16,10 @@
 
 /// Time on the quarantine's clock when the process starts: peers tell of ends before that.
 const CLOCK_AT_START: Duration = Duration::from_hours(24);
+/// Time for which the entry whose turn it is alone may try a part again, before the next one may too.
+const TURN: Duration = Duration::from_secs(5);
+/// Most turns that an entry waits.
+const MAX_TURNS: u32 = 12;
 /// Peers that an entry asks after its start.
 const ASKED_PEERS: usize = 3;
 
@@ -27,7 +31,7 @@
     entry: Name,
     /// Time since boot at the start of this process.
     origin: Duration,
-    /// Live peers, among which one entry tries a part again.
+    /// Live peers, which take turns with this entry in trying a part again.
     peers: ArcSwap<Vec<Name>>,
     table: Mutex<PartQuarantine>,
     /// Number of peers asked so far.
@@ -60,9 +64,9 @@
     /// Time after which the caller of a request that is held back may come back.
     pub(crate) fn held(&self, request: &AdmittedRequest) -> Option<Duration> {
         let parts = request.shared_part_ids();
-        let may_try = |part: &str| self.tries(part);
+        let try_delay = |part: &str| self.try_delay(part);
         let (now, scope) = (self.now(), request.part_scope());
-        match self.lock().permission(now, scope, &parts, may_try) {
+        match self.lock().permission(now, scope, &parts, try_delay) {
             Permission::Held(retry_after) => Some(retry_after),
             Permission::Free | Permission::Trial => None,
         }
@@ -86,8 +90,8 @@
         let parts = request.shared_part_ids();
         let now = self.now();
         let mut table = self.lock();
-        let may_try = |part: &str| self.tries(part);
-        let permission = table.permission(now, request.part_scope(), &parts, may_try);
+        let try_delay = |part: &str| self.try_delay(part);
+        let permission = table.permission(now, request.part_scope(), &parts, try_delay);
         if permission == Permission::Trial {
             table.begin_trial(now, &parts);
         }
@@ -149,12 +153,15 @@
         self.asked.fetch_add(1, Ordering::Relaxed) < ASKED_PEERS
     }
 
-    /// Whether this entry is the one that tries a part again. Entries that see the same live peers
-    /// agree on it.
-    fn tries(&self, part: &str) -> bool {
+    /// Time after the quarantine of a part from which this entry may try it again. Entries that see
+    /// the same live peers try one after the other: prompts with the part may come at any of them.
+    fn try_delay(&self, part: &str) -> Duration {
         let rank = |entry: &str| *blake3::hash(format!("{part} {entry}").as_bytes()).as_bytes();
         let own = rank(&self.entry);
-        self.peers.load().iter().all(|peer| rank(peer) < own)
+        let peers = self.peers.load();
+        let before = peers.iter().filter(|peer| rank(peer) > own).count();
+        let turns = u32::try_from(before).unwrap_or(u32::MAX).min(MAX_TURNS);
+        TURN * turns
     }
 
     fn send(&self, notices: impl IntoIterator<Item = PartNotice>) {
--- a/src/part_quarantine/suspect.rs
+++ b/src/part_quarantine/suspect.rs
@@ -152,6 +152,12 @@
         until.saturating_sub(now)
     }
 
+    /// Whether the time of the quarantine has been over for `delay`.
+    #[must_use]
+    pub fn is_over_for(&self, now: Timestamp, delay: Duration) -> bool {
+        self.time_left(now.saturating_sub(delay)).is_zero()
+    }
+
     /// Whether a trial is running.
     #[must_use]
     pub fn is_tried(&self, now: Timestamp) -> bool {
--- a/src/part_quarantine/table.rs
+++ b/src/part_quarantine/table.rs
@@ -212,15 +212,15 @@
         notices
     }
 
-    /// Whether a prompt of a scope may be sent to a target now. `may_try` says whether this entry is
-    /// the one that tries a part again after its quarantine.
+    /// Whether a prompt of a scope may be sent to a target now. `try_delay` is the time after the
+    /// quarantine of a part from which this entry may try it again.
     #[must_use]
     pub fn permission(
         &self,
         now: Timestamp,
         scope: &str,
         parts: &[Name],
-        may_try: impl Fn(&str) -> bool,
+        try_delay: impl Fn(&str) -> Duration,
     ) -> Permission {
         let mut permission = Permission::Free;
         for part in parts {
@@ -228,7 +228,8 @@
                 continue;
             };
             let left = suspect.time_left(now);
-            let may_pass = self.is_explained(suspect, parts) || (left.is_zero() && may_try(part));
+            let is_due = || suspect.is_over_for(now, try_delay(part));
+            let may_pass = self.is_explained(suspect, parts) || is_due();
             if !may_pass || suspect.is_tried(now) {
                 return Permission::Held(left.max(MIN_RETRY_AFTER));
             }
--- a/tests/part_quarantine.rs
+++ b/tests/part_quarantine.rs
@@ -43,7 +43,7 @@
 }
 
 fn permission(table: &PartQuarantine, ms: u64, parts: &[&str]) -> Permission {
-    table.permission(at_ms(ms), "", &names(parts), |_| true)
+    table.permission(at_ms(ms), "", &names(parts), |_| Duration::ZERO)
 }
 
 fn is_held(table: &PartQuarantine, ms: u64, parts: &[&str]) -> bool {
@@ -169,23 +169,31 @@
 }
 
 #[test]
-fn permission_tries_a_part_again_at_one_entry() {
+fn permission_tries_a_part_again_at_one_entry_after_the_other() {
     let mut table = quarantined();
     let parts = names(&[CRASHING]);
-    let after = at_ms(3_000 + 30_000);
-    let elsewhere = table.permission(after, "", &parts, |_| false);
-    assert!(matches!(elsewhere, Permission::Held(_)));
-    assert_eq!(
-        table.permission(after, "", &parts, |_| true),
-        Permission::Trial
-    );
-    table.begin_trial(after, &parts);
-    end(&mut table, 33_200, "i-7", &[CRASHING]);
-    assert!(is_held(&table, 33_200 + 59_000, &[CRASHING]));
-    assert_eq!(
-        permission(&table, 33_200 + 60_000, &[CRASHING]),
-        Permission::Trial
-    );
+    let permission_of = |table: &PartQuarantine, ms, turns| {
+        table.permission(at_ms(ms), "", &parts, |_| Duration::from_secs(5) * turns)
+    };
+    let over = 3_000 + 30_000;
+    assert!(matches!(
+        permission_of(&table, over - 1, 0),
+        Permission::Held(_)
+    ));
+    assert_eq!(permission_of(&table, over, 0), Permission::Trial);
+    assert!(matches!(
+        permission_of(&table, over + 4_999, 1),
+        Permission::Held(_)
+    ));
+    assert_eq!(permission_of(&table, over + 5_000, 1), Permission::Trial);
+    table.begin_trial(at_ms(over), &parts);
+    end(&mut table, over + 200, "i-7", &[CRASHING]);
+    let over = over + 200 + 60_000;
+    assert!(matches!(
+        permission_of(&table, over - 1, 0),
+        Permission::Held(_)
+    ));
+    assert_eq!(permission_of(&table, over, 0), Permission::Trial);
 }
 
 #[test]
@@ -193,7 +201,7 @@
     let mut table = quarantined();
     let parts = names(&[CRASHING]);
     let isolated =
-        |table: &PartQuarantine| table.permission(at_ms(4_000), "bozi", &parts, |_| true);
+        |table: &PartQuarantine| table.permission(at_ms(4_000), "bozi", &parts, |_| Duration::ZERO);
     assert_eq!(isolated(&table), Permission::Free);
     end_scoped(&mut table, 3_900, "i-4", &[CRASHING], "bozi");
     assert!(matches!(isolated(&table), Permission::Held(_)));
--- a/tests/part_quarantine/load.rs
+++ b/tests/part_quarantine/load.rs
@@ -24,6 +24,8 @@
 const DOWN_MS: u64 = 3_000;
 /// Time in which a message reaches a peer.
 const LINK_MS: u64 = 20;
+/// Time after a quarantine from which one more entry may try the part again.
+const TURN: Duration = Duration::from_secs(5);
 const CRASHING: &str = "crashing";
 
 struct Prompt {
@@ -107,7 +109,8 @@
             parts.push(CRASHING.into());
         }
         let now = self.now();
-        let permission = self.entries[entry].permission(now, "", &parts, |_| entry == 0);
+        let turns = TURN * u32::try_from(entry).unwrap();
+        let permission = self.entries[entry].permission(now, "", &parts, |_| turns);
         self.result.sound += usize::from(!crashing);
         match permission {
             Permission::Held(_) => {
