--- a/tests/part_quarantine/load.rs
+++ b/tests/part_quarantine/load.rs
@@ -37,7 +37,7 @@
 
 /// What callers and targets got.
 #[derive(Debug, Default)]
-struct Result {
+struct LoadOutcome {
     ends: usize,
     crashing_sent: usize,
     sound: usize,
@@ -54,7 +54,7 @@
     /// Messages on their way, by the time of their arrival.
     links: BTreeMap<(u64, usize), (usize, PartNotice)>,
     messages: usize,
-    result: Result,
+    outcome: LoadOutcome,
 }
 
 impl Model {
@@ -67,7 +67,7 @@
             running: Vec::new(),
             links: BTreeMap::new(),
             messages: 0,
-            result: Result::default(),
+            outcome: LoadOutcome::default(),
         }
     }
 
@@ -111,16 +111,16 @@
         let now = self.now();
         let turns = TURN * u32::try_from(entry).unwrap();
         let permission = self.entries[entry].permission(now, "", &parts, |_| turns);
-        self.result.sound += usize::from(!crashing);
+        self.outcome.sound += usize::from(!crashing);
         match permission {
             Permission::Held(_) => {
-                self.result.sound_held += usize::from(!crashing);
+                self.outcome.sound_held += usize::from(!crashing);
                 return;
             }
             Permission::Trial => self.entries[entry].begin_trial(now, &parts),
             Permission::Free => {}
         }
-        self.result.crashing_sent += usize::from(crashing);
+        self.outcome.crashing_sent += usize::from(crashing);
         let up: Vec<usize> = (0..TARGETS)
             .filter(|t| self.targets[*t].1 <= self.now_ms)
             .collect();
@@ -153,7 +153,7 @@
 
     /// Ends a target; all prompts that it has are lost.
     fn end_target(&mut self, crashing: Prompt) {
-        self.result.ends += 1;
+        self.outcome.ends += 1;
         let (now, target) = (self.now(), crashing.target);
         let name = self.name_of(target);
         let (mut lost, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.running)
@@ -175,7 +175,7 @@
         self.targets[target] = (incarnation + 1, self.now_ms + DOWN_MS);
     }
 
-    fn run(mut self) -> Result {
+    fn run(mut self) -> LoadOutcome {
         while self.now_ms < LOAD_TIME_MS {
             self.deliver();
             self.finish();
@@ -188,7 +188,7 @@
             }
             self.now_ms += STEP_MS;
         }
-        self.result
+        self.outcome
     }
 }
 
@@ -198,11 +198,11 @@
 fn load_with_a_crashing_part_ends_few_targets() {
     let (mut most_ends, mut held, mut sound) = (0, 0, 0);
     for seed in 0..100 {
-        let result = Model::new(seed).run();
-        assert!(result.ends <= 10, "seed {seed}: {result:?}");
-        most_ends = most_ends.max(result.ends);
-        held += result.sound_held;
-        sound += result.sound;
+        let outcome = Model::new(seed).run();
+        assert!(outcome.ends <= 10, "seed {seed}: {outcome:?}");
+        most_ends = most_ends.max(outcome.ends);
+        held += outcome.sound_held;
+        sound += outcome.sound;
     }
     println!("at most {most_ends} ends; {held} of {sound} sound prompts held back");
     assert!(held * 1_000 <= sound, "{held} of {sound}");
