--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -2,23 +2,23 @@
 
 mod stream;
 
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Instant;
 
-use async_io::Async;
-use futures_lite::{AsyncWriteExt, FutureExt};
-use socket2::SockRef;
+use futures_lite::FutureExt;
 
 use crate::context_store::{FETCH_TIMEOUT, TransferPlan};
 use crate::domain_scheduler::ScheduledRequest;
 use crate::gateway::attempt_error::{AttemptError, TargetResponse};
 use crate::gateway::caller_response::CallerResponse;
-use crate::gateway::connection_pool::connect;
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::response_reader::{ResponseError, ResponseReader};
 use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::target_limits::Exchange;
+use crate::gateway::target_stream::TargetStream;
 use crate::gateway::{Dispatch, RequestHead, ResponseInfo, TargetPresence};
 use crate::prelude::*;
 use crate::route::{KeyHolder, Route};
@@ -27,6 +27,9 @@
 /// Factor of the fetches in an attempt's transfer counts, which share one atomic integer.
 pub(crate) const FETCH_COUNT_FACTOR: usize = 1_000;
 
+/// Largest head and body that are sent in one write, in bytes.
+const MAX_SINGLE_WRITE_BYTES: usize = 16 * 1024;
+
 /// A request that has a route and was accepted for scheduling.
 pub(crate) struct AdmittedRequest {
     /// Decoded head.
@@ -82,16 +85,13 @@
     pub estimate: LoadEstimate,
 }
 
-/// Resets the connection when dropped before the exchange has completed: bytes in the send buffer,
-/// such as during a network partition, would otherwise reach the target long afterwards.
-struct ResetOnDrop<'a>(Option<&'a Async<TcpStream>>);
+/// Resets the connection when dropped before the exchange has completed.
+struct ResetOnDrop<'a>(Option<&'a TargetStream>);
 
 impl Drop for ResetOnDrop<'_> {
     fn drop(&mut self) {
-        if let Some(stream) = self.0
-            && let Err(err) = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))
-        {
-            log::debug!("event=socket_option_failed error={:?}", err.to_string());
+        if let Some(stream) = self.0 {
+            stream.reset_on_drop();
         }
     }
 }
@@ -111,6 +111,8 @@
     pub answer_began: &'a AtomicBool,
     /// The scheduler's handle of the request, to which the first event is reported.
     pub handle: &'a ScheduledRequest,
+    /// Set to the peer that relays the connection to the target, for the log.
+    pub relay: &'a OnceLock<Name>,
 }
 
 impl Attempt<'_> {
@@ -155,17 +157,22 @@
         &self,
         response: &mut CallerResponse<'_>,
     ) -> Result<TargetResponse, AttemptError> {
-        let connected = connect(self.assignment.address).await;
-        self.shared.metrics.connections.inc();
-        let stream = connected.map_err(|_| AttemptError::NotSent)?;
-        self.exchange(stream, response).await
+        let Assignment {
+            target, address, ..
+        } = self.assignment;
+        let stream = self.shared.connect_to_target(target, *address).await;
+        self.exchange(stream.ok_or(AttemptError::NotSent)?, response)
+            .await
     }
 
     async fn exchange(
         &self,
-        stream: Async<TcpStream>,
+        stream: TargetStream,
         response: &mut CallerResponse<'_>,
     ) -> Result<TargetResponse, AttemptError> {
+        if let Some(peer) = stream.peer() {
+            let _ = self.relay.set(peer.clone());
+        }
         // Waiting in a queue and connecting may have taken long.
         if !self.may_send(response) {
             let addr = self.assignment.address;
@@ -175,28 +182,24 @@
         let head = self.encode(response);
         let sent_completely = AtomicBool::new(false);
         let send = async {
-            let mut out = &stream;
-            // A small body is sent in one write with the head; a large one is not copied.
-            let written = match &self.request.body {
-                Some(body) if body.len() + head.len() <= 16 * 1024 => {
-                    let whole = [&head[..], body].concat();
-                    out.write_all(&whole).await
-                }
-                Some(body) => match out.write_all(&head).await {
-                    Ok(()) => out.write_all(body).await,
-                    failed => failed,
-                },
-                None => out.write_all(&head).await,
-            };
+            let written = self.send(&stream, &head).await;
             // The reading side reports a failure as well, after an early response if there is one.
             sent_completely.store(written.is_ok(), Ordering::Release);
             std::future::pending().await
         };
         let mut reset_on_drop = ResetOnDrop(Some(&stream));
-        let mut reader = ResponseReader::new(&stream);
+        let target = &self.assignment.target;
+        let own = stream.peer().is_none();
+        let exchange = own.then(|| self.shared.paths.begin_exchange(self.shared.now(), target));
+        let mut reader = ResponseReader::new(&stream, || {
+            if let Some(exchange) = &exchange {
+                exchange.record_bytes(self.shared.now());
+            }
+        });
         let sent_at = self.shared.now();
         let received = self.receive(&mut reader, response, sent_at);
-        let (received, info) = received.or(send).await?;
+        let hanging = self.until_path_lost(own);
+        let (received, info) = received.or(send).or(hanging).await?;
         reset_on_drop.0 = None;
         drop(reset_on_drop);
         let reusable = reader.is_clean() && sent_completely.load(Ordering::Acquire) && !info.close;
@@ -213,6 +216,34 @@
         }
     }
 
+    /// Sends the request.
+    async fn send(&self, stream: &TargetStream, head: &[u8]) -> io::Result<()> {
+        stream.announce_request(&self.request.head.id).await?;
+        // A small body is sent in one write with the head; a large one is not copied.
+        match &self.request.body {
+            Some(body) if body.len() + head.len() <= MAX_SINGLE_WRITE_BYTES => {
+                stream.write_all(&[head, body].concat()).await
+            }
+            Some(body) => {
+                stream.write_all(head).await?;
+                stream.write_all(body).await
+            }
+            None => stream.write_all(head).await,
+        }
+    }
+
+    /// Completes when the own connection on which the request was sent is found to hang, unless the
+    /// request must not run twice: it may still be answered.
+    async fn until_path_lost<T>(&self, own: bool) -> Result<T, AttemptError> {
+        let route = &self.request.route;
+        if !own || !(route.is_repeatable() || route.is_resumable()) {
+            return std::future::pending().await;
+        }
+        let target = &self.assignment.target;
+        self.shared.paths.until_hanging(target).await;
+        Err(AttemptError::PathLost)
+    }
+
     /// Whether the target still takes requests from this entry, within its limit if it has one, and
     /// runs a weight version on which they may still start, and the software version that began
     /// the stream.
--- a/src/gateway/attempt_error.rs
+++ b/src/gateway/attempt_error.rs
@@ -27,6 +27,8 @@
     Refused(ResponseInfo),
     /// No valid response was received, and the target may have run the request.
     Response(ResponseError),
+    /// The own connection on which the request was sent hangs, while peers reach the target.
+    PathLost,
     /// Writing to the caller failed.
     CallerLeft,
 }
@@ -42,6 +44,7 @@
             },
             Self::Response(ResponseError::NoResponse) => AttemptOutcome::Lost,
             Self::Response(_) => AttemptOutcome::CutShort,
+            Self::PathLost => AttemptOutcome::PathLost,
             Self::CallerLeft => AttemptOutcome::Cancelled,
         }
     }
@@ -68,6 +71,9 @@
             Self::Response(ResponseError::Malformed) => {
                 f.write_str("garbled (bytes that are no answer)")
             }
+            Self::PathLost => {
+                f.write_str("path-lost (the connection hangs, peers reach the target)")
+            }
             Self::CallerLeft => f.write_str("caller-left (it cannot be written to)"),
         }
     }
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -260,6 +260,8 @@
             .seeds(self.seeds.clone())
             .build(peer_handler);
         let _ = control.mesh.set(mesh.clone());
+        shared.relays.set_mesh(mesh.clone());
+        mesh.serve_relays(control.clone());
         let links = HubLinks(Arc::downgrade(&control));
         shared.scheduler_client.set_links(Box::new(links));
         let run_decisions = control.clone().run_decisions(decisions);
@@ -349,6 +351,7 @@
     ex.spawn(control.clone().run_orders(rollout)).detach();
     ex.spawn(control.clone().run_lease()).detach();
     ex.spawn(control.clone().run_periodic()).detach();
+    ex.spawn(control.clone().run_path_checks()).detach();
     ex.spawn(control.clone().run_scheduler()).detach();
     ex.spawn(control.clone().run_domain_scheduler()).detach();
     ex.spawn(control.clone().run_store_cleanup()).detach();
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -13,6 +13,7 @@
 use crate::gateway::control::{Control, State};
 use crate::gateway::drain::Drain;
 use crate::gateway::prompt_quarantine::PromptQuarantine;
+use crate::gateway::relays::Relays;
 use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream_origins::StreamOrigins;
@@ -54,6 +55,8 @@
             scheduler_client: Arc::new(SchedulerClient::new(scheduler.clone())),
             scheduler,
             connections: ConnectionPool::default(),
+            paths: Arc::default(),
+            relays: Relays::new(self.domain.clone()),
             quarantine_notices: notices,
             prompt_quarantine: PromptQuarantine::new(self.name.clone(), channels.part_notices),
             response_buffers: ResponseBuffers::default(),
--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -10,6 +10,7 @@
 use futures_lite::FutureExt;
 
 use crate::clock::coarse_sleep;
+use crate::gateway::target_stream::TargetStream;
 use crate::http::enable_dead_peer_detection;
 use crate::prelude::*;
 
@@ -27,7 +28,7 @@
 const RUN_ONCE_IDLE_TIMEOUT_SHARE: f64 = 0.4;
 
 struct IdleConnection {
-    stream: Async<TcpStream>,
+    stream: TargetStream,
     idle_since: Instant,
     idle_timeout: Duration,
 }
@@ -36,13 +37,6 @@
     fn is_within(&self, share: f64) -> bool {
         self.idle_since.elapsed() < self.idle_timeout.mul_f64(share)
     }
-
-    /// Whether the target has closed the connection or sent unexpected bytes.
-    fn is_stale(&self) -> bool {
-        let mut byte = [0];
-        let peeked = self.stream.get_ref().peek(&mut byte);
-        !matches!(peeked, Err(err) if err.kind() == io::ErrorKind::WouldBlock)
-    }
 }
 
 /// Idle connections to targets, by address.
@@ -54,7 +48,7 @@
 impl ConnectionPool {
     /// Takes the most recently used connection; for a request that must not run twice, only one
     /// that is far from its idle timeout.
-    pub(crate) fn take(&self, addr: SocketAddr, run_once: bool) -> Option<Async<TcpStream>> {
+    pub(crate) fn take(&self, addr: SocketAddr, run_once: bool) -> Option<TargetStream> {
         let share = if run_once {
             RUN_ONCE_IDLE_TIMEOUT_SHARE
         } else {
@@ -68,7 +62,7 @@
                 connections.push(last);
                 return None;
             }
-            if !last.is_stale() {
+            if !last.stream.is_stale() {
                 return Some(last.stream);
             }
         }
@@ -80,7 +74,7 @@
     pub(crate) fn put(
         &self,
         addr: SocketAddr,
-        stream: Async<TcpStream>,
+        stream: TargetStream,
         idle_timeout: Option<Duration>,
     ) {
         let mut idle = self.lock();
@@ -107,6 +101,22 @@
         self.lock().remove(&addr);
     }
 
+    /// Closes this entry's own idle connections to an address.
+    pub(crate) fn clear_direct(&self, addr: SocketAddr) {
+        self.retain(addr, |stream| stream.peer().is_some());
+    }
+
+    /// Closes idle connections to an address that peers relay.
+    pub(crate) fn clear_relayed(&self, addr: SocketAddr) {
+        self.retain(addr, |stream| stream.peer().is_none());
+    }
+
+    fn retain(&self, addr: SocketAddr, keep: impl Fn(&TargetStream) -> bool) {
+        if let Some(connections) = self.lock().get_mut(&addr) {
+            connections.retain(|idle| keep(&idle.stream));
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -5,6 +5,7 @@
 mod hub;
 mod orders;
 mod part_notices;
+mod path_checks;
 pub(crate) mod peers;
 mod periodic;
 mod rate_shares;
@@ -22,14 +23,13 @@
 
 use crate::context_store::{ContextStoreClient, StoreInfo, StoreWatcher};
 use crate::domain_scheduler::DomainScheduler;
-use crate::gateway::connection_pool::connect;
 use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::{ConfirmedBy, Decoder, WatchedKind};
 use crate::lease::LeaseClient;
 use crate::peer::{Mesh, PeerLinks, PeerMessage};
 use crate::platform::{Listing, Platform, PlatformError, StoreRevision, Vm, WatchEvent};
 use crate::prelude::*;
-use crate::scheduler::{Effect, Event, Signal};
+use crate::scheduler::{Effect, Event};
 
 pub(crate) use domain_scheduling::HubLinks;
 pub use orders::{TargetControl, TargetStatus};
@@ -185,6 +185,7 @@
             WatchedKind::Members => {
                 let members = state.decode_members();
                 state.set_cpu_shares(&members);
+                self.update_relays(state, &members);
                 if let Some(mesh) = self.mesh.get() {
                     mesh.set_peers(&members);
                 }
@@ -240,6 +241,8 @@
     pub(crate) fn submit_targets(&self, state: &mut State) {
         let now = self.now();
         let infos: Vec<_> = state.targets.iter().map(|t| t.info.clone()).collect();
+        let names = infos.iter().map(|t| t.name.clone()).collect();
+        self.shared.paths.set_targets(&names);
         let starts = infos.iter().map(|t| (t.name.clone(), t.started_ms));
         self.shared.limits.set_targets(now, starts);
         self.submit_domain_targets(&infos);
@@ -300,26 +303,6 @@
         }
     }
 
-    /// Probes a target with a new connection, which is kept for the next request if it succeeds.
-    async fn probe(self: Arc<Self>, target: Name, address: std::net::SocketAddr) {
-        self.shared.connections.clear(address);
-        let signal = match connect(address).await {
-            Ok(stream) => {
-                self.shared.connections.put(address, stream, None);
-                self.shared.prompt_quarantine.record_alive(&target);
-                Signal::Reachable
-            }
-            Err(err) => {
-                let error = err.to_string();
-                log::info!("event=target_unreachable target={target} error={error:?}");
-                self.shared.prompt_quarantine.record_end(&target);
-                Signal::Unreachable
-            }
-        };
-        self.shared.metrics.connections.inc();
-        self.submit_signal(target, signal);
-    }
-
     /// Applies requests' observations about targets; never returns while the gateway runs.
     pub(crate) async fn run_observations(
         self: Arc<Self>,
--- a/src/gateway/control/hub.rs
+++ b/src/gateway/control/hub.rs
@@ -32,7 +32,7 @@
             state.loads_sent_to_hub.clone_from(&status.loads);
             self.domain_scheduler.set_serving(false);
             drop(state);
-            mesh.send(&hub, PeerMessage::Gateway(status));
+            mesh.send(&hub, PeerMessage::Gateway(Box::new(status)));
             return;
         }
         if !was_hub {
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -136,7 +136,8 @@
     }
 
     /// Whether to compete for the lease, which entries do only while targets have outdated weights
-    /// and unless they drain. The first [`INITIAL_LEASE_CANDIDATES`] live entries by name compete
+    /// and unless they drain, or do not reach all targets while peers do: orders are not relayed,
+    /// since targets must get them from the holder itself. The first [`INITIAL_LEASE_CANDIDATES`] live entries by name compete
     /// at once, each further one after another [`LEASE_CANDIDATE_DELAY`] without rollout progress;
     /// the holder of the lease continues to compete.
     fn competes_for_lease(&self) -> bool {
@@ -144,6 +145,9 @@
         if state.rollout.outdated_count() == 0 || self.shared.drain.is_draining() {
             return false;
         }
+        if self.shared.paths.has_relayed() && self.shared.relays.has_reaching_peer() {
+            return false;
+        }
         let ahead = state.peers.iter().filter(|name| **name < self.name).count();
         let behind = (ahead + 1).saturating_sub(INITIAL_LEASE_CANDIDATES);
         let rank = u32::try_from(behind).unwrap_or(u32::MAX);
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -52,6 +52,10 @@
             },
             retired_below: (retired.all_below, retired.half_below),
             limits: self.shared.limits.reports(now),
+            cut_off_entries: {
+                let cut_off = self.shared.paths.is_cut_off();
+                cut_off.then(|| name_hash(&self.name)).into_iter().collect()
+            },
             stream_origins: std::mem::take(&mut state.new_origins),
         }
     }
@@ -59,7 +63,7 @@
     /// Sends the own status to all peers, as is done in a small system.
     pub(crate) fn broadcast_status(&self, mesh: &Mesh) {
         let status = self.own_status(&mut self.state());
-        mesh.broadcast(&PeerMessage::Gateway(status));
+        mesh.broadcast(&PeerMessage::Gateway(Box::new(status)));
     }
 
     /// Applies a peer's status; in a large system, one from the own failure domain is also kept for
@@ -94,6 +98,7 @@
             self.submit_targets(state);
         }
         self.shared.limits.merge(now, peer, &status.limits);
+        self.shared.relays.record_cut_off(&status.cut_off_entries);
         self.record_stream_origins(status.stream_origins.clone());
         for target in state.targets_by_hash(&status.unreachable_targets) {
             self.submit_signal(target, Signal::ReportedUnreachable);
@@ -188,6 +193,7 @@
         self.shared.scheduler_client.retain_hubs(is_live);
         self.shared.prompt_quarantine.set_peers(names.clone());
         state.peers = names;
+        self.update_relays(&state, &state.decode_members());
         state.set_hub_candidates(staying.cloned().collect());
         drop(state);
         self.shared.scheduler.submit(Event::EntryCount(entries));
--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -1,5 +1,6 @@
 //! Runs the attempts of one request, until its final outcome.
 
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Instant;
 
@@ -199,10 +200,12 @@
         let started = Instant::now();
         let transfer_counts = AtomicUsize::new(0);
         let answer_began = AtomicBool::new(false);
+        let relay = OnceLock::new();
         let result = {
             let attempt = Attempt {
                 transfer_counts: &transfer_counts,
                 answer_began: &answer_began,
+                relay: &relay,
                 shared: self.shared,
                 request: self.request,
                 assignment,
@@ -221,14 +224,16 @@
             Ok(Err(error)) => Some(error.to_string()),
             Err(interruption) => Some(interruption.label().to_owned()),
         };
-        self.record_attempt(assignment, started, &transfer_counts, label);
+        let relay = relay.into_inner();
+        self.record_attempt(assignment, started, &transfer_counts, relay, label);
         match result {
             Ok(Ok(received)) => self.on_response(assignment, received),
             Ok(Err(AttemptError::CallerLeft)) | Err(Interruption::CallerLeft) => {
                 Some(Outcome::CallerLeft)
             }
             Ok(Err(error)) => {
-                self.may_have_been_sent = sent_before || matches!(error, AttemptError::Response(_));
+                self.may_have_been_sent = sent_before
+                    || matches!(error, AttemptError::Response(_) | AttemptError::PathLost);
                 self.on_error(assignment, &error, answer_began.load(Ordering::Relaxed));
                 None
             }
@@ -266,6 +271,7 @@
         assignment: &Assignment,
         started: Instant,
         transfer_counts: &AtomicUsize,
+        relay: Option<Name>,
         error: Option<String>,
     ) {
         let counts = transfer_counts.load(Ordering::Relaxed);
@@ -277,6 +283,7 @@
             duration: started.elapsed(),
             transfers: (counts / FETCH_COUNT_FACTOR, counts % FETCH_COUNT_FACTOR),
             estimate: assignment.estimate,
+            relay,
             error,
         });
     }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -75,6 +75,8 @@
     pub transfers: (usize, usize),
     /// Load estimate by which the target was chosen.
     pub estimate: LoadEstimate,
+    /// Peer that relayed the connection to the target, if any.
+    pub relay: Option<Name>,
     /// Why the attempt got no response; `None` when it got one.
     pub error: Option<String>,
 }
@@ -146,7 +148,8 @@
             log::info!(
                 "event=attempt request={id} number={} target={} weights={} software={} work={} \
                  requests={} \
-                 age_ms={} home_work={} after_ms={} took_ms={} fetched={} saved={} result={:?}",
+                 age_ms={} home_work={} after_ms={} took_ms={} fetched={} saved={} relay={} \
+                 result={:?}",
                 n + 1,
                 record.target,
                 record.weights.unwrap_or_default(),
@@ -159,6 +162,7 @@
                 record.duration.as_millis(),
                 record.transfers.0,
                 record.transfers.1,
+                record.relay.as_deref().unwrap_or("-"),
                 record.error.as_deref().unwrap_or("answered")
             );
         }
--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -1,14 +1,13 @@
 //! Reads a target's responses from a connection.
 
 use std::io;
-use std::net::TcpStream;
 
-use async_io::Async;
-use futures_lite::{AsyncReadExt, FutureExt};
+use futures_lite::FutureExt;
 
 use crate::clock::coarse_sleep;
 use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::response_head::ResponseHead;
+use crate::gateway::target_stream::TargetStream;
 use crate::gateway::{BodyReader, Dialect, RequestHead};
 use crate::http::MessageError;
 use crate::prelude::*;
@@ -42,7 +41,9 @@
 
 /// Reads responses from one connection.
 pub(crate) struct ResponseReader<'a> {
-    stream: &'a Async<TcpStream>,
+    stream: &'a TargetStream,
+    /// Called after each read that got bytes.
+    on_bytes: Box<dyn Fn() + Send + Sync + 'a>,
     raw: Vec<u8>,
     /// Whether the connection cannot be reused, since it closed or a response to another request
     /// was skipped.
@@ -54,10 +55,11 @@
 }
 
 impl<'a> ResponseReader<'a> {
-    /// Creates a reader of a connection.
-    pub(crate) fn new(stream: &'a Async<TcpStream>) -> Self {
+    /// Creates a reader of a connection, which calls `on_bytes` after each read that got bytes.
+    pub(crate) fn new(stream: &'a TargetStream, on_bytes: impl Fn() + Send + Sync + 'a) -> Self {
         Self {
             stream,
+            on_bytes: Box::new(on_bytes),
             raw: Vec::new(),
             not_reusable: false,
             skipped_responses: 0,
@@ -202,9 +204,11 @@
     async fn read(&mut self) -> io::Result<usize> {
         let len = self.raw.len();
         self.raw.resize(len + READ_SIZE, 0);
-        let mut stream = self.stream;
-        let read = stream.read(&mut self.raw[len..]).await;
+        let read = self.stream.read(&mut self.raw[len..]).await;
         let n = *read.as_ref().unwrap_or(&0);
+        if n > 0 {
+            (self.on_bytes)();
+        }
         self.raw.truncate(len + n);
         self.received += n;
         read
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,9 +10,11 @@
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::drain::Drain;
 use crate::gateway::prompt_quarantine::PromptQuarantine;
+use crate::gateway::relays::Relays;
 use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::stream_origins::StreamOrigins;
 use crate::gateway::target_limits::TargetLimits;
+use crate::gateway::target_paths::TargetPaths;
 use crate::gateway::versions::AllowedVersions;
 use crate::gateway::{Dialect, FetchClock, LocalResponse};
 use crate::prelude::*;
@@ -36,6 +38,10 @@
     pub scheduler_client: Arc<SchedulerClient>,
     /// Idle connections to targets.
     pub connections: ConnectionPool,
+    /// Paths by which this entry reaches the targets.
+    pub paths: Arc<TargetPaths>,
+    /// Peers through which targets are reached that this entry does not reach itself.
+    pub relays: Relays,
     /// Memory for the bodies of responses that are being received.
     pub response_buffers: ResponseBuffers,
     /// Quarantine notices about requests suspected of crashing targets.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod prefix_keys;
 pub mod prelude;
 pub mod rate_limit;
+pub mod reachability;
 pub mod rollout;
 pub mod route;
 pub mod scheduler;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -17,6 +17,7 @@
 mod membership;
 mod mesh;
 mod message;
+pub(crate) mod relay;
 mod relayed_store_update;
 mod rendezvous;
 
@@ -32,5 +33,7 @@
 pub use membership::{Membership, MembershipSettings};
 pub use mesh::Mesh;
 pub use message::{PROTOCOL_VERSION, PeerMessage};
+pub(crate) use relay::RelayStream;
+pub use relay::{RelayError, RelayFailure, RelayServer};
 pub use relayed_store_update::RelayedStoreUpdate;
 pub use rendezvous::{BRIDGES_PER_DOMAIN, rendezvous_key, rendezvous_rank};
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -12,7 +12,9 @@
 };
 use futures_lite::{FutureExt, StreamExt};
 
-use crate::peer::{ConnId, MemberEvent, Mesh, PROTOCOL_VERSION, PeerMessage, decode, encode};
+use crate::peer::{
+    ConnId, MemberEvent, Mesh, PROTOCOL_VERSION, PeerMessage, decode, encode, relay,
+};
 use crate::prelude::*;
 
 /// Largest message, in bytes; a full catalog has to fit.
@@ -31,6 +33,14 @@
     boot: u64,
 }
 
+/// What a peer opened a connection for.
+enum Purpose {
+    /// A link between the entries.
+    Link(PeerIdentity),
+    /// A connection to a target that the peer does not reach.
+    Relay { peer: Name, target: Name },
+}
+
 /// Runs an accepted connection until it ends.
 pub(crate) async fn accept(mesh: &Arc<Mesh>, stream: Async<TcpStream>) {
     let guard = mesh.count_handshake();
@@ -40,9 +50,14 @@
         exchange_hello(mesh, ws).await
     };
     match with_timeout(mesh.peer_timeout, handshake).await {
-        Ok((ws, peer)) => {
+        Ok((ws, purpose)) => {
             drop(guard);
-            run(mesh, ws, peer, None).await;
+            match purpose {
+                Purpose::Link(peer) => run(mesh, ws, peer, None).await,
+                Purpose::Relay { peer, target } => {
+                    relay::serve(mesh.relay_server(), ws, &peer, &target).await;
+                }
+            }
         }
         Err(err) => mesh.record_fault("peer_handshake_failed", "-", &err),
     }
@@ -58,7 +73,8 @@
         exchange_hello(mesh, ws).await
     };
     match with_timeout(mesh.peer_timeout, handshake).await {
-        Ok((ws, peer)) => run(mesh, ws, peer, Some(addr)).await,
+        Ok((ws, Purpose::Link(peer))) => run(mesh, ws, peer, Some(addr)).await,
+        Ok((_, Purpose::Relay { .. })) => mesh.handle_event(MemberEvent::DialFailed(addr)),
         Err(err) => {
             log::debug!(
                 "event=peer_dial_failed address={addr} error={:?}",
@@ -92,11 +108,11 @@
     std::io::Error::new(std::io::ErrorKind::InvalidData, detail.into()).into()
 }
 
-/// Exchanges hello messages and verifies the peer's proof.
+/// Sends the own hello message, and verifies the proof in the peer's first message.
 async fn exchange_hello(
     mesh: &Arc<Mesh>,
     mut ws: WsStream,
-) -> Result<(WsStream, PeerIdentity), WsError> {
+) -> Result<(WsStream, Purpose), WsError> {
     ws.send(Message::Binary(encode(&mesh.hello_message()).into()))
         .await?;
     let frame = match ws.next().await {
@@ -104,26 +120,40 @@
         Some(Err(err)) => return Err(err),
         _ => return Err(handshake_error("expected a hello message")),
     };
-    let hello = decode(&frame).map_err(|err| handshake_error(err.to_string()))?;
-    let PeerMessage::Hello {
-        protocol,
-        name,
-        domain,
-        boot,
-        proof,
-    } = hello
-    else {
-        return Err(handshake_error("expected a hello message"));
+    let first = decode(&frame).map_err(|err| handshake_error(err.to_string()))?;
+    let (protocol, boot, proof, purpose) = match first {
+        PeerMessage::Hello {
+            protocol,
+            name,
+            domain,
+            boot,
+            proof,
+        } => {
+            let identity = PeerIdentity { name, domain, boot };
+            (protocol, boot, proof, Purpose::Link(identity))
+        }
+        PeerMessage::RelayOpen {
+            protocol,
+            name: peer,
+            boot,
+            proof,
+            target,
+        } => (protocol, boot, proof, Purpose::Relay { peer, target }),
+        _ => return Err(handshake_error("expected a hello message")),
     };
     if protocol != PROTOCOL_VERSION {
         return Err(handshake_error(format!(
             "protocol version {protocol} is not supported; expected {PROTOCOL_VERSION}"
         )));
     }
-    if !mesh.verify_proof(&name, boot, &proof) {
+    let name = match &purpose {
+        Purpose::Link(identity) => &identity.name,
+        Purpose::Relay { peer, .. } => peer,
+    };
+    if !mesh.verify_proof(name, boot, &proof) {
         return Err(handshake_error("the proof in the hello message is invalid"));
     }
-    Ok((ws, PeerIdentity { name, domain, boot }))
+    Ok((ws, purpose))
 }
 
 /// Registers an authenticated connection and runs it until it ends; returns at once if the
--- a/src/peer/gateway_status.rs
+++ b/src/peer/gateway_status.rs
@@ -39,6 +39,9 @@
     /// Limits that targets set on the requests sent to them.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitReport>,
+    /// Entries that are cut off from at least half of the targets, by name hash.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub cut_off_entries: Vec<u32>,
     /// Origins of streams that began since the last status, in a small system.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub stream_origins: Vec<StreamOrigin>,
@@ -73,6 +76,11 @@
                 self.unreachable_targets.push(*target);
             }
         }
+        for entry in &other.cut_off_entries {
+            if !self.cut_off_entries.contains(entry) {
+                self.cut_off_entries.push(*entry);
+            }
+        }
         for (target, version) in &other.target_versions {
             match self
                 .target_versions
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -21,7 +21,7 @@
 use crate::peer::{
     ClaimServer, CloseReason, ConnId, LinkCounters, MemberEffect, MemberEvent, Membership,
     MembershipSettings, MeshBuilder, PROTOCOL_VERSION, PeerConnection, PeerEvents, PeerLinks,
-    PeerMessage, connection, encode,
+    PeerMessage, RelayError, RelayServer, RelayStream, connection, encode, relay,
 };
 use crate::platform::Vm;
 use crate::prelude::*;
@@ -45,6 +45,7 @@
     pub(crate) peer_timeout: Duration,
     events: Arc<dyn PeerEvents>,
     claim_server: OnceLock<Arc<dyn ClaimServer>>,
+    relay_server: OnceLock<Arc<dyn RelayServer>>,
     started: Instant,
     state: Mutex<State>,
     calls: Arc<ClaimCalls>,
@@ -97,6 +98,7 @@
             peer_timeout: cfg.peer_timeout,
             events,
             claim_server: OnceLock::new(),
+            relay_server: OnceLock::new(),
             started: Instant::now(),
             state: Mutex::new(State {
                 membership,
@@ -123,6 +125,28 @@
         let _ = self.claim_server.set(server);
     }
 
+    /// Sets the server that connects peers to targets; only the first call has an effect.
+    pub fn serve_relays(&self, server: Arc<dyn RelayServer>) {
+        let _ = self.relay_server.set(server);
+    }
+
+    /// The server that connects peers to targets.
+    pub(crate) fn relay_server(&self) -> Option<&dyn RelayServer> {
+        self.relay_server.get().map(|server| &**server)
+    }
+
+    /// Opens a connection to a target through the peer at an address.
+    ///
+    /// # Errors
+    /// See [`relay::open`].
+    pub(crate) async fn open_relay(
+        &self,
+        peer: SocketAddr,
+        target: &str,
+    ) -> Result<RelayStream, RelayError> {
+        relay::open(self, peer, target).await
+    }
+
     /// Replaces the known list of VMs by the platform's.
     pub fn set_peers(self: &Arc<Self>, vms: &[Vm]) {
         self.handle_event(MemberEvent::Listed(vms.to_vec()));
@@ -371,6 +395,17 @@
         }
     }
 
+    /// The first message of a connection that a peer relays to a target.
+    pub(crate) fn relay_request(&self, target: Name) -> PeerMessage {
+        PeerMessage::RelayOpen {
+            protocol: PROTOCOL_VERSION,
+            name: self.name.clone(),
+            boot: self.boot,
+            proof: self.secret.peer_proof(&self.name, self.boot).into(),
+            target,
+        }
+    }
+
     /// Verifies in constant time that a peer's proof was made with the shared secret.
     pub(crate) fn verify_proof(&self, name: &str, boot: u64, proof: &str) -> bool {
         let expected = blake3::Hash::from_hex(self.secret.peer_proof(name, boot));
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -7,7 +7,7 @@
 use crate::domain_scheduler::{SchedulerCall, SchedulerReply};
 use crate::gateway::PeerObject;
 use crate::part_quarantine::PartNotice;
-use crate::peer::{GatewayDigest, GatewayStatus, LoadUpdate, RelayedStoreUpdate};
+use crate::peer::{GatewayDigest, GatewayStatus, LoadUpdate, RelayFailure, RelayedStoreUpdate};
 use crate::platform::Vm;
 use crate::prelude::*;
 use crate::stream_origin::{StreamKey, StreamOrigin};
@@ -32,6 +32,23 @@
         /// Keyed hash that proves knowledge of the shared secret.
         proof: Name,
     },
+    /// First message of a connection that the receiver is to relay to a target.
+    RelayOpen {
+        /// Protocol version.
+        protocol: u32,
+        /// Name of the entry.
+        name: Name,
+        /// Random identifier of the sender's process run.
+        boot: u64,
+        /// Keyed hash that proves knowledge of the shared secret.
+        proof: Name,
+        /// Name of the target.
+        target: Name,
+    },
+    /// The connection to the target is made; what follows are its bytes.
+    RelayOpened,
+    /// The connection to the target is not made.
+    RelayFailed(RelayFailure),
     /// Heartbeat; its keys are short because it is sent most often.
     #[serde(rename = "b")]
     Heartbeat {
@@ -90,7 +107,7 @@
     Loads(Vec<LoadUpdate>),
     /// State of one entry of a gateway, sent at short intervals; its keys are short as well.
     #[serde(rename = "g")]
-    Gateway(GatewayStatus),
+    Gateway(Box<GatewayStatus>),
     /// State of many entries, merged by the hub of a failure domain.
     #[serde(rename = "d")]
     Digest(Box<GatewayDigest>),
--- /dev/null
+++ b/src/reachability/table.rs
@@ -0,0 +1,249 @@
+//! Reach of all targets of one entry.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::prelude::*;
+use crate::reachability::{DialResult, Path, PathChange, TargetReach};
+
+/// Time without any byte after which a target with exchanges under way is checked.
+const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(300);
+/// Shortest time between two such checks of one target.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two attempts to reach a target directly again.
+const RETURN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Own attempts that time out, one after the other, before open connections count as hanging:
+/// packets of one may be lost.
+const TIMEOUTS_OF_HANGING: u32 = 2;
+/// Cuts of one target within this time count as one that comes and goes.
+const FLAP_WINDOW: Duration = Duration::from_secs(10);
+/// Time for which a path that came and went stays relayed; doubled each time.
+const FIRST_HOLD: Duration = Duration::from_secs(1);
+/// Longest such time.
+const MAX_HOLD: Duration = Duration::from_secs(8);
+/// Shortest time between two attempts to find out whether open connections hang, or whether a peer
+/// reaches a target after all.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(300);
+/// Checks that begin at once.
+const MAX_CHECKS: usize = 8;
+/// Checks that begin at once, of those that only look for the end of a cut, while the entry is cut
+/// off from most targets.
+const RETURN_CHECKS_WHILE_CUT_OFF: usize = 1;
+/// Head start of an own connection before a peer is asked as well.
+const HEAD_START: Duration = Duration::from_millis(80);
+/// The same while other targets are reached through peers.
+const SHORT_HEAD_START: Duration = Duration::from_millis(20);
+
+/// Reach of the registered targets.
+#[derive(Clone, Debug, Default)]
+pub struct ReachTable {
+    targets: BTreeMap<Name, TargetReach>,
+}
+
+impl ReachTable {
+    /// Sets the registered targets. New ones are taken to be reached directly.
+    pub fn set_targets(&mut self, names: &BTreeSet<Name>) {
+        self.targets.retain(|name, _| names.contains(name));
+        for name in names {
+            self.targets.entry(name.clone()).or_default();
+        }
+    }
+
+    /// Path of new connections to a target.
+    #[must_use]
+    pub fn path(&self, target: &str) -> Path {
+        self.targets.get(target).map_or(Path::Direct, |t| t.path)
+    }
+
+    /// Head start of an own connection before a peer is asked as well.
+    #[must_use]
+    pub fn head_start(&self) -> Duration {
+        let mut paths = self.targets.values().map(|t| t.path);
+        if paths.any(|path| path == Path::Relayed) {
+            SHORT_HEAD_START
+        } else {
+            HEAD_START
+        }
+    }
+
+    /// Whether this entry reaches at least half of the targets through peers only, or none at all.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        let relayed = self.relayed();
+        let mut paths = self.targets.values().map(|t| t.path);
+        match relayed {
+            0 => !self.targets.is_empty() && paths.all(|path| path == Path::None),
+            relayed => relayed * 2 >= self.targets.len(),
+        }
+    }
+
+    /// Whether any target is reached through peers only.
+    #[must_use]
+    pub fn has_relayed(&self) -> bool {
+        self.relayed() > 0
+    }
+
+    /// Another target, of those that this entry takes to be reached directly the one heard last: if
+    /// it connects, this entry is not cut off.
+    #[must_use]
+    pub fn comparison(&self, target: &str) -> Option<Name> {
+        let others = self.targets.iter().filter(|(name, _)| ***name != *target);
+        let direct = others.filter(|(_, t)| t.path == Path::Direct);
+        let last = direct.max_by_key(|(_, t)| t.heard_at);
+        last.map(|(name, _)| name.clone())
+    }
+
+    /// Number of targets that are reached through peers only.
+    #[must_use]
+    pub fn relayed(&self) -> usize {
+        let relayed = self.targets.values().filter(|t| t.path == Path::Relayed);
+        relayed.count()
+    }
+
+    /// Records that an exchange began on an own connection.
+    pub fn begin_exchange(&mut self, now: Timestamp, target: &str) {
+        if let Some(reach) = self.targets.get_mut(target) {
+            if reach.exchanges == 0 {
+                reach.exchanges_since = now;
+            }
+            reach.exchanges += 1;
+        }
+    }
+
+    /// Records that an exchange on an own connection ended.
+    pub fn end_exchange(&mut self, target: &str) {
+        if let Some(reach) = self.targets.get_mut(target) {
+            reach.exchanges = reach.exchanges.saturating_sub(1);
+        }
+    }
+
+    /// Records bytes that arrived on an own connection. They say nothing of new ones, which may be
+    /// refused meanwhile.
+    pub fn record_bytes(&mut self, now: Timestamp, target: &str) {
+        if let Some(reach) = self.targets.get_mut(target) {
+            reach.record_heard(now);
+        }
+    }
+
+    /// Records the result of an own attempt to connect, which began at `began`.
+    pub fn record_dial(
+        &mut self,
+        now: Timestamp,
+        target: &str,
+        began: Timestamp,
+        result: DialResult,
+    ) -> Option<PathChange> {
+        let reach = self.targets.get_mut(target)?;
+        match result {
+            DialResult::Connected => {
+                reach.record_heard(now);
+                if std::mem::take(&mut reach.path) == Path::Direct {
+                    return None;
+                }
+                reach.restored_at = Some(now);
+                Some(PathChange::Restored)
+            }
+            DialResult::Refused => {
+                reach.timeouts = 0;
+                None
+            }
+            DialResult::TimedOut => {
+                if reach.timeouts == 0 {
+                    reach.timeouts_since = began;
+                }
+                reach.timeouts += 1;
+                reach.find_hanging()
+            }
+        }
+    }
+
+    /// Records that a peer connected to a target to which an own connection failed, or was not made
+    /// yet.
+    pub fn record_reached_by_peer(&mut self, now: Timestamp, target: &str) -> Option<PathChange> {
+        let reach = self.targets.get_mut(target)?;
+        if std::mem::replace(&mut reach.path, Path::Relayed) == Path::Relayed {
+            return reach.find_hanging();
+        }
+        let flapped = reach.restored_at.is_some_and(|at| now < at + FLAP_WINDOW);
+        reach.flaps = if flapped { reach.flaps + 1 } else { 0 };
+        if reach.flaps > 0 {
+            let hold = FIRST_HOLD.saturating_mul(1 << reach.flaps.min(8));
+            reach.held_until = now + hold.min(MAX_HOLD);
+        }
+        Some(PathChange::CutOff)
+    }
+
+    /// Records that neither this entry nor a peer connects to a target.
+    pub fn record_unreached(&mut self, target: &str) {
+        if let Some(reach) = self.targets.get_mut(target) {
+            reach.path = Path::None;
+        }
+    }
+
+    /// Targets to which an own connection is to be tried now; counts them as checked.
+    pub fn take_checks(&mut self, now: Timestamp) -> Vec<Name> {
+        let cut_off = self.is_cut_off();
+        let has_relayed = self.has_relayed();
+        let mut due = Vec::new();
+        let mut returns = Vec::new();
+        for (name, reach) in &self.targets {
+            match reach.due_check(now, cut_off, has_relayed) {
+                Some(Check::Doubt) => due.push((reach.checked_at, name.clone())),
+                Some(Check::Return) => returns.push((reach.checked_at, name.clone())),
+                None => {}
+            }
+        }
+        due.sort_unstable();
+        returns.sort_unstable();
+        if cut_off {
+            returns.truncate(RETURN_CHECKS_WHILE_CUT_OFF);
+        }
+        due.extend(returns);
+        due.truncate(MAX_CHECKS);
+        let names: Vec<Name> = due.into_iter().map(|(_, name)| name).collect();
+        for name in &names {
+            if let Some(reach) = self.targets.get_mut(name) {
+                reach.checked_at = Some(now);
+            }
+        }
+        names
+    }
+}
+
+/// Why a target is checked.
+enum Check {
+    /// Its state is in doubt.
+    Doubt,
+    /// Own connections may be possible again.
+    Return,
+}
+
+impl TargetReach {
+    /// Whether open connections are now found to hang: own ones time out and nothing has arrived
+    /// since, while a peer reaches the target.
+    fn find_hanging(&mut self) -> Option<PathChange> {
+        let silent = self.heard_at < self.timeouts_since;
+        let found = self.path == Path::Relayed
+            && self.timeouts >= TIMEOUTS_OF_HANGING
+            && silent
+            && !self.hanging;
+        self.hanging |= found;
+        found.then_some(PathChange::Hanging)
+    }
+
+    fn due_check(&self, now: Timestamp, cut_off: bool, has_relayed: bool) -> Option<Check> {
+        let unconfirmed = (1..TIMEOUTS_OF_HANGING).contains(&self.timeouts);
+        let (check, interval) = match self.path {
+            Path::Direct if self.silent_for(now) >= SILENCE_BEFORE_CHECK => {
+                (Check::Doubt, SILENCE_CHECK_INTERVAL)
+            }
+            Path::Relayed if unconfirmed => (Check::Doubt, CONFIRM_INTERVAL),
+            Path::Relayed if now >= self.held_until => (Check::Return, RETURN_CHECK_INTERVAL),
+            // A peer was found that reaches other targets.
+            Path::None if has_relayed => (Check::Doubt, CONFIRM_INTERVAL),
+            // The scheduler probes a target that has ended.
+            Path::None if cut_off => (Check::Return, RETURN_CHECK_INTERVAL),
+            _ => return None,
+        };
+        self.may_check(now, interval).then_some(check)
+    }
+}
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -98,8 +98,10 @@
 pub enum Signal {
     /// The target or a peer announced that the target is leaving.
     Leaving,
-    /// A new connection was refused or timed out.
+    /// The target has ended: new connections are refused or time out.
     Unreachable,
+    /// No connection is made, and nobody confirms that the target has ended: no request is to blame.
+    OutOfReach,
     /// A peer found it unreachable: it gets no new work until a probe has tried a new connection.
     #[serde(rename = "doubted")]
     ReportedUnreachable,
@@ -129,6 +131,8 @@
     /// The target may have received the request, and its connection broke or timed out before the
     /// response began.
     Lost,
+    /// The connection on which the request was sent hangs, while peers reach the target.
+    PathLost,
     /// The response began and broke off. Unless the request is resumable, it must not be joined
     /// with the response of another run.
     CutShort,
--- a/src/scheduler/fleet/health.rs
+++ b/src/scheduler/fleet/health.rs
@@ -25,6 +25,8 @@
     leaving_reported_at: Option<Timestamp>,
     /// Whether the latest attempt to connect failed.
     pub(crate) unreachable: bool,
+    /// When it was found to have ended, if it is unreachable for that.
+    pub(crate) ended_at: Option<Timestamp>,
     /// When it was last probed because a request went unanswered or a peer could not reach it.
     pub(crate) checked_at: Option<Timestamp>,
     /// Since when new connections fail.
@@ -84,6 +86,7 @@
     /// Records that a new connection succeeded; this does not revoke that the target is leaving.
     pub(crate) fn record_reachable(&mut self) {
         self.unreachable = false;
+        self.ended_at = None;
         self.unreachable_since = None;
         self.awaiting_probe = false;
         self.failed_connections = 0;
--- a/src/scheduler/machine/outcome.rs
+++ b/src/scheduler/machine/outcome.rs
@@ -212,7 +212,7 @@
             AttemptOutcome::Lost | AttemptOutcome::CutShort => {
                 self.record_lost(id, attempt.target, effects);
             }
-            AttemptOutcome::Withheld => return,
+            AttemptOutcome::Withheld | AttemptOutcome::PathLost => return,
             _ => {}
         }
         self.count_failure(attempt.target);
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -62,7 +62,8 @@
                 self.fleet.refresh(self.now, ix);
                 self.refuse_unservable(effects);
             }
-            Signal::Unreachable => self.mark_unreachable(ix, effects),
+            Signal::Unreachable => self.mark_unreachable(ix, true, effects),
+            Signal::OutOfReach => self.mark_unreachable(ix, false, effects),
             Signal::ReportedUnreachable => self.check_target(ix, effects),
             Signal::Reachable => self.mark_reachable(ix, effects),
             Signal::Pause(pause) => self.pause_target(ix, pause, effects),
@@ -85,12 +86,15 @@
         self.send_notices(notices, effects);
     }
 
-    fn mark_unreachable(&mut self, ix: TargetIx, effects: &mut Vec<Effect>) {
+    /// Gives a target no new work until a connection succeeds; `ended` says whether it is known to
+    /// have ended, so that the requests that it had may be to blame.
+    fn mark_unreachable(&mut self, ix: TargetIx, ended: bool, effects: &mut Vec<Effect>) {
         let Some(target) = self.fleet.get_mut(ix) else {
             return;
         };
         let newly = !target.health.unreachable;
         target.health.unreachable = true;
+        target.health.ended_at = ended.then_some(self.now);
         target.prefixes.clear();
         if newly {
             target.health.unreachable_since = Some(self.now);
@@ -102,11 +106,11 @@
         self.fleet.refresh(self.now, ix);
         let pause = PROBE_BACKOFF.equal_jitter(tries, &mut self.rng);
         self.schedule_probe(ix, pause);
-        if newly {
+        if newly && ended {
             self.recent_deaths
                 .push_back((self.now, domain.clone(), name));
         }
-        self.resolve_as_dead(ix, effects);
+        self.resolve_unreachable(ix, effects);
         if newly {
             self.clear_domain_loss(&domain);
             self.refuse_unservable(effects);
@@ -114,8 +118,12 @@
         self.fail_over(ix, effects);
     }
 
-    fn resolve_as_dead(&mut self, ix: TargetIx, effects: &mut Vec<Effect>) {
-        let died = self.fleet.get(ix).map(|t| t.info.name.clone());
+    /// Decides whether the requests whose exchanges with an unreachable target were lost are to
+    /// blame: they may be if it has ended or is no longer listed.
+    fn resolve_unreachable(&mut self, ix: TargetIx, effects: &mut Vec<Effect>) {
+        let target = self.fleet.get(ix);
+        let died = target.filter(|t| t.health.ended_at.is_some() || !t.listed);
+        let died = died.map(|t| t.info.name.clone());
         let notices = self.suspects.resolve_lost(self.now, ix, died.as_ref());
         self.send_notices(notices, effects);
     }
@@ -156,12 +164,13 @@
         self.suspend_until_probed(ix, effects);
     }
 
-    /// Listed targets that became unreachable less than a second ago.
+    /// Listed targets that were found to have ended less than a second ago.
     #[must_use]
     pub fn newly_unreachable(&self) -> Vec<Name> {
         let targets = self.fleet.iter().map(|(_, t)| t);
         let lost = targets.filter(|t| {
-            let at = t.health.unreachable_since.filter(|_| t.listed);
+            let at = t.health.unreachable_since;
+            let at = at.filter(|_| t.listed && t.health.ended_at.is_some());
             at.is_some_and(|at| self.now < at + NEWLY_UNREACHABLE_TIME)
         });
         lost.map(|t| t.info.name.clone()).collect()
@@ -192,7 +201,7 @@
         let listed = self.fleet.get(ix).filter(|t| t.listed);
         match listed.map(|t| t.health.unreachable) {
             Some(false) => self.suspend_until_probed(ix, effects),
-            _ => self.resolve_as_dead(ix, effects),
+            _ => self.resolve_unreachable(ix, effects),
         }
     }
 
@@ -203,7 +212,7 @@
             return;
         };
         if target.health.awaiting_probe {
-            self.mark_unreachable(ix, effects);
+            self.mark_unreachable(ix, true, effects);
             return;
         }
         if target.health.unreachable {
--- a/src/shared_scheduler/handle.rs
+++ b/src/shared_scheduler/handle.rs
@@ -77,7 +77,7 @@
         self.lock().scheduler.own_loads()
     }
 
-    /// Listed targets that became unreachable less than a second ago.
+    /// Listed targets that were found to have ended less than a second ago.
     #[must_use]
     pub fn newly_unreachable(&self) -> Vec<Name> {
         self.lock().scheduler.newly_unreachable()
--- a/tests/scheduler/machine.rs
+++ b/tests/scheduler/machine.rs
@@ -94,6 +94,7 @@
     prop_oneof![
         1 => Just(Signal::Leaving),
         3 => Just(Signal::Unreachable),
+        2 => Just(Signal::OutOfReach),
         2 => Just(Signal::ReportedUnreachable),
         6 => Just(Signal::Reachable),
     ]
@@ -391,7 +392,7 @@
         if self.listed.contains_key(&target) {
             match signal {
                 Signal::Leaving => self.leaving.insert(target.clone()),
-                Signal::Unreachable => self.unreachable.insert(target.clone()),
+                Signal::Unreachable | Signal::OutOfReach => self.unreachable.insert(target.clone()),
                 Signal::Reachable => self.unreachable.remove(&target),
                 Signal::ReportedUnreachable | Signal::Pause(_) => false,
             };
