--- a/src/reachability/table.rs
+++ b/src/reachability/table.rs
@@ -5,8 +5,11 @@
 use crate::prelude::*;
 use crate::reachability::{DialResult, Path, PathChange, TargetReach};
 
-/// Time without any byte after which a target with exchanges under way is checked.
-const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(300);
+/// Time without any byte after which a target with exchanges under way is checked: a busy target
+/// may be silent for long.
+const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(1_500);
+/// The same while nothing arrives from any target, or others are reached through peers.
+const SHORT_SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(300);
 /// Shortest time between two such checks of one target.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest time between two attempts to reach a target directly again.
@@ -183,10 +186,17 @@
     pub fn take_checks(&mut self, now: Timestamp) -> Vec<Name> {
         let cut_off = self.is_cut_off();
         let has_relayed = self.has_relayed();
+        let heard_at = self.targets.values().map(|t| t.heard_at).max();
+        let silent = heard_at.is_some_and(|at| now >= at + SHORT_SILENCE_BEFORE_CHECK);
+        let tolerated = if silent || has_relayed {
+            SHORT_SILENCE_BEFORE_CHECK
+        } else {
+            SILENCE_BEFORE_CHECK
+        };
         let mut due = Vec::new();
         let mut returns = Vec::new();
         for (name, reach) in &self.targets {
-            match reach.due_check(now, cut_off, has_relayed) {
+            match reach.due_check(now, cut_off, has_relayed, tolerated) {
                 Some(Check::Doubt) => due.push((reach.checked_at, name.clone())),
                 Some(Check::Return) => returns.push((reach.checked_at, name.clone())),
                 None => {}
@@ -230,10 +240,16 @@
         found.then_some(PathChange::Hanging)
     }
 
-    fn due_check(&self, now: Timestamp, cut_off: bool, has_relayed: bool) -> Option<Check> {
+    fn due_check(
+        &self,
+        now: Timestamp,
+        cut_off: bool,
+        has_relayed: bool,
+        tolerated_silence: Duration,
+    ) -> Option<Check> {
         let unconfirmed = (1..TIMEOUTS_OF_HANGING).contains(&self.timeouts);
         let (check, interval) = match self.path {
-            Path::Direct if self.silent_for(now) >= SILENCE_BEFORE_CHECK => {
+            Path::Direct if self.silent_for(now) >= tolerated_silence => {
                 (Check::Doubt, SILENCE_CHECK_INTERVAL)
             }
             Path::Relayed if unconfirmed => (Check::Doubt, CONFIRM_INTERVAL),
