--- a/src/gateway/control/path_checks.rs
+++ b/src/gateway/control/path_checks.rs
@@ -7,8 +7,10 @@
 use crate::gateway::control::{Control, State};
 use crate::gateway::relays::RelayPeer;
 use crate::gateway::target_dialer::ProbeResult;
+use crate::gateway::target_stream::TargetStream;
 use crate::platform::Vm;
 use crate::prelude::*;
+use crate::reachability::Path;
 use crate::scheduler::Signal;
 
 /// Interval at which paths are checked for being due.
@@ -61,7 +63,17 @@
     }
 
     async fn check_path(self: Arc<Self>, target: Name, address: SocketAddr) {
-        if let ProbeResult::Reached(stream) = self.shared.probe_target(&target, address).await {
+        let connected = if self.shared.paths.path(&target) == Path::Relayed {
+            // It is known already that peers connect.
+            let own = self.shared.dial(&target, address).await;
+            own.ok().map(TargetStream::Direct)
+        } else {
+            match self.shared.probe_target(&target, address).await {
+                ProbeResult::Reached(stream) => Some(stream),
+                ProbeResult::Ended | ProbeResult::Unreached => None,
+            }
+        };
+        if let Some(stream) = connected {
             self.shared.connections.put(address, stream, None);
             self.submit_signal(target, Signal::Reachable);
         }
