--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -15,8 +15,9 @@
 const QUARANTINED: &str = "targets ended one after the other with equal requests or with a part of its \
      prompt, so it was not sent";
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 23] = [
+const STATE_EVENTS: [&str; 24] = [
     "target_unreachable",
+    "target_path",
     "target_word",
     "target_limit",
     "target_limit_lifted",
@@ -179,6 +180,14 @@
     }
 }
 
+/// Names the peer that relayed the connection of an attempt; empty if none did.
+fn relay(line: &LogLine) -> String {
+    match line.get("relay") {
+        "" | "-" => String::new(),
+        peer => format!(" through {peer}"),
+    }
+}
+
 /// Describes the entry's load estimate of the chosen target; empty if the attempt logged none. In
 /// the log, -1 stands for an absent value.
 fn load_estimate(line: &LogLine) -> String {
@@ -215,14 +224,21 @@
             let _ = match line.get("event") {
                 "attempt" => writeln!(
                     out,
-                    "  {at} {vm} attempt {} at {} after {} ms, {} ms long: {}{}",
+                    "  {at} {vm} attempt {} at {}{} after {} ms, {} ms long: {}{}",
                     line.get("number"),
                     line.get("target"),
+                    relay(line),
                     line.get("after_ms"),
                     line.get("took_ms"),
                     line.get("result"),
                     load_estimate(line)
                 ),
+                "request_relayed" => writeln!(
+                    out,
+                    "  {at} {vm} relayed it to {} for {}",
+                    line.get("target"),
+                    line.get("peer")
+                ),
                 "request_rejected" => writeln!(
                     out,
                     "  {at} {vm} rejected with status {}: {}",
@@ -256,6 +272,7 @@
         for line in &self.around {
             let about = [
                 "target",
+                "path",
                 "per_s",
                 "kind",
                 "peer",
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -17,6 +17,10 @@
 ts_ms=1500 level=info vm=front-3 event=attempt request=ee number=1 target=i-4 weights=2 after_ms=0 took_ms=80 fetched=0 saved=0 result="lost (connection ended without an answer)"
 ts_ms=1500 level=info vm=front-3 event=prompt_broken_off request=ee target=i-4 answer_began=false parts=0011aabb,22cc33dd
 ts_ms=1501 level=info vm=front-3 event=request_ended request=ee route=r service=s customer=c tokens=9 waited_ms=0 first_ms=-1 took_ms=81 deadline_ms=3000 attempts=1 end=refused status=502 reason=target-failed retry_after_ms=0
+ts_ms=1550 level=info vm=front-3 event=target_path target=i-5 path=relayed relayed_targets=4
+ts_ms=1600 level=info vm=front-2 event=request_relayed request=ff target=i-5 peer=front-3
+ts_ms=1650 level=info vm=front-3 event=attempt request=ff number=1 target=i-5 weights=2 after_ms=0 took_ms=60 fetched=0 saved=0 relay=front-2 result="answered"
+ts_ms=1651 level=info vm=front-3 event=request_ended request=ff route=r service=s customer=c tokens=9 waited_ms=0 first_ms=40 took_ms=61 deadline_ms=3000 attempts=1 end=answered status=200
 level=warn event=log_lines_dropped count=17
 "#;
 
@@ -92,3 +96,14 @@
     let belief = "front-3 objects_unconfirmed routes 15 40 47 store 3010";
     assert!(text.contains(belief), "{text}");
 }
+
+#[test]
+fn explain_names_the_peer_that_relayed_a_request() {
+    let text = text("ff");
+    assert!(text.contains("attempt 1 at i-5 through front-2"), "{text}");
+    assert!(
+        text.contains("front-2 relayed it to i-5 for front-3"),
+        "{text}"
+    );
+    assert!(text.contains("front-3 target_path i-5 relayed"), "{text}");
+}
