Leave a target that falls silent what it has, for two seconds (silent targets)

Callers lost nothing in the test, but a sound target was taken to have ended, with what follows: its requests blamed, sent again at the second try, and a ramp afterwards. Cause: connections that time out at the entry and at a peer counted as an end. A timeout is no end: such a target gets no new work and is probed again and again; it has ended if it is silent for two seconds, or refuses. Requests that only it can serve wait meanwhile.

--- a/src/gateway/control/path_checks.rs
+++ b/src/gateway/control/path_checks.rs
@@ -35,6 +35,7 @@
                 self.shared.prompt_quarantine.record_end(&target);
                 Signal::Unreachable
             }
+            ProbeResult::Silent => Signal::Silent,
             ProbeResult::Unreached => {
                 log::info!("event=target_unreachable target={target} ended=unknown");
                 Signal::OutOfReach
@@ -70,7 +71,7 @@
         } else {
             match self.shared.probe_target(&target, address).await {
                 ProbeResult::Reached(stream) => Some(stream),
-                ProbeResult::Ended | ProbeResult::Unreached => None,
+                ProbeResult::Silent | ProbeResult::Ended | ProbeResult::Unreached => None,
             }
         };
         if let Some(stream) = connected {
--- a/src/gateway/target_dialer.rs
+++ b/src/gateway/target_dialer.rs
@@ -18,13 +18,20 @@
 pub(crate) enum ProbeResult {
     /// This entry or a peer connected to it.
     Reached(TargetStream),
-    /// This entry does not connect to it, and either peers find it refusing connections as well or
-    /// there are none.
+    /// This entry does not connect to it, nor do peers that reach others, and it is not just silent.
     Ended,
+    /// Connections to it time out, from this entry and from peers that reach others: it may go on.
+    Silent,
     /// No entry that was asked connects to it, and none confirms that it has ended.
     Unreached,
 }
 
+/// Why no connection to a target was made.
+struct NotConnected {
+    own: DialResult,
+    relay: NoRelay,
+}
+
 impl Shared {
     /// Connects to a target by the path that works; `None` when none does.
     pub(crate) async fn connect_to_target(
@@ -46,11 +53,17 @@
             Ok(stream) => return ProbeResult::Reached(stream),
             Err(failed) => failed,
         };
+        let result = match (failed.own, failed.relay) {
+            (_, NoRelay::Unknown) => ProbeResult::Unreached,
+            (DialResult::TimedOut, NoRelay::TimedOut | NoRelay::Alone)
+                if self.paths.record_silent(self.now(), target) =>
+            {
+                return ProbeResult::Silent;
+            }
+            _ => ProbeResult::Ended,
+        };
         self.paths.record_unreached(target);
-        match failed {
-            NoRelay::Refused | NoRelay::TimedOut | NoRelay::Alone => ProbeResult::Ended,
-            NoRelay::Unknown => ProbeResult::Unreached,
-        }
+        result
     }
 
     /// Connects to a target; asks a peer to when this entry does not succeed at once. The error says
@@ -59,7 +72,7 @@
         &self,
         target: &Name,
         address: SocketAddr,
-    ) -> Result<TargetStream, NoRelay> {
+    ) -> Result<TargetStream, NotConnected> {
         let mut own = pin!(self.dial(target, address));
         let head_start = async {
             coarse_sleep(self.paths.head_start()).await;
@@ -67,7 +80,10 @@
         };
         match async { Some((&mut own).await) }.or(head_start).await {
             Some(Ok(stream)) => return Ok(TargetStream::Direct(stream)),
-            Some(Err(_)) => return self.open_relay(target, address).await,
+            Some(Err(own)) => {
+                let relayed = self.open_relay(target, address).await;
+                return relayed.map_err(|relay| NotConnected { own, relay });
+            }
             None => {}
         }
         let mut relayed = pin!(self.open_relay(target, address));
@@ -76,8 +92,14 @@
         match first.await {
             First::Own(Ok(stream)) => Ok(TargetStream::Direct(stream)),
             First::Relay(Ok(stream)) => Ok(stream),
-            First::Own(Err(_)) => relayed.await,
-            First::Relay(Err(relay)) => own.await.map(TargetStream::Direct).map_err(|_| relay),
+            First::Own(Err(own)) => {
+                let relayed = relayed.await;
+                relayed.map_err(|relay| NotConnected { own, relay })
+            }
+            First::Relay(Err(relay)) => {
+                let own = own.await.map(TargetStream::Direct);
+                own.map_err(|own| NotConnected { own, relay })
+            }
         }
     }
 
--- a/src/gateway/target_paths.rs
+++ b/src/gateway/target_paths.rs
@@ -80,6 +80,12 @@
         self.announce(target, change)
     }
 
+    /// Records that connections to a target time out wherever they are tried; returns whether it may
+    /// still go on.
+    pub(crate) fn record_silent(&self, now: Timestamp, target: &str) -> bool {
+        self.table().record_silent(now, target)
+    }
+
     /// Records that neither this entry nor a peer connects to a target.
     pub(crate) fn record_unreached(&self, target: &str) {
         self.table().record_unreached(target);
--- a/src/reachability/table.rs
+++ b/src/reachability/table.rs
@@ -17,6 +17,8 @@
 /// Own attempts that time out, one after the other, before open connections count as hanging:
 /// packets of one may be lost.
 const TIMEOUTS_OF_HANGING: u32 = 2;
+/// Longest time for which a target that goes on is silent.
+const MAX_SILENCE: Duration = Duration::from_secs(2);
 /// Cuts of one target within this time count as one that comes and goes.
 const FLAP_WINDOW: Duration = Duration::from_secs(10);
 /// Time for which a path that came and went stays relayed; doubled each time.
@@ -163,6 +165,7 @@
     /// yet.
     pub fn record_reached_by_peer(&mut self, now: Timestamp, target: &str) -> Option<PathChange> {
         let reach = self.targets.get_mut(target)?;
+        reach.silent_since = None;
         if std::mem::replace(&mut reach.path, Path::Relayed) == Path::Relayed {
             return reach.find_hanging();
         }
@@ -175,6 +178,16 @@
         Some(PathChange::CutOff)
     }
 
+    /// Records that connections to a target time out wherever they are tried; returns whether it may
+    /// still go on.
+    pub fn record_silent(&mut self, now: Timestamp, target: &str) -> bool {
+        let Some(reach) = self.targets.get_mut(target) else {
+            return false;
+        };
+        let since = *reach.silent_since.get_or_insert(now);
+        now < since + MAX_SILENCE
+    }
+
     /// Records that neither this entry nor a peer connects to a target.
     pub fn record_unreached(&mut self, target: &str) {
         if let Some(reach) = self.targets.get_mut(target) {
--- a/src/reachability/target_reach.rs
+++ b/src/reachability/target_reach.rs
@@ -20,6 +20,8 @@
     pub(crate) timeouts_since: Timestamp,
     /// Whether open connections were found to hang since then.
     pub(crate) hanging: bool,
+    /// Since when connections of this entry and of peers time out.
+    pub(crate) silent_since: Option<Timestamp>,
     /// When an own connection was last tried for a check.
     pub(crate) checked_at: Option<Timestamp>,
     /// When the path last became direct again.
@@ -48,6 +50,7 @@
     pub(crate) fn record_heard(&mut self, now: Timestamp) {
         self.heard_at = now;
         self.timeouts = 0;
+        self.silent_since = None;
         self.hanging = false;
     }
 }
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -100,6 +100,9 @@
     Leaving,
     /// The target has ended: new connections are refused or time out.
     Unreachable,
+    /// New connections time out for now: it gets no new work until one succeeds, and what it has is
+    /// left to it.
+    Silent,
     /// No connection is made, and nobody confirms that the target has ended: no request is to blame.
     OutOfReach,
     /// A peer found it unreachable: it gets no new work until a probe has tried a new connection.
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -63,6 +63,7 @@
                 self.refuse_unservable(effects);
             }
             Signal::Unreachable => self.mark_unreachable(ix, true, effects),
+            Signal::Silent => self.probe_silent(ix, effects),
             Signal::OutOfReach => self.mark_unreachable(ix, false, effects),
             Signal::ReportedUnreachable => self.check_target(ix, effects),
             Signal::Reachable => self.mark_reachable(ix, effects),
@@ -86,6 +87,21 @@
         self.send_notices(notices, effects);
     }
 
+    /// Probes a target that was silent once more; it gets no new work meanwhile.
+    fn probe_silent(&mut self, ix: TargetIx, effects: &mut Vec<Effect>) {
+        let Some(target) = self.fleet.get_mut(ix) else {
+            return;
+        };
+        if target.health.unreachable || !target.listed {
+            return;
+        }
+        target.health.awaiting_probe = true;
+        let (target, address) = (target.info.name.clone(), target.info.address);
+        effects.push(Effect::Probe { target, address });
+        self.fleet.refresh(self.now, ix);
+        self.schedule_probe(ix, PROBE_TIMEOUT);
+    }
+
     /// Gives a target no new work until a connection succeeds; `ended` says whether it is known to
     /// have ended, so that the requests that it had may be to blame.
     fn mark_unreachable(&mut self, ix: TargetIx, ended: bool, effects: &mut Vec<Effect>) {
--- a/tests/reachability.rs
+++ b/tests/reachability.rs
@@ -157,3 +157,16 @@
     table.record_reached_by_peer(ms(40), "i-2");
     assert_eq!(table.comparison("i-0").as_deref(), Some("i-1"));
 }
+
+#[test]
+fn silent_target_may_go_on_for_two_seconds() {
+    let mut table = table(4);
+    assert!(table.record_silent(ms(1_000), "i-0"));
+    assert!(table.record_silent(ms(2_999), "i-0"));
+    assert!(!table.record_silent(ms(3_000), "i-0"));
+    table.record_bytes(ms(3_100), "i-0");
+    assert!(
+        table.record_silent(ms(4_000), "i-0"),
+        "the silence starts anew"
+    );
+}
--- a/tests/scheduler/machine.rs
+++ b/tests/scheduler/machine.rs
@@ -95,6 +95,7 @@
         1 => Just(Signal::Leaving),
         3 => Just(Signal::Unreachable),
         2 => Just(Signal::OutOfReach),
+        2 => Just(Signal::Silent),
         2 => Just(Signal::ReportedUnreachable),
         6 => Just(Signal::Reachable),
     ]
@@ -394,7 +395,7 @@
                 Signal::Leaving => self.leaving.insert(target.clone()),
                 Signal::Unreachable | Signal::OutOfReach => self.unreachable.insert(target.clone()),
                 Signal::Reachable => self.unreachable.remove(&target),
-                Signal::ReportedUnreachable | Signal::Pause(_) => false,
+                Signal::ReportedUnreachable | Signal::Silent | Signal::Pause(_) => false,
             };
         }
         self.submit(Event::Signal { target, signal });
