--- a/src/http.rs
+++ b/src/http.rs
@@ -33,7 +33,7 @@
 pub use handler::{Handler, IncomingRequest, ResponseFuture};
 pub(crate) use head::MAX_HEADERS;
 pub use head::RequestHead;
-pub(crate) use keepalive::enable_dead_peer_detection;
+pub use keepalive::enable_dead_peer_detection;
 pub use limits::Limits;
 pub use pool::{FetchedResponse, Pool};
 pub use problem::{Problem, RunState};
--- a/src/http/keepalive.rs
+++ b/src/http/keepalive.rs
@@ -9,11 +9,12 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unacknowledged keepalive probes after which a connection counts as dead.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Longest time for which sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time for which sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`). The kernel also
+/// ends keepalive probes by it, whatever their count, so it is the time that they take.
+const UNACKNOWLEDGED_TIMEOUT: Duration = KEEPALIVE_INTERVAL.saturating_mul(KEEPALIVE_PROBES + 1);
 
 /// Makes the kernel fail a connection whose peer has vanished; also disables Nagle's algorithm.
-pub(crate) fn enable_dead_peer_detection(stream: &TcpStream) {
+pub fn enable_dead_peer_detection(stream: &TcpStream) {
     let sock = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
