--- a/src/gateway/relay_server.rs
+++ b/src/gateway/relay_server.rs
@@ -1,19 +1,18 @@
 //! Connects peers to targets that they do not reach themselves.
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 
-use async_io::Async;
 use futures_lite::future::Boxed;
 
 use crate::gateway::control::Control;
 use crate::gateway::shared::Shared;
 use crate::gateway::target_stream::TargetStream;
-use crate::peer::{RelayFailure, RelayServer};
+use crate::peer::{RelayFailure, RelayServer, RelayedTarget};
 use crate::prelude::*;
 use crate::reachability::{DialResult, Path};
 
 impl RelayServer for Control {
-    fn connect(&self, target: Name) -> Boxed<Result<Async<TcpStream>, RelayFailure>> {
+    fn connect(&self, target: Name) -> Boxed<Result<RelayedTarget, RelayFailure>> {
         let shared = self.shared.clone();
         let address = self.target_address(&target);
         let comparison = shared.paths.comparison(&target);
@@ -26,7 +25,11 @@
                 return Err(RelayFailure::CutOff);
             }
             let failed = match shared.dial(&target, address).await {
-                Ok(stream) => return Ok(stream),
+                Ok(stream) => {
+                    // A shutdown waits for what is relayed, as for callers.
+                    let open = Box::new(shared.drain.count_connection());
+                    return Ok(RelayedTarget { stream, open });
+                }
                 Err(failed) => failed,
             };
             // This entry may have lost its own links at the same moment.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -34,6 +34,6 @@
 pub use mesh::Mesh;
 pub use message::{PROTOCOL_VERSION, PeerMessage};
 pub(crate) use relay::RelayStream;
-pub use relay::{RelayError, RelayFailure, RelayServer};
+pub use relay::{RelayError, RelayFailure, RelayServer, RelayedTarget};
 pub use relayed_store_update::RelayedStoreUpdate;
 pub use rendezvous::{BRIDGES_PER_DOMAIN, rendezvous_key, rendezvous_rank};
--- a/src/peer/relay.rs
+++ b/src/peer/relay.rs
@@ -11,8 +11,8 @@
 
 pub(crate) use client::open;
 pub use failure::{RelayError, RelayFailure};
-pub use server::RelayServer;
 pub(crate) use server::serve;
+pub use server::{RelayServer, RelayedTarget};
 pub(crate) use stream::RelayStream;
 
 /// Largest message of a relayed connection, in bytes.
--- a/src/peer/relay/server.rs
+++ b/src/peer/relay/server.rs
@@ -14,10 +14,18 @@
 use crate::peer::{PeerMessage, RelayFailure, encode};
 use crate::prelude::*;
 
+/// A connection to a target that is relayed to a peer.
+pub struct RelayedTarget {
+    /// The connection.
+    pub stream: Async<TcpStream>,
+    /// Counts the relay as open until it is dropped.
+    pub open: Box<dyn Send>,
+}
+
 /// Connects to targets on behalf of peers.
 pub trait RelayServer: Send + Sync {
     /// Connects to a target by its name.
-    fn connect(&self, target: Name) -> Boxed<Result<Async<TcpStream>, RelayFailure>>;
+    fn connect(&self, target: Name) -> Boxed<Result<RelayedTarget, RelayFailure>>;
 }
 
 /// Connects an authenticated peer to a target, and relays bytes until one of them ends.
@@ -32,12 +40,12 @@
         Some(server) => server.connect(target.clone()).await,
         None => Err(RelayFailure::Unavailable),
     };
-    let (answer, stream) = match connected {
-        Ok(stream) => (PeerMessage::RelayOpened, Some(stream)),
+    let (answer, relayed) = match connected {
+        Ok(relayed) => (PeerMessage::RelayOpened, Some(relayed)),
         Err(failure) => (PeerMessage::RelayFailed(failure), None),
     };
     let sent = ws.send(Message::Binary(encode(&answer).into())).await;
-    let Some(stream) = stream.filter(|_| sent.is_ok()) else {
+    let Some(RelayedTarget { stream, open }) = relayed.filter(|_| sent.is_ok()) else {
         let _ = ws.close(None).await;
         return;
     };
@@ -46,6 +54,7 @@
     requests.or(forward_responses(&stream, to_peer)).await;
     // What the peer gave up must not reach the target later, such as after a network partition.
     let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+    drop(open);
 }
 
 /// Forwards the peer's bytes until it closes the connection.
