--- a/src/scheduler/machine/outcome.rs
+++ b/src/scheduler/machine/outcome.rs
@@ -210,7 +210,7 @@
             }
             AttemptOutcome::NotSent => self.suspend_until_probed(attempt.target, effects),
             AttemptOutcome::Lost | AttemptOutcome::CutShort => {
-                self.record_lost(id, attempt.target, effects);
+                self.record_lost(id, attempt, effects);
             }
             AttemptOutcome::Withheld | AttemptOutcome::PathLost => return,
             _ => {}
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -4,7 +4,7 @@
 use crate::prelude::*;
 use crate::scheduler::backoff::Backoff;
 use crate::scheduler::fleet::TargetIx;
-use crate::scheduler::request::Timer;
+use crate::scheduler::request::{Attempt, Timer};
 use crate::scheduler::suspect_requests::{Notice, Permission};
 use crate::scheduler::{Effect, Refusal, RequestId, Scheduler, Signal, TargetInfo};
 use crate::target::LoadReport;
@@ -208,12 +208,20 @@
     }
 
     /// Records a lost exchange with a target and probes it, to find out whether the target died or
-    /// only the connection broke.
-    pub(super) fn record_lost(&mut self, id: RequestId, ix: TargetIx, effects: &mut Vec<Effect>) {
+    /// only the connection broke. A request is not to blame if its answer had begun.
+    pub(super) fn record_lost(
+        &mut self,
+        id: RequestId,
+        attempt: Attempt,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(req) = self.requests.get(&id) else {
             return;
         };
-        self.suspects.exchange_lost(&req.arrival.fingerprint, ix);
+        let ix = attempt.target;
+        if !attempt.first_token_received {
+            self.suspects.exchange_lost(&req.arrival.fingerprint, ix);
+        }
         let listed = self.fleet.get(ix).filter(|t| t.listed);
         match listed.map(|t| t.health.unreachable) {
             Some(false) => self.suspend_until_probed(ix, effects),
--- a/tests/scheduler/quarantine.rs
+++ b/tests/scheduler/quarantine.rs
@@ -4,6 +4,7 @@
 use guavahold::prelude::*;
 use guavahold::scheduler::{
     AttemptOutcome, Effect, Event, Refusal, RequestId, Scheduler, SchedulerSettings, Signal,
+    TargetInfo,
 };
 
 use crate::simulation::{Simulation, arrival, key, ms, policy, report, target};
@@ -77,7 +78,11 @@
     cfg.seed = seed;
     let mut scheduler = Scheduler::new(cfg);
     let names = ["engine-0", "engine-1", "engine-2", "engine-3"];
-    let list = names.iter().map(|n| target(n, "domain-0")).collect();
+    let list = names.iter().map(|n| TargetInfo {
+        software: "v1".into(),
+        ..target(n, "domain-0")
+    });
+    let list = list.collect();
     scheduler.on(ms(0), Event::Targets(list), &mut Vec::new());
     for name in names {
         let event = Event::Report {
@@ -160,3 +165,37 @@
         Some(second)
     );
 }
+
+/// A target may end for another reason while it answers: a request whose answers had begun at two
+/// targets that ended goes on at a third.
+#[test]
+fn request_whose_answers_had_begun_is_not_quarantined() {
+    let mut scheduler = entry_scheduler(1);
+    let quick = policy(PriorityClass::Patient, 60_000);
+    let mut req = arrival(1, "a", &quick);
+    req.resumable = true;
+    req.max_attempts = 5;
+    let mut target = dispatch_target(&mut scheduler, ms(10), Event::Arrive(req), 1);
+    for attempt in 1..=2 {
+        let at = 1_000 * u64::from(attempt);
+        let id = RequestId(1);
+        let ended = target.take().expect("the request is dispatched");
+        let first = Event::FirstToken { id, attempt };
+        scheduler.on(ms(at), first, &mut Vec::new());
+        let outcome = AttemptOutcome::CutShort;
+        let lost = Event::AttemptEnded {
+            id,
+            attempt,
+            outcome,
+        };
+        target = dispatch_target(&mut scheduler, ms(at + 1), lost, 1);
+        let signal = Signal::Unreachable;
+        let dead = Event::Signal {
+            target: ended,
+            signal,
+        };
+        target = target.or(dispatch_target(&mut scheduler, ms(at + 2), dead, 1));
+        target = target.or_else(|| tick_until_dispatched(&mut scheduler, at + 3, at + 900));
+    }
+    assert!(target.is_some(), "the request was held back");
+}
