--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod attempt_error;
 mod body;
+mod brittle_targets;
 mod builder;
 mod caller_response;
 mod connection_pool;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -350,6 +350,7 @@
             received: self.shared.now(),
         };
         self.shared.limits.observe(target, info, exchange);
+        self.shared.brittle.observe(target, info);
         let mut signals: SmallVec<[Signal; 2]> = SmallVec::new();
         let leaving = info.presence == TargetPresence::Leaving;
         if leaving {
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -8,6 +8,7 @@
 use crate::clock::time_since_boot;
 use crate::domain_scheduler::{DomainScheduler, SchedulerClient};
 use crate::gateway::Dialect;
+use crate::gateway::brittle_targets::BrittleTargets;
 use crate::gateway::builder::{Clients, GatewayBuilder, SharedChannels};
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::control::{Control, State};
@@ -61,6 +62,7 @@
             prompt_quarantine: PromptQuarantine::new(self.name.clone(), channels.part_notices),
             response_buffers: ResponseBuffers::default(),
             limits: TargetLimits::default(),
+            brittle: BrittleTargets::default(),
             stream_origins: StreamOrigins::new(channels.origins),
             store_directory: Arc::default(),
             fetch_clock: Arc::default(),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -9,6 +9,7 @@
 pub(crate) mod peers;
 mod periodic;
 mod rate_shares;
+mod slot_shares;
 mod state;
 mod store_cleanup;
 mod store_relay;
@@ -243,6 +244,7 @@
         let infos: Vec<_> = state.targets.iter().map(|t| t.info.clone()).collect();
         let names = infos.iter().map(|t| t.name.clone()).collect();
         self.shared.paths.set_targets(&names);
+        self.shared.brittle.retain(&names);
         let starts = infos.iter().map(|t| (t.name.clone(), t.started_ms));
         self.shared.limits.set_targets(now, starts);
         self.submit_domain_targets(&infos);
@@ -275,7 +277,8 @@
         let table = self.shared.routes.load_full();
         let own = self.shared.scheduler.own_loads();
         let granted = self.domain_scheduler.scheduler.own_loads();
-        let reports = state.load_reports(now, table.as_deref(), &own, &granted);
+        let mut reports = state.load_reports(now, table.as_deref(), &own, &granted);
+        self.keep_to_slot_shares(state, &mut reports);
         self.submit_domain_reports(state, table.as_deref(), &reports);
         for TargetReport { target, report, .. } in reports {
             self.shared
--- a/src/gateway/control/rate_shares.rs
+++ b/src/gateway/control/rate_shares.rs
@@ -63,7 +63,7 @@
 
 impl State {
     /// Whether the hub of its failure domain schedules prompts for a target.
-    fn has_hub_for(&self, target: &str) -> bool {
+    pub(super) fn has_hub_for(&self, target: &str) -> bool {
         let has_weights = self
             .targets
             .get(target)
@@ -73,7 +73,7 @@
 
     /// This entry's place among all entries in the platform store, live or not, since one that is
     /// only cut off from this entry goes on sending.
-    fn share_position(&self, own: &str) -> SharePosition {
+    pub(super) fn share_position(&self, own: &str) -> SharePosition {
         let others = self.other_entries(own);
         let before = others.iter().filter(|name| &***name < own).count();
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -106,6 +106,8 @@
     pub presence: TargetPresence,
     /// Time after which the target accepts a retry.
     pub retry_after: Option<Duration>,
+    /// Requests that the target may turn away in a second without falling over, if it is brittle.
+    pub brittle: Option<u32>,
     /// Limit on the requests that all entries together may send to the target.
     pub limit: NamedLimit,
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -7,6 +7,7 @@
 use crate::clock::time_since_boot;
 use crate::context_store::StoreDirectory;
 use crate::domain_scheduler::SchedulerClient;
+use crate::gateway::brittle_targets::BrittleTargets;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::drain::Drain;
 use crate::gateway::prompt_quarantine::PromptQuarantine;
@@ -52,6 +53,8 @@
     pub stream_origins: StreamOrigins,
     /// Limits that targets set on the requests sent to them.
     pub limits: TargetLimits,
+    /// Targets that fall over when they have to turn away many requests.
+    pub brittle: BrittleTargets,
     /// Contents of the context stores, as last reported.
     pub store_directory: Arc<Mutex<StoreDirectory>>,
     /// Estimate of the targets' clock, for the deadlines of fetches.
--- a/src/rate_limit.rs
+++ b/src/rate_limit.rs
@@ -9,10 +9,12 @@
 mod rate;
 mod report;
 mod share;
+mod slot_share;
 mod table;
 
 pub use observation::{LimitObservation, NamedLimit};
 pub use rate::{RateError, RequestRate};
 pub use report::{LimitReport, process_hash};
 pub use share::{RateShare, ShareMeter, SharePosition};
+pub use slot_share::own_slots;
 pub use table::{LimitChange, LimitTable, TargetLimit};
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -2,7 +2,8 @@
 
 use guavahold::prelude::*;
 use guavahold::rate_limit::{
-    LimitChange, LimitObservation, LimitReport, LimitTable, NamedLimit, RequestRate, process_hash,
+    LimitChange, LimitObservation, LimitReport, LimitTable, NamedLimit, RequestRate, SharePosition,
+    own_slots, process_hash,
 };
 
 fn ms(n: u64) -> Timestamp {
@@ -185,3 +186,29 @@
     assert_eq!(limit.merge(ended).rate, None);
     assert_eq!(ended.merge(limit).rate, None);
 }
+
+#[test]
+fn slots_are_dealt_whole_and_evenly() {
+    for (slots, entries) in [
+        (vec![6, 6, 6, 6], 22),
+        (vec![6; 4], 6),
+        (vec![64, 5], 8),
+        (vec![3], 3),
+    ] {
+        let of = |index| SharePosition { of: entries, index };
+        let shares: Vec<Vec<u32>> = (0..entries)
+            .map(|index| own_slots(&slots, of(index)).unwrap())
+            .collect();
+        for (n, all) in slots.iter().enumerate() {
+            assert_eq!(shares.iter().map(|own| own[n]).sum::<u32>(), *all);
+        }
+        let totals: Vec<u32> = shares.iter().map(|own| own.iter().sum()).collect();
+        let (least, most) = (totals.iter().min().unwrap(), totals.iter().max().unwrap());
+        assert!(most - least <= 1, "{totals:?}");
+        assert!(*least > 0);
+    }
+    let alone = SharePosition { of: 1, index: 0 };
+    assert_eq!(own_slots(&[6, 7], alone), Some(vec![6, 7]));
+    let many = SharePosition { of: 9, index: 0 };
+    assert_eq!(own_slots(&[4, 4], many), None, "fewer slots than entries");
+}
