--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -1,7 +1,9 @@
 //! The links of one entry to its peers: sockets, queues and timers around [`Membership`].
 
+mod handshakes;
 mod links;
 mod queue;
+mod relays;
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -21,7 +23,7 @@
 use crate::peer::{
     ClaimServer, CloseReason, ConnId, LinkCounters, MemberEffect, MemberEvent, Membership,
     MembershipSettings, MeshBuilder, PROTOCOL_VERSION, PeerConnection, PeerEvents, PeerLinks,
-    PeerMessage, RelayError, RelayServer, RelayStream, connection, encode, relay,
+    PeerMessage, RelayServer, connection, encode,
 };
 use crate::platform::Vm;
 use crate::prelude::*;
@@ -125,28 +127,6 @@
         let _ = self.claim_server.set(server);
     }
 
-    /// Sets the server that connects peers to targets; only the first call has an effect.
-    pub fn serve_relays(&self, server: Arc<dyn RelayServer>) {
-        let _ = self.relay_server.set(server);
-    }
-
-    /// The server that connects peers to targets.
-    pub(crate) fn relay_server(&self) -> Option<&dyn RelayServer> {
-        self.relay_server.get().map(|server| &**server)
-    }
-
-    /// Opens a connection to a target through the peer at an address.
-    ///
-    /// # Errors
-    /// See [`relay::open`].
-    pub(crate) async fn open_relay(
-        &self,
-        peer: SocketAddr,
-        target: &str,
-    ) -> Result<RelayStream, RelayError> {
-        relay::open(self, peer, target).await
-    }
-
     /// Replaces the known list of VMs by the platform's.
     pub fn set_peers(self: &Arc<Self>, vms: &[Vm]) {
         self.handle_event(MemberEvent::Listed(vms.to_vec()));
@@ -395,17 +375,6 @@
         }
     }
 
-    /// The first message of a connection that a peer relays to a target.
-    pub(crate) fn relay_request(&self, target: Name) -> PeerMessage {
-        PeerMessage::RelayOpen {
-            protocol: PROTOCOL_VERSION,
-            name: self.name.clone(),
-            boot: self.boot,
-            proof: self.secret.peer_proof(&self.name, self.boot).into(),
-            target,
-        }
-    }
-
     /// Verifies in constant time that a peer's proof was made with the shared secret.
     pub(crate) fn verify_proof(&self, name: &str, boot: u64, proof: &str) -> bool {
         let expected = blake3::Hash::from_hex(self.secret.peer_proof(name, boot));
@@ -423,12 +392,6 @@
         }
     }
 
-    /// Counts an accepted connection as being in its handshake until the guard is dropped.
-    pub(crate) fn count_handshake(self: &Arc<Self>) -> HandshakeGuard {
-        self.handshakes.fetch_add(1, Ordering::Relaxed);
-        HandshakeGuard(self.clone())
-    }
-
     /// Logs and counts a fault of a connection.
     pub(crate) fn record_fault(&self, kind: &str, peer: &str, detail: &dyn std::fmt::Display) {
         log_event(Level::Warn, kind, &[("peer", &peer), ("error", detail)]);
@@ -438,15 +401,6 @@
     }
 }
 
-/// Guard of an accepted connection during its handshake.
-pub(crate) struct HandshakeGuard(Arc<Mesh>);
-
-impl Drop for HandshakeGuard {
-    fn drop(&mut self) {
-        self.0.handshakes.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -5,6 +5,7 @@
 //! from the target and goes through peers until its own connections succeed again; a target has
 //! ended only if a peer that reaches others finds it refusing connections too.
 
+mod check;
 mod dial_result;
 mod path;
 mod table;
--- a/src/reachability/table.rs
+++ b/src/reachability/table.rs
@@ -3,20 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::prelude::*;
+use crate::reachability::check::{Check, CheckConditions, TIMEOUTS_OF_HANGING};
 use crate::reachability::{DialResult, Path, PathChange, TargetReach};
 
-/// Time without any byte after which a target with exchanges under way is checked: a busy target
-/// may be silent for long.
-const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(1_500);
-/// The same while nothing arrives from any target, or others are reached through peers.
-const SHORT_SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(300);
-/// Shortest time between two such checks of one target.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Shortest time between two attempts to reach a target directly again.
-const RETURN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Own attempts that time out, one after the other, before open connections count as hanging:
-/// packets of one may be lost.
-const TIMEOUTS_OF_HANGING: u32 = 2;
 /// Longest time for which a target that goes on is silent.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 /// Cuts of one target within this time count as one that comes and goes.
@@ -25,9 +14,6 @@
 const FIRST_HOLD: Duration = Duration::from_secs(1);
 /// Longest such time.
 const MAX_HOLD: Duration = Duration::from_secs(8);
-/// Shortest time between two attempts to find out whether open connections hang, or whether a peer
-/// reaches a target after all.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(300);
 /// Checks that begin at once.
 const MAX_CHECKS: usize = 8;
 /// Checks that begin at once, of those that only look for the end of a cut, while the entry is cut
@@ -198,31 +184,27 @@
     /// Targets to which an own connection is to be tried now; counts them as checked.
     pub fn take_checks(&mut self, now: Timestamp) -> Vec<Name> {
         let cut_off = self.is_cut_off();
-        let has_relayed = self.has_relayed();
-        let heard_at = self.targets.values().map(|t| t.heard_at).max();
-        let silent = heard_at.is_some_and(|at| now >= at + SHORT_SILENCE_BEFORE_CHECK);
-        let tolerated = if silent || has_relayed {
-            SHORT_SILENCE_BEFORE_CHECK
-        } else {
-            SILENCE_BEFORE_CHECK
+        let conditions = CheckConditions {
+            now,
+            cut_off,
+            has_relayed: self.has_relayed(),
+            heard_at: self.targets.values().map(|t| t.heard_at).max(),
         };
-        let mut due = Vec::new();
-        let mut returns = Vec::new();
+        let (mut doubted, mut returns) = (Vec::new(), Vec::new());
         for (name, reach) in &self.targets {
-            match reach.due_check(now, cut_off, has_relayed, tolerated) {
-                Some(Check::Doubt) => due.push((reach.checked_at, name.clone())),
+            match conditions.due_check(reach) {
+                Some(Check::Doubt) => doubted.push((reach.checked_at, name.clone())),
                 Some(Check::Return) => returns.push((reach.checked_at, name.clone())),
                 None => {}
             }
         }
-        due.sort_unstable();
+        doubted.sort_unstable();
         returns.sort_unstable();
         if cut_off {
             returns.truncate(RETURN_CHECKS_WHILE_CUT_OFF);
         }
-        due.extend(returns);
-        due.truncate(MAX_CHECKS);
-        let names: Vec<Name> = due.into_iter().map(|(_, name)| name).collect();
+        let due = doubted.into_iter().chain(returns).take(MAX_CHECKS);
+        let names: Vec<Name> = due.map(|(_, name)| name).collect();
         for name in &names {
             if let Some(reach) = self.targets.get_mut(name) {
                 reach.checked_at = Some(now);
@@ -232,14 +214,6 @@
     }
 }
 
-/// Why a target is checked.
-enum Check {
-    /// Its state is in doubt.
-    Doubt,
-    /// Own connections may be possible again.
-    Return,
-}
-
 impl TargetReach {
     /// Whether open connections are now found to hang: own ones time out and nothing has arrived
     /// since, while a peer reaches the target.
@@ -252,27 +226,4 @@
         self.hanging |= found;
         found.then_some(PathChange::Hanging)
     }
-
-    fn due_check(
-        &self,
-        now: Timestamp,
-        cut_off: bool,
-        has_relayed: bool,
-        tolerated_silence: Duration,
-    ) -> Option<Check> {
-        let unconfirmed = (1..TIMEOUTS_OF_HANGING).contains(&self.timeouts);
-        let (check, interval) = match self.path {
-            Path::Direct if self.silent_for(now) >= tolerated_silence => {
-                (Check::Doubt, SILENCE_CHECK_INTERVAL)
-            }
-            Path::Relayed if unconfirmed => (Check::Doubt, CONFIRM_INTERVAL),
-            Path::Relayed if now >= self.held_until => (Check::Return, RETURN_CHECK_INTERVAL),
-            // A peer was found that reaches other targets.
-            Path::None if has_relayed => (Check::Doubt, CONFIRM_INTERVAL),
-            // The scheduler probes a target that has ended.
-            Path::None if cut_off => (Check::Return, RETURN_CHECK_INTERVAL),
-            _ => return None,
-        };
-        self.may_check(now, interval).then_some(check)
-    }
 }
