--- a/src/gateway/control/slot_shares.rs
+++ b/src/gateway/control/slot_shares.rs
@@ -10,7 +10,7 @@
 use crate::prelude::*;
 use crate::rate_limit::own_slots;
 
-/// Part of the slots that entries use together if there are fewer slots than entries, as a divisor:
+/// Divisor of the slots that all entries use together if there are fewer slots than entries:
 /// they go by each other's reports, and the rest allows for their age.
 const UNDIVIDED_SLOTS_DIVISOR: u32 = 2;
 
