--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -72,4 +72,4 @@
 pub use request_log::DEFAULT_LOG_SAMPLE;
 pub use running::Gateway;
 pub use target_table::{TargetRecord, TargetTable};
-pub use versions::WeightVersions;
+pub use versions::{VersionCutoff, WeightVersions};
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -3,7 +3,7 @@
 use crate::clock::whole_millis;
 use crate::context_store::RetiredVersions;
 use crate::gateway::control::{Control, State};
-use crate::gateway::{ConfirmedBy, PeerObject, TargetLoad, WatchedKind};
+use crate::gateway::{ConfirmedBy, PeerObject, TargetLoad, VersionCutoff, WatchedKind};
 use crate::name_hash::name_hash;
 use crate::peer::{GatewayStatus, Mesh, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::StoreRevision;
@@ -110,9 +110,10 @@
         }
         for (model, version, age) in &status.declared_versions {
             let age = Duration::from_millis(*age);
-            state
-                .versions
-                .record_declaration_age(now, *model, *version, age);
+            let versions = &mut state.versions;
+            if let Some(cutoff) = versions.record_declaration_age(now, *model, *version, age) {
+                log_cutoff(&cutoff, peer);
+            }
         }
         state.observe_confirmations(now, peer, &status.confirmations);
         for watched in self.watched_kinds() {
@@ -235,6 +236,16 @@
     }
 }
 
+/// Logs until when requests may start on weights older than a version, and which entry said so.
+fn log_cutoff(cutoff: &VersionCutoff, peer: &str) {
+    log::info!(
+        "event=weights_cutoff model={} version={} time_left_ms={} by={peer}",
+        cutoff.model,
+        cutoff.version,
+        cutoff.time_left.as_millis()
+    );
+}
+
 /// Converts retired versions from their wire format.
 pub(crate) fn retired_versions((all_below, half_below): (u64, u64)) -> RetiredVersions {
     RetiredVersions {
--- a/src/gateway/target_paths.rs
+++ b/src/gateway/target_paths.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use crate::prelude::*;
-use crate::reachability::{DialResult, Path, PathChange, ReachTable};
+use crate::reachability::{DialResult, Path, PathChange, ReachTable, UnlistedTarget};
 
 /// Channel that closes when connections of this entry are found to hang.
 type HangSignal = (async_channel::Sender<()>, async_channel::Receiver<()>);
@@ -19,7 +19,9 @@
 impl TargetPaths {
     /// Sets the registered targets.
     pub(crate) fn set_targets(&self, names: &BTreeSet<Name>) {
-        self.table().set_targets(names);
+        for UnlistedTarget { target, exchanges } in self.table().set_targets(names) {
+            log::info!("event=target_unlisted target={target} exchanges={exchanges}");
+        }
         lock(&self.hang_signals).retain(|name, _| names.contains(name));
     }
 
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -17,11 +17,26 @@
 /// restarted does not count the time for older versions from too late a moment.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(30);
 
+/// Difference below which an earlier cutoff is not logged: peers notice a declaration at about the
+/// same time.
+const CUTOFF_LOG_STEP: Duration = Duration::from_millis(500);
+
 /// Label of a weight version, by which the scheduler distinguishes versions of all models.
 pub(crate) fn version_label(model: &str, version: u64) -> Name {
     format!("{model}/{version}").into()
 }
 
+/// Time from which no request may start on weights older than a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionCutoff {
+    /// Name of the model.
+    pub model: Name,
+    /// The version.
+    pub version: u64,
+    /// Time until the cutoff; zero if it has passed.
+    pub time_left: Duration,
+}
+
 #[derive(Clone, Debug, Default)]
 struct ModelVersions {
     /// Declared versions, with the time from which no request may start on an older one; `None` if
@@ -86,22 +101,26 @@
     }
 
     /// Records the age of a declaration that a peer reported; `model` is the hash of the model's
-    /// name.
+    /// name. Returns the cutoff that follows from it if it is news.
     pub fn record_declaration_age(
         &mut self,
         now: Timestamp,
         model: u32,
         version: u64,
         age: Duration,
-    ) {
+    ) -> Option<VersionCutoff> {
         let period = self.old_version_period;
         let mut models = self.models.iter_mut();
-        let found = models.find(|(name, _)| name_hash(name) == model);
-        let Some(cutoff) = found.and_then(|(_, m)| m.declared.get_mut(&version)) else {
-            return;
-        };
+        let (name, model) = models.find(|(name, _)| name_hash(name) == model)?;
+        let cutoff = model.declared.get_mut(&version)?;
         let reported = (now + period).saturating_sub(age);
-        *cutoff = Some(cutoff.map_or(reported, |known| known.min(reported)));
+        let known = cutoff.replace(cutoff.map_or(reported, |known| known.min(reported)));
+        let is_news = known.is_none_or(|known| reported + CUTOFF_LOG_STEP <= known);
+        is_news.then(|| VersionCutoff {
+            model: name.clone(),
+            version,
+            time_left: reported.saturating_sub(now),
+        })
     }
 
     /// Recent declarations: the hash of the model's name, the version, and the declaration's age.
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -15,8 +15,9 @@
 const QUARANTINED: &str = "targets ended one after the other with equal requests or with a part of its \
      prompt, so it was not sent";
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 30] = [
+const STATE_EVENTS: [&str; 32] = [
     "target_unreachable",
+    "target_unlisted",
     "target_path",
     "target_word",
     "target_limit",
@@ -31,6 +32,7 @@
     "watch_behind_hub",
     "config_in_force",
     "weights_named",
+    "weights_cutoff",
     "store_lost",
     "store_regained",
     "objects_adopted",
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -13,5 +13,5 @@
 
 pub use dial_result::DialResult;
 pub use path::{Path, PathChange};
-pub use table::ReachTable;
+pub use table::{ReachTable, UnlistedTarget};
 pub(crate) use target_reach::TargetReach;
--- a/src/reachability/table.rs
+++ b/src/reachability/table.rs
@@ -24,6 +24,15 @@
 /// The same while other targets are reached through peers.
 const SHORT_HEAD_START: Duration = Duration::from_millis(20);
 
+/// A target that is not registered any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnlistedTarget {
+    /// Name of the target.
+    pub target: Name,
+    /// Exchanges under way on own connections to it.
+    pub exchanges: u32,
+}
+
 /// Reach of the registered targets.
 #[derive(Clone, Debug, Default)]
 pub struct ReachTable {
@@ -31,12 +40,24 @@
 }
 
 impl ReachTable {
-    /// Sets the registered targets. New ones are taken to be reached directly.
-    pub fn set_targets(&mut self, names: &BTreeSet<Name>) {
-        self.targets.retain(|name, _| names.contains(name));
+    /// Sets the registered targets. New ones are taken to be reached directly. Returns those that are
+    /// not registered any more.
+    pub fn set_targets(&mut self, names: &BTreeSet<Name>) -> Vec<UnlistedTarget> {
+        let mut unlisted = Vec::new();
+        self.targets.retain(|name, reach| {
+            let listed = names.contains(name);
+            if !listed {
+                unlisted.push(UnlistedTarget {
+                    target: name.clone(),
+                    exchanges: reach.exchanges,
+                });
+            }
+            listed
+        });
         for name in names {
             self.targets.entry(name.clone()).or_default();
         }
+        unlisted
     }
 
     /// Path of new connections to a target.
