Let exchanges go on when the store lists their target no more

Cause: an exchange waited for the end of a channel as the sign that its connection hangs. The only sender was dropped when the target's registration was removed, so that all exchanges with a leaving target ended as path-lost at once. The dropping of a source of news was taken for news.

Why this works: a Latch happens only when it is set. Each exchange holds the latch of its target, and the reach of a target is kept until its last exchange has ended, so that it is also found to hang if its registration returns. Drain, the listener and the servers' stop had the same pair of channel ends by hand and use the latch now.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use crate::gateway::response_reader::{ResponseError, ResponseReader};
 use crate::gateway::shared::{Shared, TargetObservation};
 use crate::gateway::target_limits::Exchange;
+use crate::gateway::target_paths::ExchangeGuard;
 use crate::gateway::target_stream::TargetStream;
 use crate::gateway::{Dispatch, ResponseInfo, TargetPresence};
 use crate::prelude::*;
@@ -177,7 +178,7 @@
         });
         let sent_at = self.shared.now();
         let received = self.receive(&mut reader, response, sent_at);
-        let hanging = self.until_path_lost(own);
+        let hanging = self.until_path_lost(exchange.as_ref());
         let (received, info) = received.or(send).or(hanging).await?;
         reset_on_drop.0 = None;
         drop(reset_on_drop);
@@ -213,13 +214,16 @@
 
     /// Completes when the own connection on which the request was sent is found to hang, unless the
     /// request must not run twice: it may still be answered.
-    async fn until_path_lost<T>(&self, own: bool) -> Result<T, AttemptError> {
+    async fn until_path_lost<T>(
+        &self,
+        exchange: Option<&ExchangeGuard>,
+    ) -> Result<T, AttemptError> {
         let route = &self.request.route;
-        if !own || !(route.is_repeatable() || route.is_resumable()) {
-            return std::future::pending().await;
+        let may_go_on = route.is_repeatable() || route.is_resumable();
+        match exchange.filter(|_| may_go_on) {
+            Some(exchange) => exchange.until_hanging().await,
+            None => std::future::pending().await,
         }
-        let target = &self.assignment.target;
-        self.shared.paths.until_hanging(target).await;
         Err(AttemptError::PathLost)
     }
 
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -22,6 +22,7 @@
 use crate::gateway::stream_origins::OriginCall;
 use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
 use crate::http::{Limits, Server, ServerControl};
+use crate::latch::Latch;
 use crate::part_quarantine::PartNotice;
 use crate::peer::Mesh;
 use crate::platform::{Platform, Role, Vm, VmPhase};
@@ -331,13 +332,13 @@
             .detach();
         let run = mesh.clone().run(peer_listener, control_ex.clone());
         control_ex.spawn(run).detach();
-        let (stop_accepting, stopped) = async_channel::bounded(1);
+        let stop_accepting = Latch::default();
         traffic_ex
             .spawn(accept(
                 caller_listener,
                 shared.clone(),
                 traffic_ex.clone(),
-                stopped,
+                stop_accepting.clone(),
             ))
             .detach();
         Ok(Gateway {
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -2,26 +2,16 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use crate::latch::Latch;
 use crate::prelude::*;
 
 /// Counts open requests and connections, and signals the shutdown to connections.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Drain {
     draining: AtomicBool,
     requests: AtomicUsize,
     connections: AtomicUsize,
-    idle_closing: (async_channel::Sender<()>, async_channel::Receiver<()>),
-}
-
-impl Default for Drain {
-    fn default() -> Self {
-        Self {
-            draining: AtomicBool::new(false),
-            requests: AtomicUsize::new(0),
-            connections: AtomicUsize::new(0),
-            idle_closing: async_channel::bounded(1),
-        }
-    }
+    idle_closing: Latch,
 }
 
 impl Drain {
@@ -37,12 +27,12 @@
 
     /// Closes connections that wait for their next request.
     pub(crate) fn close_idle(&self) {
-        self.idle_closing.0.close();
+        self.idle_closing.set();
     }
 
     /// Completes once idle connections must close.
     pub(crate) async fn wait_idle_close(&self) {
-        let _ = self.idle_closing.1.recv().await;
+        self.idle_closing.wait().await;
     }
 
     /// Counts a request until the guard is dropped.
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -12,6 +12,7 @@
 use crate::gateway::serve::serve;
 use crate::gateway::shared::Shared;
 use crate::http::enable_dead_peer_detection;
+use crate::latch::Latch;
 use crate::prelude::*;
 
 /// Delay after a failed accept, such as when file descriptors run out.
@@ -20,17 +21,17 @@
 /// resets the connection and may destroy the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Accepts connections until `stop` closes.
+/// Accepts connections until `stop` is set.
 pub(crate) async fn accept(
     listener: Async<TcpListener>,
     shared: Arc<Shared>,
     ex: Arc<Executor<'static>>,
-    stop: async_channel::Receiver<()>,
+    stop: Latch,
 ) {
     loop {
         let accepted = async { Some(listener.accept().await) };
         let stopped = async {
-            let _ = stop.recv().await;
+            stop.wait().await;
             None
         };
         match accepted.or(stopped).await {
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -7,6 +7,7 @@
 
 use crate::entry::Threads;
 use crate::gateway::shared::Shared;
+use crate::latch::Latch;
 use crate::peer::Mesh;
 use crate::prelude::*;
 
@@ -19,7 +20,7 @@
 pub struct Gateway {
     pub(crate) shared: Arc<Shared>,
     pub(crate) mesh: Arc<Mesh>,
-    pub(crate) stop_accepting: async_channel::Sender<()>,
+    pub(crate) stop_accepting: Latch,
     pub(crate) balancer_lag: Duration,
     pub(crate) shutdown_timeout: Duration,
     pub(crate) traffic_threads: Threads,
@@ -49,7 +50,7 @@
         self.shared.drain.begin();
         self.mesh.set_draining(true);
         Timer::after(self.balancer_lag).await;
-        self.stop_accepting.close();
+        self.stop_accepting.set();
         self.shared.drain.close_idle();
         while self.shared.drain.open_connections() > 0 && started.elapsed() < self.shutdown_timeout
         {
--- a/src/gateway/target_paths.rs
+++ b/src/gateway/target_paths.rs
@@ -3,26 +3,26 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use crate::latch::Latch;
 use crate::prelude::*;
 use crate::reachability::{DialResult, Path, PathChange, ReachTable, UnlistedTarget};
 
-/// Channel that closes when connections of this entry are found to hang.
-type HangSignal = (async_channel::Sender<()>, async_channel::Receiver<()>);
-
 /// Paths by which this entry reaches the targets.
 #[derive(Default)]
 pub(crate) struct TargetPaths {
     table: Mutex<ReachTable>,
-    hang_signals: Mutex<HashMap<Name, HangSignal>>,
+    /// Set when this entry's open connections to a target are found to hang.
+    hanging: Mutex<HashMap<Name, Latch>>,
 }
 
 impl TargetPaths {
-    /// Sets the registered targets.
+    /// Sets the registered targets. Exchanges under way with others go on: they may be leaving.
     pub(crate) fn set_targets(&self, names: &BTreeSet<Name>) {
-        for UnlistedTarget { target, exchanges } in self.table().set_targets(names) {
+        let mut table = self.table();
+        for UnlistedTarget { target, exchanges } in table.set_targets(names) {
             log::info!("event=target_unlisted target={target} exchanges={exchanges}");
         }
-        lock(&self.hang_signals).retain(|name, _| names.contains(name));
+        lock(&self.hanging).retain(|name, _| table.contains(name));
     }
 
     /// Path of new connections to a target.
@@ -96,25 +96,17 @@
     /// Counts an exchange on an own connection until the guard is dropped.
     pub(crate) fn begin_exchange(self: &Arc<Self>, now: Timestamp, target: &Name) -> ExchangeGuard {
         self.table().begin_exchange(now, target);
+        let hanging = lock(&self.hanging)
+            .entry(target.clone())
+            .or_default()
+            .clone();
         ExchangeGuard {
             paths: self.clone(),
             target: target.clone(),
+            hanging,
         }
     }
 
-    /// Completes when this entry's open connections to a target are found to hang.
-    pub(crate) async fn until_hanging(&self, target: &Name) {
-        let signal = {
-            let mut signals = lock(&self.hang_signals);
-            let signal = signals.entry(target.clone());
-            signal
-                .or_insert_with(|| async_channel::bounded(1))
-                .1
-                .clone()
-        };
-        let _ = signal.recv().await;
-    }
-
     /// Logs a change, and tells the exchanges on connections that hang.
     fn announce(&self, target: &Name, change: Option<PathChange>) -> Option<PathChange> {
         let change = change?;
@@ -126,7 +118,10 @@
         let relayed = self.table().relayed();
         log::info!("event=target_path target={target} path={path} relayed_targets={relayed}");
         if change == PathChange::Hanging {
-            lock(&self.hang_signals).remove(target);
+            // Exchanges that begin later use other connections.
+            if let Some(hanging) = lock(&self.hanging).remove(target) {
+                hanging.set();
+            }
         }
         Some(change)
     }
@@ -140,6 +135,7 @@
 pub(crate) struct ExchangeGuard {
     paths: Arc<TargetPaths>,
     target: Name,
+    hanging: Latch,
 }
 
 impl ExchangeGuard {
@@ -147,11 +143,20 @@
     pub(crate) fn record_bytes(&self, now: Timestamp) {
         self.paths.record_bytes(now, &self.target);
     }
+
+    /// Completes when the connection is found to hang.
+    pub(crate) async fn until_hanging(&self) {
+        self.hanging.wait().await;
+    }
 }
 
 impl Drop for ExchangeGuard {
     fn drop(&mut self) {
-        self.paths.table().end_exchange(&self.target);
+        let mut table = self.paths.table();
+        table.end_exchange(&self.target);
+        if !table.contains(&self.target) {
+            lock(&self.paths.hanging).remove(&self.target);
+        }
     }
 }
 
--- a/src/http/control.rs
+++ b/src/http/control.rs
@@ -2,27 +2,15 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use crate::latch::Latch;
+
 /// Shared state through which a server is drained and stopped.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ServerControl {
     pub(super) draining: AtomicBool,
     pub(super) connections: AtomicUsize,
     pub(super) running_requests: AtomicUsize,
-    stop_tx: async_channel::Sender<()>,
-    stop_rx: async_channel::Receiver<()>,
-}
-
-impl Default for ServerControl {
-    fn default() -> Self {
-        let (stop_tx, stop_rx) = async_channel::bounded(1);
-        Self {
-            draining: AtomicBool::new(false),
-            connections: AtomicUsize::new(0),
-            running_requests: AtomicUsize::new(0),
-            stop_tx,
-            stop_rx,
-        }
-    }
+    stop: Latch,
 }
 
 impl ServerControl {
@@ -34,7 +22,7 @@
     /// Drains, stops accepting connections and closes idle ones.
     pub fn stop(&self) {
         self.drain();
-        self.stop_tx.close();
+        self.stop.set();
     }
 
     /// Number of requests in progress, from the first byte received to the last byte sent.
@@ -51,6 +39,6 @@
 
     /// Completes once [`Self::stop`] was called.
     pub(super) async fn stopped(&self) {
-        let _ = self.stop_rx.recv().await;
+        self.stop.wait().await;
     }
 }
--- a/src/reachability/table.rs
+++ b/src/reachability/table.rs
@@ -33,7 +33,7 @@
     pub exchanges: u32,
 }
 
-/// Reach of the registered targets.
+/// Reach of the registered targets, and of others as long as exchanges with them are under way.
 #[derive(Clone, Debug, Default)]
 pub struct ReachTable {
     targets: BTreeMap<Name, TargetReach>,
@@ -44,22 +44,32 @@
     /// not registered any more.
     pub fn set_targets(&mut self, names: &BTreeSet<Name>) -> Vec<UnlistedTarget> {
         let mut unlisted = Vec::new();
-        self.targets.retain(|name, reach| {
-            let listed = names.contains(name);
-            if !listed {
+        for (name, reach) in &mut self.targets {
+            if std::mem::replace(&mut reach.listed, names.contains(name)) && !reach.listed {
                 unlisted.push(UnlistedTarget {
                     target: name.clone(),
                     exchanges: reach.exchanges,
                 });
             }
-            listed
-        });
+        }
+        self.targets.retain(|_, reach| reach.is_in_use());
         for name in names {
-            self.targets.entry(name.clone()).or_default();
+            self.targets.entry(name.clone()).or_default().listed = true;
         }
         unlisted
     }
 
+    /// Whether a target is registered or has exchanges under way.
+    #[must_use]
+    pub fn contains(&self, target: &str) -> bool {
+        self.targets.contains_key(target)
+    }
+
+    /// Reach of the registered targets.
+    fn listed(&self) -> impl Iterator<Item = (&Name, &TargetReach)> {
+        self.targets.iter().filter(|(_, reach)| reach.listed)
+    }
+
     /// Path of new connections to a target.
     #[must_use]
     pub fn path(&self, target: &str) -> Path {
@@ -69,8 +79,7 @@
     /// Head start of an own connection before a peer is asked as well.
     #[must_use]
     pub fn head_start(&self) -> Duration {
-        let mut paths = self.targets.values().map(|t| t.path);
-        if paths.any(|path| path == Path::Relayed) {
+        if self.has_relayed() {
             SHORT_HEAD_START
         } else {
             HEAD_START
@@ -80,11 +89,11 @@
     /// Whether this entry reaches at least half of the targets through peers only, or none at all.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
-        let relayed = self.relayed();
-        let mut paths = self.targets.values().map(|t| t.path);
-        match relayed {
-            0 => !self.targets.is_empty() && paths.all(|path| path == Path::None),
-            relayed => relayed * 2 >= self.targets.len(),
+        let listed = self.listed().count();
+        let mut paths = self.listed().map(|(_, reach)| reach.path);
+        match self.relayed() {
+            0 => listed > 0 && paths.all(|path| path == Path::None),
+            relayed => relayed * 2 >= listed,
         }
     }
 
@@ -98,7 +107,7 @@
     /// it connects, this entry is not cut off.
     #[must_use]
     pub fn comparison(&self, target: &str) -> Option<Name> {
-        let others = self.targets.iter().filter(|(name, _)| ***name != *target);
+        let others = self.listed().filter(|(name, _)| ***name != *target);
         let direct = others.filter(|(_, t)| t.path == Path::Direct);
         let last = direct.max_by_key(|(_, t)| t.heard_at);
         last.map(|(name, _)| name.clone())
@@ -107,24 +116,28 @@
     /// Number of targets that are reached through peers only.
     #[must_use]
     pub fn relayed(&self) -> usize {
-        let relayed = self.targets.values().filter(|t| t.path == Path::Relayed);
+        let relayed = self.listed().filter(|(_, t)| t.path == Path::Relayed);
         relayed.count()
     }
 
-    /// Records that an exchange began on an own connection.
+    /// Records that an exchange began on an own connection; the target may not be registered any
+    /// more.
     pub fn begin_exchange(&mut self, now: Timestamp, target: &str) {
-        if let Some(reach) = self.targets.get_mut(target) {
-            if reach.exchanges == 0 {
-                reach.exchanges_since = now;
-            }
-            reach.exchanges += 1;
+        let reach = self.targets.entry(target.into()).or_default();
+        if reach.exchanges == 0 {
+            reach.exchanges_since = now;
         }
+        reach.exchanges += 1;
     }
 
     /// Records that an exchange on an own connection ended.
     pub fn end_exchange(&mut self, target: &str) {
-        if let Some(reach) = self.targets.get_mut(target) {
-            reach.exchanges = reach.exchanges.saturating_sub(1);
+        let Some(reach) = self.targets.get_mut(target) else {
+            return;
+        };
+        reach.exchanges = reach.exchanges.saturating_sub(1);
+        if !reach.is_in_use() {
+            self.targets.remove(target);
         }
     }
 
@@ -202,7 +215,7 @@
         }
     }
 
-    /// Targets to which an own connection is to be tried now; counts them as checked.
+    /// Registered targets to which an own connection is to be tried now; counts them as checked.
     pub fn take_checks(&mut self, now: Timestamp) -> Vec<Name> {
         let cut_off = self.is_cut_off();
         let conditions = CheckConditions {
@@ -212,7 +225,7 @@
             heard_at: self.targets.values().map(|t| t.heard_at).max(),
         };
         let (mut doubted, mut returns) = (Vec::new(), Vec::new());
-        for (name, reach) in &self.targets {
+        for (name, reach) in self.listed() {
             match conditions.due_check(reach) {
                 Some(Check::Doubt) => doubted.push((reach.checked_at, name.clone())),
                 Some(Check::Return) => returns.push((reach.checked_at, name.clone())),
--- a/src/reachability/target_reach.rs
+++ b/src/reachability/target_reach.rs
@@ -6,6 +6,8 @@
 /// An entry's reach of one target.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TargetReach {
+    /// Whether the target is registered.
+    pub(crate) listed: bool,
     /// Path of new connections.
     pub(crate) path: Path,
     /// When something last arrived on an own connection, or one was made.
@@ -33,6 +35,11 @@
 }
 
 impl TargetReach {
+    /// Whether the target is registered or has exchanges under way.
+    pub(crate) fn is_in_use(&self) -> bool {
+        self.listed || self.exchanges > 0
+    }
+
     /// Time for which exchanges under way have heard nothing; zero without any.
     pub(crate) fn silent_for(&self, now: Timestamp) -> Duration {
         if self.exchanges == 0 {
--- a/tests/reachability.rs
+++ b/tests/reachability.rs
@@ -170,3 +170,45 @@
         "the silence starts anew"
     );
 }
+
+/// A target that is not registered any more goes on with what it has: its exchanges stay counted, and
+/// it says nothing of whether this entry is cut off.
+#[test]
+fn set_targets_keeps_exchanges_of_unlisted_target() {
+    let mut table = table(2);
+    table.record_reached_by_peer(ms(0), "i-1");
+    table.begin_exchange(ms(10), "i-1");
+    let unlisted = table.set_targets(&BTreeSet::from(["i-0".into()]));
+    assert_eq!(unlisted.len(), 1);
+    assert_eq!((&*unlisted[0].target, unlisted[0].exchanges), ("i-1", 1));
+    assert!(table.contains("i-1"));
+    assert!(!table.is_cut_off() && !table.has_relayed());
+    assert_eq!(table.take_checks(ms(9_000)), Vec::<Name>::new());
+    table.end_exchange("i-1");
+    assert!(!table.contains("i-1"));
+}
+
+/// An exchange that began before its target was unlisted and listed again is found to hang like any
+/// other.
+#[test]
+fn set_targets_keeps_exchange_of_target_that_returns() {
+    let mut table = table(1);
+    table.begin_exchange(ms(0), "i-0");
+    table.set_targets(&BTreeSet::new());
+    table.set_targets(&BTreeSet::from(["i-0".into()]));
+    assert_eq!(table.take_checks(ms(300)), vec![Name::from("i-0")]);
+    table.record_reached_by_peer(ms(310), "i-0");
+    table.record_dial(ms(550), "i-0", ms(300), DialResult::TimedOut);
+    let second = table.record_dial(ms(850), "i-0", ms(600), DialResult::TimedOut);
+    assert_eq!(second, Some(PathChange::Hanging));
+}
+
+/// A request that was placed before its target was unlisted may begin its exchange afterwards.
+#[test]
+fn begin_exchange_counts_target_that_is_not_listed() {
+    let mut table = ReachTable::default();
+    table.begin_exchange(ms(0), "i-9");
+    assert!(table.contains("i-9"));
+    table.end_exchange("i-9");
+    assert!(!table.contains("i-9"));
+}
