Entries that start keep to weight versions that only their peers have read

Cause: the store keeps the newest version only. Peers report the ages of all recent ones, and an entry ignored ages of versions that it had not read itself. The class: what an entry knows by its newest value only, when older values bind too.

Evidence: weights_cutoff of the restarted entries names version 4 and neither 2 nor 3; all requests to version 1 after 11.0 s came from the two restarted entries. Ruled out: waiting at targets (they were sent late), versions without a target (targets with version 4 served others at that time), hubs (none in that system).

Why this works: a reported age is adopted whether or not the version was read. Declarations are reported for as long as a target runs older weights, no longer for 30 s only. Versions whose age nobody knows, after all entries started at once, are passed on as undated and count as passed, as they do at the entry that read them; while no target has such a version, only the newest loaded one is allowed. A version that is read again with a listing is not dated anew. Hubs age what they pass on. The new field is unknown to the build before, which ignores it and allows what it allowed until now.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! decides on admission, placement and retries.
 
 mod admitted_request;
+mod allowed_versions;
 mod arrival;
 mod attempt;
 mod attempt_error;
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -51,6 +51,7 @@
                 ages.map(|(model, version, age)| (model, version, whole_millis(age)))
                     .collect()
             },
+            undated_versions: state.versions.undated_declarations(now).collect(),
             retired_below: (retired.all_below, retired.half_below),
             limits: self.shared.limits.reports(now),
             cut_off_entries: {
@@ -115,6 +116,9 @@
                 log_cutoff(&cutoff, peer);
             }
         }
+        for (model, version) in &status.undated_versions {
+            state.versions.record_undated_declaration(*model, *version);
+        }
         state.observe_confirmations(now, peer, &status.confirmations);
         for watched in self.watched_kinds() {
             let n = watched.index();
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -153,19 +153,14 @@
         for (name, spec) in cache.iter() {
             match decoder.weights(name, spec) {
                 Ok(declared) => {
-                    if self.versions.newest_declared(&declared.model) < Some(declared.version) {
-                        log::info!(
-                            "event=weights_named model={} version={}",
-                            declared.model,
-                            declared.version
-                        );
-                    }
-                    if self.weights_read {
-                        self.versions
-                            .declare(now, &declared.model, declared.version);
+                    let DeclaredWeights { model, version } = &declared;
+                    let is_new = if self.weights_read {
+                        self.versions.declare(now, model, *version)
                     } else {
-                        self.versions
-                            .declare_at_unknown_time(&declared.model, declared.version);
+                        self.versions.declare_at_unknown_time(model, *version)
+                    };
+                    if is_new {
+                        log::info!("event=weights_named model={model} version={version}");
                     }
                     read.push(declared);
                 }
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -1,8 +1,6 @@
 //! Weight versions on which new requests may start.
 
-use std::collections::{BTreeMap, HashMap};
-
-use arc_swap::ArcSwap;
+use std::collections::BTreeMap;
 
 use crate::name_hash::name_hash;
 use crate::prelude::*;
@@ -13,8 +11,7 @@
 /// Time before the deadline for a declared version from which no request starts on an older one: the
 /// declaration was noticed late, and a request may wait at its target.
 const VERSION_DEADLINE_RESERVE: Duration = Duration::from_secs(3);
-/// Age up to which declarations are reported to peers, so that an entry that was unreachable or
-/// restarted does not count the time for older versions from too late a moment.
+/// Age up to which declarations are reported to peers even if no target runs an older version.
 const MAX_REPORTED_AGE: Duration = Duration::from_secs(30);
 
 /// Difference below which an earlier cutoff is not logged: peers notice a declaration at about the
@@ -40,8 +37,11 @@
 #[derive(Clone, Debug, Default)]
 struct ModelVersions {
     /// Declared versions, with the time from which no request may start on an older one; `None` if
-    /// the time of the declaration is unknown, in which case that time counts as passed.
+    /// the time of the declaration is unknown, in which case that time counts as passed. The platform
+    /// store keeps only the newest version, so this entry may not know of one before it.
     declared: BTreeMap<u64, Option<Timestamp>>,
+    /// Newest version that this entry itself has read; zero before the first one.
+    newest_read: u64,
     /// Number of targets that have loaded each version.
     loaded: BTreeMap<u64, usize>,
 }
@@ -50,6 +50,46 @@
     fn newest(&self) -> Option<u64> {
         self.declared.last_key_value().map(|(version, _)| *version)
     }
+
+    /// The oldest version on which a request may start; `None` if all may be used.
+    fn floor(&self, now: Timestamp) -> Option<u64> {
+        let (newest_loaded, _) = self.loaded.last_key_value()?;
+        let passed = self.declared.iter().rev();
+        let passed = passed.filter(|(_, cutoff)| cutoff.is_none_or(|at| now >= at));
+        for (version, cutoff) in passed {
+            if newest_loaded >= version {
+                return Some(*version);
+            }
+            if cutoff.is_none() {
+                // Versions that this entry does not know may have been declared long before.
+                return Some(*newest_loaded);
+            }
+        }
+        None
+    }
+
+    /// Declared versions that peers may need: the oldest one on which a request may start and those
+    /// after it, while targets run older ones or the declaration is recent.
+    fn reported(&self, now: Timestamp, period: Duration) -> impl Iterator<Item = Declaration> {
+        let floor = self.floor(now).unwrap_or_default();
+        let oldest_loaded = self.loaded.first_key_value().map(|(version, _)| *version);
+        let known = self.declared.range(floor..);
+        known.filter_map(move |(version, cutoff)| {
+            let age = cutoff.map(|cutoff| (now + period).saturating_sub(cutoff));
+            let is_recent = age.is_some_and(|age| age < MAX_REPORTED_AGE);
+            let matters = oldest_loaded.is_some_and(|loaded| loaded < *version);
+            let version = *version;
+            (is_recent || matters).then_some(Declaration { version, age })
+        })
+    }
+}
+
+/// What an entry tells its peers of a declared version.
+#[derive(Clone, Copy, Debug)]
+struct Declaration {
+    version: u64,
+    /// Time since the declaration; `None` if unknown.
+    age: Option<Duration>,
 }
 
 /// Weight versions that operators declared and that targets have loaded, by model.
@@ -81,27 +121,34 @@
         }
     }
 
-    /// Records a version that was just declared for a model.
-    pub fn declare(&mut self, now: Timestamp, model: &Name, version: u64) {
-        self.add(model, version, Some(now + self.old_version_period));
+    /// Records a version that was just declared for a model; returns whether this entry had not read
+    /// it before.
+    pub fn declare(&mut self, now: Timestamp, model: &Name, version: u64) -> bool {
+        self.add(model, version, Some(now + self.old_version_period))
     }
 
     /// Records a version that was declared for a model at an unknown time, such as before this
     /// process started.
-    pub fn declare_at_unknown_time(&mut self, model: &Name, version: u64) {
-        self.add(model, version, None);
+    pub fn declare_at_unknown_time(&mut self, model: &Name, version: u64) -> bool {
+        self.add(model, version, None)
     }
 
-    /// Records a declared version; one that is not newer than all known ones is ignored.
-    fn add(&mut self, model: &Name, version: u64, cutoff: Option<Timestamp>) {
+    /// Records a declared version, unless this entry has read it or a newer one before.
+    fn add(&mut self, model: &Name, version: u64, cutoff: Option<Timestamp>) -> bool {
         let model = self.models.entry(model.clone()).or_default();
-        if model.newest().is_none_or(|known| known < version) {
-            model.declared.insert(version, cutoff);
+        let is_new = version > model.newest_read;
+        if is_new {
+            model.newest_read = version;
+            let known = model.declared.entry(version).or_default();
+            // A peer may have told it before.
+            *known = known.or(cutoff);
         }
+        is_new
     }
 
-    /// Records the age of a declaration that a peer reported; `model` is the hash of the model's
-    /// name. Returns the cutoff that follows from it if it is news.
+    /// Records the age of a declaration that a peer reported, also of a version that this entry has
+    /// not read; `model` is the hash of the model's name. Returns the cutoff that follows from it if
+    /// it is news.
     pub fn record_declaration_age(
         &mut self,
         now: Timestamp,
@@ -109,11 +156,9 @@
         version: u64,
         age: Duration,
     ) -> Option<VersionCutoff> {
-        let period = self.old_version_period;
-        let mut models = self.models.iter_mut();
-        let (name, model) = models.find(|(name, _)| name_hash(name) == model)?;
-        let cutoff = model.declared.get_mut(&version)?;
-        let reported = (now + period).saturating_sub(age);
+        let reported = (now + self.old_version_period).saturating_sub(age);
+        let (name, model) = self.find_model(model)?;
+        let cutoff = model.declared.entry(version).or_default();
         let known = cutoff.replace(cutoff.map_or(reported, |known| known.min(reported)));
         let is_news = known.is_none_or(|known| reported + CUTOFF_LOG_STEP <= known);
         is_news.then(|| VersionCutoff {
@@ -123,16 +168,41 @@
         })
     }
 
-    /// Recent declarations: the hash of the model's name, the version, and the declaration's age.
+    /// Records a version that a peer knows and whose age it does not know; until another peer reports
+    /// it, the version counts as declared long ago.
+    pub fn record_undated_declaration(&mut self, model: u32, version: u64) {
+        if let Some((_, model)) = self.find_model(model) {
+            model.declared.entry(version).or_default();
+        }
+    }
+
+    fn find_model(&mut self, hash: u32) -> Option<(&Name, &mut ModelVersions)> {
+        let mut models = self.models.iter_mut();
+        models.find(|(name, _)| name_hash(name) == hash)
+    }
+
+    /// Declarations to report to peers: the hash of the model's name, the version, and the
+    /// declaration's age.
     pub fn declaration_ages(&self, now: Timestamp) -> impl Iterator<Item = (u32, u64, Duration)> {
+        let reported = self.reported(now);
+        reported.filter_map(|(model, d)| Some((model, d.version, d.age?)))
+    }
+
+    /// Declarations to report to peers whose age is not known: the hash of the model's name, and the
+    /// version.
+    pub fn undated_declarations(&self, now: Timestamp) -> impl Iterator<Item = (u32, u64)> {
+        let reported = self.reported(now);
+        let undated = reported.filter(|(_, d)| d.age.is_none());
+        undated.map(|(model, d)| (model, d.version))
+    }
+
+    /// Declarations to report to peers, with the hash of the model's name.
+    fn reported(&self, now: Timestamp) -> impl Iterator<Item = (u32, Declaration)> {
         let period = self.old_version_period;
         let models = self.models.iter();
         models.flat_map(move |(name, model)| {
-            let known = model.declared.iter();
-            known.filter_map(move |(version, cutoff)| {
-                let age = (now + period).saturating_sub((*cutoff)?);
-                (age < MAX_REPORTED_AGE).then(|| (name_hash(name), *version, age))
-            })
+            let reported = model.reported(now, period);
+            reported.map(|declaration| (name_hash(name), declaration))
         })
     }
 
@@ -167,15 +237,9 @@
         let Some(model) = self.models.get(model) else {
             return SmallVec::new();
         };
-        let mut allowed: SmallVec<[u64; 2]> = model.loaded.keys().rev().copied().collect();
-        let passed = model.declared.iter().rev();
-        let mut passed = passed.filter(|(_, cutoff)| cutoff.is_none_or(|at| now >= at));
-        if let Some((floor, _)) = passed.next()
-            && allowed.iter().any(|v| v >= floor)
-        {
-            allowed.retain(|v| *v >= *floor);
-        }
-        allowed
+        let floor = model.floor(now).unwrap_or_default();
+        let loaded = model.loaded.range(floor..).rev();
+        loaded.map(|(version, _)| *version).collect()
     }
 
     /// All models, with the labels of the versions on which a request may start now.
@@ -190,29 +254,3 @@
         })
     }
 }
-
-/// Snapshot of the allowed versions, for the request tasks.
-#[derive(Debug, Default)]
-pub(crate) struct AllowedVersions(ArcSwap<HashMap<Name, SmallVec<[Name; 2]>>>);
-
-impl AllowedVersions {
-    /// Labels of the versions on which a request may start, newest first.
-    pub(crate) fn allowed(&self, model: &str) -> SmallVec<[Name; 2]> {
-        self.0.load().get(model).cloned().unwrap_or_default()
-    }
-
-    /// Whether a request may start on a version now.
-    pub(crate) fn permits(&self, model: &str, version: u64) -> bool {
-        let label = version_label(model, version);
-        let allowed = self.0.load();
-        allowed.get(model).is_some_and(|all| all.contains(&label))
-    }
-
-    /// Replaces the snapshot.
-    pub(crate) fn set(&self, versions: &WeightVersions, now: Timestamp) {
-        let view = versions
-            .allowed_labels(now)
-            .map(|(model, labels)| (model.clone(), labels));
-        self.0.store(Arc::new(view.collect()));
-    }
-}
--- a/src/peer/gateway_status.rs
+++ b/src/peer/gateway_status.rs
@@ -48,10 +48,14 @@
     /// in the platform's store.
     #[serde(rename = "v", default)]
     pub target_versions: Vec<(u32, u64)>,
-    /// Weight versions that operators declared recently: name hash of the model, version, and
-    /// time since the declaration in milliseconds.
+    /// Weight versions that operators declared, as far as they bind the start of requests: name hash
+    /// of the model, version, and time since the declaration in milliseconds.
     #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
     pub declared_versions: Vec<(u32, u64, u64)>,
+    /// Weight versions that were declared before the sender and all others that it heard started, so
+    /// that it does not know when: name hash of the model, and version.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub undated_versions: Vec<(u32, u64)>,
     /// Limits that targets set on the requests sent to them.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitReport>,
@@ -75,10 +79,13 @@
         [routes, targets, weights, members, self.evacuations_revision]
     }
 
-    /// This state some time after it was received: what it says of limits and confirmations is so
-    /// much older.
+    /// This state some time after it was received: what it says of declarations, limits and
+    /// confirmations is so much older.
     #[must_use]
     pub fn aged_by(mut self, time: Duration) -> Self {
+        for (_, _, age) in &mut self.declared_versions {
+            *age = age.saturating_add(whole_millis(time));
+        }
         for limit in &mut self.limits {
             *limit = limit.aged_by(time);
         }
@@ -130,6 +137,11 @@
                 None => self.declared_versions.push((*model, *version, *age)),
             }
         }
+        for undated in &other.undated_versions {
+            if !self.undated_versions.contains(undated) {
+                self.undated_versions.push(*undated);
+            }
+        }
         for limit in &other.limits {
             let mut known = self.limits.iter_mut();
             match known.find(|known| known.target == limit.target) {
--- a/tests/hubs.rs
+++ b/tests/hubs.rs
@@ -307,6 +307,30 @@
     assert_eq!(digest.entries, [name_hash("a")]);
 }
 
+/// A hub passes on what entries know of declared versions: the largest ages, older by the time for
+/// which it kept them, and those without one.
+#[test]
+fn digest_ages_declarations_that_the_hub_kept() {
+    let status = |age, undated: &[(u32, u64)]| GatewayStatus {
+        declared_versions: vec![(21, 5, age)],
+        undated_versions: undated.to_vec(),
+        ..GatewayStatus::default()
+    };
+    let mut aggregator = HubAggregator::default();
+    let own = status(900, &[(21, 4)]);
+    aggregator.record_status(
+        Duration::ZERO,
+        &"b".into(),
+        status(800, &[(21, 4), (21, 3)]),
+    );
+    let after = Duration::from_millis(300);
+    let (domain, all) = aggregator.digests(after, &domain_hub("a"), own);
+    for digest in [domain, all] {
+        assert_eq!(digest.merged.declared_versions, [(21, 5, 1_100)]);
+        assert_eq!(digest.merged.undated_versions, [(21, 4), (21, 3)]);
+    }
+}
+
 /// The previous build decodes exactly four revisions: that of the evacuations travels beside them,
 /// not at all where there are none, and a status without it is understood.
 #[test]
