An entry fetches stored context only once it has read how many entries there are

Until the first listing of entries, the count of entries was one, so that an entry whose first tick came before it took itself for the majority for good, and fetched parts that the others had agreed to free.

may_fetch takes the listed number of entries, none before the first listing, and then says no. The new test failed to compile on the old signature; on its logic the first assertion cannot hold (one report of one entry is a majority).

--- a/src/context_store/retirement.rs
+++ b/src/context_store/retirement.rs
@@ -107,9 +107,11 @@
     }
 
     /// Whether this entry may fetch: reports of a majority of all `entries`, itself included, have
-    /// arrived since its start, so that it knows what was retired before.
-    pub fn may_fetch(&mut self, entries: usize) -> bool {
-        self.majority_reported |= (self.reports.len() + 1) * 2 > entries;
+    /// arrived since its start, so that it knows what was retired before. It may not while it has not
+    /// read how many entries there are.
+    pub fn may_fetch(&mut self, entries: Option<usize>) -> bool {
+        let reported = self.reports.len() + 1;
+        self.majority_reported |= entries.is_some_and(|entries| reported * 2 > entries);
         self.majority_reported
     }
 
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -49,7 +49,7 @@
         let mut state = self.state();
         state.retire_context(now);
         let retired = state.retirement.retired();
-        let entries = state.entry_count();
+        let entries = state.listed_entry_count();
         let may_fetch = state.retirement.may_fetch(entries);
         self.shared
             .store_directory()
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -292,6 +292,12 @@
             .max(1)
     }
 
+    /// Number of entries in the platform store; `None` before its first listing.
+    pub(crate) fn listed_entry_count(&self) -> Option<usize> {
+        let listed = self.caches[WatchedKind::Members.index()].revision() > 0;
+        listed.then(|| self.entry_count())
+    }
+
     /// Names of the other entries in the platform store.
     pub(crate) fn other_entries(&self, own: &str) -> Vec<Name> {
         let members = self.caches[WatchedKind::Members.index()].iter();
--- a/tests/context_store.rs
+++ b/tests/context_store.rs
@@ -302,7 +302,7 @@
             Step::Fetch(n) if awake(&entries, n) => {
                 let entry = entries.get_mut(&n).unwrap();
                 let retired = entry.retirement.retired().covers(1, "p");
-                if entry.retirement.may_fetch(ENTRIES) && !retired {
+                if entry.retirement.may_fetch(Some(ENTRIES)) && !retired {
                     let timeout = u64::try_from(FETCH_TIMEOUT.as_millis()).unwrap();
                     entry.fetching_until = now + timeout;
                 }
@@ -342,6 +342,21 @@
     }
 }
 
+/// Guards against an entry that has just started, knows no other entry yet and takes itself for the
+/// majority: it would fetch what the others have agreed to free.
+#[test]
+fn may_fetch_waits_until_a_majority_of_the_listed_entries_has_reported() {
+    let mut tracker = RetirementTracker::default();
+    assert!(!tracker.may_fetch(None), "the list has not been read");
+    assert!(!tracker.may_fetch(Some(4)));
+    for n in 1..3 {
+        tracker.record_status(ms(n), &name(1), RetiredVersions::default());
+        tracker.record_status(ms(n), &name(2), RetiredVersions::default());
+    }
+    assert!(tracker.may_fetch(Some(4)), "three of four");
+    assert!(RetirementTracker::default().may_fetch(Some(1)), "alone");
+}
+
 /// A version is freed only after all entries have reported it retired for 2.5 s without a gap; a
 /// listed entry that never reported prevents it.
 #[test]
