Keep missing targets by when the store returned, not by when they were missed

Cause: a target that was missing within three seconds of the entry's recovery was kept for 1.9 s from when it was missed. The entry recovers up to 1.2 s after the store, and reads a change up to 0.3 s late.

Why this works: StoreOutage bounds the time of the return from both sides by the calls that failed and the first that was answered; missing targets are kept until registrations must be back, and never until the store can be stable again. An entry that adopts a peer's list while its own calls fail keeps them as well; before, it dropped all expired targets at once.

--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -131,6 +131,7 @@
             recovery_deadline: self.recovery_deadline,
             evacuation_deadline: self.evacuation_deadline,
             batch_pause: self.batch_pause(),
+            target_heartbeat: self.target_heartbeat,
             registration_lifetime: self.target_heartbeat * LIFETIME_HEARTBEATS,
             mesh: OnceLock::default(),
             executor: executor.clone(),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -29,7 +29,7 @@
 use crate::context_store::ContextStoreClient;
 use crate::domain_scheduler::DomainScheduler;
 use crate::gateway::shared::{Shared, TargetObservation};
-use crate::gateway::{ConfirmedBy, Decoder, WatchedKind};
+use crate::gateway::{ConfirmedBy, Decoder, StoreOutage, WatchedKind};
 use crate::lease::LeaseClient;
 use crate::peer::{Mesh, PeerLinks, PeerMessage};
 use crate::platform::{Listing, Platform, PlatformError, StoreRevision, Vm, WatchEvent};
@@ -85,6 +85,8 @@
     pub evacuation_deadline: Option<Duration>,
     /// Pause after each batch of changes in the platform store, in a large system.
     pub batch_pause: Duration,
+    /// Interval at which targets renew their registrations.
+    pub target_heartbeat: Duration,
     /// Time after which the registration of a target that is gone has expired.
     pub registration_lifetime: Duration,
     /// Hard bound on the requests that a cold target gets; `None` where cold targets are not treated
@@ -161,26 +163,47 @@
     fn record_store_success(&self, state: &mut State, watched: WatchedKind) {
         let now = self.now();
         self.confirm_objects(state, watched, ConfirmedBy::Store);
-        if let Some(since) = state.unreachable_since[watched.index()].take() {
-            let away_ms = now.saturating_sub(since).as_millis();
+        if let Some(outage) = state.outages[watched.index()].take() {
+            let away_ms = now.saturating_sub(outage.noticed_at).as_millis();
             let kind = watched.as_str();
             log::info!("event=store_regained kind={kind} away_ms={away_ms}");
             if watched == WatchedKind::Targets {
-                state.targets.record_store_recovery(now);
+                self.record_recovery_of_targets(state, &outage);
             }
         }
     }
 
-    /// Records a failed call to the platform store.
-    pub(crate) fn record_store_failure(&self, watched: WatchedKind, err: &PlatformError) {
+    /// Keeps targets whose registration may have expired in an outage until they can have registered
+    /// again.
+    pub(crate) fn record_recovery_of_targets(&self, state: &mut State, outage: &StoreOutage) {
+        let now = self.now();
+        let heartbeat = self.target_heartbeat;
+        if let Some(until) = outage.doubt_until(now, heartbeat, self.recovery_deadline) {
+            let kept_ms = until.saturating_sub(now).as_millis();
+            log::info!("event=missing_targets_kept time_ms={kept_ms}");
+            state.targets.record_store_recovery(until);
+        }
+    }
+
+    /// Records a failed call to the platform store, which had not answered by `failed_at`.
+    pub(crate) fn record_store_failure(
+        &self,
+        watched: WatchedKind,
+        failed_at: Timestamp,
+        err: &PlatformError,
+    ) {
         let kind = watched.as_str();
         let failures = &self.shared.metrics.store_failures;
         failures.with_label_values(&[kind]).inc();
         let mut state = self.state();
-        if state.unreachable_since[watched.index()].is_none() {
-            state.unreachable_since[watched.index()] = Some(self.now());
-            log::warn!("event=store_lost kind={kind} error={:?}", err.to_string());
+        let n = watched.index();
+        if let Some(outage) = &mut state.outages[n] {
+            outage.record_failure(failed_at);
+            return;
         }
+        let confirmed_at = state.freshness[n].confirmed_at();
+        state.outages[n] = Some(StoreOutage::new(self.now(), confirmed_at, err));
+        log::warn!("event=store_lost kind={kind} error={:?}", err.to_string());
     }
 
     /// Updates everything that is derived from the objects of one kind.
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -123,8 +123,8 @@
         for watched in self.watched_kinds() {
             let n = watched.index();
             state.freshness[n].observe_peer_revision(revisions[n]);
-            let unreachable =
-                state.unreachable_since[n].is_some_and(|since| now >= since + OBJECT_REQUEST_DELAY);
+            let outage = state.outages[n];
+            let unreachable = outage.is_some_and(|o| now >= o.noticed_at + OBJECT_REQUEST_DELAY);
             let behind = revisions[n] > state.caches[n].revision();
             let requested =
                 state.objects_requested_at[n].is_some_and(|at| now < at + OBJECT_REQUEST_INTERVAL);
@@ -164,11 +164,15 @@
         let keep_until = self.keep_unlisted_until(watched);
         let mut state = self.state();
         let former = StoreRevision::from_bits(state.caches[kind].revision());
-        if state.unreachable_since[kind].is_none()
+        if state.outages[kind].is_none()
             || !state.caches[kind].replace_from_peer(revision, objects, keep_until)
         {
             return;
         }
+        if let Some(outage) = state.outages[kind].filter(|_| watched == WatchedKind::Targets) {
+            // The peer may have read the list before targets had registered again.
+            self.record_recovery_of_targets(&mut state, &outage);
+        }
         self.confirm_objects(&mut state, watched, ConfirmedBy::Peer(peer.into()));
         let restored = StoreRevision::from_bits(revision).era() > former.era();
         if watched == WatchedKind::Targets && restored && former.to_bits() > 0 {
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -6,7 +6,8 @@
 use crate::gateway::control::warm_ups::WarmUpState;
 use crate::gateway::{
     DeclaredWeights, Decoder, Evacuations, HubAggregator, HubCandidate, HubSelector, KindFreshness,
-    LoadTable, ObjectCache, RegisteredTarget, TargetLoad, TargetTable, WatchedKind, WeightVersions,
+    LoadTable, ObjectCache, RegisteredTarget, StoreOutage, TargetLoad, TargetTable, WatchedKind,
+    WeightVersions,
 };
 use crate::name_hash::name_hash;
 use crate::peer::PeerInfo;
@@ -29,9 +30,9 @@
 pub(crate) struct State {
     /// Cached objects of the platform store, by kind.
     pub caches: [ObjectCache; KINDS],
-    /// Since when the platform store has been unreachable, by kind; from the start of the process
-    /// until the first successful call.
-    pub unreachable_since: [Option<Timestamp>; KINDS],
+    /// Outages of the platform store that go on, by kind; from the start of the process until the
+    /// first successful call.
+    pub outages: [Option<StoreOutage>; KINDS],
     /// How recently the objects were confirmed, by kind.
     pub freshness: [KindFreshness; KINDS],
     /// When objects were last requested from a peer, by kind.
@@ -89,7 +90,7 @@
     pub(crate) fn new(rollout: RolloutSettings, version_deadline: Duration) -> Self {
         Self {
             caches: Default::default(),
-            unreachable_since: [Some(Timestamp::ZERO); KINDS],
+            outages: [Some(StoreOutage::default()); KINDS],
             freshness: Default::default(),
             objects_requested_at: [None; KINDS],
             evacuations: Evacuations::default(),
--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -62,7 +62,8 @@
                     reached
                 }
                 Err((reached, err)) => {
-                    self.control.record_store_failure(self.watched, &err);
+                    let now = self.control.now();
+                    self.control.record_store_failure(self.watched, now, &err);
                     reached
                 }
             };
--- a/src/gateway/kind_watcher/catch_up.rs
+++ b/src/gateway/kind_watcher/catch_up.rs
@@ -32,6 +32,7 @@
         let mut calls: VecDeque<Task<()>> = VecDeque::new();
         let mut failures = 0;
         loop {
+            let called_at = self.control.now();
             let answer = self.call(from.clone());
             let tx = tx.clone();
             calls.push_back(self.control.executor.spawn(async move {
@@ -49,13 +50,15 @@
                 Some(Ok(events)) => return Ok(self.apply_all(from, events)),
                 Some(Err(PlatformError::Expired)) => return Err(PlatformError::Expired),
                 Some(Err(err)) => {
-                    self.control.record_store_failure(self.watched, &err);
+                    let now = self.control.now();
+                    self.control.record_store_failure(self.watched, now, &err);
                     failures += 1;
                     back_off(failures).await;
                 }
                 None => {
                     let err = PlatformError::Unanswered("no response in time".into());
-                    self.control.record_store_failure(self.watched, &err);
+                    self.control
+                        .record_store_failure(self.watched, called_at, &err);
                 }
             }
         }
--- a/src/gateway/target_table.rs
+++ b/src/gateway/target_table.rs
@@ -6,12 +6,8 @@
 use crate::gateway::target_history::TargetHistory;
 use crate::prelude::*;
 
-/// Grace period in which targets whose registration expired during an outage of the platform store
-/// may register again.
-const REREGISTRATION_GRACE: Duration = Duration::from_millis(1_900);
-/// Time after the end of an outage in which a missing target gets the grace period, since its
-/// registration may merely have expired.
-const RECOVERY_PERIOD: Duration = Duration::from_secs(3);
+/// Time after a restore of the platform store within which targets register again.
+const RESTORE_GRACE: Duration = Duration::from_millis(1_900);
 
 /// A registered target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,26 +21,28 @@
 }
 
 /// Registered targets by name. A target that is missing right after an outage of the platform store
-/// is kept for a grace period; one that reports that it is leaving is marked at once.
+/// is kept for as long as its registration may merely have expired; one that reports that it is
+/// leaving is marked at once.
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     targets: BTreeMap<Name, TargetRecord>,
-    /// End of the last outage of the platform store.
-    recovered_at: Option<Timestamp>,
+    /// Until when a missing registration may merely have expired in an outage of the platform store.
+    doubt_until: Timestamp,
     history: TargetHistory,
 }
 
 impl TargetTable {
-    /// Records the end of an outage of the platform store.
-    pub fn record_store_recovery(&mut self, now: Timestamp) {
-        self.recovered_at = Some(now);
+    /// Records the end of an outage of the platform store. Targets that are missing are kept until
+    /// `doubt_until`, in which time they register again if they are alive.
+    pub fn record_store_recovery(&mut self, doubt_until: Timestamp) {
+        self.doubt_until = doubt_until;
     }
 
     /// Records that the platform store was restored from an older copy, before its first list is
-    /// applied. Missing targets get the grace period; targets that were leaving or gone stay so
+    /// applied. Missing targets are kept for a grace period; targets that were leaving or gone stay so
     /// for `registration_lifetime`, in which a registration that is only in the copy expires.
     pub fn record_store_restore(&mut self, now: Timestamp, registration_lifetime: Duration) {
-        self.record_store_recovery(now);
+        self.record_store_recovery(now + RESTORE_GRACE);
         let leaving = self.targets.values().filter(|r| r.registered_leaving);
         let leaving = leaving.map(|r| (&r.registration.info.name, r.registration.started_ms));
         self.history
@@ -78,15 +76,9 @@
             let name = record.registration.info.name.clone();
             self.targets.insert(name, record);
         }
-        let recovering = self.is_recovering(now);
         for (name, record) in &mut self.targets {
             if !present.contains(name) && record.missing_until.is_none() {
-                let grace = if recovering {
-                    REREGISTRATION_GRACE
-                } else {
-                    Duration::ZERO
-                };
-                record.missing_until = Some(now + grace);
+                record.missing_until = Some(self.doubt_until);
             }
         }
         self.expire(now);
@@ -128,9 +120,4 @@
     pub fn is_empty(&self) -> bool {
         self.targets.is_empty()
     }
-
-    fn is_recovering(&self, now: Timestamp) -> bool {
-        self.recovered_at
-            .is_some_and(|at| now < at + RECOVERY_PERIOD)
-    }
 }
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -15,7 +15,7 @@
 const QUARANTINED: &str = "targets ended one after the other with equal requests or with a part of its \
      prompt, so it was not sent";
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 32] = [
+const STATE_EVENTS: [&str; 33] = [
     "target_unreachable",
     "target_unlisted",
     "target_path",
@@ -35,6 +35,7 @@
     "weights_cutoff",
     "store_lost",
     "store_regained",
+    "missing_targets_kept",
     "objects_adopted",
     "objects_unconfirmed",
     "objects_confirmed",
