A target that has loaded a version gives its place in the rollout back

Cause: an order counted as done only when its target had the newest version. One that had loaded the version it was ordered to lacked the next one by then, kept its place, and was ordered again before targets with older weights.

Why this works: a target whose weights have become newer serves again, and the place goes to the target with the oldest weights.

Tests: rollout_reaches_all_targets_while_versions_follow_one_another (39, 18 and 140 targets) fails before: at 19 s one of 18 targets had version 2 and not 3. rollout_updates_oldest_weights_first left out the targets that were cordoned when the next version was declared, which are those of this fault. It now wants every order to go to a target with the oldest weights there are, and fails before with 2 2 2 2 1 1 1: it is stricter.

--- a/src/rollout/planner.rs
+++ b/src/rollout/planner.rs
@@ -77,6 +77,24 @@
     accepted_orders: Option<u64>,
 }
 
+impl Target {
+    /// Adopts weights that the target reported. When they are newer, its order is done: it serves
+    /// again, also if a further version was declared meanwhile, so that its place is free for the
+    /// target with the oldest weights.
+    fn update_weights(&mut self, reported: SmallVec<[(Name, u64); 1]>) {
+        let known = &self.info.weights;
+        let is_newer = |(model, version): &(Name, u64)| {
+            let mut known = known.iter();
+            known.any(|(name, known)| name == model && known < version)
+        };
+        let has_loaded = reported.iter().any(is_newer);
+        self.info.weights = reported;
+        if has_loaded && matches!(self.stage, Stage::Ordered { .. }) {
+            self.stage = Stage::Serving;
+        }
+    }
+}
+
 /// Decides when each target loads a newly declared weight version. It does no I/O: it takes events
 /// and returns effects.
 #[derive(Debug)]
@@ -171,14 +189,18 @@
                 accepted_orders: None,
             });
             // Versions that the target itself reported are newer than those in the platform's list.
-            let reported = std::mem::take(&mut target.info.weights);
-            target.info = info;
-            for (model, version) in reported {
-                let mut listed = target.info.weights.iter_mut();
-                if let Some((_, listed)) = listed.find(|(name, _)| *name == model) {
-                    *listed = version.max(*listed);
+            let mut weights = info.weights.clone();
+            for (model, version) in &target.info.weights {
+                let mut listed = weights.iter_mut();
+                if let Some((_, listed)) = listed.find(|(name, _)| name == model) {
+                    *listed = (*listed).max(*version);
                 }
             }
+            target.update_weights(weights);
+            target.info = RolloutTarget {
+                weights: std::mem::take(&mut target.info.weights),
+                ..info
+            };
             self.targets.insert(name, target);
         }
     }
@@ -194,14 +216,13 @@
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
-        target.info.weights = weights;
+        target.update_weights(weights);
         target.accepted_orders = Some(orders);
         if let Stage::Ordered { at, .. } = target.stage
             && !busy
             && now >= at + self.cfg.status_query_delay
         {
-            // A target that has the version now is uncordoned by `update_finished`. Otherwise the
-            // order had no effect and is given again.
+            // The order had no effect and is given again.
             target.stage = Stage::Draining {
                 since: at,
                 next_query: now,
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -36,6 +36,8 @@
     fencing: u64,
     max_loading: usize,
     orders: Vec<WeightsOrder>,
+    /// Version that the target of each order had.
+    ordered_from: Vec<u64>,
 }
 
 /// How an order is delivered.
@@ -64,6 +66,7 @@
             fencing: 1,
             max_loading: 0,
             orders: Vec::new(),
+            ordered_from: Vec::new(),
         };
         sim.send_targets();
         sim
@@ -156,6 +159,7 @@
         self.orders.push(order.clone());
         let now = self.now;
         let target = self.targets.get_mut(&order.target).unwrap();
+        self.ordered_from.push(target.version);
         match delivery {
             Delivery::Immediate => target.receive(now, &order),
             Delivery::Lost => WeightsOrderResult::Unanswered,
@@ -239,21 +243,45 @@
         sim.step(&mut || Delivery::Immediate);
     }
     sim.declare_version(3);
-    let cordoned: Vec<Name> = sim.planner.cordoned_targets().cloned().collect();
-    let updated = sim.targets.iter().filter(|(_, t)| t.version == 2);
-    let updated: Vec<Name> = updated.map(|(name, _)| name.clone()).collect();
-    let updated: Vec<Name> = updated
-        .into_iter()
-        .filter(|n| !cordoned.contains(n))
-        .collect();
     while sim.versions().iter().any(|v| *v < 3) {
         assert!(sim.now < 25_000, "rollout incomplete: {:?}", sim.versions());
         sim.step(&mut || Delivery::Immediate);
     }
-    let orders = sim.orders.iter().filter(|o| o.version == 3);
-    let was_updated: Vec<bool> = orders.map(|o| updated.contains(&o.target)).collect();
-    let first = was_updated.iter().position(|u| *u).unwrap();
-    assert!(was_updated[first..].iter().all(|u| *u), "{was_updated:?}");
+    let orders = sim.orders.iter().zip(&sim.ordered_from);
+    let newest = orders.filter(|(order, _)| order.version == 3);
+    let from: Vec<u64> = newest.map(|(_, from)| *from).collect();
+    assert!(from.contains(&2) && from.is_sorted(), "{from:?}");
+}
+
+/// Versions are named faster than all targets load one. Guards against targets that keep their places
+/// for the next version when they have loaded one, so that others never get any.
+fn name_versions_faster_than_they_load(targets: usize, pause_ms: u64, count: u64) {
+    /// Time from the declaration of a version after which no target may have an older one.
+    const BOUND_MS: u64 = 17_000;
+    let mut sim = Simulation::new(targets);
+    let end = count * pause_ms + BOUND_MS;
+    while sim.now < end {
+        if sim.now.is_multiple_of(pause_ms) && sim.now < count * pause_ms {
+            sim.declare_version(2 + sim.now / pause_ms);
+        }
+        sim.step(&mut || Delivery::Immediate);
+        // Versions declared before the bound; that of time zero is 2.
+        let overdue = sim.now.checked_sub(BOUND_MS).map(|at| at / pause_ms);
+        let required = overdue.map_or(1, |n| 2 + n.min(count - 1));
+        let oldest = sim.versions().into_iter().min().unwrap();
+        assert!(
+            oldest >= required,
+            "{targets} targets, {} ms: {oldest} instead of {required}",
+            sim.now
+        );
+    }
+}
+
+#[test]
+fn rollout_reaches_all_targets_while_versions_follow_one_another() {
+    name_versions_faster_than_they_load(39, 4_000, 10);
+    name_versions_faster_than_they_load(18, 2_000, 16);
+    name_versions_faster_than_they_load(140, 4_000, 10);
 }
 
 /// Another entry may hold the lease, so orders without it could conflict with that entry's.
