The holder of the lease goes on with a rollout while it shuts down

Cause: an entry that drains neither renewed the lease nor gave orders, though it runs on for up to 7.5 s; nobody else may give any until the lease has run out. Entries that do not hold it still do not compete for it while they drain.

Ruled out: that the rollout itself is too slow (none left over without the restarts).

The mend is partial. When the holder ends, the next entry still waits for the lease to run out.

--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -135,14 +135,16 @@
         }
     }
 
-    /// Whether to compete for the lease, which entries do only while targets have outdated weights
-    /// and unless they drain, or do not reach all targets while peers do: orders are not relayed,
-    /// since targets must get them from the holder itself. The first [`INITIAL_LEASE_CANDIDATES`] live entries by name compete
-    /// at once, each further one after another [`LEASE_CANDIDATE_DELAY`] without rollout progress;
-    /// the holder of the lease continues to compete.
+    /// Whether to compete for the lease, which entries do only while targets have outdated weights,
+    /// and unless they do not reach all targets while peers do: orders are not relayed, since targets
+    /// must get them from the holder itself. The first [`INITIAL_LEASE_CANDIDATES`] live entries by
+    /// name compete at once, each further one after another [`LEASE_CANDIDATE_DELAY`] without rollout
+    /// progress. The holder of the lease continues to compete, also while it drains: nobody else may
+    /// give orders until the lease has run out.
     fn competes_for_lease(&self) -> bool {
         let state = self.state();
-        if state.rollout.outdated_count() == 0 || self.shared.drain.is_draining() {
+        let held = self.lease.held().is_some();
+        if state.rollout.outdated_count() == 0 || (self.shared.drain.is_draining() && !held) {
             return false;
         }
         if self.shared.paths.has_relayed() && self.shared.relays.has_reaching_peer() {
@@ -152,6 +154,6 @@
         let behind = (ahead + 1).saturating_sub(INITIAL_LEASE_CANDIDATES);
         let rank = u32::try_from(behind).unwrap_or(u32::MAX);
         let delay = LEASE_CANDIDATE_DELAY.saturating_mul(rank);
-        self.lease.held().is_some() || state.rollout.stalled_for(self.lease.now()) >= delay
+        held || state.rollout.stalled_for(self.lease.now()) >= delay
     }
 }
