Entries that drain compete for the lease after all others

An entry that drains now takes its place behind those that do not, by the time without rollout progress.

--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -139,21 +139,28 @@
     /// and unless they do not reach all targets while peers do: orders are not relayed, since targets
     /// must get them from the holder itself. The first [`INITIAL_LEASE_CANDIDATES`] live entries by
     /// name compete at once, each further one after another [`LEASE_CANDIDATE_DELAY`] without rollout
-    /// progress. The holder of the lease continues to compete, also while it drains: nobody else may
-    /// give orders until the lease has run out.
+    /// progress, and those that drain after all others: all entries may be restarted at about the same
+    /// time. The holder of the lease continues to compete, also while it drains: nobody else may give
+    /// orders until the lease has run out.
     fn competes_for_lease(&self) -> bool {
         let state = self.state();
-        let held = self.lease.held().is_some();
-        if state.rollout.outdated_count() == 0 || (self.shared.drain.is_draining() && !held) {
+        if state.rollout.outdated_count() == 0 {
             return false;
         }
         if self.shared.paths.has_relayed() && self.shared.relays.has_reaching_peer() {
             return false;
         }
-        let ahead = state.peers.iter().filter(|name| **name < self.name).count();
-        let behind = (ahead + 1).saturating_sub(INITIAL_LEASE_CANDIDATES);
+        if self.lease.held().is_some() {
+            return true;
+        }
+        let behind = if self.shared.drain.is_draining() {
+            state.peers.len() + 1
+        } else {
+            let ahead = state.peers.iter().filter(|name| **name < self.name).count();
+            (ahead + 1).saturating_sub(INITIAL_LEASE_CANDIDATES)
+        };
         let rank = u32::try_from(behind).unwrap_or(u32::MAX);
         let delay = LEASE_CANDIDATE_DELAY.saturating_mul(rank);
-        held || state.rollout.stalled_for(self.lease.now()) >= delay
+        state.rollout.stalled_for(self.lease.now()) >= delay
     }
 }
