Keep expired targets when an outage of the store is noticed late

Cause: a store that turns calls away may still answer the call that waits, so an entry notices up to 1.7 s late. StoreOutage counted from the first refusal, took the outage for shorter than a heartbeat, and kept no missing target. Why it works: the beginning is now the earliest time that fits, when the last answered call can have been made, so a real outage is never judged shorter than it was. The length asked is two heartbeats in place of one, which a registration needs to expire; a call refused once stays no outage (doubt_until_is_none_after_a_call_that_was_refused_once).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -185,11 +185,13 @@
         }
     }
 
-    /// Records a failed call to the platform store, which had not answered by `failed_at`.
+    /// Records a failed call to the platform store, which had not answered by `failed_at`. Calls wait
+    /// for a change for `longest_wait`.
     pub(crate) fn record_store_failure(
         &self,
         watched: WatchedKind,
         failed_at: Timestamp,
+        longest_wait: Duration,
         err: &PlatformError,
     ) {
         let kind = watched.as_str();
@@ -202,7 +204,12 @@
             return;
         }
         let confirmed_at = state.freshness[n].confirmed_at();
-        state.outages[n] = Some(StoreOutage::new(self.now(), confirmed_at, err));
+        let accepted_at = match err {
+            PlatformError::Unanswered(_) => confirmed_at,
+            // A store that turns calls away may still answer those that wait.
+            _ => confirmed_at.saturating_sub(longest_wait),
+        };
+        state.outages[n] = Some(StoreOutage::new(self.now(), accepted_at, err));
         log::warn!("event=store_lost kind={kind} error={:?}", err.to_string());
     }
 
--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -62,8 +62,7 @@
                     reached
                 }
                 Err((reached, err)) => {
-                    let now = self.control.now();
-                    self.control.record_store_failure(self.watched, now, &err);
+                    self.record_failure(self.control.now(), &err);
                     reached
                 }
             };
@@ -112,6 +111,13 @@
         }
     }
 
+    /// Records a failed call, which the store had not answered by `failed_at`.
+    fn record_failure(&self, failed_at: Timestamp, err: &PlatformError) {
+        let longest_wait = WatchTiming::waiting(self.max_silence()).wait;
+        self.control
+            .record_store_failure(self.watched, failed_at, longest_wait, err);
+    }
+
     /// Applies changes until the watch ends; errors include the version that was reached.
     async fn watch(&self, from: &Version) -> Result<Version, (Option<Version>, PlatformError)> {
         let kind = self.control.decoder.kind(self.watched);
--- a/src/gateway/kind_watcher/catch_up.rs
+++ b/src/gateway/kind_watcher/catch_up.rs
@@ -50,15 +50,13 @@
                 Some(Ok(events)) => return Ok(self.apply_all(from, events)),
                 Some(Err(PlatformError::Expired)) => return Err(PlatformError::Expired),
                 Some(Err(err)) => {
-                    let now = self.control.now();
-                    self.control.record_store_failure(self.watched, now, &err);
+                    self.record_failure(self.control.now(), &err);
                     failures += 1;
                     back_off(failures).await;
                 }
                 None => {
                     let err = PlatformError::Unanswered("no response in time".into());
-                    self.control
-                        .record_store_failure(self.watched, called_at, &err);
+                    self.record_failure(called_at, &err);
                 }
             }
         }
--- a/src/gateway/store_outage.rs
+++ b/src/gateway/store_outage.rs
@@ -17,27 +17,26 @@
 pub struct StoreOutage {
     /// When the first call failed; zero from the start of the process.
     pub noticed_at: Timestamp,
-    /// Since when the store may have been away.
+    /// Earliest time from which the store may have been away.
     away_since: Timestamp,
     /// Latest time at which the store is known not to have answered.
     failed_at: Timestamp,
 }
 
 impl StoreOutage {
-    /// The outage that a failed call reveals; `confirmed_at` is when the objects were last confirmed.
+    /// The outage that a failed call reveals; the store took calls until `accepted_at` at least.
     #[must_use]
-    pub fn new(now: Timestamp, confirmed_at: Timestamp, err: &PlatformError) -> Self {
-        let mut outage = Self {
-            noticed_at: now,
-            away_since: now,
-            failed_at: now,
-        };
+    pub fn new(now: Timestamp, accepted_at: Timestamp, err: &PlatformError) -> Self {
         // A call that is never answered does not tell when the store returned.
-        if matches!(err, PlatformError::Unanswered(_)) {
-            outage.away_since = confirmed_at;
-            outage.failed_at = confirmed_at;
+        let failed_at = match err {
+            PlatformError::Unanswered(_) => accepted_at,
+            _ => now,
+        };
+        Self {
+            noticed_at: now,
+            away_since: accepted_at,
+            failed_at,
         }
-        outage
     }
 
     /// Records a further call that failed; the store had not answered by `failed_at`.
@@ -46,7 +45,7 @@
     }
 
     /// Time until which a registration may be missing only because it expired in an outage that has
-    /// ended now. `None` for one that was shorter than `heartbeat`, in which none expires.
+    /// ended now. `None` for one that was too short for that.
     ///
     /// A target that is gone must not be used when the store counts as stable again,
     /// `recovery_deadline` after its return. If a registration did expire, the store was away for some
@@ -58,10 +57,9 @@
         heartbeat: Duration,
         recovery_deadline: Duration,
     ) -> Option<Timestamp> {
-        let returned_at = self.away_since + heartbeat * EXPIRY_HEARTBEATS;
-        let stable_at = self.failed_at.max(returned_at) + recovery_deadline;
+        let expired_at = self.away_since + heartbeat * EXPIRY_HEARTBEATS;
+        let stable_at = self.failed_at.max(expired_at) + recovery_deadline;
         let until = stable_at.saturating_sub(RECOVERY_RESERVE);
-        let expired = now >= self.away_since + heartbeat;
-        expired.then(|| until.min(now + REREGISTRATION_TIME))
+        (now >= expired_at).then(|| until.min(now + REREGISTRATION_TIME))
     }
 }
--- a/tests/store_outage.rs
+++ b/tests/store_outage.rs
@@ -73,3 +73,22 @@
     let until = outage.doubt_until(ms(4_600), HEARTBEAT, RECOVERY_DEADLINE);
     assert_eq!(until, Some(ms(6_600)));
 }
+
+/// A store that turns calls away still answers the one that waits, so that an entry notices late.
+/// Guards against targets that are dropped though their registrations expired before that.
+#[test]
+fn doubt_until_counts_the_refusals_before_they_were_noticed() {
+    for noticed_at in (4_000..5_700).step_by(100) {
+        let outage = StoreOutage::new(ms(noticed_at), ms(4_000), &refused());
+        let until = outage.doubt_until(ms(6_450), HEARTBEAT, RECOVERY_DEADLINE);
+        assert_eq!(until, Some(ms(8_450)), "noticed {noticed_at}");
+    }
+}
+
+/// A call that is turned away once, for its rate, is no outage.
+#[test]
+fn doubt_until_is_none_after_a_call_that_was_refused_once() {
+    let outage = StoreOutage::new(ms(5_700), ms(4_000), &refused());
+    let until = outage.doubt_until(ms(5_850), HEARTBEAT, RECOVERY_DEADLINE);
+    assert_eq!(until, None);
+}
