A holder that shuts down releases its lease, so that a rollout goes on

Cause: the next holder waited until it had seen the lease unchanged for 1.9 s, and an entry that has just started has seen nothing. With entries that restart faster than they shut down, none was up for so long, so that nobody ever took over. Ruled out: the turn of candidates (the entries that had just started were the first two by name and did read the lease). Change: the last write of a holder that shuts down releases the lease and says for how long it was not used. Log events lease_changed and lease_released. Why it works: what had to be learnt by watching for 1.9 s now stands in the record. A release of a former era is not trusted, since a restore may have lost a later acquisition.

--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -318,14 +318,7 @@
         control_ex.spawn(run_part_notices).detach();
         let run_origins = control.clone().run_stream_origins(origin_calls);
         control_ex.spawn(run_origins).detach();
-        for watched in control.watched_kinds() {
-            let watcher = KindWatcher {
-                watched,
-                platform: platform.clone(),
-                control: control.clone(),
-            };
-            control_ex.spawn(watcher.run()).detach();
-        }
+        spawn_watchers(&control, &platform, &control_ex);
         let kind = control.decoder.kind(WatchedKind::Members);
         control_ex
             .spawn(keep_registered(platform, kind, self.own_vm()))
@@ -343,6 +336,7 @@
             .detach();
         Ok(Gateway {
             shared,
+            control,
             mesh,
             stop_accepting,
             balancer_lag: self.balancer_lag,
@@ -370,6 +364,21 @@
     }
 }
 
+fn spawn_watchers(
+    control: &Arc<Control>,
+    platform: &Arc<dyn Platform>,
+    ex: &Arc<Executor<'static>>,
+) {
+    for watched in control.watched_kinds() {
+        let watcher = KindWatcher {
+            watched,
+            platform: platform.clone(),
+            control: control.clone(),
+        };
+        ex.spawn(watcher.run()).detach();
+    }
+}
+
 fn spawn_control(
     control: &Arc<Control>,
     ex: &Arc<Executor<'static>>,
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -14,6 +14,8 @@
 const TARGET_RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time without rollout progress after which one more entry competes for the lease.
 const LEASE_CANDIDATE_DELAY: Duration = Duration::from_millis(2_500);
+/// Time limit for giving the lease back, within what is left of the termination grace period.
+const LEASE_RELEASE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Entries that compete from the start: one to hold the lease and one to take it over.
 const INITIAL_LEASE_CANDIDATES: usize = 2;
 
@@ -74,6 +76,7 @@
         let target = order.target.clone();
         let (version, fencing) = (order.version, order.fencing);
         let result = if in_time {
+            self.lease.record_use();
             let sent = self.targets.order(order, self.name.clone());
             let timeout = async {
                 Timer::after(TARGET_RESPONSE_TIMEOUT).await;
@@ -125,16 +128,40 @@
 
     /// Competes for the lease while targets have outdated weights; never returns.
     pub(crate) async fn run_lease(self: Arc<Self>) {
+        let mut known = (None, false);
         loop {
             if self.competes_for_lease() {
                 self.lease.step().await;
             }
             let lease = self.lease.held();
+            let owned = self.lease.owned().map(|lease| lease.fencing);
+            let usable = lease.is_some();
+            if known != (owned, usable) {
+                log::info!("event=lease_changed fencing={owned:?} usable={usable}");
+                known = (owned, usable);
+            }
             self.plan_rollout(&mut self.state(), RolloutEvent::Lease(lease));
             Self::sleep_with_jitter(Duration::from_millis(100)).await;
         }
     }
 
+    /// Gives the lease back before this process ends, so that another entry can go on with a rollout.
+    pub(crate) async fn release_lease(&self) {
+        if self.lease.owned().is_none() {
+            return;
+        }
+        let released = async {
+            self.lease.release().await;
+            true
+        };
+        let timeout = async {
+            Timer::after(LEASE_RELEASE_TIMEOUT).await;
+            false
+        };
+        let released = released.or(timeout).await;
+        log::info!("event=lease_released confirmed={released}");
+    }
+
     /// Whether to compete for the lease, which entries do only while targets have outdated weights,
     /// and unless they do not reach all targets while peers do: orders are not relayed, since targets
     /// must get them from the holder itself. The first [`INITIAL_LEASE_CANDIDATES`] live entries by
@@ -150,7 +177,7 @@
         if self.shared.paths.has_relayed() && self.shared.relays.has_reaching_peer() {
             return false;
         }
-        if self.lease.held().is_some() {
+        if self.lease.owned().is_some() {
             return true;
         }
         let behind = if self.shared.drain.is_draining() {
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -4,8 +4,10 @@
 
 use async_executor::Executor;
 use async_io::Timer;
+use futures_lite::future::zip;
 
 use crate::entry::Threads;
+use crate::gateway::control::Control;
 use crate::gateway::shared::Shared;
 use crate::latch::Latch;
 use crate::peer::Mesh;
@@ -19,6 +21,7 @@
 /// A running gateway.
 pub struct Gateway {
     pub(crate) shared: Arc<Shared>,
+    pub(crate) control: Arc<Control>,
     pub(crate) mesh: Arc<Mesh>,
     pub(crate) stop_accepting: Latch,
     pub(crate) balancer_lag: Duration,
@@ -40,7 +43,8 @@
     }
 
     /// Fails readiness checks at once, accepts connections until the load balancer has noticed, and
-    /// waits until all connections have closed or the shutdown timeout has passed.
+    /// waits until all connections have closed or the shutdown timeout has passed. Until then a holder
+    /// of the lease goes on with a rollout.
     async fn shut_down(&self) {
         let started = Instant::now();
         log::info!(
@@ -56,7 +60,8 @@
         {
             Timer::after(DRAIN_POLL_INTERVAL).await;
         }
-        Timer::after(FINAL_RESPONSE_DELAY).await;
+        let last_response = Timer::after(FINAL_RESPONSE_DELAY);
+        zip(last_response, self.control.release_lease()).await;
         self.mesh.leave();
         log::info!(
             "event=drain_ended requests_left={} took_ms={}",
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -5,5 +5,5 @@
 mod state_machine;
 
 pub use client::LeaseClient;
-pub use record::LeaseRecord;
+pub use record::{LeaseRecord, LeaseRelease};
 pub use state_machine::{HeldLease, LeaseEffect, LeaseEvent, LeaseSettings, LeaseStateMachine};
--- a/src/lease/client.rs
+++ b/src/lease/client.rs
@@ -2,6 +2,8 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use async_io::Timer;
+
 use crate::clock::time_since_boot;
 use crate::lease::{
     HeldLease, LeaseEffect, LeaseEvent, LeaseRecord, LeaseSettings, LeaseStateMachine,
@@ -9,6 +11,9 @@
 use crate::platform::{Object, Platform, PlatformError, Version};
 use crate::prelude::*;
 
+/// Interval at which a release checks whether the lease has been given back.
+const RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A process that competes for a lease stored on the platform, and renews it while it holds it.
 pub struct LeaseClient {
     platform: Arc<dyn Platform>,
@@ -38,13 +43,35 @@
         time_since_boot().saturating_sub(self.origin)
     }
 
-    /// The lease, if this process holds it now.
+    /// The lease, if this process holds it now and may use it.
     #[must_use]
     pub fn held(&self) -> Option<HeldLease> {
         let now = self.now();
-        let mut state_machine = self.state_machine();
-        state_machine.observe_era(now, self.platform.era());
-        state_machine.held(now)
+        self.current(now).held(now)
+    }
+
+    /// The lease, if this process holds it now, even if it may not use it yet.
+    #[must_use]
+    pub fn owned(&self) -> Option<HeldLease> {
+        let now = self.now();
+        self.current(now).owned(now)
+    }
+
+    /// Records that the lease is used, such as for an order.
+    pub fn record_use(&self) {
+        let now = self.now();
+        self.state_machine().record_use(now);
+    }
+
+    /// Gives the lease back, if this process holds it, so that the next holder need not wait until it
+    /// has run out. It is not acquired again.
+    pub async fn release(&self) {
+        let now = self.now();
+        self.state_machine().begin_release(now);
+        while !self.state_machine().is_released(self.now()) {
+            self.step().await;
+            Timer::after(RELEASE_POLL_INTERVAL).await;
+        }
     }
 
     /// Requires later fencing tokens to exceed `fencing`, which a target has already seen, and
@@ -69,9 +96,14 @@
     }
 
     fn handle(&self, now: Timestamp, event: LeaseEvent, effects: &mut Vec<LeaseEffect>) {
+        self.current(now).on(now, event, effects);
+    }
+
+    /// The state machine, with the newest era of the store.
+    fn current(&self, now: Timestamp) -> MutexGuard<'_, LeaseStateMachine> {
         let mut state_machine = self.state_machine();
         state_machine.observe_era(now, self.platform.era());
-        state_machine.on(now, event, effects);
+        state_machine
     }
 
     fn state_machine(&self) -> MutexGuard<'_, LeaseStateMachine> {
--- a/src/lease/record.rs
+++ b/src/lease/record.rs
@@ -13,6 +13,19 @@
     pub fencing: u64,
     /// Renewals since the acquisition.
     pub renewal: u64,
+    /// Set once the holder has released the lease.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub release: Option<LeaseRelease>,
+}
+
+/// What a holder states when it releases its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRelease {
+    /// For how long the lease had not been used then, in milliseconds.
+    pub idle_ms: u64,
+    /// Era of the store; a release of a former era may have been followed by an acquisition that a
+    /// restore has lost.
+    pub era: u64,
 }
 
 impl LeaseRecord {
--- a/src/lease/state_machine.rs
+++ b/src/lease/state_machine.rs
@@ -3,10 +3,13 @@
 //! Clocks of different processes are never compared. A candidate takes over once it has observed
 //! the same record for longer than the lease lasts, by its own monotonic clock; a holder measures
 //! its lease from the time at which it issued the write, which is before the write took effect.
+//! A released lease is acquired at once, but is not used sooner after its last use than one that has
+//! expired.
 
 use serde::{Deserialize, Serialize};
 
-use crate::lease::LeaseRecord;
+use crate::clock::whole_millis;
+use crate::lease::{LeaseRecord, LeaseRelease};
 use crate::platform::{StoreRevision, Version};
 use crate::prelude::*;
 
@@ -77,6 +80,16 @@
     issued: Timestamp,
     /// Fencing token of the lease that the write renews; `None` for an acquisition.
     renewed_fencing: Option<u64>,
+    uses: LeaseUses,
+}
+
+/// When a lease is used.
+#[derive(Clone, Copy, Debug, Default)]
+struct LeaseUses {
+    /// Earliest time at which this process may use it.
+    from: Timestamp,
+    /// Latest time at which this process or the holder before it may have used it.
+    last: Timestamp,
 }
 
 /// State of one candidate for a lease.
@@ -86,6 +99,9 @@
     observed: Option<ObservedLease>,
     pending_write: Option<PendingWrite>,
     held: Option<HeldLease>,
+    uses: LeaseUses,
+    /// Whether the lease is given back and not acquired again.
+    releasing: bool,
     /// Greatest fencing token that was used or that a target is known to have seen.
     fencing_floor: u64,
     /// Newest era of the store, and since when it is known.
@@ -103,6 +119,8 @@
             observed: None,
             pending_write: None,
             held: None,
+            uses: LeaseUses::default(),
+            releasing: false,
             fencing_floor: 0,
             era: (0, Timestamp::ZERO),
             call_in_flight: false,
@@ -110,13 +128,37 @@
         }
     }
 
-    /// The lease, if it is held at `now`. Call this again after any wait: the lease may have
-    /// expired meanwhile.
+    /// The lease, if it is held at `now` and may be used. Call this again after any wait: the lease
+    /// may have expired meanwhile.
     #[must_use]
     pub fn held(&self, now: Timestamp) -> Option<HeldLease> {
+        let usable = !self.releasing && now >= self.uses.from;
+        self.owned(now).filter(|_| usable)
+    }
+
+    /// The lease, if it is held at `now`, whether or not it may be used yet.
+    #[must_use]
+    pub fn owned(&self, now: Timestamp) -> Option<HeldLease> {
         self.held.filter(|held| now < held.until)
     }
 
+    /// Records that the lease is used, such as for an order.
+    pub fn record_use(&mut self, now: Timestamp) {
+        self.uses.last = self.uses.last.max(now);
+    }
+
+    /// Gives the lease back with the next write; from now on it is neither used nor acquired.
+    pub fn begin_release(&mut self, now: Timestamp) {
+        self.releasing = true;
+        self.next_call = now;
+    }
+
+    /// Whether a release has ended: the lease is given back, has expired, or was not held.
+    #[must_use]
+    pub fn is_released(&self, now: Timestamp) -> bool {
+        self.releasing && self.pending_write.is_none() && self.owned(now).is_none()
+    }
+
     /// Requires later fencing tokens to exceed `fencing`, which a target has already seen, and
     /// gives up a held lease whose token does not.
     pub fn raise_fencing_floor(&mut self, fencing: u64) {
@@ -151,10 +193,10 @@
             LeaseEvent::Unanswered => self.next_call = now + self.call_interval(),
             LeaseEvent::Tick => {}
         }
-        if self.held(now).is_none() {
+        if self.owned(now).is_none() {
             self.held = None;
         }
-        if !self.call_in_flight && now >= self.next_call {
+        if !self.call_in_flight && now >= self.next_call && !self.is_released(now) {
             let effect = self.next_effect(now);
             self.call_in_flight = true;
             effects.push(effect);
@@ -186,7 +228,7 @@
         }
         self.next_call = now + self.call_interval();
         let may_acquire = self.may_acquire(now);
-        if may_acquire && self.held.is_none() {
+        if self.releasing || (may_acquire && self.held.is_none()) {
             self.next_call = now;
         }
     }
@@ -198,7 +240,10 @@
         self.acquire_or_renew(&write, &version);
         let object = Some((version, write.record));
         self.observed = Some(ObservedLease { object, since: now });
-        self.next_call = now + self.call_interval();
+        self.next_call = now;
+        if !self.releasing {
+            self.next_call += self.call_interval();
+        }
     }
 
     fn on_conflict(&mut self) {
@@ -207,10 +252,14 @@
         self.observed = None;
     }
 
-    /// Holds the lease after a write that got `version`. In a store with eras, the token of an
+    /// Holds the lease after a write that got `version`, unless the write released it. In a store with eras, the token of an
     /// acquisition is its era and revision: a record written again after a restore may repeat the
     /// token of a lost one.
     fn acquire_or_renew(&mut self, write: &PendingWrite, version: &Version) {
+        if write.record.release.is_some() {
+            self.held = None;
+            return;
+        }
         let until = write.issued + self.cfg.duration;
         let revision = StoreRevision::of(version);
         let acquired = if revision.era() > 0 {
@@ -229,24 +278,58 @@
             since: renewed.map_or(write.issued, |held| held.since),
             until,
         });
+        self.uses.from = self.uses.from.max(write.uses.from);
+        self.uses.last = self.uses.last.max(write.uses.last);
+    }
+
+    /// Time after its last change or use from which an expired lease may be acquired.
+    fn takeover_time(&self) -> Duration {
+        self.cfg.duration + self.cfg.takeover_margin
     }
 
-    /// Whether the lease may be acquired: it does not exist, names this process, or has not changed
-    /// for longer than its duration and the margin.
+    /// Whether the lease may be acquired: it does not exist, was released, names this process, or
+    /// has not changed for longer than its duration and the margin.
     fn may_acquire(&self, now: Timestamp) -> bool {
         let Some(observed) = &self.observed else {
             return false;
         };
         let (era, era_since) = self.era;
-        let takeover_time = self.cfg.duration + self.cfg.takeover_margin;
+        let takeover_time = self.takeover_time();
+        let record = observed.object.as_ref().map(|(_, record)| record);
+        if record.is_some_and(|r| r.release.is_some_and(|release| release.era == era)) {
+            return true;
+        }
         if era > 0 && now < era_since + takeover_time {
             return false;
         }
         let expired = now >= observed.since + takeover_time;
-        let record = observed.object.as_ref().map(|(_, record)| record);
         expired || record.is_none_or(|record| record.holder == self.cfg.holder)
     }
 
+    /// For how long the observed lease had not been used when it was released, and since when its
+    /// release is known; `None` for one that was not released.
+    fn observed_release(&self) -> Option<(Duration, Timestamp)> {
+        let observed = self.observed.as_ref()?;
+        let (_, record) = observed.object.as_ref()?;
+        let idle = Duration::from_millis(record.release?.idle_ms);
+        Some((idle, observed.since))
+    }
+
+    /// When the lease is used if it is acquired now.
+    fn uses_after_acquisition(&self, now: Timestamp) -> LeaseUses {
+        match self.observed_release() {
+            Some((idle, since)) => LeaseUses {
+                from: since + self.takeover_time().saturating_sub(idle),
+                last: since.saturating_sub(idle),
+            },
+            // The holder before may have used the lease until it expired.
+            None => LeaseUses {
+                from: Timestamp::ZERO,
+                last: now.saturating_sub(self.cfg.takeover_margin),
+            },
+        }
+    }
+
     /// The call that is due: a write if the lease is held or may be acquired, otherwise a read.
     /// While the result of a write is unknown, the object is read to find out.
     fn next_effect(&mut self, now: Timestamp) -> LeaseEffect {
@@ -255,29 +338,49 @@
         let Some(object) = observed.map(|o| o.object.clone()) else {
             return LeaseEffect::Read;
         };
-        let held = self.held(now);
+        let held = self.owned(now);
         if held.is_none() && !self.may_acquire(now) {
             return LeaseEffect::Read;
         }
         let old = object.as_ref().map(|(_, record)| record);
-        let record = LeaseRecord {
-            holder: self.cfg.holder.clone(),
-            fencing: if let (Some(_), Some(record)) = (held, old) {
-                record.fencing
-            } else {
-                let known = old.map_or(0, |record| record.fencing);
-                known.max(self.fencing_floor) + 1
-            },
-            renewal: held.and(old).map_or(0, |record| record.renewal + 1),
+        let record = match held.and(old) {
+            Some(old) => self.next_record(now, old),
+            None => self.first_record(old),
         };
         self.pending_write = Some(PendingWrite {
             record: record.clone(),
             issued: now,
             renewed_fencing: held.map(|held| held.fencing),
+            uses: held.map_or_else(|| self.uses_after_acquisition(now), |_| self.uses),
         });
         LeaseEffect::Write {
             version: object.map(|(version, _)| version),
             record,
         }
     }
+
+    /// The record that acquires the lease after the one stored before.
+    fn first_record(&self, old: Option<&LeaseRecord>) -> LeaseRecord {
+        let known = old.map_or(0, |record| record.fencing);
+        LeaseRecord {
+            holder: self.cfg.holder.clone(),
+            fencing: known.max(self.fencing_floor) + 1,
+            renewal: 0,
+            release: None,
+        }
+    }
+
+    /// The record that renews the lease, or releases it.
+    fn next_record(&self, now: Timestamp, old: &LeaseRecord) -> LeaseRecord {
+        let release = LeaseRelease {
+            idle_ms: whole_millis(now.saturating_sub(self.uses.last)),
+            era: self.era.0,
+        };
+        LeaseRecord {
+            holder: self.cfg.holder.clone(),
+            fencing: old.fencing,
+            renewal: old.renewal + 1,
+            release: self.releasing.then_some(release),
+        }
+    }
 }
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -14,6 +14,8 @@
 use support::{Fault, MemoryPlatform};
 
 const LEASE_DURATION: Duration = Duration::from_secs(6);
+/// Candidates that compete at the same time.
+const CANDIDATES: usize = 3;
 /// Greatest age of a copy from which the store is restored.
 const COPY_AGE: Duration = Duration::from_secs(8);
 
@@ -42,7 +44,10 @@
     object: Option<(Version, LeaseRecord)>,
     /// Copies of the store from the last few seconds.
     copies: Vec<StoreCopy>,
+    /// Candidates, those that have ended included.
     machines: Vec<LeaseStateMachine>,
+    /// Indexes of the candidates that have not ended.
+    running: Vec<usize>,
     /// Calls that the platform has not executed yet, with the index of the candidate.
     calls: Vec<(usize, LeaseEffect)>,
     /// Answers that have not reached their candidate yet, with the era in which they were given.
@@ -50,8 +55,14 @@
     /// Candidate that held the lease under each fencing token.
     holders: BTreeMap<u64, usize>,
     /// Newest era that each candidate has seen.
-    known_eras: [u64; 3],
+    known_eras: Vec<u64>,
     greatest_fencing: u64,
+    /// Candidate that used the lease last, and when.
+    last_use: Option<(usize, Timestamp)>,
+    /// Whether the lease had been released when it was acquired last, other than in a copy.
+    acquired_released: bool,
+    /// Version of the object if it comes from a copy and was not written since.
+    copied_version: Option<u64>,
 }
 
 impl Simulation {
@@ -62,20 +73,24 @@
             version: 0,
             object: None,
             copies: Vec::new(),
-            machines: (0..3)
+            machines: (0..CANDIDATES)
                 .map(|n| LeaseStateMachine::new(settings(n)))
                 .collect(),
+            running: (0..CANDIDATES).collect(),
             calls: Vec::new(),
             answers: Vec::new(),
             holders: BTreeMap::new(),
-            known_eras: [0; 3],
+            known_eras: vec![0; CANDIDATES],
             greatest_fencing: 0,
+            last_use: None,
+            acquired_released: false,
+            copied_version: None,
         }
     }
 
     /// Time on a candidate's own clock: origins differ, and rates differ by up to 2%.
     fn clock(&self, n: usize) -> Timestamp {
-        let n = u32::try_from(n).unwrap();
+        let n = u32::try_from(n % CANDIDATES).unwrap();
         Duration::from_secs(1_000) * n + self.now + self.now * n / 100
     }
 
@@ -96,7 +111,13 @@
                 let stored = self.object.as_ref().map(|(version, _)| number(version));
                 let former = version.as_ref().map(|v| StoreRevision::of(v).era());
                 if stored == version.as_ref().map(number) {
+                    let is_copy = self.copied_version == Some(self.version);
                     self.version += 1;
+                    if let Some((_, old)) = &self.object
+                        && old.fencing != record.fencing
+                    {
+                        self.acquired_released = old.release.is_some() && !is_copy;
+                    }
                     let version = StoreRevision::new(self.era, self.version).to_version();
                     self.object = Some((version.clone(), record));
                     if former.is_none_or(|era| era == self.era) {
@@ -139,6 +160,7 @@
         } = self.copies[copy].clone();
         self.era += 1;
         self.version = version;
+        self.copied_version = Some(version);
         // The store states revisions without an era.
         self.object = object.map(|(version, record)| {
             let number = StoreRevision::of(&version).number();
@@ -167,7 +189,7 @@
     fn step(&mut self, rng: &mut fastrand::Rng, choice: u8) {
         match choice {
             0..4 => {
-                let n = rng.usize(..self.machines.len());
+                let n = self.running[rng.usize(..CANDIDATES)];
                 self.on(n, LeaseEvent::Tick);
             }
             4..6 if !self.calls.is_empty() => {
@@ -183,6 +205,49 @@
         }
     }
 
+    /// Lets a candidate give the lease back; one that has done so ends, and another starts.
+    fn release(&mut self, rng: &mut fastrand::Rng) {
+        let place = rng.usize(..CANDIDATES);
+        let n = self.running[place];
+        let now = self.clock(n);
+        if !self.machines[n].is_released(now) {
+            self.machines[n].begin_release(now);
+            return;
+        }
+        self.running[place] = self.machines.len();
+        self.machines
+            .push(LeaseStateMachine::new(settings(self.machines.len())));
+        self.known_eras.push(0);
+    }
+
+    /// Candidate that holds the lease.
+    fn holder(&self) -> Option<usize> {
+        let mut running = self.running.iter();
+        let holder = running.find(|n| self.machines[**n].held(self.clock(**n)).is_some());
+        holder.copied()
+    }
+
+    /// Uses the lease, and checks that no other candidate has used it just before.
+    fn use_lease(&mut self, n: usize) {
+        let takeover_margin = settings(n).takeover_margin;
+        if let Some((last, at)) = self.last_use.filter(|(last, _)| *last != n) {
+            let unused = self.now.saturating_sub(at);
+            // Clocks differ by 2%, both while the lease was idle and while its new holder waits.
+            let least = if self.acquired_released {
+                (LEASE_DURATION + takeover_margin).mul_f64(0.95)
+            } else {
+                takeover_margin.mul_f64(0.8)
+            };
+            assert!(
+                unused >= least,
+                "{n} uses the lease {unused:?} after {last}"
+            );
+        }
+        self.last_use = Some((n, self.now));
+        let now = self.clock(n);
+        self.machines[n].record_use(now);
+    }
+
     /// Checks that at most one candidate holds the lease, that no two candidates use the same
     /// fencing token, and that tokens never decrease.
     fn check(&mut self) {
@@ -229,6 +294,102 @@
     );
 }
 
+/// Runs a random schedule in which candidates end and others start; the store is restored now and
+/// then if it has eras. Returns the number of acquisitions.
+fn run_schedule_with_releases(seed: u64, steps: u32, era: u64) -> usize {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut sim = Simulation::new();
+    sim.era = era;
+    for _ in 0..steps {
+        match rng.u8(..14) {
+            9 if rng.u8(..20) == 0 => sim.now += LEASE_DURATION,
+            10..12 if rng.u8(..8) == 0 => sim.release(&mut rng),
+            12 if era > 0 => sim.copy_store(),
+            13 if era > 0 && rng.u8(..20) == 0 && !sim.copies.is_empty() => {
+                let copy = rng.usize(..sim.copies.len());
+                sim.restore(copy);
+            }
+            choice => sim.step(&mut rng, choice),
+        }
+        sim.check();
+        let holder = sim.holder();
+        if let Some(n) = holder.filter(|_| rng.bool()) {
+            sim.use_lease(n);
+        }
+    }
+    sim.holders.len()
+}
+
+/// A holder that ends gives the lease back, so that nobody waits until it has run out. Guards
+/// against two holders, and against one that uses the lease right after another.
+#[test]
+fn lease_random_schedules_with_releases_have_one_holder() {
+    for era in [0, 1] {
+        let acquired: usize = (0..200)
+            .map(|seed| run_schedule_with_releases(seed, 1_500, era))
+            .sum();
+        assert!(
+            acquired > 800,
+            "the lease was acquired too seldom: {acquired}"
+        );
+    }
+}
+
+#[test]
+#[ignore = "long random run"]
+fn lease_random_schedules_with_releases_have_one_holder_long() {
+    let first = u64::from(fastrand::u32(..));
+    println!("seeds from {first}");
+    for seed in first..first + 20_000 {
+        run_schedule_with_releases(seed, 2_000, seed % 2);
+    }
+}
+
+/// A candidate that starts acquires a released lease with its first read and write, and uses it only
+/// after the time in which an unreleased one would have expired.
+#[test]
+fn lease_release_lets_the_next_candidate_acquire_at_once() {
+    let mut sim = Simulation::new();
+    sim.on(0, LeaseEvent::Tick);
+    sim.execute_and_deliver();
+    sim.execute_and_deliver();
+    let held = sim.machines[0].held(sim.clock(0)).unwrap();
+    sim.use_lease(0);
+    sim.now += Duration::from_secs(2);
+    let now = sim.clock(0);
+    sim.machines[0].begin_release(now);
+    assert_eq!(sim.machines[0].held(now), None);
+    sim.on(0, LeaseEvent::Tick);
+    sim.execute_and_deliver();
+    assert!(sim.machines[0].is_released(now));
+    sim.on(1, LeaseEvent::Tick);
+    sim.execute_and_deliver();
+    sim.execute_and_deliver();
+    let next = sim.machines[1].owned(sim.clock(1)).unwrap();
+    assert!(next.fencing > held.fencing);
+    assert_eq!(sim.machines[1].held(sim.clock(1)), None);
+    for _ in 0..6 {
+        sim.now += Duration::from_secs(1);
+        sim.on(1, LeaseEvent::Tick);
+        while !sim.calls.is_empty() {
+            sim.execute_and_deliver();
+        }
+    }
+    assert_eq!(
+        sim.machines[1].held(sim.clock(1)).unwrap().fencing,
+        next.fencing
+    );
+}
+
+/// The build before states no release, and reads none.
+#[test]
+fn lease_record_of_the_build_before_is_read_and_written() {
+    let former = r#"{"holder":"entry-1","fencing":3,"renewal":1}"#;
+    let record: LeaseRecord = serde_json::from_str(former).unwrap();
+    assert_eq!(record.release, None);
+    assert_eq!(serde_json::to_string(&record).unwrap(), former);
+}
+
 /// Runs a random schedule in which the store is restored now and then; returns the number of
 /// acquisitions.
 fn run_schedule_with_restores(seed: u64, steps: u32) -> usize {
