Keep evacuations that a peer told after a restore of the store

Cause: an entry whose own calls still fail 0.3 s after the restore adopts a peer's objects. The peer has kept the evacuation, so the entry takes it for one that the restored store has, and drops it with its own first listing, which is no longer the first of the new era. Ruled out: load as such; it only made the window between the first failed call and the listing (0.2 to 0.5 s) longer than 0.3 s. Why it works: objects that a peer told in a later era are remembered with the time until which their writer may write them again; a listing that lacks them keeps them until then. An entry that starts does the same, since it cannot tell whether the store was restored. It errs toward an evacuation that lasts six seconds longer. Stores that state no era are not affected.

--- a/src/gateway/object_cache.rs
+++ b/src/gateway/object_cache.rs
@@ -27,6 +27,9 @@
     /// Objects that a restored store lacks, and until when they are kept for their writers to write
     /// them again.
     unconfirmed: BTreeMap<Name, Timestamp>,
+    /// Objects that a peer told of a restored store, which may lack them, and until when they are
+    /// kept in that case.
+    told_after_restore: BTreeMap<Name, Timestamp>,
 }
 
 impl ObjectCache {
@@ -77,6 +80,7 @@
         let items = listing.items.into_iter();
         self.objects = items.map(|o| (o.name, Arc::new(o.spec))).collect();
         self.unconfirmed.clear();
+        self.told_after_restore.clear();
     }
 
     /// Adopts the first listing of a restored store. Objects that it lacks are kept until
@@ -88,12 +92,16 @@
     }
 
     /// Replaces all objects with a full listing, except those that still wait to be written again
-    /// after a restore.
+    /// after a restore, whether this entry or the peer that told them kept them.
     pub fn replace_confirmed(&mut self, listing: Listing) {
         let known = std::mem::take(&mut self.objects);
         let unconfirmed = std::mem::take(&mut self.unconfirmed);
+        let told = std::mem::take(&mut self.told_after_restore);
         self.replace(listing);
-        self.keep_missing(known, |name| unconfirmed.get(name).copied());
+        self.keep_missing(known, |name| {
+            let until = unconfirmed.get(name).or_else(|| told.get(name));
+            until.copied()
+        });
     }
 
     /// Adds the objects of `known` that are missing now and have a time until which they are kept.
@@ -153,7 +161,7 @@
             }
             WatchEvent::Deleted(object) => {
                 self.record_change(&object);
-                self.unconfirmed.remove(&object.name);
+                self.confirm(&object.name);
                 self.objects.remove(&object.name).is_some()
             }
             WatchEvent::Bookmark(version) => {
@@ -169,9 +177,15 @@
         self.last_change = self.last_change.max(revision);
     }
 
+    /// Records that the store itself has reported an object.
+    fn confirm(&mut self, name: &Name) {
+        self.unconfirmed.remove(name);
+        self.told_after_restore.remove(name);
+    }
+
     fn put(&mut self, object: Object) -> bool {
         let spec = Arc::new(object.spec);
-        self.unconfirmed.remove(&object.name);
+        self.confirm(&object.name);
         let old = self.objects.insert(object.name, spec.clone());
         old != Some(spec)
     }
@@ -189,7 +203,9 @@
             return false;
         }
         let era = |bits| StoreRevision::from_bits(bits).era();
-        let restored = self.revision > 0 && era(revision) > era(self.revision);
+        // An entry that has just started cannot tell whether the store was restored.
+        let may_be_restored = era(revision) > era(self.revision);
+        let restored = self.revision > 0 && may_be_restored;
         let read = |o: PeerObject| {
             let spec = serde_json::from_str(&o.spec);
             spec.map(|spec: Value| (o.name, Arc::new(spec)))
@@ -200,6 +216,10 @@
                 let unconfirmed = std::mem::take(&mut self.unconfirmed);
                 self.revision = revision;
                 if let Some(until) = keep_until {
+                    if may_be_restored {
+                        let told = self.objects.keys().cloned();
+                        self.told_after_restore = told.map(|name| (name, until)).collect();
+                    }
                     let newly = restored.then_some(until);
                     self.keep_missing(known, |name| unconfirmed.get(name).copied().or(newly));
                 }
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -149,6 +149,35 @@
     assert_eq!(cached(&cache), [("a".into(), 2)]);
 }
 
+/// A peer keeps an evacuation that the restored store lacks, and tells it to an entry that has read
+/// nothing from that store yet. Guards against an entry that lifts it with its own first listing.
+#[test]
+fn store_era_evacuation_kept_by_a_peer_is_not_lifted_by_the_copy() {
+    let told = || {
+        let kept = ["a", "b"].map(|name| PeerObject {
+            name: name.into(),
+            spec: r#"{"version":1}"#.into(),
+        });
+        kept.to_vec()
+    };
+    let copy = || listing(StoreRevision::new(2, 50), &[("a", 1)]);
+    let in_force = [("a".into(), 1), ("b".into(), 1)];
+    let former = listing(StoreRevision::new(1, 90), &[("a", 1), ("b", 1)]);
+    let mut known = ObjectCache::default();
+    known.replace(former);
+    for mut cache in [known, ObjectCache::default()] {
+        let revision = StoreRevision::new(2, 50).to_bits();
+        assert!(cache.replace_from_peer(revision, told(), Some(ms(6_000))));
+        assert!(!cache.expire(ms(5_999)), "the store may have it");
+        cache.replace_confirmed(copy());
+        assert_eq!(cached(&cache), in_force);
+        cache.replace_confirmed(copy());
+        assert_eq!(cached(&cache), in_force);
+        assert!(cache.expire(ms(6_000)), "its writer did not write it again");
+        assert_eq!(cached(&cache), [("a".into(), 1)]);
+    }
+}
+
 /// A restored store that only lacks an evacuation lifts it neither by its first listing, nor by the
 /// next ones, nor by what peers that know only the copy have; its deletion does.
 #[test]
