Save nothing at a context store that others may not know to have restarted

Cause: an entry that sees the new boot epoch has the parts saved again at once. An entry whose poll was waiting goes by its directory of before for up to 1.2 s more, and fetches a part that is half written. A store checks nothing. Evidence: plan_saves_at_a_restarted_store_only_when_nobody_fetches_its_former_parts failed before (saved at 10.01 s, fetched until 13.19 s). Ruled out: the directory of the entry that noticed (it is cleared with the new epoch). Why it works: for the time in which others may use an older answer, a relayed one, and a fetch on its way, 3.5 s after the new epoch was seen, the store takes no saves; parts go to the other store. An entry that starts waits likewise.

--- a/src/context_store/directory.rs
+++ b/src/context_store/directory.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use crate::context_store::{PartKey, RetiredVersions, StoreChange, StoreUpdate};
+use crate::context_store::{FETCH_TIMEOUT, PartKey, RetiredVersions, StoreChange, StoreUpdate};
 use crate::prelude::*;
 use crate::residency::AllowedDomains;
 
@@ -13,6 +13,13 @@
 /// that has been silent for longer, since it may have restarted and may be writing the same parts
 /// again; nothing is saved or freed there either.
 const STORE_ANSWER_TTL: Duration = Duration::from_millis(1_200);
+/// Time in which the changes of a store reach entries that do not watch it themselves.
+const RELAY_TIME: Duration = Duration::from_millis(300);
+/// Time after a restart of a store is known during which nothing is saved there. Entries that do not
+/// know of it yet may fetch parts of before the restart, which must not be there half written.
+const RESTART_SAVE_DELAY: Duration = STORE_ANSWER_TTL
+    .saturating_add(RELAY_TIME)
+    .saturating_add(FETCH_TIMEOUT);
 /// Fraction of a store's capacity up to which parts are saved.
 const MAX_FILL: f64 = 0.97;
 
@@ -33,6 +40,8 @@
     domain: Name,
     /// Boot epoch in the last update; zero before the first.
     epoch: u64,
+    /// When that boot epoch was first seen.
+    epoch_since: Timestamp,
     /// Sequence number of the next change.
     next_seq: u64,
     used_tokens: u32,
@@ -53,6 +62,20 @@
         self.is_fresh(now) && allowed.is_none_or(|allowed| allowed.contains(&self.domain))
     }
 
+    /// Whether a part may be saved: there is room, and no other entry may take the store for what it
+    /// was before its last restart.
+    fn takes(&self, now: Timestamp, tokens: u32) -> bool {
+        now >= self.epoch_since + RESTART_SAVE_DELAY && self.has_room(tokens)
+    }
+
+    /// Records the boot epoch of an update.
+    fn set_epoch(&mut self, now: Timestamp, epoch: u64) {
+        if self.epoch != epoch {
+            self.epoch = epoch;
+            self.epoch_since = now;
+        }
+    }
+
     fn has_room(&self, tokens: u32) -> bool {
         f64::from(self.used_tokens.saturating_add(tokens)) < f64::from(self.capacity) * MAX_FILL
     }
@@ -136,6 +159,7 @@
                     capacity: info.capacity,
                     domain: info.domain.clone(),
                     epoch: 0,
+                    epoch_since: Timestamp::ZERO,
                     next_seq: 0,
                     used_tokens: 0,
                     parts: HashMap::new(),
@@ -166,7 +190,7 @@
             let is_first = store.epoch == 0 && !update.gap;
             store.parts.clear();
             store.used_tokens = 0;
-            store.epoch = update.epoch;
+            store.set_epoch(now, update.epoch);
             store.next_seq = 0;
             if !is_first {
                 store.answered_at = None;
@@ -187,7 +211,7 @@
         let Some(store) = self.stores.get_mut(&addr) else {
             return;
         };
-        store.epoch = update.epoch;
+        store.set_epoch(now, update.epoch);
         store.next_seq = update.next_seq;
         store.parts.clear();
         store.used_tokens = 0;
--- a/src/context_store/directory/transfers.rs
+++ b/src/context_store/directory/transfers.rs
@@ -80,9 +80,9 @@
         holders.next().map(|(addr, _)| *addr)
     }
 
-    /// Chooses the store at which to save a part, among those with room, by weighted rendezvous
+    /// Chooses the store at which to save a part, among those that take it, by weighted rendezvous
     /// hashing (Schindelhauer and Schomaker 2005), so that all entries choose the same store.
-    /// Records the save. `None` if no store has room or a save was requested recently.
+    /// Records the save. `None` if no store takes it or a save was requested recently.
     fn choose_store(
         &mut self,
         now: Timestamp,
@@ -98,7 +98,7 @@
             .stores
             .iter()
             .filter(|(_, s)| s.is_usable(now, allowed));
-        let candidates = usable.filter(|(_, s)| s.has_room(tokens));
+        let candidates = usable.filter(|(_, s)| s.takes(now, tokens));
         let best = candidates.max_by(|(a, sa), (b, sb)| {
             let (score_a, score_b) = (
                 rendezvous_score(**a, sa.capacity, part),
