--- a/src/context_store/directory.rs
+++ b/src/context_store/directory.rs
@@ -15,8 +15,8 @@
 const STORE_ANSWER_TTL: Duration = Duration::from_millis(1_200);
 /// Time in which the changes of a store reach entries that do not watch it themselves.
 const RELAY_TIME: Duration = Duration::from_millis(300);
-/// Time after a restart of a store is known during which nothing is saved there. Entries that do not
-/// know of it yet may fetch parts of before the restart, which must not be there half written.
+/// Time for which nothing is saved at a store after its restart was noticed. Entries that have not
+/// noticed it yet fetch what it held before, and would get parts that are being written.
 const RESTART_SAVE_DELAY: Duration = STORE_ANSWER_TTL
     .saturating_add(RELAY_TIME)
     .saturating_add(FETCH_TIMEOUT);
--- a/src/gateway/object_cache.rs
+++ b/src/gateway/object_cache.rs
@@ -27,8 +27,8 @@
     /// Objects that a restored store lacks, and until when they are kept for their writers to write
     /// them again.
     unconfirmed: BTreeMap<Name, Timestamp>,
-    /// Objects that a peer told of a restored store, which may lack them, and until when they are
-    /// kept in that case.
+    /// Objects of a restored store as a peer told them, and until when each is kept if the store
+    /// itself lacks it.
     told_after_restore: BTreeMap<Name, Timestamp>,
 }
 
--- a/src/lease/state_machine.rs
+++ b/src/lease/state_machine.rs
@@ -252,9 +252,9 @@
         self.observed = None;
     }
 
-    /// Holds the lease after a write that got `version`, unless the write released it. In a store with eras, the token of an
-    /// acquisition is its era and revision: a record written again after a restore may repeat the
-    /// token of a lost one.
+    /// Holds the lease after a write that got `version`, unless the write released it. In a store with
+    /// eras, the token of an acquisition is its era and revision: a record written again after a
+    /// restore may repeat the token of a lost one.
     fn acquire_or_renew(&mut self, write: &PendingWrite, version: &Version) {
         if write.record.release.is_some() {
             self.held = None;
