Entries that start save at context stores that hold parts

Cause: an entry that starts cannot tell whether a store has just restarted, so it waited in any case. Why it works: all others wait after a restart, so a store that holds parts has run for longer; one that holds nothing still waits. plan_of_an_entry_that_starts_saves_at_stores_that_hold_parts failed before (3,500 ms in place of 0).

--- a/src/context_store/directory.rs
+++ b/src/context_store/directory.rs
@@ -40,8 +40,8 @@
     domain: Name,
     /// Boot epoch in the last update; zero before the first.
     epoch: u64,
-    /// When that boot epoch was first seen.
-    epoch_since: Timestamp,
+    /// Earliest time at which parts are saved.
+    saves_from: Timestamp,
     /// Sequence number of the next change.
     next_seq: u64,
     used_tokens: u32,
@@ -65,15 +65,24 @@
     /// Whether a part may be saved: there is room, and no other entry may take the store for what it
     /// was before its last restart.
     fn takes(&self, now: Timestamp, tokens: u32) -> bool {
-        now >= self.epoch_since + RESTART_SAVE_DELAY && self.has_room(tokens)
+        now >= self.saves_from && self.has_room(tokens)
     }
 
     /// Records the boot epoch of an update.
-    fn set_epoch(&mut self, now: Timestamp, epoch: u64) {
-        if self.epoch != epoch {
-            self.epoch = epoch;
-            self.epoch_since = now;
+    fn record_epoch(&mut self, now: Timestamp, update: &StoreUpdate) {
+        if self.epoch == update.epoch {
+            return;
         }
+        // All entries wait after a restart, so a store that holds parts has run for longer. Only an
+        // entry that has just started meets such a store unknown.
+        let holds_parts = update.gap || update.changes.iter().any(|change| change.tokens > 0);
+        let runs_for_long = self.epoch == 0 && holds_parts;
+        self.epoch = update.epoch;
+        self.saves_from = if runs_for_long {
+            now
+        } else {
+            now + RESTART_SAVE_DELAY
+        };
     }
 
     fn has_room(&self, tokens: u32) -> bool {
@@ -159,7 +168,7 @@
                     capacity: info.capacity,
                     domain: info.domain.clone(),
                     epoch: 0,
-                    epoch_since: Timestamp::ZERO,
+                    saves_from: Timestamp::ZERO,
                     next_seq: 0,
                     used_tokens: 0,
                     parts: HashMap::new(),
@@ -190,7 +199,7 @@
             let is_first = store.epoch == 0 && !update.gap;
             store.parts.clear();
             store.used_tokens = 0;
-            store.set_epoch(now, update.epoch);
+            store.record_epoch(now, &update);
             store.next_seq = 0;
             if !is_first {
                 store.answered_at = None;
@@ -211,7 +220,7 @@
         let Some(store) = self.stores.get_mut(&addr) else {
             return;
         };
-        store.set_epoch(now, update.epoch);
+        store.record_epoch(now, &update);
         store.next_seq = update.next_seq;
         store.parts.clear();
         store.used_tokens = 0;
--- a/tests/context_store.rs
+++ b/tests/context_store.rs
@@ -148,6 +148,33 @@
     }
 }
 
+/// An entry that starts finds stores that have long been in use, or one that holds nothing and may have
+/// just restarted.
+#[test]
+fn plan_of_an_entry_that_starts_saves_at_stores_that_hold_parts() {
+    let first_save = |first: StoreUpdate| {
+        let mut directory = StoreDirectory::default();
+        directory.restrict_fetches(RetiredVersions::default(), true);
+        directory.set_stores(&[info(1)]);
+        if directory.apply_changes(ms(0), store(1), first.clone()) {
+            directory.apply_list(ms(0), store(1), update(7, 9, &[("1", "o", 1_000)]));
+        }
+        let mut times = (0..6_000).step_by(100);
+        times.find(|now| {
+            directory.apply_changes(ms(*now), store(1), update(7, 9, &[]));
+            plan(&mut directory, *now, "p").1.is_some()
+        })
+    };
+    let in_use = update(7, 9, &[("1", "o", 1_000)]);
+    assert_eq!(first_save(in_use.clone()), Some(0));
+    let gap = StoreUpdate {
+        gap: true,
+        ..in_use
+    };
+    assert_eq!(first_save(gap), Some(0));
+    assert_eq!(first_save(update(7, 1, &[])), Some(3_500));
+}
+
 /// A store evicts nothing, so a part must not be saved beyond its capacity. Removed parts make room
 /// again.
 #[test]
