Probe an unreachable target by the time for which it has been away

Callers saw: a target that came back after 1.9 s was hardly used by a hub for seconds (4 requests while cold where 5 are wanted, 11 to 14 in the two seconds after).

Cause: the pause between probes doubled with each failed connection. At a hub both of its schedulers probe the target, and each failure counts for both, so the pause grew four times a round.

Ruled out: an ejection (a pool of two targets ejects none), refusals by the entries (only the hub sent late), the share of the warm-up (it sent seven a second once it had begun).

The pause is now half of the time for which the target has been unreachable up to all of it. However many probes fail at a moment, the target is found within the time for which it was away.

--- a/src/scheduler/backoff.rs
+++ b/src/scheduler/backoff.rs
@@ -18,10 +18,11 @@
         bound.mul_f64(rng.f64())
     }
 
-    /// Delay after `tries` tries, uniform between half the upper bound and the bound, for work that
-    /// must not repeat at once.
-    pub(super) fn equal_jitter(&self, tries: u32, rng: &mut fastrand::Rng) -> Duration {
-        let bound = self.base.saturating_mul(1 << tries.min(16)).min(self.cap);
+    /// Delay after tries have failed for the time `failing`, uniform between half the upper bound and
+    /// the bound, which is that time. What fails is tried again before it has failed for twice as
+    /// long, however many tries failed at the same moment.
+    pub(super) fn equal_jitter(&self, failing: Duration, rng: &mut fastrand::Rng) -> Duration {
+        let bound = failing.clamp(self.base, self.cap);
         bound / 2 + (bound / 2).mul_f64(rng.f64())
     }
 }
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -125,11 +125,11 @@
             target.health.unreachable_since = Some(self.now);
         }
         target.health.awaiting_probe = false;
-        let tries = target.health.failed_connections;
-        target.health.failed_connections = tries.saturating_add(1);
+        let failed = &mut target.health.failed_connections;
+        *failed = failed.saturating_add(1);
         let (name, domain) = (target.info.name.clone(), target.info.domain.clone());
         self.fleet.refresh(self.now, ix);
-        let pause = PROBE_BACKOFF.equal_jitter(tries, &mut self.rng);
+        let pause = self.probe_pause(ix);
         self.schedule_probe(ix, pause);
         if newly && ended {
             self.recent_deaths
@@ -249,14 +249,20 @@
             return;
         }
         if target.health.unreachable {
-            let (tries, address) = (target.health.failed_connections, target.info.address);
-            let target = target.info.name.clone();
+            let (target, address) = (target.info.name.clone(), target.info.address);
             effects.push(Effect::Probe { target, address });
-            let pause = PROBE_BACKOFF.equal_jitter(tries, &mut self.rng);
+            let pause = self.probe_pause(ix);
             self.schedule_probe(ix, pause.max(PROBE_TIMEOUT));
         }
     }
 
+    /// Pause before the next probe of an unreachable target.
+    fn probe_pause(&mut self, ix: TargetIx) -> Duration {
+        let since = self.fleet.get(ix).and_then(|t| t.health.unreachable_since);
+        let unreachable = self.now.saturating_sub(since.unwrap_or(self.now));
+        PROBE_BACKOFF.equal_jitter(unreachable, &mut self.rng)
+    }
+
     pub(super) fn schedule_probe(&mut self, ix: TargetIx, pause: Duration) {
         let old = self.fleet.get(ix).and_then(|t| t.health.probe_at);
         if let Some(old) = old {
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -15,6 +15,8 @@
 mod prefix_cache;
 #[path = "scheduler/quarantine.rs"]
 mod quarantine;
+#[path = "scheduler/recovery.rs"]
+mod recovery;
 #[path = "scheduler/refusals.rs"]
 mod refusals;
 #[path = "scheduler/residency.rs"]
