Predict waits by the slots that open while targets ramp up

Callers saw: right after an evacuation ended, a hub refused prompts as too late for a deadline of 6 s (3 of 852 requests after 3 to 202 ms, in one of four runs beside 16 busy loops), though its targets would have taken them within a second.

Cause: the predicted wait divides the requests ahead by the rate at which requests end with the slots in use now. While targets ramp up, few slots are open, and that rate was taken for all that there will be. Waits during a ramp-up also raise the correction of later predictions, up to eight times.

Ruled out: the evacuation itself (it refuses as evacuated, and the entry takes the request back), a full domain b (12 callers, 32 slots).

The prediction that would refuse a request now allows for the mean number of slots that are open until its deadline. That is how many requests can end until then, so that the check is neither laxer nor stricter once the ramp-up is over; refusals at the deadline itself are unchanged.

returned_targets_refuse_none_that_their_opening_slots_can_serve fails before (64 slots, 100 requests a second, seed 1) and passes on all seeds. evacuation_by_entries_with_hubs_is_kept beside 16 busy loops: one of four runs failed before, none of six after.

--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -9,6 +9,7 @@
 mod placement_query;
 mod pool;
 mod prefix_cache;
+mod ramp_up;
 mod residency;
 mod ring;
 mod selection;
--- a/src/scheduler/fleet/load.rs
+++ b/src/scheduler/fleet/load.rs
@@ -211,6 +211,18 @@
         scaled(slots, scale).max(1)
     }
 
+    /// Mean number of slots that may be in use in the coming `period`.
+    pub(crate) fn mean_slots(
+        &self,
+        now: Timestamp,
+        period: Duration,
+        default: u32,
+        typical_unit_seconds: Option<f64>,
+    ) -> f64 {
+        let slots = f64::from(self.nominal_slots(default));
+        slots * self.relative_speed(typical_unit_seconds) * self.mean_ramp_share(now, period)
+    }
+
     /// Slots by the load report, or `default` if it names none.
     fn nominal_slots(&self, default: u32) -> u32 {
         match self.report.slots {
@@ -242,6 +254,22 @@
         (since / RAMP_UP_TIME.as_secs_f64()).min(1.0)
     }
 
+    /// Mean of the ramp-up share in the coming `period`.
+    fn mean_ramp_share(&self, now: Timestamp, period: Duration) -> f64 {
+        let Some(from) = self.ramp_start.filter(|_| !period.is_zero()) else {
+            return self.ramp_share(now);
+        };
+        let ramp = RAMP_UP_TIME.as_secs_f64();
+        // Integral of the share over the time since the start, in seconds.
+        let integral = |since: Duration| {
+            let since = since.as_secs_f64();
+            let rising = since.min(ramp);
+            rising * rising / (2.0 * ramp) + (since - rising)
+        };
+        let since = now.saturating_sub(from);
+        (integral(since + period) - integral(since)) / period.as_secs_f64()
+    }
+
     /// Whether one more request fits, as long as new work is not paused and the context has room. A
     /// target is contended when it queues requests and has some of other entries: then the entries
     /// share its slots evenly. Otherwise an entry may use any free slot, and its even share
--- a/src/scheduler/machine/wait_prediction.rs
+++ b/src/scheduler/machine/wait_prediction.rs
@@ -7,7 +7,8 @@
 const WAIT_SAFETY_FACTOR: f64 = 1.1;
 
 impl Scheduler {
-    /// Predicts whether a queued request gets its first token before the deadline.
+    /// Predicts whether a queued request gets its first token before the deadline. Targets that ramp
+    /// up end more requests per second in that time than they do now.
     pub(super) fn meets_deadline(&mut self, id: RequestId, pool: PoolIx, lane: usize) -> bool {
         let Some(wait) = self.predicted_wait(id, pool, lane) else {
             return true;
@@ -21,7 +22,9 @@
         let expected = self.requests.get(&id).map(|r| self.expected_first_token(r));
         let left = left.saturating_sub(now + expected.unwrap_or_default());
         let wait_correction = self.fleet.pool(pool).wait_correction();
-        wait * wait_correction * WAIT_SAFETY_FACTOR <= left.as_secs_f64()
+        let wait = wait * wait_correction * WAIT_SAFETY_FACTOR;
+        let meets = |wait: f64| wait <= left.as_secs_f64();
+        meets(wait) || meets(wait / self.fleet.slot_growth(now, pool, left))
     }
 
     /// Seconds until a queued request is dispatched, from the requests ahead of it and the drain
--- a/tests/scheduler/recovery.rs
+++ b/tests/scheduler/recovery.rs
@@ -1,8 +1,13 @@
 //! Targets that end and come back: how soon they are found, and what is predicted meanwhile.
 
-use guavahold::scheduler::{Effect, Signal};
+use std::collections::BTreeSet;
+
+use guavahold::catalog::PriorityClass;
+use guavahold::prelude::*;
+use guavahold::scheduler::{Effect, Event, Placement, Refusal, SchedulerSettings, Signal};
 
 use crate::refusals::TestScheduler;
+use crate::simulation::{RequestRecord, Simulation, arrival, ms, policy};
 
 /// Ends the target at once and keeps it away for so long, in ms. Each probe fails `failures` times,
 /// since other schedulers of the same process probe it too. Returns after how many ms it is
@@ -44,3 +49,45 @@
         }
     }
 }
+
+/// Mean time of a response after its first token.
+const RESPONSE_TIME: Duration = Duration::from_millis(500);
+/// Time within which callers want the first token.
+const FIRST_TOKEN_MS: u64 = 6_000;
+
+/// The hub of a domain whose targets have `slots` slots each, and requests per second before the
+/// domain's evacuation and after its end. Returns those requests of the first two seconds after it
+/// that were refused.
+fn refused_after_evacuation(slots: u32, rate: f64, seed: u64) -> Vec<Refusal> {
+    let settings = SchedulerSettings {
+        placement: Placement::LeastWorkOfAll,
+        seed,
+        ..SchedulerSettings::new("domain-0".into())
+    };
+    let mut hub = Simulation::new(settings, Simulation::fleet(1, 2, slots));
+    hub.decode = RESPONSE_TIME;
+    let patient = policy(PriorityClass::Standard, FIRST_TOKEN_MS);
+    let ask = |id| arrival(id, "a", &patient);
+    hub.add_poisson_arrivals(seed, rate, (ms(0), ms(4_000)), ask);
+    hub.run_until(ms(5_000));
+    hub.submit(Event::Evacuations([Name::from("domain-0")].into()));
+    hub.run_until(ms(11_000));
+    hub.submit(Event::Evacuations(BTreeSet::new()));
+    hub.add_poisson_arrivals(seed + 1, rate, (ms(11_000), ms(13_000)), ask);
+    hub.run_until(ms(22_000));
+    let refused = hub.records.values().filter_map(RequestRecord::refusal);
+    refused.cloned().collect()
+}
+
+/// Guards against requests that are refused as too late for their deadline right after an
+/// evacuation: the few slots that are open then were taken for all that there will be.
+#[test]
+fn returned_targets_refuse_none_that_their_opening_slots_can_serve() {
+    for seed in 1..=5 {
+        for (slots, rate) in [(16, 20.0), (16, 40.0), (64, 100.0)] {
+            let refused = refused_after_evacuation(slots, rate, seed);
+            println!("{slots} slots, {rate} a second, seed {seed}: {refused:?}");
+            assert!(refused.is_empty(), "{slots} slots, {rate}, seed {seed}");
+        }
+    }
+}
