Remember brittle targets while their registration is missing

Callers would see more refusals: a target that is brittle was forgotten with its registration, also when that came back a moment later, and was loaded like any other until its next answer.

It is now remembered for two minutes, as limits are. A target that comes back later, or whose answers no longer say so, counts as any other.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -55,6 +55,7 @@
 mod versions;
 
 pub use body::BodyReader;
+pub use brittle_targets::BrittleTargets;
 pub use builder::GatewayBuilder;
 pub use control::{TargetControl, TargetStatus};
 pub use decoder::{DeclaredWeights, Decoder, RegisteredTarget, WatchedKind};
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -256,7 +256,7 @@
         let infos: Vec<_> = state.targets.iter().map(|t| t.info.clone()).collect();
         let names = infos.iter().map(|t| t.name.clone()).collect();
         self.shared.paths.set_targets(&names);
-        self.shared.brittle.retain(&names);
+        self.shared.brittle.set_registered(now, &names);
         let starts = infos.iter().map(|t| (t.name.clone(), t.started_ms));
         self.shared.limits.set_targets(now, starts);
         // New targets may be cold, so the schedulers have to know the plans before the list.
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -1,14 +1,14 @@
 //! Unit tests of the gateway's parts that need no network: body and event decoding, target and load
 //! tables, weight versions, the object cache, and the log queue.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use guavahold::gateway::{
-    BodyReader, EvacuationChange, Evacuations, EventSplitter, LoadTable, ObjectCache, PeerObject,
-    RegisteredTarget, TargetLoad, TargetTable,
+    BodyReader, BrittleTargets, EvacuationChange, Evacuations, EventSplitter, LoadTable,
+    ObjectCache, PeerObject, RegisteredTarget, ResponseInfo, TargetLoad, TargetTable,
 };
 use guavahold::http::{Framing, MessageError};
 use guavahold::name_hash::name_hash;
@@ -295,3 +295,30 @@
     evacuations.set([a].into());
     assert_eq!(evacuations.changes(&both)[0], began);
 }
+
+fn brittle_after(unlisted: Duration) -> bool {
+    let brittle = BrittleTargets::default();
+    let target = Name::from("i-1");
+    let says_brittle = ResponseInfo {
+        brittle: Some(6),
+        ..ResponseInfo::default()
+    };
+    brittle.observe(&target, &says_brittle);
+    brittle.set_registered(ms(1_000), &[target.clone()].into());
+    brittle.set_registered(ms(2_000), &BTreeSet::new());
+    brittle.set_registered(ms(2_000) + unlisted, &[target.clone()].into());
+    brittle.current().contains(&target)
+}
+
+/// Guards against a brittle target that is loaded like others once its registration was missing for a
+/// moment.
+#[test]
+fn brittle_targets_stay_brittle_while_their_registration_is_missing() {
+    assert!(brittle_after(ms(300)));
+    assert!(brittle_after(Duration::from_secs(30)));
+}
+
+#[test]
+fn brittle_targets_are_forgotten_long_after_their_registration() {
+    assert!(!brittle_after(Duration::from_mins(3)));
+}
