guavahold-entry gives the lease of orders back when it shuts down

Operators saw: after a restart of the entry that held the lease of a failure domain, no orders were given there until the lease of 6 s and its margin had run out, although the entry had sent none for long.

Cause: only the gateway released its lease; the controller of guavahold-entry kept it to its end. It did not record its orders as uses of the lease either, so that a release would have let the next holder order too early; each order is now recorded before it is sent.

The last step of a shutdown releases the lease, for half a second at most. The next holder still waits until the lease's time and margin have passed since the last order.

--- a/src/entry/builder.rs
+++ b/src/entry/builder.rs
@@ -140,6 +140,7 @@
             status,
             callers,
             balancer_lag: self.cfg.balancer_lag,
+            order_controller: tasks.control.order_controller.clone(),
             set_draining: Box::new(move || {
                 claims.drain();
                 mesh.set_draining(true);
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -47,7 +47,7 @@
     probe_assignment: Mutex<ProbeAssignment>,
     /// Peers that were live at the last change; each was sent the active quarantine notices.
     peers: Mutex<HashSet<Name>>,
-    order_controller: Arc<OrderController>,
+    pub(crate) order_controller: Arc<OrderController>,
     vms: Mutex<Vec<Vm>>,
 }
 
--- a/src/entry/running_entry.rs
+++ b/src/entry/running_entry.rs
@@ -10,6 +10,7 @@
 use crate::entry::status::EntryStatus;
 use crate::entry::threads::Threads;
 use crate::http::ServerControl;
+use crate::order::OrderController;
 use crate::prelude::*;
 use crate::scheduler::Event;
 use crate::telemetry::log_event;
@@ -28,6 +29,7 @@
     pub(crate) balancer_lag: Duration,
     /// Stops this entry from owning claim shards and reports to peers that it is draining.
     pub(crate) set_draining: Box<dyn Fn() + Send + Sync>,
+    pub(crate) order_controller: Arc<OrderController>,
     pub(crate) traffic: Threads,
     pub(crate) control: Threads,
 }
@@ -47,7 +49,7 @@
 
     /// Drains gracefully: turns readiness off, accepts connections for as long as the balancer may
     /// take to notice (`balancer_lag`), then waits until all responses are sent and, at most for
-    /// half a minute, until the outcomes of claims are stored.
+    /// half a minute, until the outcomes of claims are stored. The lease of orders is given back last.
     pub async fn drain(&self) {
         log_event(Level::Info, "drain_started", &[]);
         self.status.set_draining();
@@ -58,6 +60,7 @@
         self.finish_requests().await;
         self.shared.scheduler.submit(Event::Drain);
         self.finish_claims().await;
+        self.order_controller.release_lease().await;
         log_event(Level::Info, "drain_ended", &[]);
     }
 
--- a/src/order/controller.rs
+++ b/src/order/controller.rs
@@ -28,6 +28,8 @@
 /// Timeout of sending an order. An order is sent only if this much time is left before the lease
 /// expires.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for giving the lease back when the entry shuts down.
+const LEASE_RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which the lease is advanced and the planner is given catalog and lease.
 const STEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Number of entries of a domain that compete for its lease: one to hold it and one to take over.
@@ -107,6 +109,25 @@
         }
     }
 
+    /// Gives the lease back, if this entry has it, so that another entry can go on with a rollout. No
+    /// orders are sent from then on.
+    pub async fn release_lease(&self) {
+        let lease = &self.0.lease;
+        if lease.owned().is_none() {
+            return;
+        }
+        let released = async {
+            lease.release().await;
+            true
+        };
+        let timeout = async {
+            Timer::after(LEASE_RELEASE_TIMEOUT).await;
+            false
+        };
+        let released = released.or(timeout).await;
+        log_event(Level::Info, "lease_released", &[("confirmed", &released)]);
+    }
+
     /// Fencing token of the lease while this entry holds it.
     #[must_use]
     pub fn fencing(&self) -> Option<u64> {
@@ -167,6 +188,7 @@
         let usable_lease = held
             .filter(|lease| lease.fencing == request.fencing && now + ORDER_TIMEOUT < lease.until);
         let result = if usable_lease.is_some() {
+            self.lease.record_use();
             self.post_order(address, &request).await
         } else {
             OrderResult::Unanswered
--- a/tests/order_controller.rs
+++ b/tests/order_controller.rs
@@ -145,3 +145,48 @@
 fn controller_exceeds_fencing_tokens_of_targets() {
     assert_eq!(run_until_served(7), [8, 8, 8]);
 }
+
+/// Time for which a holder sends no orders before it shuts down: then its successor need not wait.
+const IDLE_TIME: Duration = Duration::from_secs(7);
+/// Time in which the next entry holds a lease that was given back, well below the duration of one.
+const SUCCESSION_TIME: Duration = Duration::from_secs(4);
+
+/// Guards against a rollout that stands still until the lease of an entry that has shut down expires.
+#[test]
+fn controller_that_shuts_down_gives_the_lease_to_the_next() {
+    let platform = Arc::new(MemoryPlatform::new());
+    let ex = Arc::new(Executor::new());
+    let start = |entry: &str| {
+        let controller = OrderController::new(
+            platform.clone(),
+            Arc::new(Pool::new(Duration::from_secs(1))),
+            entry.into(),
+            "a".into(),
+            Arc::new(CatalogCell::default()),
+            Arc::new(NoPeers),
+            ex.clone(),
+        );
+        let run = controller.clone();
+        ex.spawn(async move { run.run().await }).detach();
+        controller
+    };
+    let until_held = |controller: OrderController| async move {
+        let started = Instant::now();
+        while controller.fencing().is_none() {
+            assert!(started.elapsed() < Duration::from_secs(30), "never held");
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        started.elapsed()
+    };
+    let waited = block_on(ex.run(async {
+        let holder = start("first");
+        until_held(holder.clone()).await;
+        let next = start("next");
+        Timer::after(IDLE_TIME).await;
+        assert_eq!(next.fencing(), None, "two holders");
+        holder.release_lease().await;
+        assert_eq!(holder.fencing(), None, "it goes on with orders");
+        until_held(next).await
+    }));
+    assert!(waited < SUCCESSION_TIME, "held after {waited:?}");
+}
