One copy of giving a lease back within a time limit

The gateway and the order controller each raced the release of their lease against a timeout. LeaseClient::release_within does it for both. No change in behaviour; the tests of lease, orders and end to end pass.

--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -147,19 +147,9 @@
 
     /// Gives the lease back before this process ends, so that another entry can go on with a rollout.
     pub(crate) async fn release_lease(&self) {
-        if self.lease.owned().is_none() {
-            return;
+        if let Some(confirmed) = self.lease.release_within(LEASE_RELEASE_TIMEOUT).await {
+            log::info!("event=lease_released confirmed={confirmed}");
         }
-        let released = async {
-            self.lease.release().await;
-            true
-        };
-        let timeout = async {
-            Timer::after(LEASE_RELEASE_TIMEOUT).await;
-            false
-        };
-        let released = released.or(timeout).await;
-        log::info!("event=lease_released confirmed={released}");
     }
 
     /// Whether to compete for the lease, which entries do only while targets have outdated weights,
--- a/src/lease/client.rs
+++ b/src/lease/client.rs
@@ -3,6 +3,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 
 use crate::clock::time_since_boot;
 use crate::lease::{
@@ -74,6 +75,21 @@
         }
     }
 
+    /// Gives the lease back as [`LeaseClient::release`] does, within a time limit. Returns whether the
+    /// platform confirmed it; `None` if this process does not hold the lease.
+    pub async fn release_within(&self, timeout: Duration) -> Option<bool> {
+        self.owned()?;
+        let released = async {
+            self.release().await;
+            true
+        };
+        let late = async {
+            Timer::after(timeout).await;
+            false
+        };
+        Some(released.or(late).await)
+    }
+
     /// Requires later fencing tokens to exceed `fencing`, which a target has already seen, and
     /// gives up a held lease whose token does not.
     pub fn raise_fencing_floor(&self, fencing: u64) {
--- a/src/order/controller.rs
+++ b/src/order/controller.rs
@@ -112,20 +112,9 @@
     /// Gives the lease back, if this entry has it, so that another entry can go on with a rollout. No
     /// orders are sent from then on.
     pub async fn release_lease(&self) {
-        let lease = &self.0.lease;
-        if lease.owned().is_none() {
-            return;
+        if let Some(confirmed) = self.0.lease.release_within(LEASE_RELEASE_TIMEOUT).await {
+            log_event(Level::Info, "lease_released", &[("confirmed", &confirmed)]);
         }
-        let released = async {
-            lease.release().await;
-            true
-        };
-        let timeout = async {
-            Timer::after(LEASE_RELEASE_TIMEOUT).await;
-            false
-        };
-        let released = released.or(timeout).await;
-        log_event(Level::Info, "lease_released", &[("confirmed", &released)]);
     }
 
     /// Fencing token of the lease while this entry holds it.
