Checks before a send, encoding and outcome of a request in files of their own

The last check before a request is sent, the head of that request and the final outcome stand in files of their own now; moves only. The tests of the gateway's parts and end to end pass.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 mod listener;
 mod loads;
 mod object_cache;
+mod outcome;
 mod peer_handler;
 mod probe;
 mod prompt_quarantine;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,5 +1,7 @@
 //! A single attempt of a request at a target.
 
+mod encoding;
+mod send_check;
 mod stream;
 
 use std::io;
@@ -9,7 +11,6 @@
 
 use futures_lite::FutureExt;
 
-use crate::context_store::{FETCH_TIMEOUT, TransferPlan};
 use crate::domain_scheduler::ScheduledRequest;
 use crate::gateway::admitted_request::AdmittedRequest;
 use crate::gateway::attempt_error::{AttemptError, TargetResponse};
@@ -20,7 +21,7 @@
 use crate::gateway::target_limits::Exchange;
 use crate::gateway::target_paths::ExchangeGuard;
 use crate::gateway::target_stream::TargetStream;
-use crate::gateway::{Dispatch, ResponseInfo, TargetPresence};
+use crate::gateway::{ResponseInfo, TargetPresence};
 use crate::prelude::*;
 use crate::reachability::Path;
 use crate::scheduler::{Event, LoadEstimate, Signal};
@@ -227,110 +228,6 @@
         Err(AttemptError::PathLost)
     }
 
-    /// Checks the regions, the evacuations and the target's state just before the request is sent,
-    /// since they may have changed while it waited.
-    fn check_send(&self, response: &CallerResponse<'_>) -> Result<(), AttemptError> {
-        let scheduler = &self.shared.scheduler;
-        let allowed = self.request.allowed_targets();
-        if !allowed.is_none_or(|domains| scheduler.is_allowed(&self.assignment.target, domains)) {
-            return Err(AttemptError::OutsideRegions);
-        }
-        if !self.may_send(response) {
-            return Err(self.withheld_error());
-        }
-        Ok(())
-    }
-
-    /// Whether the target still takes requests from this entry within its limit and its warm-up, runs
-    /// a weight version on which requests may still start, and runs the software version that began
-    /// the stream. Counts the request against the warm-up if no scheduler has.
-    fn may_send(&self, response: &CallerResponse<'_>) -> bool {
-        let prompt = self.request.head.prompt.as_ref();
-        let outdated = match (prompt, self.assignment.weights) {
-            (Some(prompt), Some(version)) => !self.shared.versions.permits(&prompt.model, version),
-            _ => false,
-        };
-        let target = &self.assignment.target;
-        let limits = &self.shared.limits;
-        let exceeds = !self.assignment.within_limit && limits.binds_all(self.shared.now(), target);
-        let software = &self.assignment.software;
-        let began_at = response.software.as_ref();
-        let fits = began_at.is_none_or(|began_at| !software.is_empty() && software == began_at);
-        // Evaluated last, since it counts a request that no scheduler has counted.
-        let is_counted =
-            || self.assignment.within_warm_up || self.shared.scheduler.count_uncounted(target);
-        !outdated && !exceeds && fits && self.shared.scheduler.may_send(target) && is_counted()
-    }
-
-    /// Error for a request that is not sent; counts those withheld because of an evacuation.
-    fn withheld_error(&self) -> AttemptError {
-        if !self.shared.scheduler.is_evacuated(&self.assignment.target) {
-            return AttemptError::Withheld;
-        }
-        self.shared.metrics.evacuation_withheld.inc();
-        AttemptError::Evacuated
-    }
-
-    fn encode(&self, response: &CallerResponse<'_>) -> Vec<u8> {
-        let request = self.request;
-        let scope = self.assignment.weights.map(|w| self.request.cache_scope(w));
-        let transfers = scope.as_ref().map(|scope| self.plan_transfers(scope));
-        let dispatch = Dispatch {
-            transfers: transfers.unwrap_or_default(),
-            fetch_until_ms: self.shared.fetch_clock.after(FETCH_TIMEOUT),
-            target: self.assignment.target.clone(),
-            time_left: request.time_left(),
-            customer: request.holder.as_ref().map(|h| h.customer.clone()),
-            weights: self.assignment.weights,
-            cache_scope: scope,
-            urgency: self.urgency(),
-            last_event: response.last_event,
-            body_bytes: request.body.as_ref().map(Vec::len),
-        };
-        let mut head = Vec::with_capacity(1024);
-        let dialect = &self.shared.dialect;
-        dialect.encode_request(&request.head, &dispatch, &mut head);
-        head
-    }
-
-    /// Plans the transfers of the prompt's shared parts from and to context stores.
-    fn plan_transfers(&self, scope: &Name) -> TransferPlan {
-        let Some(prompt) = &self.request.head.prompt else {
-            return TransferPlan::default();
-        };
-        let shared = prompt.shared_parts().iter();
-        let parts: SmallVec<[_; 4]> = shared.map(|p| (p.id.clone(), p.tokens)).collect();
-        let allowed = self.request.allowed_targets();
-        let mut plan =
-            self.shared
-                .store_directory()
-                .plan_transfers(self.shared.now(), scope, &parts, allowed);
-        // A hub of an earlier build does not know the restriction.
-        let scheduler = &self.shared.scheduler;
-        let may_fetch =
-            |address: &SocketAddr| allowed.is_none_or(|a| scheduler.is_allowed_at(*address, a));
-        let neighbour = self.assignment.neighbour.filter(may_fetch);
-        // The neighbour caches context under the scope of its weights and drops it when they
-        // change, so a fetch from it never gets context of another version.
-        for fetch in &mut plan.fetch {
-            *fetch = fetch.or(neighbour);
-        }
-        // Without a reading of the targets' clock, fetches would have no deadline.
-        if self.shared.fetch_clock.after(FETCH_TIMEOUT).is_none() {
-            plan.fetch.clear();
-        }
-        let count = |stores: &[Option<SocketAddr>]| stores.iter().flatten().count();
-        let counts = count(&plan.fetch) * FETCH_COUNT_FACTOR + count(&plan.save);
-        self.transfer_counts.store(counts, Ordering::Relaxed);
-        plan
-    }
-
-    fn urgency(&self) -> Option<u8> {
-        self.request.head.prompt.as_ref()?;
-        let own = self.request.holder.as_ref().and_then(|h| h.urgency);
-        Some(own.unwrap_or(self.request.route.urgency))
-    }
-
     async fn receive(
         &self,
         reader: &mut ResponseReader<'_>,
--- /dev/null
+++ b/src/gateway/attempt/encoding.rs
@@ -0,0 +1,72 @@
+//! Head of the request to a target, with the transfers from and to context stores.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+use crate::context_store::{FETCH_TIMEOUT, TransferPlan};
+use crate::gateway::Dispatch;
+use crate::gateway::attempt::{Attempt, FETCH_COUNT_FACTOR};
+use crate::gateway::caller_response::CallerResponse;
+use crate::prelude::*;
+
+impl Attempt<'_> {
+    pub(super) fn encode(&self, response: &CallerResponse<'_>) -> Vec<u8> {
+        let request = self.request;
+        let scope = self.assignment.weights.map(|w| self.request.cache_scope(w));
+        let transfers = scope.as_ref().map(|scope| self.plan_transfers(scope));
+        let dispatch = Dispatch {
+            transfers: transfers.unwrap_or_default(),
+            fetch_until_ms: self.shared.fetch_clock.after(FETCH_TIMEOUT),
+            target: self.assignment.target.clone(),
+            time_left: request.time_left(),
+            customer: request.holder.as_ref().map(|h| h.customer.clone()),
+            weights: self.assignment.weights,
+            cache_scope: scope,
+            urgency: self.urgency(),
+            last_event: response.last_event,
+            body_bytes: request.body.as_ref().map(Vec::len),
+        };
+        let mut head = Vec::with_capacity(1024);
+        let dialect = &self.shared.dialect;
+        dialect.encode_request(&request.head, &dispatch, &mut head);
+        head
+    }
+
+    /// Plans the transfers of the prompt's shared parts from and to context stores.
+    fn plan_transfers(&self, scope: &Name) -> TransferPlan {
+        let Some(prompt) = &self.request.head.prompt else {
+            return TransferPlan::default();
+        };
+        let shared = prompt.shared_parts().iter();
+        let parts: SmallVec<[_; 4]> = shared.map(|p| (p.id.clone(), p.tokens)).collect();
+        let allowed = self.request.allowed_targets();
+        let mut plan =
+            self.shared
+                .store_directory()
+                .plan_transfers(self.shared.now(), scope, &parts, allowed);
+        // A hub of an earlier build does not know the restriction.
+        let scheduler = &self.shared.scheduler;
+        let may_fetch =
+            |address: &SocketAddr| allowed.is_none_or(|a| scheduler.is_allowed_at(*address, a));
+        let neighbour = self.assignment.neighbour.filter(may_fetch);
+        // The neighbour caches context under the scope of its weights and drops it when they
+        // change, so a fetch from it never gets context of another version.
+        for fetch in &mut plan.fetch {
+            *fetch = fetch.or(neighbour);
+        }
+        // Without a reading of the targets' clock, fetches would have no deadline.
+        if self.shared.fetch_clock.after(FETCH_TIMEOUT).is_none() {
+            plan.fetch.clear();
+        }
+        let count = |stores: &[Option<SocketAddr>]| stores.iter().flatten().count();
+        let counts = count(&plan.fetch) * FETCH_COUNT_FACTOR + count(&plan.save);
+        self.transfer_counts.store(counts, Ordering::Relaxed);
+        plan
+    }
+
+    fn urgency(&self) -> Option<u8> {
+        self.request.head.prompt.as_ref()?;
+        let own = self.request.holder.as_ref().and_then(|h| h.urgency);
+        Some(own.unwrap_or(self.request.route.urgency))
+    }
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -9,8 +9,9 @@
 use crate::gateway::admitted_request::AdmittedRequest;
 use crate::gateway::arrival::arrival_of;
 use crate::gateway::caller_response::CallerResponse;
+use crate::gateway::outcome::Outcome;
 use crate::gateway::refusal::{held_back, rejected, unconfigured, unknown_origin};
-use crate::gateway::request_driver::{Outcome, RequestDriver};
+use crate::gateway::request_driver::RequestDriver;
 use crate::gateway::request_log::RequestLog;
 use crate::gateway::request_reader::{self, RequestReader};
 use crate::gateway::shared::Shared;
@@ -68,7 +69,6 @@
         handle: shared.scheduler_client.submit(arrival),
         target_error: None,
         may_have_been_sent: false,
-        abandoned: false,
         request_log: RequestLog::default(),
     };
     let outcome = driver.run(&mut response, reader).await;
