Tell a domain that stands still from one that loads, for each model

Operators saw: with two models, of which another domain lacked different numbers of targets and loaded none, a domain gave no orders for good (loads_at_once 1: 18 orders in two minutes with one model, none with two).

Cause: the number of targets that other domains lack was kept once and compared for each model in turn, so that with two numbers it changed at every step and never stood still for 30 s.

It is kept by model. planner_does_not_wait_for_stuck_domain_with_two_models fails before (18 and 0) and passes after (18 and 36).

--- a/src/order/planner.rs
+++ b/src/order/planner.rs
@@ -36,9 +36,17 @@
     refused_fencing: u64,
     /// By model: the weight version that half of the targets have ready, and since when.
     ready_since: BTreeMap<Name, (Name, Timestamp)>,
-    /// Number of other domains' targets that lack the wanted version of the model planned last, and
-    /// when that number last changed.
-    others_lacking: (usize, Timestamp),
+    /// Progress of the other domains, by model.
+    others: BTreeMap<Name, OtherDomains>,
+}
+
+/// Progress of the other domains with one model.
+#[derive(Clone, Copy, Debug)]
+struct OtherDomains {
+    /// Number of their targets that lack the wanted version.
+    lacking: usize,
+    /// When that number last changed.
+    changed_at: Timestamp,
 }
 
 impl OrderPlanner {
@@ -57,7 +65,7 @@
             held: None,
             refused_fencing: 0,
             ready_since: BTreeMap::new(),
-            others_lacking: (0, Timestamp::ZERO),
+            others: BTreeMap::new(),
         }
     }
 
@@ -258,12 +266,7 @@
         let serving = || self.targets.values().filter(|t| t.serves(model));
         let others = || serving().filter(|t| t.info.domain != self.domain);
         let lacking = others().filter(|t| t.lacks(weights)).count();
-        if lacking != self.others_lacking.0 {
-            self.others_lacking = (lacking, now);
-        }
-        let stalled = now.saturating_sub(self.others_lacking.1) >= STALL_TIMEOUT;
-        let serving = || self.targets.values().filter(|t| t.serves(model));
-        let others = || serving().filter(|t| t.info.domain != self.domain);
+        let stalled = is_stalled(&mut self.others, now, model, lacking);
         let loading = others().filter(|t| t.is_loading()).count();
         let left = limit.saturating_sub(u32::try_from(loading).unwrap_or(u32::MAX));
         if lacking == 0 || stalled {
@@ -318,6 +321,25 @@
     }
 }
 
+/// Records how many targets of other domains lack the wanted version of a model; returns whether that
+/// number has not changed for [`STALL_TIMEOUT`].
+fn is_stalled(
+    others: &mut BTreeMap<Name, OtherDomains>,
+    now: Timestamp,
+    model: &Name,
+    lacking: usize,
+) -> bool {
+    let changed = OtherDomains {
+        lacking,
+        changed_at: now,
+    };
+    let known = others.entry(model.clone()).or_insert(changed);
+    if known.lacking != lacking {
+        *known = changed;
+    }
+    now.saturating_sub(known.changed_at) >= STALL_TIMEOUT
+}
+
 impl Target {
     fn serves(&self, model: &Name) -> bool {
         let leaving = self.info.leaving || self.report.as_ref().is_some_and(|r| r.leaving);
