Forget ends of targets that lie so far back that they raise no suspicion

Callers saw: a request in which a target ended was refused for ten minutes when a second target ended in it at any later time, although one end only makes it suspected for ten minutes.

Cause: the suspicion ended, but its victims were kept and counted with the next one. They are forgotten with the next end now, unless the request is quarantined at that time.

deaths_long_after_each_other_quarantine_no_request fails before (16 minutes apart) and passes after; a minute apart still quarantines.

--- a/src/scheduler/suspect_requests.rs
+++ b/src/scheduler/suspect_requests.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use fingerprint_state::FingerprintState;
+use fingerprint_state::{FingerprintState, SUSPICION_TIME};
 
 use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
@@ -13,8 +13,6 @@
 /// Crashed targets that put a request into quarantine. A request that has not yet run to its end is
 /// dispatched to at most this many targets at once, so that it cannot crash more.
 pub(super) const QUARANTINE_VICTIMS: usize = 2;
-/// Time after a crash for which its request stays suspected.
-const SUSPICION_TIME: Duration = Duration::from_mins(10);
 /// Wait after a crash for notices from peers that ran the same request.
 const PEER_NOTICE_WAIT: Duration = Duration::from_millis(50);
 /// Most suspected and quarantined requests remembered.
@@ -188,7 +186,7 @@
         if !state.add_victim(now, victim) {
             return None;
         }
-        if state.victims.len() == 1 {
+        if state.victims.len() == 1 && !self.flagged.contains(fingerprint) {
             self.flagged.push_back(*fingerprint);
         }
         let ttl = self.quarantine_if_due(now, fingerprint);
--- a/src/scheduler/suspect_requests/fingerprint_state.rs
+++ b/src/scheduler/suspect_requests/fingerprint_state.rs
@@ -3,6 +3,9 @@
 use crate::prelude::*;
 use crate::scheduler::fleet::TargetIx;
 
+/// Time after a crash for which its request stays suspected.
+pub(super) const SUSPICION_TIME: Duration = Duration::from_mins(10);
+
 /// Runs and crashes of the requests with one fingerprint.
 #[derive(Debug, Default)]
 pub(super) struct FingerprintState {
@@ -28,8 +31,17 @@
         unused && self.victims.is_empty() && self.quarantined_until.is_none()
     }
 
+    /// Forgets the victims if the last died so long ago that the request is not suspected any more.
+    fn forget_old_victims(&mut self, now: Timestamp) {
+        let quarantined = self.quarantined_until.is_some_and(|until| now < until);
+        if !quarantined && now >= self.last_death + SUSPICION_TIME {
+            self.victims.clear();
+        }
+    }
+
     /// Adds a victim; `false` when it was known already.
     pub(super) fn add_victim(&mut self, now: Timestamp, victim: &Name) -> bool {
+        self.forget_old_victims(now);
         if self.victims.contains(victim) {
             return false;
         }
--- a/tests/scheduler/quarantine.rs
+++ b/tests/scheduler/quarantine.rs
@@ -199,3 +199,45 @@
     }
     assert!(target.is_some(), "the request was held back");
 }
+
+/// Ends two targets in which the same request runs, so long after each other; returns whether it is
+/// quarantined then.
+fn quarantined_by_deaths(apart: Duration) -> bool {
+    let mut scheduler = entry_scheduler(1);
+    for (id, at) in [(1, ms(1_000)), (2, ms(1_000) + apart)] {
+        let patient = policy(PriorityClass::Patient, 60_000);
+        let mut req = arrival(id, "a", &patient);
+        req.fingerprint = key(7);
+        let target = dispatch_target(&mut scheduler, at, Event::Arrive(req), id).unwrap();
+        let lost = Event::AttemptEnded {
+            id: RequestId(id),
+            attempt: 1,
+            outcome: AttemptOutcome::Lost,
+        };
+        scheduler.on(at, lost, &mut Vec::new());
+        let signal = Signal::Unreachable;
+        scheduler.on(at, Event::Signal { target, signal }, &mut Vec::new());
+        scheduler.on(at, Event::CallerLeft(RequestId(id)), &mut Vec::new());
+    }
+    let mut effects = Vec::new();
+    let mut req = arrival(3, "a", &policy(PriorityClass::Patient, 60_000));
+    req.fingerprint = key(7);
+    scheduler.on(ms(2_000) + apart, Event::Arrive(req), &mut effects);
+    let refused = |e: &Effect| {
+        matches!(
+            e,
+            Effect::Refuse {
+                refusal: Refusal::Quarantined { .. },
+                ..
+            }
+        )
+    };
+    effects.iter().any(refused)
+}
+
+/// Guards against a request that is refused for the end of two targets many minutes apart.
+#[test]
+fn deaths_long_after_each_other_quarantine_no_request() {
+    assert!(quarantined_by_deaths(Duration::from_mins(1)));
+    assert!(!quarantined_by_deaths(Duration::from_mins(16)));
+}
