guavahold-entry answers 503 before it knows any catalog

Callers saw: 401, unknown customer, from an entry that had just started and knew no customers yet. A caller takes that for a wrong token and does not come back.

Cause: the index of an entry without a catalog is empty, and a token that it does not hold was taken for an unknown one. The entry now refuses as no-catalog (503, not run, with a time to retry) while its catalog has no revision.

configuration_not_known_yet_refuses_callers_as_unavailable (real processes, platform down) fails before with 401 and passes after.

--- a/rig/tests/configuration.rs
+++ b/rig/tests/configuration.rs
@@ -10,6 +10,7 @@
 use guavahold::platform::Role;
 use guavahold_rig::client::Call;
 use guavahold_rig::fleet::{run_with_timeout, set_faults, wait_until, wait_until_ok};
+use guavahold_rig::test_cluster::SALON;
 use guavahold_rig::{Fleet, Process};
 use http_types::Method;
 use serde_json::json;
@@ -112,3 +113,20 @@
         assert_eq!(response.status, 503);
     });
 }
+
+/// Guards against an entry that calls a customer unknown before it knows any.
+#[test]
+fn configuration_not_known_yet_refuses_callers_as_unavailable() {
+    run_with_timeout(async {
+        let mut fleet = Fleet::start().unwrap();
+        fleet.platform.kill();
+        let entry = fleet.start_entry("entry-a", "a", &json!({})).unwrap();
+        let body = r#"{"model": "router", "messages": [{"role": "user", "content": "x"}]}"#;
+        let chat = Call::new(Method::Post, "/v1/chat/completions");
+        let chat = chat.bearer_token(SALON).body(body);
+        let response = chat.send(entry.address("callers")).await.unwrap();
+        assert_eq!(response.status, 503, "{:?}", response.json());
+        assert_eq!(response.run_state.as_deref(), Some("not-run"));
+        assert!(response.json()["retry_after_ms"].is_u64());
+    });
+}
--- a/src/caller/handler.rs
+++ b/src/caller/handler.rs
@@ -17,6 +17,8 @@
 
 /// Prefix of the paths of plain services.
 const SERVICE_PATH_PREFIX: &str = "/services/";
+/// Pause before a caller may retry at an entry that knows no catalog yet.
+const NO_CATALOG_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Handler of the callers' port: chat completions and requests to plain services.
 pub struct CallerHandler(pub Arc<Shared>);
@@ -59,6 +61,9 @@
     let trace = trace_context(&incoming);
     let span = shared.spans.start(&trace, "admission");
     let catalog_index = shared.catalog_index.load();
+    if catalog_index.catalog.revision == 0 {
+        return Err(no_catalog());
+    }
     let customer = catalog_index.authenticate(incoming.header("authorization"));
     let authenticated = AuthenticatedRequest {
         customer: customer.ok_or_else(unknown_customer)?,
@@ -240,6 +245,12 @@
     )
 }
 
+fn no_catalog() -> Problem {
+    let detail = "this entry has just started and knows no catalog yet";
+    Problem::not_run(StatusCode::ServiceUnavailable, "no-catalog", detail)
+        .with_retry_after(NO_CATALOG_RETRY_PAUSE)
+}
+
 fn unknown_customer() -> Problem {
     let detail = "expected Authorization: Bearer with a customer's token";
     Problem::not_run(StatusCode::Unauthorized, "unknown-customer", detail)
