The metric guavahold_queued counts the requests that wait

Operators saw: guavahold-entry reported all of its open requests, running ones too, as waiting for a target. It set the metric from the number of open requests; the scheduler's queue is what its help text names.

metrics_queued_counts_requests_that_wait (six calls, an engine of two slots) fails before and passes after.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -278,8 +278,8 @@
                 .invariants
                 .inc_by(broken.saturating_sub(counted));
             counted = broken;
-            let open = i64::try_from(self.shared.scheduler.open_requests()).unwrap_or(i64::MAX);
-            self.shared.metrics.queued.set(open);
+            let queued = i64::try_from(self.shared.scheduler.queued()).unwrap_or(i64::MAX);
+            self.shared.metrics.queued.set(queued);
         }
     }
 
