--- a/src/scheduler/backoff.rs
+++ b/src/scheduler/backoff.rs
@@ -2,10 +2,11 @@
 
 use crate::prelude::*;
 
-/// Exponential backoff: the upper bound of the delay doubles with each try, up to `cap`.
+/// Exponential backoff: the upper bound of the delay grows from `base` to `cap`, with the number of tries
+/// or with the time for which they have failed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Backoff {
-    /// Upper bound of the delay after zero tries.
+    /// Smallest upper bound.
     pub(super) base: Duration,
     /// Largest upper bound.
     pub(super) cap: Duration,
