Requests that run once are sent on new connections; only proof counts as not run

What callers saw: with real processes, a booking ran twice, or ran although it had been refused with a status that promises that it had not.

Cause: bytes that arrived on a kept connection were taken as proof about the request sent last, though an additional refusal, or the late copy of one, belongs to no request; and a target's 408, 429 or 503 was passed on without the statement (Not-Executed) that alone proves it. The class: a promise is made without a proof that belongs to the request.

A request that must run once goes on a connection that carried nothing, on which the first response is its own, so that a refusal without an ID stays usable there; a request that was refused on a connection is not sent on it again. On kept connections a refusal that may belong to another request lets a repeatable request be sent again, but its caller is not told that it has not run. An unproven 408, 429 or 503 to a request that must run once becomes 502 without the target's stamp.

The log names the connection of each attempt and each response that was skipped (`response_skipped`); `guavahold explain` shows both.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,11 +3,11 @@
 mod encoding;
 mod send_check;
 mod stream;
+mod trace;
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use futures_lite::FutureExt;
 
@@ -15,19 +15,22 @@
 use crate::gateway::admitted_request::AdmittedRequest;
 use crate::gateway::attempt_error::{AttemptError, TargetResponse};
 use crate::gateway::caller_response::CallerResponse;
+use crate::gateway::connection_pool::ConnectionNeeds;
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::response_reader::{ResponseError, ResponseReader};
 use crate::gateway::shared::{Shared, TargetObservation};
+use crate::gateway::target_connection::TargetConnection;
 use crate::gateway::target_limits::Exchange;
 use crate::gateway::target_paths::ExchangeGuard;
 use crate::gateway::target_stream::TargetStream;
-use crate::gateway::{ResponseInfo, TargetPresence};
+use crate::gateway::{
+    ConnectionHistory, ExpectedResponse, ResponseInfo, ResponseMeaning, TargetPresence,
+};
 use crate::prelude::*;
 use crate::reachability::Path;
 use crate::scheduler::{Event, LoadEstimate, Signal};
 
-/// Factor of the fetches in an attempt's transfer counts, which share one atomic integer.
-pub(crate) const FETCH_COUNT_FACTOR: usize = 1_000;
+pub(crate) use trace::AttemptTrace;
 
 /// Largest head and body that are sent in one write, in bytes.
 const MAX_SINGLE_WRITE_BYTES: usize = 16 * 1024;
@@ -55,6 +58,13 @@
     pub estimate: LoadEstimate,
 }
 
+/// A response of a target, and what it means for the request.
+struct Received {
+    response: TargetResponse,
+    meaning: ResponseMeaning,
+    info: ResponseInfo,
+}
+
 /// Resets the connection when dropped before the exchange has completed.
 struct ResetOnDrop<'a>(Option<&'a TargetStream>);
 
@@ -74,15 +84,10 @@
     pub request: &'a AdmittedRequest,
     /// Target and weight version.
     pub assignment: &'a Assignment,
-    /// Transfers from and to context stores, for the log: the number of fetches times
-    /// [`FETCH_COUNT_FACTOR`], plus the number of saves.
-    pub transfer_counts: &'a AtomicUsize,
-    /// Set when the target has begun its answer: with the first whole event of a stream.
-    pub answer_began: &'a AtomicBool,
+    /// What the log says of it.
+    pub trace: &'a AttemptTrace,
     /// The scheduler's handle of the request, to which the first event is reported.
     pub handle: &'a ScheduledRequest,
-    /// Set to the peer that relays the connection to the target, for the log.
-    pub relay: &'a OnceLock<Name>,
 }
 
 impl Attempt<'_> {
@@ -96,12 +101,16 @@
         let idle = if self.assignment.within_limit || self.assignment.within_warm_up {
             None
         } else {
+            let needs = ConnectionNeeds {
+                request: &self.request.head.id,
+                run_once,
+                relays: self.request.allowed_relays(),
+            };
             let connections = &self.shared.connections;
-            let relays = self.request.allowed_relays();
-            connections.take(self.assignment.address, run_once, relays)
+            connections.take(self.assignment.address, needs)
         };
-        if let Some(stream) = idle {
-            let result = self.exchange(stream, response).await;
+        if let Some(connection) = idle {
+            let result = self.exchange(connection, response).await;
             // The target may have closed the idle connection meanwhile, which is no failure of the
             // target.
             let dropped = matches!(
@@ -143,57 +152,66 @@
                 AttemptError::NotSent
             }
         })?;
-        self.exchange(stream, response).await
+        self.exchange(stream.into(), response).await
     }
 
     async fn exchange(
         &self,
-        stream: TargetStream,
+        mut connection: TargetConnection,
         response: &mut CallerResponse<'_>,
     ) -> Result<TargetResponse, AttemptError> {
-        if let Some(peer) = stream.peer() {
-            let _ = self.relay.set(peer.clone());
-        }
+        let history = connection.history(&self.request.head.id);
+        let stream = &connection.stream;
+        self.trace.record_connection(history, stream.peer());
         // Waiting in a queue and connecting may have taken long.
         if let Err(error) = self.check_send(response) {
             let addr = self.assignment.address;
-            self.shared.connections.put(addr, stream, None);
+            self.shared.connections.put(addr, connection, None);
             return Err(error);
         }
         let head = self.encode(response);
         let sent_completely = AtomicBool::new(false);
         let send = async {
-            let written = self.send(&stream, &head).await;
+            let written = self.send(stream, &head).await;
             // The reading side reports a failure as well, after an early response if there is one.
             sent_completely.store(written.is_ok(), Ordering::Release);
             std::future::pending().await
         };
-        let mut reset_on_drop = ResetOnDrop(Some(&stream));
+        let mut reset_on_drop = ResetOnDrop(Some(stream));
         let target = &self.assignment.target;
         let own = stream.peer().is_none();
         let exchange = own.then(|| self.shared.paths.begin_exchange(self.shared.now(), target));
-        let mut reader = ResponseReader::new(&stream, || {
+        let mut reader = ResponseReader::new(stream, || {
             if let Some(exchange) = &exchange {
                 exchange.record_bytes(self.shared.now());
             }
         });
-        let sent_at = self.shared.now();
-        let received = self.receive(&mut reader, response, sent_at);
+        let received = self.receive(&mut reader, response, history);
         let hanging = self.until_path_lost(exchange.as_ref());
-        let (received, info) = received.or(send).or(hanging).await?;
+        let Received {
+            response,
+            meaning,
+            info,
+        } = received.or(send).or(hanging).await?;
         reset_on_drop.0 = None;
         drop(reset_on_drop);
         let reusable = reader.is_clean() && sent_completely.load(Ordering::Acquire) && !info.close;
         drop(reader);
         if reusable {
+            if meaning == ResponseMeaning::NotRun {
+                connection.record_refused(&self.request.head.id);
+            } else {
+                connection.record_answered();
+            }
             let addr = self.assignment.address;
-            self.shared.connections.put(addr, stream, info.idle_timeout);
+            let connections = &self.shared.connections;
+            connections.put(addr, connection, info.idle_timeout);
         }
-        match received {
-            TargetResponse::Complete(head, _) if head.info.run.is_not_run() => {
-                Err(AttemptError::Refused(head.info))
-            }
-            received => Ok(received),
+        match meaning {
+            ResponseMeaning::NotRun => Err(AttemptError::Refused(info)),
+            ResponseMeaning::PerhapsNotRun => Err(AttemptError::PerhapsRefused(info)),
+            ResponseMeaning::UnprovenRefusal => Ok(TargetResponse::UnprovenRefusal),
+            ResponseMeaning::Answer | ResponseMeaning::Foreign => Ok(response),
         }
     }
 
@@ -232,10 +250,16 @@
         &self,
         reader: &mut ResponseReader<'_>,
         response: &mut CallerResponse<'_>,
-        sent_at: Timestamp,
-    ) -> Result<(TargetResponse, ResponseInfo), AttemptError> {
-        let head = reader.read_head(&self.request.head, &*self.shared.dialect);
-        let head = head.await.map_err(AttemptError::Response)?;
+        connection: ConnectionHistory,
+    ) -> Result<Received, AttemptError> {
+        let sent_at = self.shared.now();
+        let expected = ExpectedResponse {
+            request: &self.request.head.id,
+            run_once: !self.request.route.is_repeatable(),
+            connection,
+        };
+        let head = reader.read_head(expected, &*self.shared.dialect);
+        let (head, meaning) = head.await.map_err(AttemptError::Response)?;
         self.observe(&head, sent_at);
         if head.info.encoded || (head.is_success() && !head.info.from_target) {
             return Err(AttemptError::Response(ResponseError::Malformed));
@@ -243,13 +267,21 @@
         let info = head.info.clone();
         if self.request.route.is_streaming() && head.is_success() {
             self.relay_stream(&head, reader, response).await?;
-            return Ok((TargetResponse::Streamed, info));
+            return Ok(Received {
+                response: TargetResponse::Streamed,
+                meaning,
+                info,
+            });
         }
         let body = reader
             .read_body(&head, &self.shared.response_buffers)
             .await
             .map_err(AttemptError::Response)?;
-        Ok((TargetResponse::Complete(head, body), info))
+        Ok(Received {
+            response: TargetResponse::Complete(head, body),
+            meaning,
+            info,
+        })
     }
 
     /// Reports what a response says about its target: that it is leaving, wants a pause, is
--- a/src/gateway/attempt/encoding.rs
+++ b/src/gateway/attempt/encoding.rs
@@ -1,11 +1,10 @@
 //! Head of the request to a target, with the transfers from and to context stores.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 
 use crate::context_store::{FETCH_TIMEOUT, TransferPlan};
 use crate::gateway::Dispatch;
-use crate::gateway::attempt::{Attempt, FETCH_COUNT_FACTOR};
+use crate::gateway::attempt::Attempt;
 use crate::gateway::caller_response::CallerResponse;
 use crate::prelude::*;
 
@@ -59,8 +58,8 @@
             plan.fetch.clear();
         }
         let count = |stores: &[Option<SocketAddr>]| stores.iter().flatten().count();
-        let counts = count(&plan.fetch) * FETCH_COUNT_FACTOR + count(&plan.save);
-        self.transfer_counts.store(counts, Ordering::Relaxed);
+        self.trace
+            .record_transfers(count(&plan.fetch), count(&plan.save));
         plan
     }
 
--- a/src/gateway/attempt/stream.rs
+++ b/src/gateway/attempt/stream.rs
@@ -1,7 +1,5 @@
 //! Relaying of a response stream to the caller.
 
-use std::sync::atomic::Ordering;
-
 use crate::gateway::attempt::Attempt;
 use crate::gateway::attempt_error::AttemptError;
 use crate::gateway::caller_response::CallerResponse;
@@ -68,7 +66,7 @@
             let whole = take_events(&mut events, response.last_event);
             if !whole.is_empty() {
                 if std::mem::take(&mut first) {
-                    self.answer_began.store(true, Ordering::Relaxed);
+                    self.trace.record_answer_began();
                     self.shared.prompt_quarantine.record_answer(self.request);
                     self.handle.report_first_token(self.assignment.number);
                     self.announce_origin(response);
--- a/src/gateway/attempt_error.rs
+++ b/src/gateway/attempt_error.rs
@@ -13,6 +13,8 @@
     Complete(ResponseHead, Vec<u8>),
     /// A stream, which was relayed to its end.
     Streamed,
+    /// A response whose status says without proof that the request has not run.
+    UnprovenRefusal,
 }
 
 /// Why an attempt got no response.
@@ -31,6 +33,9 @@
     Evacuated,
     /// The target stated that it did not run the request.
     Refused(ResponseInfo),
+    /// The target likely refused the request, but may run it: nothing shows that the refusal is its
+    /// own.
+    PerhapsRefused(ResponseInfo),
     /// No valid response was received, and the target may have run the request.
     Response(ResponseError),
     /// The own connection on which the request was sent hangs, while peers reach the target.
@@ -45,7 +50,7 @@
         match self {
             Self::NotSent => AttemptOutcome::NotSent,
             Self::Withheld | Self::OutsideRegions | Self::Evacuated => AttemptOutcome::Withheld,
-            Self::Refused(info) => AttemptOutcome::Refused {
+            Self::Refused(info) | Self::PerhapsRefused(info) => AttemptOutcome::Refused {
                 retry_after: info.retry_after,
             },
             Self::Response(ResponseError::NoResponse) => AttemptOutcome::Lost,
@@ -72,6 +77,9 @@
                 write!(f, "misdirected (another target or weights {weights})")
             }
             Self::Refused(_) => f.write_str("not-run (the target refused it)"),
+            Self::PerhapsRefused(_) => {
+                f.write_str("perhaps-not-run (a refusal that may belong to another request)")
+            }
             Self::Response(ResponseError::NoResponse) => {
                 f.write_str("lost (connection ended without an answer)")
             }
--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -10,6 +10,8 @@
 use futures_lite::FutureExt;
 
 use crate::clock::coarse_sleep;
+use crate::gateway::ConnectionHistory;
+use crate::gateway::target_connection::TargetConnection;
 use crate::gateway::target_stream::TargetStream;
 use crate::http::enable_dead_peer_detection;
 use crate::prelude::*;
@@ -19,6 +21,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum number of idle connections for each target.
 const MAX_IDLE_PER_TARGET: usize = 32;
+/// Maximum number of requests refused on a connection that is kept.
+const MAX_REFUSED_ON_CONNECTION: usize = 16;
 /// Idle timeout of a target that does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Share of the stated idle timeout in which a connection is reused, since the target measures from
@@ -28,8 +32,32 @@
 /// meanwhile, they cannot be sent again on a new one.
 const RUN_ONCE_IDLE_TIMEOUT_SHARE: f64 = 0.4;
 
+/// What a request requires of a connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionNeeds<'a> {
+    /// ID of the request.
+    pub request: &'a str,
+    /// Whether the request may run at most once.
+    pub run_once: bool,
+    /// Failure domains of the peers that may relay it, if any are named.
+    pub relays: Option<&'a AllowedDomains>,
+}
+
+impl ConnectionNeeds<'_> {
+    /// Whether a connection may carry the request. Bytes on a connection that was used may belong to
+    /// no request, so that they prove nothing about one that must not run twice.
+    fn are_met_by(&self, connection: &TargetConnection) -> bool {
+        let fits = match connection.history(self.request) {
+            ConnectionHistory::New => true,
+            ConnectionHistory::Kept => !self.run_once,
+            ConnectionHistory::RefusedBefore => false,
+        };
+        fits && connection.stream.is_allowed(self.relays)
+    }
+}
+
 struct IdleConnection {
-    stream: TargetStream,
+    connection: TargetConnection,
     idle_since: Instant,
     idle_timeout: Duration,
 }
@@ -47,31 +75,29 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection; for a request that must not run twice, only one
-    /// that is far from its idle timeout. Only peers in the failure domains `relays`, if any are
-    /// named, may relay it.
+    /// Takes the most recently used connection that meets the needs of a request; for one that must
+    /// not run twice, only a connection that is far from its idle timeout.
     pub(crate) fn take(
         &self,
         addr: SocketAddr,
-        run_once: bool,
-        relays: Option<&AllowedDomains>,
-    ) -> Option<TargetStream> {
-        let share = if run_once {
+        needs: ConnectionNeeds<'_>,
+    ) -> Option<TargetConnection> {
+        let share = if needs.run_once {
             RUN_ONCE_IDLE_TIMEOUT_SHARE
         } else {
             IDLE_TIMEOUT_SHARE
         };
         let mut idle = self.lock();
         let connections = idle.get_mut(&addr)?;
-        let usable = |idle: &IdleConnection| idle.stream.is_allowed(relays);
+        let usable = |idle: &IdleConnection| needs.are_met_by(&idle.connection);
         while let Some(at) = connections.iter().rposition(usable) {
             // The others have been idle for longer.
             if !connections[at].is_within(share) {
                 return None;
             }
-            let last = connections.remove(at);
+            let last = connections.remove(at).connection;
             if !last.stream.is_stale() {
-                return Some(last.stream);
+                return Some(last);
             }
         }
         None
@@ -82,14 +108,18 @@
     pub(crate) fn put(
         &self,
         addr: SocketAddr,
-        stream: TargetStream,
+        connection: impl Into<TargetConnection>,
         idle_timeout: Option<Duration>,
     ) {
+        let connection = connection.into();
+        if connection.refused_count() > MAX_REFUSED_ON_CONNECTION {
+            return;
+        }
         let mut idle = self.lock();
         let connections = idle.entry(addr).or_default();
         if connections.len() < MAX_IDLE_PER_TARGET {
             connections.push(IdleConnection {
-                stream,
+                connection,
                 idle_since: Instant::now(),
                 idle_timeout: idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT),
             });
@@ -121,7 +151,7 @@
 
     fn retain(&self, addr: SocketAddr, keep: impl Fn(&TargetStream) -> bool) {
         if let Some(connections) = self.lock().get_mut(&addr) {
-            connections.retain(|idle| keep(&idle.stream));
+            connections.retain(|idle| keep(&idle.connection.stream));
         }
     }
 
--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -1,7 +1,5 @@
 //! Runs the attempts of one request, until its final outcome.
 
-use std::sync::OnceLock;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Instant;
 
 use futures_lite::FutureExt;
@@ -11,7 +9,7 @@
 use crate::gateway::RunReport;
 use crate::gateway::admitted_request::AdmittedRequest;
 use crate::gateway::arrival::version_of;
-use crate::gateway::attempt::{Assignment, Attempt, FETCH_COUNT_FACTOR};
+use crate::gateway::attempt::{Assignment, Attempt, AttemptTrace};
 use crate::gateway::attempt_error::{AttemptError, TargetResponse};
 use crate::gateway::caller_response::CallerResponse;
 use crate::gateway::outcome::Outcome;
@@ -26,6 +24,9 @@
 use crate::prelude::*;
 use crate::scheduler::{AttemptOutcome, Effect, Event, Refusal, Signal};
 
+/// Label for the log of an attempt whose target refuses without stating that the request has not run.
+const UNPROVEN_REFUSAL: &str = "unproven (a refusal that does not state that it has not run)";
+
 /// Why a running attempt is stopped.
 enum Interruption {
     DeadlinePassed,
@@ -165,14 +166,10 @@
         }
         let sent_before = std::mem::replace(&mut self.may_have_been_sent, true);
         let started = Instant::now();
-        let transfer_counts = AtomicUsize::new(0);
-        let answer_began = AtomicBool::new(false);
-        let relay = OnceLock::new();
+        let trace = AttemptTrace::default();
         let result = {
             let attempt = Attempt {
-                transfer_counts: &transfer_counts,
-                answer_began: &answer_began,
-                relay: &relay,
+                trace: &trace,
                 shared: self.shared,
                 request: self.request,
                 assignment,
@@ -187,12 +184,12 @@
             quarantine.end_trial(self.request);
         }
         let label = match &result {
+            Ok(Ok(TargetResponse::UnprovenRefusal)) => Some(UNPROVEN_REFUSAL.to_owned()),
             Ok(Ok(_)) => None,
             Ok(Err(error)) => Some(error.to_string()),
             Err(interruption) => Some(interruption.label().to_owned()),
         };
-        let relay = relay.into_inner();
-        self.record_attempt(assignment, started, &transfer_counts, relay, label);
+        self.record_attempt(assignment, started, &trace, label);
         match result {
             Ok(Ok(received)) => self.on_response(assignment, received),
             Ok(Err(AttemptError::CallerLeft)) | Err(Interruption::CallerLeft) => {
@@ -200,8 +197,13 @@
             }
             Ok(Err(error)) => {
                 self.may_have_been_sent = sent_before
-                    || matches!(error, AttemptError::Response(_) | AttemptError::PathLost);
-                self.on_error(assignment, &error, answer_began.load(Ordering::Relaxed));
+                    || matches!(
+                        error,
+                        AttemptError::Response(_)
+                            | AttemptError::PathLost
+                            | AttemptError::PerhapsRefused(_)
+                    );
+                self.on_error(assignment, &error, trace.answer_began());
                 None
             }
             Err(Interruption::DeadlinePassed) => Some(self.deadline_outcome(response)),
@@ -237,20 +239,19 @@
         &mut self,
         assignment: &Assignment,
         started: Instant,
-        transfer_counts: &AtomicUsize,
-        relay: Option<Name>,
+        trace: &AttemptTrace,
         error: Option<String>,
     ) {
-        let counts = transfer_counts.load(Ordering::Relaxed);
         self.request_log.push(AttemptRecord {
             target: assignment.target.clone(),
             weights: assignment.weights,
             software: assignment.software.clone(),
             started_after: started.saturating_duration_since(self.request.arrived),
             duration: started.elapsed(),
-            transfers: (counts / FETCH_COUNT_FACTOR, counts % FETCH_COUNT_FACTOR),
+            transfers: trace.transfers(),
             estimate: assignment.estimate,
-            relay,
+            relay: trace.relay().cloned(),
+            connection: trace.connection(),
             error,
         });
     }
@@ -267,6 +268,11 @@
                     .report_end(assignment.number, AttemptOutcome::Done);
                 Some(Outcome::Streamed)
             }
+            TargetResponse::UnprovenRefusal => {
+                self.handle
+                    .report_end(assignment.number, AttemptOutcome::TargetError);
+                Some(Outcome::LocalResponse(unknown_fate()))
+            }
             TargetResponse::Complete(head, body)
                 if head.status >= 500 && self.request.route.is_repeatable() =>
             {
@@ -318,7 +324,7 @@
         if error.outcome().is_broken_off() {
             self.log_broken_off(assignment, answer_began);
         }
-        if let AttemptError::Refused(info) = error
+        if let AttemptError::Refused(info) | AttemptError::PerhapsRefused(info) = error
             && info.run == RunReport::Misdirected
         {
             // If another target responded at the address, the assigned one is gone; otherwise it is
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -6,7 +6,7 @@
 use crate::gateway::admitted_request::AdmittedRequest;
 use crate::gateway::caller_response::CallerResponse;
 use crate::gateway::shared::Shared;
-use crate::gateway::{LocalResponse, RequestHead};
+use crate::gateway::{ConnectionHistory, LocalResponse, RequestHead};
 use crate::name_hash::name_hash;
 use crate::prelude::*;
 use crate::scheduler::LoadEstimate;
@@ -77,6 +77,8 @@
     pub estimate: LoadEstimate,
     /// Peer that relayed the connection to the target, if any.
     pub relay: Option<Name>,
+    /// What the connection had carried on which the request was sent; `None` when it was not sent.
+    pub connection: Option<ConnectionHistory>,
     /// Why the attempt got no response; `None` when it got one.
     pub error: Option<String>,
 }
@@ -149,7 +151,7 @@
                 "event=attempt request={id} number={} target={} weights={} software={} work={} \
                  requests={} \
                  age_ms={} home_work={} after_ms={} took_ms={} fetched={} saved={} relay={} \
-                 result={:?}",
+                 connection={} result={:?}",
                 n + 1,
                 record.target,
                 record.weights.unwrap_or_default(),
@@ -163,6 +165,7 @@
                 record.transfers.0,
                 record.transfers.1,
                 record.relay.as_deref().unwrap_or("-"),
+                record.connection.map_or("-", ConnectionHistory::label),
                 record.error.as_deref().unwrap_or("answered")
             );
         }
--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -8,7 +8,7 @@
 use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::target_stream::TargetStream;
-use crate::gateway::{BodyReader, Dialect, RequestHead};
+use crate::gateway::{BodyReader, ConnectionHistory, Dialect, ExpectedResponse, ResponseMeaning};
 use crate::http::MessageError;
 use crate::prelude::*;
 
@@ -78,27 +78,36 @@
         self.received
     }
 
-    /// Reads the head of the response to `request`; responses to other requests are skipped.
+    /// Reads the head of the expected response; responses to other requests are skipped.
     pub(crate) async fn read_head(
         &mut self,
-        request: &RequestHead,
+        mut expected: ExpectedResponse<'_>,
         dialect: &dyn Dialect,
-    ) -> Result<ResponseHead, ResponseError> {
+    ) -> Result<(ResponseHead, ResponseMeaning), ResponseError> {
         loop {
             let head = self.read_any_head(dialect).await?;
             if head.is_interim() {
                 self.count_skipped()?;
                 continue;
             }
-            let is_expected = match &head.info.request {
-                Some(id) => *id == request.id,
-                // A refusal may lack the request ID; a success must have it.
-                None => head.info.run.is_not_run() || !head.is_success(),
-            };
-            if is_expected {
-                return Ok(head);
+            let meaning = expected.meaning(head.status, &head.info);
+            if meaning != ResponseMeaning::Foreign {
+                // The request's own response may follow.
+                self.not_reusable |= meaning == ResponseMeaning::PerhapsNotRun;
+                return Ok((head, meaning));
             }
+            log::info!(
+                "event=response_skipped request={} connection={} status={} of={} not_run={}",
+                expected.request,
+                expected.connection.label(),
+                head.status,
+                head.info.request.as_deref().unwrap_or("-"),
+                head.info.run.is_not_run()
+            );
             self.skip_response(&head).await?;
+            if expected.connection == ConnectionHistory::New {
+                expected.connection = ConnectionHistory::Kept;
+            }
         }
     }
 
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -189,6 +189,14 @@
     }
 }
 
+/// What the connection of an attempt had carried, if the log says so.
+fn connection(line: &LogLine) -> String {
+    match line.get("connection") {
+        "" | "-" => String::new(),
+        history => format!(" on a {history} connection"),
+    }
+}
+
 /// Names the peer that relayed the connection of an attempt; empty if none did.
 fn relay(line: &LogLine) -> String {
     match line.get("relay") {
@@ -233,15 +241,23 @@
             let _ = match line.get("event") {
                 "attempt" => writeln!(
                     out,
-                    "  {at} {vm} attempt {} at {}{} after {} ms, {} ms long: {}{}",
+                    "  {at} {vm} attempt {} at {}{}{} after {} ms, {} ms long: {}{}",
                     line.get("number"),
                     line.get("target"),
                     relay(line),
+                    connection(line),
                     line.get("after_ms"),
                     line.get("took_ms"),
                     line.get("result"),
                     load_estimate(line)
                 ),
+                "response_skipped" => writeln!(
+                    out,
+                    "  {at} {vm} skipped a response with status {} of request {} on a {} connection",
+                    line.get("status"),
+                    line.get("of"),
+                    line.get("connection")
+                ),
                 "request_relayed" => writeln!(
                     out,
                     "  {at} {vm} relayed it to {} for {}",
