--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -88,8 +88,6 @@
 pub struct ResponseInfo {
     /// What the target reports about the run.
     pub run: RunReport,
-    /// Whether the status tells callers that the request has not run, which does not prove it.
-    pub implies_not_run: bool,
     /// ID of the request that the response belongs to.
     pub request: Option<Name>,
     /// Name of the target.
--- a/src/gateway/response_meaning.rs
+++ b/src/gateway/response_meaning.rs
@@ -2,6 +2,9 @@
 
 use crate::gateway::ResponseInfo;
 
+/// Statuses that tell callers that their request has not run and never will.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// What a connection carried before a request was sent on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionHistory {
@@ -58,15 +61,15 @@
     pub fn meaning(&self, status: u16, info: &ResponseInfo) -> ResponseMeaning {
         match &info.request {
             Some(id) if **id != *self.request => ResponseMeaning::Foreign,
-            Some(_) => self.meaning_of_named(info),
+            Some(_) => self.meaning_of_named(status, info),
             None => self.meaning_of_unnamed(status, info),
         }
     }
 
     /// Meaning of a response that bears the request's ID.
-    fn meaning_of_named(&self, info: &ResponseInfo) -> ResponseMeaning {
+    fn meaning_of_named(&self, status: u16, info: &ResponseInfo) -> ResponseMeaning {
         if !info.run.is_not_run() {
-            return self.meaning_of_own(info);
+            return self.meaning_of_own(status);
         }
         // The refusal may be a copy of the earlier one.
         if self.connection == ConnectionHistory::RefusedBefore {
@@ -81,7 +84,7 @@
         match (info.run.is_not_run(), is_first) {
             (true, true) => ResponseMeaning::NotRun,
             (true, false) => self.meaning_of_doubtful_refusal(),
-            (false, true) if !(200..300).contains(&status) => self.meaning_of_own(info),
+            (false, true) if !(200..300).contains(&status) => self.meaning_of_own(status),
             (false, _) => ResponseMeaning::Foreign,
         }
     }
@@ -97,8 +100,8 @@
     }
 
     /// Meaning of the request's own response that does not state that it has not run.
-    fn meaning_of_own(&self, info: &ResponseInfo) -> ResponseMeaning {
-        if info.implies_not_run && self.run_once {
+    fn meaning_of_own(&self, status: u16) -> ResponseMeaning {
+        if self.run_once && NOT_RUN_STATUSES.contains(&status) {
             ResponseMeaning::UnprovenRefusal
         } else {
             ResponseMeaning::Answer
--- a/tests/response_meaning.rs
+++ b/tests/response_meaning.rs
@@ -5,7 +5,7 @@
 };
 
 use ConnectionHistory::{Kept, New, RefusedBefore};
-use Report::{Implied, Misdirected, Nothing, Stated};
+use Report::{Misdirected, Nothing, Stated};
 use ResponseMeaning::{Answer, Foreign, NotRun, PerhapsNotRun, UnprovenRefusal};
 
 const ALL_CONNECTIONS: [ConnectionHistory; 3] = [New, Kept, RefusedBefore];
@@ -22,8 +22,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Report {
     Nothing,
-    /// Its status tells callers that the request has not run.
-    Implied,
     /// It states that the request has not run.
     Stated,
     /// It comes from another target or weight version.
@@ -40,9 +38,9 @@
     (Id::Own, Nothing, 400, [Answer; 3], [Answer; 3]),
     (Id::Own, Nothing, 500, [Answer; 3], [Answer; 3]),
     (Id::Own, Nothing, 504, [Answer; 3], [Answer; 3]),
-    (Id::Own, Implied, 408, [UnprovenRefusal; 3], [Answer; 3]),
-    (Id::Own, Implied, 429, [UnprovenRefusal; 3], [Answer; 3]),
-    (Id::Own, Implied, 503, [UnprovenRefusal; 3], [Answer; 3]),
+    (Id::Own, Nothing, 408, [UnprovenRefusal; 3], [Answer; 3]),
+    (Id::Own, Nothing, 429, [UnprovenRefusal; 3], [Answer; 3]),
+    (Id::Own, Nothing, 503, [UnprovenRefusal; 3], [Answer; 3]),
     (Id::Own, Misdirected, 421, [NotRun, NotRun, Foreign], [NotRun, NotRun, PerhapsNotRun]),
     (Id::Own, Stated, 400, [NotRun, NotRun, Foreign], [NotRun, NotRun, PerhapsNotRun]),
     (Id::Own, Stated, 408, [NotRun, NotRun, Foreign], [NotRun, NotRun, PerhapsNotRun]),
@@ -54,9 +52,9 @@
     (Id::Absent, Nothing, 400, [Answer, Foreign, Foreign], [Answer, Foreign, Foreign]),
     (Id::Absent, Nothing, 500, [Answer, Foreign, Foreign], [Answer, Foreign, Foreign]),
     (Id::Absent, Nothing, 504, [Answer, Foreign, Foreign], [Answer, Foreign, Foreign]),
-    (Id::Absent, Implied, 408, [UnprovenRefusal, Foreign, Foreign], [Answer, Foreign, Foreign]),
-    (Id::Absent, Implied, 429, [UnprovenRefusal, Foreign, Foreign], [Answer, Foreign, Foreign]),
-    (Id::Absent, Implied, 503, [UnprovenRefusal, Foreign, Foreign], [Answer, Foreign, Foreign]),
+    (Id::Absent, Nothing, 408, [UnprovenRefusal, Foreign, Foreign], [Answer, Foreign, Foreign]),
+    (Id::Absent, Nothing, 429, [UnprovenRefusal, Foreign, Foreign], [Answer, Foreign, Foreign]),
+    (Id::Absent, Nothing, 503, [UnprovenRefusal, Foreign, Foreign], [Answer, Foreign, Foreign]),
     (Id::Absent, Misdirected, 421, [NotRun, Foreign, Foreign], [NotRun, PerhapsNotRun, PerhapsNotRun]),
     (Id::Absent, Stated, 400, [NotRun, Foreign, Foreign], [NotRun, PerhapsNotRun, PerhapsNotRun]),
     (Id::Absent, Stated, 429, [NotRun, Foreign, Foreign], [NotRun, PerhapsNotRun, PerhapsNotRun]),
@@ -64,7 +62,7 @@
     (Id::Absent, Stated, 503, [NotRun, Foreign, Foreign], [NotRun, PerhapsNotRun, PerhapsNotRun]),
     (Id::Absent, Stated, 504, [NotRun, Foreign, Foreign], [NotRun, PerhapsNotRun, PerhapsNotRun]),
     (Id::Other, Nothing, 200, [Foreign; 3], [Foreign; 3]),
-    (Id::Other, Implied, 503, [Foreign; 3], [Foreign; 3]),
+    (Id::Other, Nothing, 503, [Foreign; 3], [Foreign; 3]),
     (Id::Other, Misdirected, 421, [Foreign; 3], [Foreign; 3]),
     (Id::Other, Stated, 503, [Foreign; 3], [Foreign; 3]),
 ];
@@ -78,11 +76,10 @@
 ) -> ResponseMeaning {
     let info = ResponseInfo {
         run: match report {
-            Nothing | Implied => RunReport::Unknown,
+            Nothing => RunReport::Unknown,
             Stated => RunReport::NotRun,
             Misdirected => RunReport::Misdirected,
         },
-        implies_not_run: report == Implied,
         request: match id {
             Id::Own => Some("r1".into()),
             Id::Other => Some("r2".into()),
@@ -113,7 +110,7 @@
 
 #[test]
 fn response_meaning_of_a_response_that_may_be_foreign_is_never_proof() {
-    for report in [Nothing, Implied, Misdirected, Stated] {
+    for report in [Nothing, Misdirected, Stated] {
         for status in [200, 400, 408, 421, 429, 500, 503, 504] {
             for run_once in [false, true] {
                 let of = |id, connection| meaning(id, report, status, run_once, connection);
