Catalog simulation: platform, links, checks and steps in files of their own

589 lines held the whole simulated cluster; the cluster itself keeps 254. No name and no behaviour of a test changes: the tokens of all files below tests/ are the same as before as a multiset, but for visibility, imports and the braces of split impl blocks.

--- a/tests/catalog_cluster/cluster.rs
+++ b/tests/catalog_cluster/cluster.rs
@@ -1,17 +1,20 @@
 //! Simulation of replicas in a few failure domains, with their links and the platform.
 #![allow(dead_code)]
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod checks;
+mod links;
+mod platform;
+mod step;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use guavahold::catalog::{
-    Catalog, CatalogHead, Declarations, Policy, ReleaseNote, Replica, ReplicaEffect, ReplicaEvent,
-    ReplicaSettings, SnapshotRef, Trust,
+    Catalog, CatalogHead, Replica, ReplicaEffect, ReplicaEvent, ReplicaSettings,
 };
-use guavahold::peer::{BRIDGES_PER_DOMAIN, PeerInfo, PeerMessage, rendezvous_key};
 use guavahold::prelude::Name;
-use serde::{Deserialize, Serialize};
+pub use step::Step;
 
 /// Simulated time of one step.
 const STEP_TIME: Duration = Duration::from_millis(10);
@@ -21,57 +24,8 @@
 const HEARTBEAT_STEPS: u32 = 50;
 /// Time that a message between peers or a fast answer of the platform takes.
 const LATENCY: Duration = Duration::from_millis(20);
-const PEER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time after which an attempt to open a watch fails when the platform is unreachable.
-const WATCH_OPEN_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time within which an accepted note comes into force wherever a path exists.
-const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
-/// Time after a fault begins or ends until links and watchers have settled.
-const SETTLE_TIME: Duration = Duration::from_secs(5);
-/// Time that an answer of the slow platform takes.
-const SLOW_LATENCY: Duration = Duration::from_millis(1500);
 const ENTRIES_PER_DOMAIN: usize = 3;
 
-/// A step of a run: an operator's action, a fault, or time that passes.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Step {
-    /// Time passes, in hundreds of milliseconds.
-    Pass(u16),
-    /// The platform accepts a number of notes, one after the other.
-    Accept(u8),
-    /// Two operators write a note for the same revision; one is accepted.
-    Race,
-    /// Two failure domains cannot reach each other.
-    Cut(usize, usize),
-    /// Two failure domains can reach each other again.
-    Heal(usize, usize),
-    /// A domain cannot reach the platform: its calls time out and its open watches receive nothing.
-    CutPlatform(usize),
-    /// A domain can reach the platform again, on new connections.
-    HealPlatform(usize),
-    /// A single entry cannot reach the platform.
-    CutEntry(usize),
-    /// A single entry can reach the platform again, on new connections.
-    HealEntry(usize),
-    /// The platform fails all calls and ends all watches.
-    Down,
-    /// The platform answers again.
-    Up,
-    /// The platform answers slowly.
-    Slow,
-    /// The platform answers fast again.
-    Fast,
-    /// The open watches of a domain receive nothing any more; new ones work.
-    Silence(usize),
-    /// An entry's process is restarted.
-    Restart(usize),
-    /// An entry receives the head of an older revision again, as many revisions back as given.
-    OldEvent(usize, u8),
-    /// Messages between peers are lost for half a second.
-    LosePeers,
-}
-
 struct Node {
     name: Name,
     domain: usize,
@@ -180,30 +134,6 @@
         }
     }
 
-    /// Revision, readiness and watch of every entry.
-    pub fn outcome(&self) -> Vec<String> {
-        let nodes = self.nodes.iter();
-        nodes
-            .map(|n| {
-                let ready = if n.replica.is_ready() {
-                    "ready"
-                } else {
-                    "not ready"
-                };
-                let watching = if n.replica.is_watching() {
-                    ", watching"
-                } else {
-                    ""
-                };
-                format!(
-                    "{} {} {ready}{watching}",
-                    n.name,
-                    n.replica.catalog().revision
-                )
-            })
-            .collect()
-    }
-
     pub fn apply(&mut self, step: &Step) {
         match *step {
             Step::Pass(tenths) => {
@@ -248,73 +178,12 @@
         self.faults_changed_at = self.now;
     }
 
-    fn accept_note(&mut self) {
-        if self.down {
-            return;
-        }
-        let base = self.catalogs.last().unwrap().clone();
-        let note = note(base.revision, "shift");
-        let next = Arc::new(base.apply(&note).unwrap());
-        let mut head = self.heads.last().unwrap().clone();
-        head.revision = next.revision;
-        head.tail.push(note);
-        if head.tail.len() > CatalogHead::MAX_NOTES_SINCE_SNAPSHOT {
-            head.snapshot = SnapshotRef {
-                revision: next.revision,
-                id: next.revision.to_string().into(),
-                parts: 1,
-            };
-            head.tail
-                .drain(..head.tail.len() - CatalogHead::TAIL_AFTER_SNAPSHOT);
-        }
-        self.heads.push(head.clone());
-        self.catalogs.push(next);
-        self.accepted_at.push(self.now);
-        for n in 0..self.nodes.len() {
-            if self.nodes[n].watch == Some(true) {
-                self.nodes[n].seen_revision = head.revision;
-                self.post(LATENCY, n, ReplicaEvent::Head(head.clone()));
-            }
-        }
-    }
-
-    /// Accepts one of two notes for the same revision; the other one must not apply any more.
-    fn race(&mut self) {
-        let before = self.catalogs.len();
-        self.accept_note();
-        let refused = note(self.catalogs[before - 1].revision, "other");
-        let current = self.catalogs.last().unwrap();
-        assert!(self.down || current.apply(&refused).is_err());
-    }
-
-    fn go_down(&mut self) {
-        self.change_faults(|c| c.down = true);
-        for n in 0..self.nodes.len() {
-            if self.nodes[n].watch.take().is_some() {
-                self.post(LATENCY, n, ReplicaEvent::WatchFailed);
-            }
-        }
-    }
-
-    fn silence(&mut self, domain: usize) {
-        let nodes = self.nodes.iter_mut().filter(|n| n.domain == domain);
-        for node in nodes.filter(|n| n.watch.is_some()) {
-            node.watch = Some(false);
-        }
-    }
-
     fn restart(&mut self, n: usize) {
         let (name, domain) = (self.nodes[n].name.clone(), self.nodes[n].domain);
         self.nodes[n] = self.start_node(name, domain);
         self.faults_changed_at = self.now;
     }
 
-    fn old_event(&mut self, n: usize, back: u8) {
-        let newest = self.heads.len() - 1;
-        let old = self.heads[newest.saturating_sub(usize::from(back))].clone();
-        self.post(LATENCY, n, ReplicaEvent::Head(old));
-    }
-
     fn post(&mut self, after: Duration, n: usize, event: ReplicaEvent) {
         let at = (self.now + after, self.sequence);
         let incarnation = self.incarnation(n);
@@ -356,87 +225,6 @@
         self.check();
     }
 
-    fn domains_connected(&self, a: &Node, b: &Node) -> bool {
-        a.domain == b.domain || !self.cut.contains(&pair(a.domain, b.domain))
-    }
-
-    fn is_bridge(&self, node: &Node) -> bool {
-        let in_domain = self.nodes.iter().filter(|o| o.domain == node.domain);
-        let key = |n: &Node| rendezvous_key(&domain_name(n.domain), &n.name);
-        in_domain.filter(|o| key(o) < key(node)).count() < BRIDGES_PER_DOMAIN
-    }
-
-    fn is_linked(&self, a: &Node, b: &Node) -> bool {
-        a.name != b.name
-            && (a.domain == b.domain || (self.is_bridge(a) && self.is_bridge(b)))
-            && self.domains_connected(a, b)
-    }
-
-    /// Links come up at once; links to unreachable peers go down after the peer timeout.
-    fn update_links(&mut self, n: usize) {
-        let now = self.now;
-        let linked: Vec<_> = self
-            .nodes
-            .iter()
-            .filter(|o| self.is_linked(&self.nodes[n], o))
-            .map(|o| o.name.clone())
-            .collect();
-        let links = &mut self.nodes[n].links;
-        links.extend(linked.into_iter().map(|name| (name, now)));
-        links.retain(|_, reachable_at| now < *reachable_at + PEER_TIMEOUT);
-        let live: Vec<_> = links.keys().cloned().collect();
-        if live != self.nodes[n].live {
-            let infos = live.iter().map(|name| PeerInfo {
-                name: name.clone(),
-                domain: domain_name(usize::from(name.as_bytes()[0] - b'a')),
-                revision: 0,
-                since_ms: 0,
-                draining: false,
-            });
-            let infos = infos.collect();
-            self.nodes[n].live = live;
-            self.handle(n, ReplicaEvent::PeersChanged(infos));
-        }
-    }
-
-    fn send_heartbeat(&mut self, n: usize) {
-        let node = &self.nodes[n];
-        let heartbeat = PeerMessage::Heartbeat {
-            revision: node.replica.catalog().revision,
-            since_ms: 0,
-            draining: false,
-            watching: node.replica.is_watching(),
-        };
-        for to in node.live.clone() {
-            self.send(n, &to, &heartbeat);
-        }
-    }
-
-    fn send(&mut self, n: usize, to: &str, message: &PeerMessage) {
-        let to = self.nodes.iter().position(|o| &*o.name == to).unwrap();
-        if self.now < self.lossy_until || !self.is_linked(&self.nodes[n], &self.nodes[to]) {
-            return;
-        }
-        let from = self.nodes[n].name.clone();
-        let event = match message.clone() {
-            PeerMessage::Heartbeat {
-                revision, watching, ..
-            } => ReplicaEvent::Heartbeat {
-                from,
-                revision,
-                watching,
-            },
-            PeerMessage::Notes(notes) => ReplicaEvent::Notes { from, notes },
-            PeerMessage::WantCatalog => ReplicaEvent::CatalogRequest(from),
-            PeerMessage::WholeCatalog(catalog) => ReplicaEvent::Catalog { from, catalog },
-            other => panic!("unexpected {other:?}"),
-        };
-        if !matches!(event, ReplicaEvent::Heartbeat { .. }) {
-            self.relayed_bytes += guavahold::peer::encode(message).len();
-        }
-        self.post(LATENCY, to, event);
-    }
-
     fn handle(&mut self, n: usize, event: ReplicaEvent) {
         let mut effects = Vec::new();
         let now = self.now.saturating_sub(self.nodes[n].started);
@@ -453,109 +241,6 @@
             }
         }
     }
-
-    fn open_watch(&mut self, n: usize) {
-        self.watch_opens += 1;
-        if self.down {
-            self.post(LATENCY, n, ReplicaEvent::WatchFailed);
-        } else if !self.reaches_platform(n) {
-            self.post(WATCH_OPEN_TIMEOUT, n, ReplicaEvent::WatchFailed);
-        } else {
-            let answer = if self.slow { SLOW_LATENCY } else { LATENCY };
-            let at = (self.now + answer, self.sequence);
-            let incarnation = self.incarnation(n);
-            self.queue.insert(at, Delivery::Opened(n, incarnation));
-            self.sequence += 1;
-        }
-    }
-
-    fn on_opened(&mut self, n: usize) {
-        if self.down {
-            self.handle(n, ReplicaEvent::WatchFailed);
-            return;
-        }
-        self.nodes[n].watch = Some(self.reaches_platform(n));
-        let head = self.heads.last().unwrap().clone();
-        if self.nodes[n].seen_revision != head.revision {
-            self.nodes[n].seen_revision = head.revision;
-            self.handle(n, ReplicaEvent::Head(head));
-        }
-        self.handle(n, ReplicaEvent::WatchOpened);
-    }
-
-    fn read_snapshot(&mut self, n: usize, at: &SnapshotRef) {
-        let reachable = !self.down && self.reaches_platform(n);
-        let catalog = self.catalogs[usize::try_from(at.revision).unwrap()].clone();
-        let read = reachable.then_some(catalog);
-        self.post(LATENCY, n, ReplicaEvent::Snapshot(read));
-    }
-
-    fn reaches_platform(&self, n: usize) -> bool {
-        let domain = self.nodes[n].domain;
-        !self.cut_platform.contains(&domain) && !self.cut_entries.contains(&n)
-    }
-
-    /// Entries that reach the platform directly or through linked peers.
-    fn connected_to_platform(&self) -> BTreeSet<usize> {
-        let mut frontier: VecDeque<usize> = VecDeque::new();
-        if !self.down {
-            frontier.extend((0..self.nodes.len()).filter(|n| self.reaches_platform(*n)));
-        }
-        let mut seen: BTreeSet<usize> = frontier.iter().copied().collect();
-        while let Some(n) = frontier.pop_front() {
-            for other in 0..self.nodes.len() {
-                if self.is_linked(&self.nodes[n], &self.nodes[other]) && seen.insert(other) {
-                    frontier.push_back(other);
-                }
-            }
-        }
-        seen
-    }
-
-    /// Checks that every catalog in force was accepted and that no revision decreases. Once the
-    /// faults have settled, also that entries with a path to the platform are ready and have each
-    /// note in force in time.
-    fn check(&mut self) {
-        for node in &mut self.nodes {
-            let catalog = node.replica.catalog();
-            let accepted = &self.catalogs[usize::try_from(catalog.revision).unwrap()];
-            assert_eq!(
-                catalog, accepted,
-                "{} has a catalog in force that was never accepted",
-                node.name
-            );
-            let last_revision = *node.last_revision.get_or_insert(catalog.revision);
-            assert!(
-                catalog.revision >= last_revision,
-                "the revision of {} decreased",
-                node.name
-            );
-            node.last_revision = Some(catalog.revision);
-        }
-        let settled = self.now >= self.faults_changed_at + SETTLE_TIME + IN_FORCE_LIMIT;
-        if !settled || !self.steps.is_multiple_of(TICK_STEPS) {
-            return;
-        }
-        let due = self.accepted_at.iter();
-        let due = due
-            .take_while(|at| **at + IN_FORCE_LIMIT <= self.now)
-            .count()
-            - 1;
-        for n in self.connected_to_platform() {
-            let node = &self.nodes[n];
-            let revision = node.replica.catalog().revision;
-            assert!(
-                usize::try_from(revision).unwrap() >= due,
-                "{} has revision {revision} in force, but {due} was accepted 3 s ago",
-                node.name
-            );
-            assert!(
-                due == 0 || node.replica.is_ready(),
-                "{} is not ready",
-                node.name
-            );
-        }
-    }
 }
 
 fn domain_name(n: usize) -> Name {
@@ -567,23 +252,3 @@
 fn pair(a: usize, b: usize) -> (usize, usize) {
     (a.min(b), a.max(b))
 }
-
-/// The first note adds a policy, the second one trust in a target; later ones change that trust.
-fn note(against: u64, by: &str) -> ReleaseNote {
-    let trust = |checks_fencing| Declarations {
-        trust: [("engine-1".into(), Trust { checks_fencing })].into(),
-        ..Declarations::default()
-    };
-    let mut note = ReleaseNote {
-        against,
-        by: by.into(),
-        id: format!("{by}-{against}").into(),
-        ..ReleaseNote::default()
-    };
-    match against {
-        0 => note.added.policies = [("quick".into(), Policy::default())].into(),
-        1 => note.added = trust(false),
-        n => note.changed = trust(n % 2 == 0),
-    }
-    note
-}
