Scheduler simulation: samples, records, targets and their faults in files of their own

The samples are used by five test binaries, each of which needs some of them, therefore they are re-exported as a whole. No name and no behaviour of a test changes: the tokens of all files below tests/ are the same as before as a multiset, but for visibility, imports and the braces of split impl blocks.

--- a/tests/scheduler/simulation.rs
+++ b/tests/scheduler/simulation.rs
@@ -1,16 +1,23 @@
 //! Simulation of a scheduler and of targets with slots and service times, on virtual time.
 
+mod engine;
+mod faults;
+mod record;
+mod samples;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
-use guavahold::catalog::{Catalog, Customer, Policy, PriorityClass};
+pub use engine::Engine;
+use guavahold::catalog::{Catalog, Customer};
 use guavahold::prefix_keys::BlockKey;
 use guavahold::prelude::*;
 use guavahold::scheduler::{
-    Arrival, AttemptOutcome, Effect, Event, Refusal, RequestId, Scheduler, SchedulerSettings,
-    Signal, TargetInfo,
+    Arrival, AttemptOutcome, Effect, Event, RequestId, Scheduler, SchedulerSettings, Signal,
 };
 use guavahold::target::LoadReport;
+pub use record::{Outcome, RequestRecord};
+pub use samples::*;
 
 /// Prompt tokens that a target prefills per second.
 pub const PREFILL_RATE: u32 = 10_000;
@@ -18,78 +25,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 const PROBE_DURATION: Duration = Duration::from_millis(3);
 
-pub fn ms(n: u64) -> Timestamp {
-    Timestamp::from_millis(n)
-}
-
-pub fn key(n: u64) -> BlockKey {
-    BlockKey::from_bytes(*blake3::hash(&n.to_le_bytes()).as_bytes())
-}
-
-pub fn policy(class: PriorityClass, first_token_ms: u64) -> Arc<Policy> {
-    Arc::new(Policy {
-        class,
-        first_token_ms,
-        ..Policy::default()
-    })
-}
-
-pub fn target(name: &str, domain: &str) -> TargetInfo {
-    TargetInfo {
-        name: name.into(),
-        domain: domain.into(),
-        address: "127.0.0.1:9000".parse().unwrap(),
-        serves: "chat".into(),
-        leaving: false,
-        started_ms: 0,
-        software: Name::default(),
-    }
-}
-
-pub fn report(slots: u32) -> LoadReport {
-    LoadReport {
-        slots,
-        prefill_rate: PREFILL_RATE,
-        weights: vec!["v1".into()],
-        ..LoadReport::default()
-    }
-}
-
-pub fn arrival(id: u64, customer: &str, policy: &Arc<Policy>) -> Arrival {
-    Arrival {
-        id: RequestId(id),
-        customer: customer.into(),
-        serves: "chat".into(),
-        weights: ["v1".into()].into_iter().collect(),
-        policy: policy.clone(),
-        fingerprint: key(id),
-        affinity: key(id),
-        prompt_tokens: 200,
-        shared_tokens: 0,
-        stored_tokens: SmallVec::new(),
-        store_domain: None,
-        output_tokens: 0,
-        max_attempts: 0,
-        resumable: false,
-        software: None,
-        objective: Duration::ZERO,
-        allowed: None,
-    }
-}
-
-/// A simulated target.
-#[derive(Debug)]
-pub struct Engine {
-    pub info: TargetInfo,
-    pub slots: u32,
-    pub slowness: f64,
-    pub reachable: bool,
-    /// Number of attempts received.
-    pub received: u32,
-    running: Vec<(RequestId, u32)>,
-    waiting: VecDeque<(RequestId, u32)>,
-}
-
 /// An event of the simulation; attempts are given by request and number.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum SimEvent {
@@ -104,43 +39,6 @@
     Tick,
 }
 
-/// End of a request as its caller sees it.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Outcome {
-    Done,
-    Refused(Refusal),
-}
-
-/// Course of one request.
-#[derive(Clone, Debug)]
-pub struct RequestRecord {
-    pub arrival: Arrival,
-    pub arrived: Timestamp,
-    pub first_token: Option<Timestamp>,
-    pub attempts: u32,
-    pub end: Option<(Timestamp, Outcome)>,
-}
-
-impl RequestRecord {
-    /// Whether the first token came before its deadline and the response was complete.
-    pub fn is_in_time(&self) -> bool {
-        let in_time = |at: Timestamp| at <= self.arrived + self.arrival.policy.first_token();
-        matches!(self.end, Some((_, Outcome::Done))) && self.first_token.is_some_and(in_time)
-    }
-
-    /// Whether the response was complete, but its first token came after its deadline.
-    pub fn is_late(&self) -> bool {
-        matches!(self.end, Some((_, Outcome::Done))) && !self.is_in_time()
-    }
-
-    pub fn refusal(&self) -> Option<&Refusal> {
-        match &self.end {
-            Some((_, Outcome::Refused(refusal))) => Some(refusal),
-            _ => None,
-        }
-    }
-}
-
 /// A scheduler, its targets and the requests of callers.
 pub struct Simulation {
     pub now: Timestamp,
@@ -402,31 +300,6 @@
         }
     }
 
-    /// Kills a target and fails all requests there.
-    pub fn kill(&mut self, target: &str) {
-        let engine = self.engines.get_mut(target).unwrap();
-        engine.reachable = false;
-        self.killed.push(engine.info.name.clone());
-        let running = std::mem::take(&mut engine.running);
-        let waiting = std::mem::take(&mut engine.waiting);
-        for (id, attempt) in running.into_iter().chain(waiting) {
-            self.schedule(self.now + ms(2), SimEvent::Fail(id, attempt, true));
-        }
-    }
-
-    /// Kills all targets of a failure domain, or makes them reachable again.
-    pub fn set_domain_down(&mut self, domain: &str, down: bool) {
-        let in_domain = self.engines.values().filter(|e| *e.info.domain == *domain);
-        let names: Vec<Name> = in_domain.map(|e| e.info.name.clone()).collect();
-        for name in names {
-            if down {
-                self.kill(&name);
-            } else {
-                self.engines.get_mut(&name).unwrap().reachable = true;
-            }
-        }
-    }
-
     fn start_waiting(&mut self, target: &Name) {
         let engine = self.engines.get_mut(target).unwrap();
         while engine.running.len() < engine.slots as usize {
