--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -25,6 +25,8 @@
 mod simulation;
 #[path = "scheduler/software.rs"]
 mod software;
+#[path = "scheduler/test_scheduler.rs"]
+mod test_scheduler;
 #[path = "scheduler/timing.rs"]
 mod timing;
 #[path = "scheduler/traces.rs"]
--- a/tests/scheduler/pauses.rs
+++ b/tests/scheduler/pauses.rs
@@ -3,8 +3,8 @@
 use guavahold::catalog::PriorityClass;
 use guavahold::scheduler::{AttemptOutcome, Effect, Event, RequestId, Signal};
 
-use crate::refusals::TestScheduler;
 use crate::simulation::{ms, policy, report, target};
+use crate::test_scheduler::TestScheduler;
 
 /// Refuses the running request of a target, which asks for a pause.
 fn pause_by_refusal(scheduler: &mut TestScheduler, id: u64, pause: u64) {
--- a/tests/scheduler/recovery.rs
+++ b/tests/scheduler/recovery.rs
@@ -6,8 +6,8 @@
 use guavahold::prelude::*;
 use guavahold::scheduler::{Effect, Event, Placement, Refusal, SchedulerSettings, Signal};
 
-use crate::refusals::TestScheduler;
 use crate::simulation::{RequestRecord, Simulation, arrival, ms, policy};
+use crate::test_scheduler::TestScheduler;
 
 /// Ends the target at once and keeps it away for so long, in ms. Each probe fails `failures` times,
 /// since other schedulers of the same process probe it too. Returns after how many ms it is
