Claim table tests: entries and their claims in a file of their own

No name and no behaviour of a test changes: the tokens of all files below tests/ are the same as before as a multiset, but for visibility, imports and the braces of split impl blocks.

--- a/tests/claim_table.rs
+++ b/tests/claim_table.rs
@@ -1,6 +1,8 @@
 //! Claim tables of several entries over one platform, with faults of the platform, links and
 //! entries.
 
+#[path = "claim_table/fleet.rs"]
+mod fleet;
 #[path = "support/all.rs"]
 mod support;
 
@@ -9,76 +11,15 @@
 
 use async_executor::Executor;
 use async_io::Timer;
+use fleet::{Fleet, answer, claim, claim_until_granted, fleet, granted};
 use futures_lite::future::block_on;
 use guavahold::claim::{
-    BucketState, Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimTable, ClaimVerdict, Claims,
+    BucketState, ClaimError, ClaimOutcome, ClaimRequest, ClaimTable, ClaimVerdict, Claims,
     TimeBucket,
 };
 use guavahold::platform::{Object, Platform};
 use guavahold::prelude::*;
-use support::{ClaimNode, Fault, LocalNet, MemoryPlatform, TEST_SHARDS, claim_request};
-
-/// Entries that share one platform.
-struct Fleet {
-    platform: MemoryPlatform,
-    net: Arc<LocalNet>,
-    nodes: Vec<ClaimNode>,
-}
-
-fn fleet(entries: usize) -> Fleet {
-    let (platform, net) = (MemoryPlatform::new(), Arc::new(LocalNet::default()));
-    let start = |n| {
-        ClaimNode::start(
-            &net,
-            &platform,
-            &format!("entry-{n}"),
-            &format!("d{n}"),
-            TEST_SHARDS,
-        )
-    };
-    let nodes = (0..entries).map(start).collect();
-    Fleet {
-        platform,
-        net,
-        nodes,
-    }
-}
-
-fn claim(node: &ClaimNode, req: &ClaimRequest) -> Result<ClaimVerdict, ClaimError> {
-    block_on(node.table.claim(req.clone()))
-}
-
-fn granted(verdict: Result<ClaimVerdict, ClaimError>) -> Claim {
-    match verdict {
-        Ok(ClaimVerdict::Granted(claim)) => claim,
-        other => panic!("not granted: {other:?}"),
-    }
-}
-
-/// Claims repeatedly until the key is granted; panics after 30 seconds.
-fn claim_until_granted(node: &ClaimNode, req: &ClaimRequest) -> Claim {
-    let started = Instant::now();
-    loop {
-        let verdict = claim(node, req);
-        if let Ok(ClaimVerdict::Granted(claim)) = verdict {
-            return claim;
-        }
-        let waited = started.elapsed();
-        assert!(
-            waited < Duration::from_secs(30),
-            "the key was not granted in time: {verdict:?}"
-        );
-        block_on(Timer::after(Duration::from_millis(20)));
-    }
-}
-
-fn answer(text: &str) -> ClaimOutcome {
-    ClaimOutcome::Answered {
-        status: 200,
-        content_type: "text/plain".into(),
-        body: Some(text.into()),
-    }
-}
+use support::{Fault, TEST_SHARDS, claim_request};
 
 #[test]
 fn claim_fails_fast_while_the_platform_is_down() {
