Claims: an abandoned claimant is fenced within the limit of its record

What callers saw: nothing yet. Found by reading: each claim that took the key over from a claimant of the same process that had been abandoned added that claimant to the record, while a release kept to the limit of 16. Every write carries the whole object, so that a key whose claims are abandoned many times made all writes of its bucket larger, and counted against the room for other keys. Cause: the limit stood in BucketState::release only. Both ways now use ClaimRecord::fence. The oldest claimant beyond the limit is no longer fenced, as before for releases. Should its late claim be granted, it is found abandoned by the next claim; no run starts under it. Failed before (abandoned_claimants_are_fenced_within_limit): left had entry-0 to entry-99, right entry-84 to entry-99. After: passes, with claim, claim_bucket, claim_table and claim_traces (27 of 27).

--- a/src/claim/bucket_state.rs
+++ b/src/claim/bucket_state.rs
@@ -150,7 +150,7 @@
             && holder_status(&record.claimant) == HolderStatus::Abandoned
         {
             record.state = RecordState::Free;
-            record.fenced_claimants.push(record.claimant.clone());
+            record.fence(&record.claimant.clone());
         }
         if record.digest != digest && record.state != RecordState::Free {
             return Ok(ClaimVerdict::Mismatch);
@@ -213,12 +213,7 @@
         if record.state == RecordState::Held && record.claimant == *claimant {
             record.state = RecordState::Free;
         }
-        if !record.fenced_claimants.contains(claimant) {
-            if record.fenced_claimants.len() >= MAX_FENCED_CLAIMANTS {
-                record.fenced_claimants.remove(0);
-            }
-            record.fenced_claimants.push(claimant.clone());
-        }
+        record.fence(claimant);
     }
 
     /// Estimated size of the records without stored response bodies, in bytes.
@@ -281,6 +276,17 @@
         }
     }
 
+    /// Fences a claimant; beyond [`MAX_FENCED_CLAIMANTS`] the oldest one is no longer fenced.
+    fn fence(&mut self, claimant: &Name) {
+        if self.fenced_claimants.contains(claimant) {
+            return;
+        }
+        if self.fenced_claimants.len() >= MAX_FENCED_CLAIMANTS {
+            self.fenced_claimants.remove(0);
+        }
+        self.fenced_claimants.push(claimant.clone());
+    }
+
     /// Whether no run can start any more and the time to record an outcome has passed.
     fn is_outcome_overdue(
         &self,
