Peers: a hello message that is too large is refused by its frame's header

What callers saw: nothing yet. Found by reading: who reaches the peers' address could make an entry reserve and receive 64 MiB for each connection before the proof of the shared secret was asked for; the limit of 4 KiB was compared with the whole frame. A header without its payload kept the connection until the peer timeout. Cause: the WebSocket stream has one limit, which must hold a full catalog and cannot be changed later. Change: the handshake has a stream of its own, limited to 4 KiB. It reads single bytes, so that all that a peer sends behind its hello message is left on the socket for the stream of the link. A peer that accepted the connection sends nothing behind its hello message before it has received ours, so nothing is lost with the bytes that arrive together with its response to the upgrade.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -11,6 +11,7 @@
 mod event;
 mod gateway_digest;
 mod gateway_status;
+mod handshake_stream;
 mod link_counters;
 mod links;
 mod load_update;
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Receiver;
 use async_io::{Async, Timer};
-use async_tungstenite::tungstenite::protocol::WebSocketConfig;
+use async_tungstenite::tungstenite::protocol::{Role, WebSocketConfig};
 use async_tungstenite::tungstenite::{Bytes, Error as WsError, Message};
 use async_tungstenite::{
     WebSocketReceiver, WebSocketSender, WebSocketStream, accept_async_with_config,
@@ -12,6 +12,7 @@
 };
 use futures_lite::{FutureExt, StreamExt};
 
+use crate::peer::handshake_stream::HandshakeStream;
 use crate::peer::{
     CodecError, ConnId, MemberEvent, Mesh, PROTOCOL_VERSION, PeerMessage, decode, encode, relay,
 };
@@ -49,8 +50,10 @@
     let guard = mesh.count_handshake();
     let _ = stream.get_ref().set_nodelay(true);
     let handshake = async {
-        let ws = accept_async_with_config(stream, Some(config())).await?;
-        exchange_hello(mesh, ws).await
+        let stream = HandshakeStream::new(stream);
+        let config = config(MAX_HELLO_BYTES);
+        let ws = accept_async_with_config(stream, Some(config)).await?;
+        exchange_hello(mesh, ws, Role::Server).await
     };
     match with_timeout(mesh.peer_timeout, handshake).await {
         Ok((ws, purpose)) => {
@@ -72,8 +75,10 @@
         let stream = Async::<TcpStream>::connect(addr).await?;
         let _ = stream.get_ref().set_nodelay(true);
         let url = format!("ws://{addr}/peers");
-        let (ws, _) = client_async_with_config(url, stream, Some(config())).await?;
-        exchange_hello(mesh, ws).await
+        let stream = HandshakeStream::new(stream);
+        let config = config(MAX_HELLO_BYTES);
+        let (ws, _) = client_async_with_config(url, stream, Some(config)).await?;
+        exchange_hello(mesh, ws, Role::Client).await
     };
     match with_timeout(mesh.peer_timeout, handshake).await {
         Ok((ws, Purpose::Link(peer))) => run(mesh, ws, peer, Some(addr)).await,
@@ -88,12 +93,12 @@
     }
 }
 
-fn config() -> WebSocketConfig {
+fn config(max_message_bytes: usize) -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
-        .max_message_size(Some(MAX_MESSAGE_BYTES))
-        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+        .max_message_size(Some(max_message_bytes))
+        .max_frame_size(Some(max_message_bytes))
 }
 
 async fn with_timeout<T>(
@@ -111,15 +116,18 @@
     std::io::Error::new(std::io::ErrorKind::InvalidData, detail.into()).into()
 }
 
-/// Sends the own hello message, and verifies the proof in the peer's first message.
+/// Sends the own hello message, verifies the proof in the peer's first message, and returns a stream
+/// for the messages that follow. A peer sends them only once it has received the own hello message.
 async fn exchange_hello(
     mesh: &Arc<Mesh>,
-    mut ws: WsStream,
+    mut ws: WebSocketStream<HandshakeStream>,
+    role: Role,
 ) -> Result<(WsStream, Purpose), WsError> {
+    ws.get_mut().read_single_bytes();
     ws.send(Message::Binary(encode(&mesh.hello_message()).into()))
         .await?;
     let frame = match ws.next().await {
-        Some(Ok(Message::Binary(frame))) if frame.len() <= MAX_HELLO_BYTES => frame,
+        Some(Ok(Message::Binary(frame))) => frame,
         Some(Err(err)) => return Err(err),
         _ => return Err(handshake_error("expected a hello message")),
     };
@@ -156,6 +164,9 @@
     if !mesh.verify_proof(name, boot, &proof) {
         return Err(handshake_error("the proof in the hello message is invalid"));
     }
+    let socket = ws.into_inner().into_inner();
+    let config = config(MAX_MESSAGE_BYTES);
+    let ws = WebSocketStream::from_raw_socket(socket, role, Some(config)).await;
     Ok((ws, purpose))
 }
 
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -8,7 +8,7 @@
 use async_io::{Async, Timer, block_on};
 use async_tungstenite::tungstenite::Message;
 use futures_lite::future::Boxed;
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, StreamExt};
 use guavahold::claim::{ClaimError, ClaimKey, ClaimRequest, ClaimVerdict};
 use guavahold::peer::{
     ClaimServer, Mesh, PROTOCOL_VERSION, PeerEvents, PeerInfo, PeerLinks, PeerMessage, decode,
@@ -163,6 +163,16 @@
     });
 }
 
+fn hello(name: &str) -> PeerMessage {
+    PeerMessage::Hello {
+        protocol: PROTOCOL_VERSION,
+        name: name.into(),
+        domain: name[..1].into(),
+        boot: 5,
+        proof: Secret::new(SECRET).peer_proof(name, 5).into(),
+    }
+}
+
 /// Connects as a peer of the given name and sends its hello message.
 async fn raw_peer(
     name: &str,
@@ -171,19 +181,78 @@
     let stream = Async::<std::net::TcpStream>::connect(addr).await.unwrap();
     let url = format!("ws://{addr}/peers");
     let (mut ws, _) = async_tungstenite::client_async(url, stream).await.unwrap();
-    let hello = PeerMessage::Hello {
-        protocol: PROTOCOL_VERSION,
-        name: name.into(),
-        domain: name[..1].into(),
-        boot: 5,
-        proof: Secret::new(SECRET).peer_proof(name, 5).into(),
-    };
-    ws.send(Message::Binary(encode(&hello).into()))
+    ws.send(Message::Binary(encode(&hello(name)).into()))
         .await
         .unwrap();
     ws
 }
 
+/// A binary frame from a client, masked with zeros, whose header announces `len` bytes.
+fn frame_header(len: u64) -> Vec<u8> {
+    let mut header = vec![0x82, 0xff];
+    header.extend(len.to_be_bytes());
+    header.extend([0; 4]);
+    header
+}
+
+fn frame(message: &PeerMessage) -> Vec<u8> {
+    let payload = encode(message);
+    let mut frame = frame_header(u64::try_from(payload.len()).unwrap());
+    frame.extend(&payload[..]);
+    frame
+}
+
+/// Connects as a peer that has not sent its hello message, and returns the bare connection.
+async fn upgraded(addr: SocketAddr) -> Async<std::net::TcpStream> {
+    let stream = Async::<std::net::TcpStream>::connect(addr).await.unwrap();
+    let url = format!("ws://{addr}/peers");
+    let (ws, _) = async_tungstenite::client_async(url, stream).await.unwrap();
+    ws.into_inner()
+}
+
+/// A hello message is read before its sender is known, so a large one must not be received, nor
+/// waited for.
+#[test]
+fn mesh_large_hello_is_refused_by_its_header() {
+    with_executor(async |ex| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let mesh = Mesh::builder("a1", "a", Secret::new(SECRET))
+            .timing(HEARTBEAT, 10 * WAIT_LIMIT)
+            .build(Arc::new(Inbox::default()));
+        let run = mesh.clone().run(listener, ex.clone());
+        ex.spawn(async move { run.await.unwrap() }).detach();
+        let mut stream = upgraded(addr).await;
+        stream.write_all(&frame_header(5 * 1024)).await.unwrap();
+        let closed = async {
+            while stream.read(&mut [0; 1024]).await.is_ok_and(|n| n > 0) {}
+            true
+        };
+        let timed_out = async {
+            Timer::after(WAIT_LIMIT).await;
+            false
+        };
+        assert!(closed.or(timed_out).await, "the connection stays open");
+    });
+}
+
+/// A peer may send its first messages right behind its hello message.
+#[test]
+fn mesh_message_right_behind_hello_is_received() {
+    with_executor(async |ex| {
+        let node = start(&ex, "a1", SECRET, Vec::new());
+        let mut stream = upgraded(node.addr).await;
+        let mut frames = frame(&hello("c1"));
+        frames.extend(frame(&PeerMessage::WantCatalog));
+        stream.write_all(&frames).await.unwrap();
+        wait_until("received", || {
+            let inbox = node.inbox.0.lock().unwrap();
+            matches!(&inbox[..], [(from, PeerMessage::WantCatalog)] if &**from == "c1")
+        })
+        .await;
+    });
+}
+
 #[test]
 fn mesh_unreadable_frame_closes_only_its_connection() {
     with_executor(async |ex| {
