Callers: a stream without new events ends after 30 s, also while bytes arrive

What callers saw: nothing yet. Found by reading: the time without a new event was compared only after a read without data. An engine that repeats events that were already passed on, or sends parts of one, kept its caller waiting without an end and without an error, and the slot was held. Change: the time is compared before each read; a read without data is followed by an attempt to resume only while time is left, as before. The engine of the rig has a new fault, repeat_event. Failed before (stream_of_repeated_events_ends_with_error_event): "the test did not end in time" after 100 s; after: passes in 30.3 s, which is the limit itself. All nine tests of responses and those of stand_ins pass.

--- a/rig/src/engine/api.rs
+++ b/rig/src/engine/api.rs
@@ -1,7 +1,9 @@
 //! HTTP interface of the engine.
 
 use std::sync::{Arc, PoisonError};
+use std::time::Duration;
 
+use async_io::Timer;
 use guavahold::http::{IncomingRequest, ResponseFuture, SseEvent, event_body};
 use guavahold::target::{REQUEST_ID_HEADER, RUN_STATE_HEADER, WEIGHTS_HEADER};
 use http_types::{Method, Response, StatusCode};
@@ -15,6 +17,8 @@
 const WRONG_WEIGHTS: &str = "another-version";
 /// Request id in response headers under [`Faults::crossed`].
 const WRONG_REQUEST_ID: &str = "another-request";
+/// Time between two copies of an event under [`Faults::repeat_event`].
+const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
 
 impl StandIn for Engine {
     fn handle(self: Arc<Self>, request: IncomingRequest, faults: Faults) -> ResponseFuture {
@@ -143,6 +147,7 @@
         let (tx, body) = event_body();
         let res = with_run_headers(response::stream("text/event-stream", body), &reader, faults);
         let (this, omit_final) = (self.clone(), faults.omit_final);
+        let repeat_event = faults.repeat_event;
         self.spawn(async move {
             let run = &reader.0;
             let mut index = from;
@@ -151,7 +156,11 @@
                 if !tx.send(&SseEvent::new(index.to_string(), event)).await {
                     return;
                 }
-                index += 1;
+                if repeat_event == Some(index) {
+                    Timer::after(REPEAT_INTERVAL).await;
+                } else {
+                    index += 1;
+                }
             }
             if !run.is_complete() {
                 // Dropping the sender without `finish` aborts the body of a cancelled run.
--- a/rig/src/faults.rs
+++ b/rig/src/faults.rs
@@ -26,6 +26,8 @@
     pub close_after: Option<u64>,
     /// Ends streamed responses without their final event `[DONE]`.
     pub omit_final: bool,
+    /// Sends the event with this index without end in place of the events after it.
+    pub repeat_event: Option<usize>,
     /// Sends the id of another request in the response headers.
     pub crossed: bool,
     /// Sends a weight version in the response headers that is not the one that ran.
@@ -54,6 +56,7 @@
             freeze: false,
             close_after: None,
             omit_final: false,
+            repeat_event: None,
             crossed: false,
             other_weights: false,
             crash_on: None,
--- a/rig/tests/responses.rs
+++ b/rig/tests/responses.rs
@@ -221,6 +221,25 @@
     });
 }
 
+/// Without a limit on the time between new events, a caller waits as long as its engine repeats
+/// itself. Takes as long as that limit, 30 s.
+#[test]
+fn stream_of_repeated_events_ends_with_error_event() {
+    run_with_timeout(async {
+        let cluster = TestCluster::builder().engines(1).start().await;
+        let fault = json!({"repeat_event": 3, "next": 1, "path": "/v1/chat"});
+        set_engine_faults(&cluster, &fault).await;
+        let call = Call::chat(SALON, "router", "Count the mirrors.", 20, true);
+        let mut events = call.stream(cluster.callers_address(0)).await.unwrap();
+        let mut last = events.next().await.unwrap().unwrap();
+        while let Ok(Some(event)) = events.next().await {
+            last = event;
+        }
+        assert_eq!(last.event.as_deref(), Some("error"));
+        assert!(last.data.contains("made no progress"), "{}", last.data);
+    });
+}
+
 #[test]
 fn late_response_of_cancelled_request_reaches_no_other_caller() {
     run_with_timeout(async {
--- a/src/caller/engine_stream.rs
+++ b/src/caller/engine_stream.rs
@@ -134,6 +134,7 @@
         Ok(Some((number, event)))
     }
 
+    /// Waits for the next event; bytes that hold none do not extend the time.
     async fn event_within(&mut self, timeout: Duration) -> Result<SseEvent, StreamError> {
         let started = Instant::now();
         loop {
@@ -143,13 +144,12 @@
                 }
                 continue;
             }
-            if self.read().await {
-                continue;
-            }
             if started.elapsed() >= timeout {
                 return Err(StreamError::Stalled);
             }
-            self.resume().await?;
+            if !self.read().await && started.elapsed() < timeout {
+                self.resume().await?;
+            }
         }
     }
 
