Scheduler: random events as the gateway uses it, without claims

The state machine's random test plays claims (Event::Confirm), and neither Withheld, PathLost, TargetError nor late news of an attempt that has ended. The gateway uses it without claims and has all of these.

The new test plays requests that must run once, repeatable and resumable ones, all outcomes and signals, and news of attempts that the scheduler has ended already. It checks that a request that must run once is dispatched again only after attempts that were not sent, withheld or refused, never while one runs, and that a refusal promises "not run" exactly when no attempt may have run.

--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -21,6 +21,8 @@
 mod refusals;
 #[path = "scheduler/residency.rs"]
 mod residency;
+#[path = "scheduler/run_once.rs"]
+mod run_once;
 #[path = "scheduler/simulation.rs"]
 mod simulation;
 #[path = "scheduler/software.rs"]
