Send check: withhold a request whose deadline has passed

Callers saw: an entry that is stopped while it connects to a target, and goes on after the request's deadline, sent the request then, with 1 ms as its deadline. The caller got 504, and a booking ran for nobody.

Cause: the task that connects is polled before the timer of the deadline, and the check before the write did not look at the clock. Nothing was promised wrongly: an attempt that has begun counts as sent.

The check just before the write now withholds it, so that its caller gets the truth: 503, not run. Nothing is awaited between the check and the first write.

Measured: run_once_request_is_not_sent_after_its_deadline failed before ("it was sent after its deadline", answered 504, one run) and passes (answered 503, no run); all six of the file pass once.

--- a/src/gateway/attempt/send_check.rs
+++ b/src/gateway/attempt/send_check.rs
@@ -5,9 +5,13 @@
 use crate::gateway::caller_response::CallerResponse;
 
 impl Attempt<'_> {
-    /// Checks the regions, the evacuations and the target's state just before the request is sent,
-    /// since they may have changed while it waited.
+    /// Checks the deadline, the regions, the evacuations and the target's state just before the
+    /// request is sent, since they may have changed while it waited.
     pub(super) fn check_send(&self, response: &CallerResponse<'_>) -> Result<(), AttemptError> {
+        // The process may have been stopped while it connected, with no timer run yet.
+        if self.request.time_left().is_zero() {
+            return Err(AttemptError::Withheld);
+        }
         let scheduler = &self.shared.scheduler;
         let allowed = self.request.allowed_targets();
         if !allowed.is_none_or(|domains| scheduler.is_allowed(&self.assignment.target, domains)) {
--- a/src/gateway/attempt_error.rs
+++ b/src/gateway/attempt_error.rs
@@ -20,9 +20,9 @@
 pub(crate) enum AttemptError {
     /// No connection to the target was made, so that no byte was sent.
     NotSent,
-    /// No byte was sent, since the target is leaving, asked for a pause, has a limit or a warm-up
-    /// against which the request was not counted, or runs another software version than the stream
-    /// needs.
+    /// No byte was sent, since the request's deadline has passed, or the target is leaving, asked for
+    /// a pause, has a limit or a warm-up against which the request was not counted, or runs another
+    /// software version than the stream needs.
     Withheld,
     /// No byte was sent, since the target, or every peer through which it is reached, is outside the
     /// regions in which the request may be processed.
@@ -61,7 +61,7 @@
         match self {
             Self::NotSent => f.write_str("not-sent (no connection)"),
             Self::Withheld => {
-                f.write_str("withheld (the target is leaving, paused or at its limit)")
+                f.write_str("withheld (too late, or the target is leaving, paused or at its limit)")
             }
             Self::OutsideRegions => f.write_str("withheld (outside the allowed regions)"),
             Self::Evacuated => {
