Entry's side of hubs: a test of a second grant after a run; it is red

A hub addresses its replies by the entry's name and the request's number, and numbers begin at one in each process of an entry. A grant for a request of an earlier process that is on its way when the new process submits its request of the same number is taken for that request's, and the hub's own grant for it follows.

The test lets a request that must run once get two grants, and ends the first attempt as lost, cut short, path-lost or failed. It fails: "after Lost: expected a refusal, got Dispatch". That two such grants meet is shown by reading (SchedulerClient::on_reply, Control::send_reply), not by a run of processes.

--- a/tests/domain_scheduler/client.rs
+++ b/tests/domain_scheduler/client.rs
@@ -328,3 +328,29 @@
     entry.reply(&hub, 1, Decision::Refuse(refusal));
     assert!(matches!(next_effect(&request), Effect::Refuse { .. }));
 }
+
+/// Guards against a second run by a grant that belongs to a request of an earlier process of this
+/// entry with the same number.
+#[test]
+fn on_reply_second_grant_of_a_request_that_ran_is_not_carried_out() {
+    for outcome in [
+        AttemptOutcome::Lost,
+        AttemptOutcome::CutShort,
+        AttemptOutcome::PathLost,
+        AttemptOutcome::TargetError,
+    ] {
+        let entry = Entry::new(RecordedLinks::default());
+        let request = entry.submit(request(1, false));
+        let hub = entry.last_hub();
+        entry.grant(&hub, 1, 1);
+        next_effect(&request);
+        request.report_end(1, outcome.clone());
+        entry.grant(&hub, 1, 1);
+        match next_effect(&request) {
+            Effect::Refuse { refusal, .. } => {
+                assert_ne!(refusal.run(), guavahold::http::RunState::NotRun);
+            }
+            other => panic!("after {outcome:?}: expected a refusal, got {other:?}"),
+        }
+    }
+}
