Entry's side of hubs: ignore a second grant of a request that runs or may have run

What callers could see: a booking or a stream that may not be resumed runs twice. A hub names the entry and the number of a request in its replies; numbers begin at one in each process of an entry, so that a grant for a request of an earlier process can be taken for one of the new process. The hub's own grant follows, and the entry carried it out also after the first attempt was lost, since it relied on hubs to grant such a request once.

The entry now checks what it knows of the request at the moment of the grant: while an attempt runs, a grant is ignored, and after an attempt that may have run a request that must run once, it is refused as failed (502, no promise). Each is logged as grant_ignored.

--- a/src/domain_scheduler/scheduled_request.rs
+++ b/src/domain_scheduler/scheduled_request.rs
@@ -7,7 +7,7 @@
 
 use crate::catalog::Policy;
 use crate::clock::coarse_sleep;
-use crate::domain_scheduler::{CallStep, Decision, SchedulerClient};
+use crate::domain_scheduler::{CallStep, Decision, Grant, SchedulerClient};
 use crate::http::RunState;
 use crate::prelude::*;
 use crate::scheduler::{Arrival, AttemptOutcome, Effect, Refusal, RequestId};
@@ -147,6 +147,16 @@
         state.history.heard = true;
         match decision {
             Some(Decision::Queued) => None,
+            // The grant of a request that an earlier process of this entry gave the same number.
+            Some(Decision::Dispatch(grant)) if state.history.running => {
+                self.log_ignored(&grant);
+                None
+            }
+            Some(Decision::Dispatch(grant)) if !self.may_run_again(&state.history) => {
+                drop(state);
+                self.log_ignored(&grant);
+                self.fall_back()
+            }
             Some(Decision::Dispatch(grant)) => {
                 state.history.running = true;
                 state.history.software.clone_from(&grant.software);
@@ -216,17 +226,26 @@
         }
     }
 
+    fn log_ignored(&self, grant: &Grant) {
+        let (number, target, attempt) = (self.arrival.id.0, &grant.target, grant.attempt);
+        log::warn!("event=grant_ignored number={number} target={target} attempt={attempt}");
+    }
+
+    /// Whether another run breaks no promise: none has begun, or the request may be repeated.
+    fn may_run_again(&self, history: &History) -> bool {
+        history.run == RunState::NotRun || self.arrival.policy.idempotent
+    }
+
     /// The request as the entry's own scheduler gets it; `None` if it may not run again.
     fn remaining_arrival(&self, history: &History) -> Option<Arrival> {
         let policy = &self.arrival.policy;
-        let repeatable = history.run == RunState::NotRun || policy.idempotent;
         let begun = history.first_token_received && !self.arrival.resumable;
         let max_attempts = match self.arrival.max_attempts {
             0 => 0,
             max => max.saturating_sub(history.sent),
         };
         let exhausted = max_attempts == 0 && history.sent > 0;
-        if !repeatable || begun || exhausted {
+        if !self.may_run_again(history) || begun || exhausted {
             return None;
         }
         let began_at = history
