Request driver: a booking whose caller leaves before anything is sent is not run

Callers saw: a booking whose caller gave up before the entry read it (an entry that was stopped or slow) was run for nobody. Cause: once an attempt began, the caller's leaving was ignored for requests that must run once, also while the connection to the target was being made. A booking that waits in a queue was given up already.

The attempt now says when it sends the first byte; before that, the caller's leaving ends it as for other requests. From then on the run is completed as before. A send on a kept connection begins at once, before a close can be seen.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -77,6 +77,8 @@
     /// Transfers from and to context stores, for the log: the number of fetches times
     /// [`FETCH_COUNT_FACTOR`], plus the number of saves.
     pub transfer_counts: &'a AtomicUsize,
+    /// Set just before the first byte is sent.
+    pub sent: &'a AtomicBool,
     /// Set when the target has begun its answer: with the first whole event of a stream.
     pub answer_began: &'a AtomicBool,
     /// The scheduler's handle of the request, to which the first event is reported.
@@ -160,6 +162,7 @@
             self.shared.connections.put(addr, stream, None);
             return Err(error);
         }
+        self.sent.store(true, Ordering::Relaxed);
         let head = self.encode(response);
         let sent_completely = AtomicBool::new(false);
         let send = async {
--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -166,11 +166,13 @@
         let sent_before = std::mem::replace(&mut self.may_have_been_sent, true);
         let started = Instant::now();
         let transfer_counts = AtomicUsize::new(0);
+        let sent = AtomicBool::new(false);
         let answer_began = AtomicBool::new(false);
         let relay = OnceLock::new();
         let result = {
             let attempt = Attempt {
                 transfer_counts: &transfer_counts,
+                sent: &sent,
                 answer_began: &answer_began,
                 relay: &relay,
                 shared: self.shared,
@@ -179,7 +181,7 @@
                 handle: &self.handle,
             };
             let run = async { Ok(attempt.run(response).await) };
-            run.or(self.interruption(reader)).await
+            run.or(self.interruption(reader, &sent)).await
         };
         let broken_off = matches!(&result, Ok(Err(error)) if error.outcome().is_broken_off());
         // A trial whose connection broke has its result once the target's state is known.
@@ -210,8 +212,12 @@
         }
     }
 
-    /// Completes when a running attempt must be stopped.
-    async fn interruption<T>(&self, reader: &mut RequestReader) -> Result<T, Interruption> {
+    /// Completes when a running attempt must be stopped; `sent` says whether anything was sent.
+    async fn interruption<T>(
+        &self,
+        reader: &mut RequestReader,
+        sent: &AtomicBool,
+    ) -> Result<T, Interruption> {
         // A run that must not be repeated continues after its caller has disconnected.
         let run_continues =
             !self.request.route.is_repeatable() && !self.request.route.is_streaming();
@@ -221,7 +227,7 @@
         };
         let caller_left = async {
             reader.caller_closed().await;
-            if run_continues {
+            if run_continues && sent.load(Ordering::Relaxed) {
                 std::future::pending::<()>().await;
             }
             Err(Interruption::CallerLeft)
