--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,9 +1,9 @@
 //! A single attempt of a request at a target.
 
 mod encoding;
+mod progress;
 mod send_check;
 mod stream;
-mod trace;
 
 use std::io;
 use std::net::SocketAddr;
@@ -30,7 +30,7 @@
 use crate::reachability::Path;
 use crate::scheduler::{Event, LoadEstimate, Signal};
 
-pub(crate) use trace::AttemptTrace;
+pub(crate) use progress::AttemptProgress;
 
 /// Largest head and body that are sent in one write, in bytes.
 const MAX_SINGLE_WRITE_BYTES: usize = 16 * 1024;
@@ -65,6 +65,16 @@
     info: ResponseInfo,
 }
 
+/// Whether bytes that are no response arrived on a connection that had carried other requests.
+fn is_malformed_on_kept(
+    received: &Result<Received, AttemptError>,
+    history: ConnectionHistory,
+) -> bool {
+    let malformed = ResponseError::Malformed;
+    history != ConnectionHistory::New
+        && matches!(received, Err(AttemptError::Response(error)) if *error == malformed)
+}
+
 /// Resets the connection when dropped before the exchange has completed.
 struct ResetOnDrop<'a>(Option<&'a TargetStream>);
 
@@ -84,8 +94,8 @@
     pub request: &'a AdmittedRequest,
     /// Target and weight version.
     pub assignment: &'a Assignment,
-    /// What the log says of it.
-    pub trace: &'a AttemptTrace,
+    /// How far it has come.
+    pub progress: &'a AttemptProgress,
     /// The scheduler's handle of the request, to which the first event is reported.
     pub handle: &'a ScheduledRequest,
 }
@@ -111,25 +121,16 @@
         };
         if let Some(connection) = idle {
             let result = self.exchange(connection, response).await;
-            // The target may have closed the idle connection meanwhile, which is no failure of the
-            // target.
-            let dropped = matches!(
-                result,
-                Err(AttemptError::Response(ResponseError::NoResponse))
-            );
-            if run_once || !dropped {
-                return result;
-            }
-            let retried = self.run_on_new_connection(response).await;
-            // The target may have run the request that it received on the idle connection.
-            return retried.map_err(|error| match error {
-                AttemptError::NotSent
-                | AttemptError::Withheld
-                | AttemptError::OutsideRegions
-                | AttemptError::Evacuated
-                | AttemptError::Refused(_) => AttemptError::Response(ResponseError::NoResponse),
-                error => error,
-            });
+            return match result {
+                // The target may have closed the idle connection meanwhile, which is no failure of
+                // the target.
+                Err(error) if !run_once && error.may_be_of_idle_connection() => {
+                    let retried = self.run_on_new_connection(response).await;
+                    // The target may have run the request that it received on the idle connection.
+                    retried.map_err(|again| if again.is_not_run() { error } else { again })
+                }
+                result => result,
+            };
         }
         self.run_on_new_connection(response).await
     }
@@ -162,13 +163,13 @@
     ) -> Result<TargetResponse, AttemptError> {
         let history = connection.history(&self.request.head.id);
         let stream = &connection.stream;
-        self.trace.record_connection(history, stream.peer());
         // Waiting in a queue and connecting may have taken long.
         if let Err(error) = self.check_send(response) {
             let addr = self.assignment.address;
             self.shared.connections.put(addr, connection, None);
             return Err(error);
         }
+        self.progress.record_sent(history, stream.peer());
         let head = self.encode(response);
         let sent_completely = AtomicBool::new(false);
         let send = async {
@@ -188,12 +189,19 @@
         });
         let received = self.receive(&mut reader, response, history);
         let hanging = self.until_path_lost(exchange.as_ref());
+        let received = received.or(send).or(hanging).await;
+        if reader.is_untidy() || is_malformed_on_kept(&received, history) {
+            let addr = self.assignment.address;
+            self.shared.connections.record_untidy(addr);
+        }
         let Received {
             response,
             meaning,
             info,
-        } = received.or(send).or(hanging).await?;
-        reset_on_drop.0 = None;
+        } = received?;
+        if meaning != ResponseMeaning::Doubtful {
+            reset_on_drop.0 = None;
+        }
         drop(reset_on_drop);
         let reusable = reader.is_clean() && sent_completely.load(Ordering::Acquire) && !info.close;
         drop(reader);
@@ -209,7 +217,7 @@
         }
         match meaning {
             ResponseMeaning::NotRun => Err(AttemptError::Refused(info)),
-            ResponseMeaning::PerhapsNotRun => Err(AttemptError::PerhapsRefused(info)),
+            ResponseMeaning::Doubtful => Err(AttemptError::Doubtful(info)),
             ResponseMeaning::UnprovenRefusal => Ok(TargetResponse::UnprovenRefusal),
             ResponseMeaning::Answer | ResponseMeaning::Foreign => Ok(response),
         }
--- a/src/gateway/attempt/encoding.rs
+++ b/src/gateway/attempt/encoding.rs
@@ -58,7 +58,7 @@
             plan.fetch.clear();
         }
         let count = |stores: &[Option<SocketAddr>]| stores.iter().flatten().count();
-        self.trace
+        self.progress
             .record_transfers(count(&plan.fetch), count(&plan.save));
         plan
     }
--- a/src/gateway/attempt/trace.rs
+++ b/src/gateway/attempt/progress.rs
@@ -1,4 +1,4 @@
-//! What the log says of an attempt beside its result.
+//! How far an attempt has come.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
@@ -6,9 +6,9 @@
 use crate::gateway::ConnectionHistory;
 use crate::prelude::*;
 
-/// What the log says of an attempt beside its result.
+/// How far an attempt has come.
 #[derive(Debug, Default)]
-pub(crate) struct AttemptTrace {
+pub(crate) struct AttemptProgress {
     fetches: AtomicUsize,
     saves: AtomicUsize,
     answer_began: AtomicBool,
@@ -16,7 +16,7 @@
     connection: Mutex<Option<ConnectionHistory>>,
 }
 
-impl AttemptTrace {
+impl AttemptProgress {
     /// Records the numbers of prompt parts fetched from context stores and saved to them.
     pub(crate) fn record_transfers(&self, fetches: usize, saves: usize) {
         self.fetches.store(fetches, Ordering::Relaxed);
@@ -39,14 +39,20 @@
         self.answer_began.load(Ordering::Relaxed)
     }
 
-    /// Records the connection on which the request is sent, and the peer that relays it, if any.
-    pub(crate) fn record_connection(&self, history: ConnectionHistory, peer: Option<&Name>) {
+    /// Records that the first byte is about to be sent, on a connection with this history, which the
+    /// peer relays, if any.
+    pub(crate) fn record_sent(&self, history: ConnectionHistory, peer: Option<&Name>) {
         *self.lock_connection() = Some(history);
         if let Some(peer) = peer {
             let _ = self.relay.set(peer.clone());
         }
     }
 
+    /// Whether any byte of the request may have been sent.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.connection().is_some()
+    }
+
     /// What the connection on which the request was sent last had carried, if it was sent.
     pub(crate) fn connection(&self) -> Option<ConnectionHistory> {
         *self.lock_connection()
--- a/src/gateway/attempt/stream.rs
+++ b/src/gateway/attempt/stream.rs
@@ -66,7 +66,7 @@
             let whole = take_events(&mut events, response.last_event);
             if !whole.is_empty() {
                 if std::mem::take(&mut first) {
-                    self.trace.record_answer_began();
+                    self.progress.record_answer_began();
                     self.shared.prompt_quarantine.record_answer(self.request);
                     self.handle.report_first_token(self.assignment.number);
                     self.announce_origin(response);
--- a/src/gateway/attempt_error.rs
+++ b/src/gateway/attempt_error.rs
@@ -22,9 +22,9 @@
 pub(crate) enum AttemptError {
     /// No connection to the target was made, so that no byte was sent.
     NotSent,
-    /// No byte was sent, since the target is leaving, asked for a pause, has a limit or a warm-up
-    /// against which the request was not counted, or runs another software version than the stream
-    /// needs.
+    /// No byte was sent, since the request's deadline has passed, or the target is leaving, asked for
+    /// a pause, has a limit or a warm-up against which the request was not counted, or runs another
+    /// software version than the stream needs.
     Withheld,
     /// No byte was sent, since the target, or every peer through which it is reached, is outside the
     /// regions in which the request may be processed.
@@ -33,9 +33,8 @@
     Evacuated,
     /// The target stated that it did not run the request.
     Refused(ResponseInfo),
-    /// The target likely refused the request, but may run it: nothing shows that the refusal is its
-    /// own.
-    PerhapsRefused(ResponseInfo),
+    /// A response arrived that may belong to another request, so that the target may run this one.
+    Doubtful(ResponseInfo),
     /// No valid response was received, and the target may have run the request.
     Response(ResponseError),
     /// The own connection on which the request was sent hangs, while peers reach the target.
@@ -45,12 +44,33 @@
 }
 
 impl AttemptError {
+    /// Whether the error may come from an idle connection and not from the target: it was closed, or
+    /// carried a response to no request.
+    pub(crate) fn may_be_of_idle_connection(&self) -> bool {
+        matches!(
+            self,
+            Self::Response(ResponseError::NoResponse) | Self::Doubtful(_)
+        )
+    }
+
+    /// Whether the target has not run the request that was sent, if any was.
+    pub(crate) fn is_not_run(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent
+                | Self::Withheld
+                | Self::OutsideRegions
+                | Self::Evacuated
+                | Self::Refused(_)
+        )
+    }
+
     /// Outcome that is reported to the scheduler.
     pub(crate) fn outcome(&self) -> AttemptOutcome {
         match self {
             Self::NotSent => AttemptOutcome::NotSent,
             Self::Withheld | Self::OutsideRegions | Self::Evacuated => AttemptOutcome::Withheld,
-            Self::Refused(info) | Self::PerhapsRefused(info) => AttemptOutcome::Refused {
+            Self::Refused(info) | Self::Doubtful(info) => AttemptOutcome::Refused {
                 retry_after: info.retry_after,
             },
             Self::Response(ResponseError::NoResponse) => AttemptOutcome::Lost,
@@ -66,7 +86,7 @@
         match self {
             Self::NotSent => f.write_str("not-sent (no connection)"),
             Self::Withheld => {
-                f.write_str("withheld (the target is leaving, paused or at its limit)")
+                f.write_str("withheld (too late, or the target is leaving, paused or at its limit)")
             }
             Self::OutsideRegions => f.write_str("withheld (outside the allowed regions)"),
             Self::Evacuated => {
@@ -77,8 +97,8 @@
                 write!(f, "misdirected (another target or weights {weights})")
             }
             Self::Refused(_) => f.write_str("not-run (the target refused it)"),
-            Self::PerhapsRefused(_) => {
-                f.write_str("perhaps-not-run (a refusal that may belong to another request)")
+            Self::Doubtful(_) => {
+                f.write_str("doubtful (a response that may belong to another request)")
             }
             Self::Response(ResponseError::NoResponse) => {
                 f.write_str("lost (connection ended without an answer)")
--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -23,6 +23,8 @@
 const MAX_IDLE_PER_TARGET: usize = 32;
 /// Maximum number of requests refused on a connection that is kept.
 const MAX_REFUSED_ON_CONNECTION: usize = 16;
+/// Time for which a target that sent a response which cannot be assigned counts as untidy.
+const UNTIDY_TIME: Duration = Duration::from_mins(1);
 /// Idle timeout of a target that does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Share of the stated idle timeout in which a connection is reused, since the target measures from
@@ -44,18 +46,20 @@
 }
 
 impl ConnectionNeeds<'_> {
-    /// Whether a connection may carry the request. Bytes on a connection that was used may belong to
-    /// no request, so that they prove nothing about one that must not run twice.
-    fn are_met_by(&self, connection: &TargetConnection) -> bool {
+    /// Whether a connection to a target may carry the request; `is_untidy` says whether the target
+    /// sent a response that cannot be assigned. On a kept connection such a response proves nothing, so
+    /// that a request which must not run twice would wait for its deadline.
+    fn are_met_by(&self, connection: &TargetConnection, is_untidy: bool) -> bool {
         let fits = match connection.history(self.request) {
             ConnectionHistory::New => true,
-            ConnectionHistory::Kept => !self.run_once,
+            ConnectionHistory::Kept => !(self.run_once && is_untidy),
             ConnectionHistory::RefusedBefore => false,
         };
         fits && connection.stream.is_allowed(self.relays)
     }
 }
 
+/// An idle connection and how long its target keeps it.
 struct IdleConnection {
     connection: TargetConnection,
     idle_since: Instant,
@@ -72,6 +76,8 @@
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Targets that sent a response which cannot be assigned to a request, and when they did last.
+    untidy: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 impl ConnectionPool {
@@ -87,9 +93,10 @@
         } else {
             IDLE_TIMEOUT_SHARE
         };
+        let is_untidy = self.is_untidy(addr);
         let mut idle = self.lock();
         let connections = idle.get_mut(&addr)?;
-        let usable = |idle: &IdleConnection| needs.are_met_by(&idle.connection);
+        let usable = |idle: &IdleConnection| needs.are_met_by(&idle.connection, is_untidy);
         while let Some(at) = connections.iter().rposition(usable) {
             // The others have been idle for longer.
             if !connections[at].is_within(share) {
@@ -100,9 +107,22 @@
                 return Some(last);
             }
         }
+        // The target counts all connections, so that a new one takes the place of the oldest.
+        if is_untidy && needs.run_once && !connections.is_empty() {
+            connections.remove(0);
+        }
         None
     }
 
+    /// Records that the target sent a response which cannot be assigned to a request.
+    pub(crate) fn record_untidy(&self, addr: SocketAddr) {
+        lock(&self.untidy).insert(addr, Instant::now());
+    }
+
+    fn is_untidy(&self, addr: SocketAddr) -> bool {
+        lock(&self.untidy).contains_key(&addr)
+    }
+
     /// Adds a new connection, or one whose exchange is complete; closes it if the pool has enough
     /// for this target.
     pub(crate) fn put(
@@ -126,8 +146,10 @@
         }
     }
 
-    /// Closes connections that have been idle for too long to be reused.
+    /// Closes connections that have been idle for too long to be reused, and forgets targets that
+    /// have not been untidy for long.
     pub(crate) fn sweep(&self) {
+        lock(&self.untidy).retain(|_, last| last.elapsed() < UNTIDY_TIME);
         self.lock().retain(|_, connections| {
             connections.retain(|idle| idle.is_within(IDLE_TIMEOUT_SHARE));
             !connections.is_empty()
@@ -137,6 +159,7 @@
     /// Closes all idle connections to an address.
     pub(crate) fn clear(&self, addr: SocketAddr) {
         self.lock().remove(&addr);
+        lock(&self.untidy).remove(&addr);
     }
 
     /// Closes this entry's own idle connections to an address.
@@ -156,10 +179,14 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.idle)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Opens a connection to a target.
 ///
 /// # Errors
--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -9,7 +9,7 @@
 use crate::gateway::RunReport;
 use crate::gateway::admitted_request::AdmittedRequest;
 use crate::gateway::arrival::version_of;
-use crate::gateway::attempt::{Assignment, Attempt, AttemptTrace};
+use crate::gateway::attempt::{Assignment, Attempt, AttemptProgress};
 use crate::gateway::attempt_error::{AttemptError, TargetResponse};
 use crate::gateway::caller_response::CallerResponse;
 use crate::gateway::outcome::Outcome;
@@ -166,17 +166,17 @@
         }
         let sent_before = std::mem::replace(&mut self.may_have_been_sent, true);
         let started = Instant::now();
-        let trace = AttemptTrace::default();
+        let progress = AttemptProgress::default();
         let result = {
             let attempt = Attempt {
-                trace: &trace,
+                progress: &progress,
                 shared: self.shared,
                 request: self.request,
                 assignment,
                 handle: &self.handle,
             };
             let run = async { Ok(attempt.run(response).await) };
-            run.or(self.interruption(reader)).await
+            run.or(self.interruption(reader, &progress)).await
         };
         let broken_off = matches!(&result, Ok(Err(error)) if error.outcome().is_broken_off());
         // A trial whose connection broke has its result once the target's state is known.
@@ -189,7 +189,7 @@
             Ok(Err(error)) => Some(error.to_string()),
             Err(interruption) => Some(interruption.label().to_owned()),
         };
-        self.record_attempt(assignment, started, &trace, label);
+        self.record_attempt(assignment, started, &progress, label);
         match result {
             Ok(Ok(received)) => self.on_response(assignment, received),
             Ok(Err(AttemptError::CallerLeft)) | Err(Interruption::CallerLeft) => {
@@ -201,9 +201,9 @@
                         error,
                         AttemptError::Response(_)
                             | AttemptError::PathLost
-                            | AttemptError::PerhapsRefused(_)
+                            | AttemptError::Doubtful(_)
                     );
-                self.on_error(assignment, &error, trace.answer_began());
+                self.on_error(assignment, &error, progress.answer_began());
                 None
             }
             Err(Interruption::DeadlinePassed) => Some(self.deadline_outcome(response)),
@@ -213,7 +213,11 @@
     }
 
     /// Completes when a running attempt must be stopped.
-    async fn interruption<T>(&self, reader: &mut RequestReader) -> Result<T, Interruption> {
+    async fn interruption<T>(
+        &self,
+        reader: &mut RequestReader,
+        progress: &AttemptProgress,
+    ) -> Result<T, Interruption> {
         // A run that must not be repeated continues after its caller has disconnected.
         let run_continues =
             !self.request.route.is_repeatable() && !self.request.route.is_streaming();
@@ -223,7 +227,7 @@
         };
         let caller_left = async {
             reader.caller_closed().await;
-            if run_continues {
+            if run_continues && progress.is_sent() {
                 std::future::pending::<()>().await;
             }
             Err(Interruption::CallerLeft)
@@ -239,7 +243,7 @@
         &mut self,
         assignment: &Assignment,
         started: Instant,
-        trace: &AttemptTrace,
+        progress: &AttemptProgress,
         error: Option<String>,
     ) {
         self.request_log.push(AttemptRecord {
@@ -248,10 +252,10 @@
             software: assignment.software.clone(),
             started_after: started.saturating_duration_since(self.request.arrived),
             duration: started.elapsed(),
-            transfers: trace.transfers(),
+            transfers: progress.transfers(),
             estimate: assignment.estimate,
-            relay: trace.relay().cloned(),
-            connection: trace.connection(),
+            relay: progress.relay().cloned(),
+            connection: progress.connection(),
             error,
         });
     }
@@ -324,7 +328,7 @@
         if error.outcome().is_broken_off() {
             self.log_broken_off(assignment, answer_began);
         }
-        if let AttemptError::Refused(info) | AttemptError::PerhapsRefused(info) = error
+        if let AttemptError::Refused(info) = error
             && info.run == RunReport::Misdirected
         {
             // If another target responded at the address, the assigned one is gone; otherwise it is
--- a/src/gateway/response_meaning.rs
+++ b/src/gateway/response_meaning.rs
@@ -35,8 +35,8 @@
     Answer,
     /// The request has not run and never will.
     NotRun,
-    /// The request was likely refused, but may run: nothing shows that the response is its own.
-    PerhapsNotRun,
+    /// It may belong to another request or to none, and the request, which may be repeated, may run.
+    Doubtful,
     /// It is the response to a request that must not run twice, and its status says that the
     /// request has not run; nothing proves that.
     UnprovenRefusal,
@@ -73,29 +73,31 @@
         }
         // The refusal may be a copy of the earlier one.
         if self.connection == ConnectionHistory::RefusedBefore {
-            return self.meaning_of_doubtful_refusal();
+            return self.meaning_of_doubtful();
         }
         ResponseMeaning::NotRun
     }
 
     /// Meaning of a response without an ID. A success must have one, a refusal may lack it.
     fn meaning_of_unnamed(&self, status: u16, info: &ResponseInfo) -> ResponseMeaning {
-        let is_first = self.connection == ConnectionHistory::New;
-        match (info.run.is_not_run(), is_first) {
-            (true, true) => ResponseMeaning::NotRun,
-            (true, false) => self.meaning_of_doubtful_refusal(),
-            (false, true) if !(200..300).contains(&status) => self.meaning_of_own(status),
-            (false, _) => ResponseMeaning::Foreign,
+        if (200..300).contains(&status) {
+            ResponseMeaning::Foreign
+        } else if self.connection != ConnectionHistory::New {
+            self.meaning_of_doubtful()
+        } else if info.run.is_not_run() {
+            ResponseMeaning::NotRun
+        } else {
+            self.meaning_of_own(status)
         }
     }
 
-    /// Meaning of a refusal that may belong to another request. One that may run twice is sent
+    /// Meaning of a response that may belong to another request: one that may be repeated is sent
     /// again; for any other, its own response may follow.
-    fn meaning_of_doubtful_refusal(&self) -> ResponseMeaning {
+    fn meaning_of_doubtful(&self) -> ResponseMeaning {
         if self.run_once {
             ResponseMeaning::Foreign
         } else {
-            ResponseMeaning::PerhapsNotRun
+            ResponseMeaning::Doubtful
         }
     }
 
--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -50,6 +50,8 @@
     not_reusable: bool,
     /// Number of responses that were skipped.
     skipped_responses: u32,
+    /// Whether a response to another request, or one without an ID, was received.
+    is_untidy: bool,
     /// Bytes received so far.
     received: usize,
 }
@@ -63,6 +65,7 @@
             raw: Vec::new(),
             not_reusable: false,
             skipped_responses: 0,
+            is_untidy: false,
             received: 0,
         }
     }
@@ -73,6 +76,11 @@
         self.raw.is_empty() && !self.not_reusable
     }
 
+    /// Whether a response to another request, or one without an ID, was received.
+    pub(crate) fn is_untidy(&self) -> bool {
+        self.is_untidy
+    }
+
     /// Bytes received so far.
     pub(crate) fn received(&self) -> usize {
         self.received
@@ -91,9 +99,10 @@
                 continue;
             }
             let meaning = expected.meaning(head.status, &head.info);
+            self.is_untidy |= head.info.request.as_deref() != Some(expected.request);
             if meaning != ResponseMeaning::Foreign {
                 // The request's own response may follow.
-                self.not_reusable |= meaning == ResponseMeaning::PerhapsNotRun;
+                self.not_reusable |= meaning == ResponseMeaning::Doubtful;
                 return Ok((head, meaning));
             }
             log::info!(
