Requests that run once use kept connections where refusals bear IDs

Cause: each such request opened a connection, which was kept afterwards and no such request could use.

Change: `ResponseConduct` remembers for each service whether its refusals bear the request's ID and whether anything arrived in the last minute that cannot be assigned. Only a target whose refusals bear none, or that sends additional bytes, gets new connections for what must run once; each then takes the place of an idle one.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -114,6 +114,7 @@
             let needs = ConnectionNeeds {
                 request: &self.request.head.id,
                 run_once,
+                kept: !run_once || self.permits_kept(),
                 relays: self.request.allowed_relays(),
             };
             let connections = &self.shared.connections;
@@ -135,6 +136,13 @@
         self.run_on_new_connection(response).await
     }
 
+    /// Whether what the targets of the service sent lets a request that must not run twice use a
+    /// connection that carried others.
+    fn permits_kept(&self) -> bool {
+        let now = self.shared.now();
+        self.shared.conduct.permits_kept(now, &self.request.service)
+    }
+
     /// Sends the request on a new connection.
     async fn run_on_new_connection(
         &self,
@@ -190,9 +198,11 @@
         let received = self.receive(&mut reader, response, history);
         let hanging = self.until_path_lost(exchange.as_ref());
         let received = received.or(send).or(hanging).await;
-        if reader.is_untidy() || is_malformed_on_kept(&received, history) {
-            let addr = self.assignment.address;
-            self.shared.connections.record_untidy(addr);
+        if reader.has_unassigned() || is_malformed_on_kept(&received, history) {
+            let now = self.shared.now();
+            self.shared
+                .conduct
+                .record_unassigned(now, &self.request.service);
         }
         let Received {
             response,
@@ -216,7 +226,13 @@
             connections.put(addr, connection, info.idle_timeout);
         }
         match meaning {
-            ResponseMeaning::NotRun => Err(AttemptError::Refused(info)),
+            ResponseMeaning::NotRun => {
+                if info.request.is_some() {
+                    let conduct = &self.shared.conduct;
+                    conduct.record_named_refusal(&self.request.service);
+                }
+                Err(AttemptError::Refused(info))
+            }
             ResponseMeaning::Doubtful => Err(AttemptError::Doubtful(info)),
             ResponseMeaning::UnprovenRefusal => Ok(TargetResponse::UnprovenRefusal),
             ResponseMeaning::Answer | ResponseMeaning::Foreign => Ok(response),
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -8,6 +8,7 @@
 use crate::clock::time_since_boot;
 use crate::domain_scheduler::{DomainScheduler, SchedulerClient};
 use crate::gateway::Dialect;
+use crate::gateway::ResponseConduct;
 use crate::gateway::allowed_versions::AllowedVersions;
 use crate::gateway::brittle_targets::BrittleTargets;
 use crate::gateway::builder::{Clients, GatewayBuilder, SharedChannels};
@@ -57,6 +58,7 @@
             scheduler_client: Arc::new(SchedulerClient::new(scheduler.clone())),
             scheduler,
             connections: ConnectionPool::default(),
+            conduct: ResponseConduct::default(),
             paths: Arc::default(),
             relays: Relays::new(self.domain.clone()),
             quarantine_notices: notices,
--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -23,8 +23,6 @@
 const MAX_IDLE_PER_TARGET: usize = 32;
 /// Maximum number of requests refused on a connection that is kept.
 const MAX_REFUSED_ON_CONNECTION: usize = 16;
-/// Time for which a target that sent a response which cannot be assigned counts as untidy.
-const UNTIDY_TIME: Duration = Duration::from_mins(1);
 /// Idle timeout of a target that does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Share of the stated idle timeout in which a connection is reused, since the target measures from
@@ -41,18 +39,18 @@
     pub request: &'a str,
     /// Whether the request may run at most once.
     pub run_once: bool,
+    /// Whether it may be sent on a connection that carried other requests.
+    pub kept: bool,
     /// Failure domains of the peers that may relay it, if any are named.
     pub relays: Option<&'a AllowedDomains>,
 }
 
 impl ConnectionNeeds<'_> {
-    /// Whether a connection to a target may carry the request; `is_untidy` says whether the target
-    /// sent a response that cannot be assigned. On a kept connection such a response proves nothing, so
-    /// that a request which must not run twice would wait for its deadline.
-    fn are_met_by(&self, connection: &TargetConnection, is_untidy: bool) -> bool {
+    /// Whether a connection may carry the request.
+    fn are_met_by(&self, connection: &TargetConnection) -> bool {
         let fits = match connection.history(self.request) {
             ConnectionHistory::New => true,
-            ConnectionHistory::Kept => !(self.run_once && is_untidy),
+            ConnectionHistory::Kept => self.kept,
             ConnectionHistory::RefusedBefore => false,
         };
         fits && connection.stream.is_allowed(self.relays)
@@ -76,8 +74,6 @@
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
-    /// Targets that sent a response which cannot be assigned to a request, and when they did last.
-    untidy: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 impl ConnectionPool {
@@ -93,10 +89,9 @@
         } else {
             IDLE_TIMEOUT_SHARE
         };
-        let is_untidy = self.is_untidy(addr);
         let mut idle = self.lock();
         let connections = idle.get_mut(&addr)?;
-        let usable = |idle: &IdleConnection| needs.are_met_by(&idle.connection, is_untidy);
+        let usable = |idle: &IdleConnection| needs.are_met_by(&idle.connection);
         while let Some(at) = connections.iter().rposition(usable) {
             // The others have been idle for longer.
             if !connections[at].is_within(share) {
@@ -108,21 +103,12 @@
             }
         }
         // The target counts all connections, so that a new one takes the place of the oldest.
-        if is_untidy && needs.run_once && !connections.is_empty() {
+        if !needs.kept && !connections.is_empty() {
             connections.remove(0);
         }
         None
     }
 
-    /// Records that the target sent a response which cannot be assigned to a request.
-    pub(crate) fn record_untidy(&self, addr: SocketAddr) {
-        lock(&self.untidy).insert(addr, Instant::now());
-    }
-
-    fn is_untidy(&self, addr: SocketAddr) -> bool {
-        lock(&self.untidy).contains_key(&addr)
-    }
-
     /// Adds a new connection, or one whose exchange is complete; closes it if the pool has enough
     /// for this target.
     pub(crate) fn put(
@@ -146,10 +132,8 @@
         }
     }
 
-    /// Closes connections that have been idle for too long to be reused, and forgets targets that
-    /// have not been untidy for long.
+    /// Closes connections that have been idle for too long to be reused.
     pub(crate) fn sweep(&self) {
-        lock(&self.untidy).retain(|_, last| last.elapsed() < UNTIDY_TIME);
         self.lock().retain(|_, connections| {
             connections.retain(|idle| idle.is_within(IDLE_TIMEOUT_SHARE));
             !connections.is_empty()
@@ -159,7 +143,6 @@
     /// Closes all idle connections to an address.
     pub(crate) fn clear(&self, addr: SocketAddr) {
         self.lock().remove(&addr);
-        lock(&self.untidy).remove(&addr);
     }
 
     /// Closes this entry's own idle connections to an address.
@@ -179,14 +162,10 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
-        lock(&self.idle)
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Opens a connection to a target.
 ///
 /// # Errors
--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -51,7 +51,7 @@
     /// Number of responses that were skipped.
     skipped_responses: u32,
     /// Whether a response to another request, or one without an ID, was received.
-    is_untidy: bool,
+    has_unassigned: bool,
     /// Bytes received so far.
     received: usize,
 }
@@ -65,7 +65,7 @@
             raw: Vec::new(),
             not_reusable: false,
             skipped_responses: 0,
-            is_untidy: false,
+            has_unassigned: false,
             received: 0,
         }
     }
@@ -77,8 +77,8 @@
     }
 
     /// Whether a response to another request, or one without an ID, was received.
-    pub(crate) fn is_untidy(&self) -> bool {
-        self.is_untidy
+    pub(crate) fn has_unassigned(&self) -> bool {
+        self.has_unassigned
     }
 
     /// Bytes received so far.
@@ -99,7 +99,7 @@
                 continue;
             }
             let meaning = expected.meaning(head.status, &head.info);
-            self.is_untidy |= head.info.request.as_deref() != Some(expected.request);
+            self.has_unassigned |= head.info.request.as_deref() != Some(expected.request);
             if meaning != ResponseMeaning::Foreign {
                 // The request's own response may follow.
                 self.not_reusable |= meaning == ResponseMeaning::Doubtful;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -7,6 +7,7 @@
 use crate::clock::time_since_boot;
 use crate::context_store::StoreDirectory;
 use crate::domain_scheduler::SchedulerClient;
+use crate::gateway::ResponseConduct;
 use crate::gateway::allowed_versions::AllowedVersions;
 use crate::gateway::brittle_targets::BrittleTargets;
 use crate::gateway::connection_pool::ConnectionPool;
@@ -42,6 +43,8 @@
     pub scheduler_client: Arc<SchedulerClient>,
     /// Idle connections to targets.
     pub connections: ConnectionPool,
+    /// How the targets of each service tell which request a response belongs to.
+    pub conduct: ResponseConduct,
     /// Paths by which this entry reaches the targets.
     pub paths: Arc<TargetPaths>,
     /// Peers through which targets are reached that this entry does not reach itself.
--- a/tests/response_meaning.rs
+++ b/tests/response_meaning.rs
@@ -1,8 +1,11 @@
 //! What each response of a target proves, on each kind of connection, for each kind of request.
 
+use std::time::Duration;
+
 use guavahold::gateway::{
-    ConnectionHistory, ExpectedResponse, ResponseInfo, ResponseMeaning, RunReport,
+    ConnectionHistory, ExpectedResponse, ResponseConduct, ResponseInfo, ResponseMeaning, RunReport,
 };
+use guavahold::prelude::Name;
 
 use ConnectionHistory::{Kept, New, RefusedBefore};
 use Report::{Misdirected, Nothing, Stated};
@@ -122,3 +125,18 @@
         }
     }
 }
+
+#[test]
+fn response_conduct_permits_kept_connections_only_where_refusals_bear_ids() {
+    let conduct = ResponseConduct::default();
+    let (named, silent): (Name, Name) = ("s1".into(), "s2".into());
+    let at = Duration::from_secs;
+    assert!(!conduct.permits_kept(at(0), &named));
+    conduct.record_named_refusal(&named);
+    assert!(conduct.permits_kept(at(1), &named));
+    assert!(!conduct.permits_kept(at(1), &silent));
+    conduct.record_unassigned(at(2), &named);
+    assert!(!conduct.permits_kept(at(3), &named));
+    assert!(!conduct.permits_kept(at(61), &named));
+    assert!(conduct.permits_kept(at(62), &named));
+}
