Connections that wait for a request go by the newest limits, and read what has arrived before they close

Callers saw a kept connection closed, or a 413 or 408 in place of an answer, although every limit in force allowed their request. Cause: the limits were read when a connection began to wait and held until the next request had arrived; the idle timeout was raced against the reactor's report of new bytes, which comes later than the timeout when the process gets no processor for a while.

The timeouts are compared with the limits in force when they expire, the size limits are those in force when the first byte arrives, and a connection reads once more before it closes as idle or at a shutdown. A limit that is lowered during a wait does not end it, as before.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -61,16 +61,11 @@
     let stream = Arc::new(stream);
     let mut reader = RequestReader::new(stream.clone());
     loop {
-        let limits = shared.limits();
-        let shutdown = async {
-            shared.drain.wait_idle_close().await;
-            Err(ReceiveError::ConnectionClosed)
-        };
-        if reader.wait_for_request(&limits).or(shutdown).await.is_err() {
+        if reader.wait_for_request(&shared).await.is_err() {
             return;
         }
         let running = shared.drain.count_request();
-        let keep = match reader.receive(&*shared.dialect, &limits).await {
+        let keep = match reader.receive(&shared).await {
             Ok(received) => serve(&shared, received, &stream, &mut reader).await,
             Err(ReceiveError::ConnectionClosed) => return,
             Err(ReceiveError::Rejected(status, code)) => {
--- a/src/gateway/request_reader.rs
+++ b/src/gateway/request_reader.rs
@@ -1,5 +1,6 @@
 //! Reads callers' requests from a connection.
 
+use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
 use std::time::Instant;
 
@@ -7,6 +8,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
 use crate::clock::coarse_sleep;
+use crate::gateway::shared::Shared;
 use crate::gateway::{Dialect, RequestHead, RequestHeadError};
 use crate::http::{ChunkScanner, Framing, MAX_HEADERS, MessageError};
 use crate::prelude::*;
@@ -77,44 +79,42 @@
         }
     }
 
-    /// Waits for the first byte of a request.
-    pub(crate) async fn wait_for_request(
-        &mut self,
-        limits: &CallerLimits,
-    ) -> Result<(), ReceiveError> {
-        if !self.buf.is_empty() {
-            return Ok(());
-        }
-        let idle = async {
-            coarse_sleep(limits.idle_timeout).await;
-            Ok(0)
-        };
-        let readable = async {
-            let readable = self.stream.readable().await;
-            readable.map(|()| 1).map_err(|_| MessageError::CutShort)
-        };
-        match readable.or(idle).await {
-            Ok(1) if self.fill().await? > 0 => Ok(()),
-            _ => Err(ReceiveError::ConnectionClosed),
+    /// Waits for the first bytes of a request, until the idle timeout passes or idle connections
+    /// close. Bytes that have arrived by then are read nevertheless, since the reactor may report them
+    /// later than the timeout.
+    pub(crate) async fn wait_for_request(&mut self, shared: &Shared) -> Result<(), ReceiveError> {
+        let idle_since = Instant::now();
+        while self.buf.is_empty() {
+            let readable = async {
+                let _ = self.stream.readable().await;
+                false
+            };
+            let idle = async {
+                limit_passed(idle_since, || shared.limits().idle_timeout).await;
+                true
+            };
+            let closing = async {
+                shared.drain.wait_idle_close().await;
+                true
+            };
+            let must_close = readable.or(idle).or(closing).await;
+            if !self.fill_arrived()? && must_close {
+                return Err(ReceiveError::ConnectionClosed);
+            }
         }
+        Ok(())
     }
 
     /// Reads a complete request, whose first byte has arrived.
     pub(crate) async fn receive(
         &mut self,
-        dialect: &dyn Dialect,
-        limits: &CallerLimits,
+        shared: &Shared,
     ) -> Result<ReceivedRequest, ReceiveError> {
-        let timeout = async {
-            coarse_sleep(limits.head_timeout).await;
-            Err(ReceiveError::from(MessageError::TooSlow))
-        };
-        let head = self.receive_head(dialect, limits).or(timeout).await?;
-        let timeout = async {
-            coarse_sleep(limits.head_timeout).await;
-            Err(ReceiveError::from(MessageError::TooSlow))
-        };
-        let body = self.receive_body(&head, limits).or(timeout).await?;
+        let limits = shared.limits();
+        let head = self.receive_head(&*shared.dialect, &limits);
+        let head = head.or(too_slow(shared)).await?;
+        let body = self.receive_body(&head, &limits);
+        let body = body.or(too_slow(shared)).await?;
         Ok(ReceivedRequest {
             head: head.request,
             body,
@@ -240,6 +240,22 @@
         }
     }
 
+    /// Appends the bytes that have arrived to `buf`; `false` when there are none yet.
+    fn fill_arrived(&mut self) -> Result<bool, ReceiveError> {
+        let len = self.buf.len();
+        self.buf.resize(len + READ_SIZE, 0);
+        let read = self.stream.get_ref().read(&mut self.buf[len..]);
+        self.buf.truncate(len + *read.as_ref().unwrap_or(&0));
+        match read {
+            Ok(0) => Err(ReceiveError::ConnectionClosed),
+            Ok(_) => Ok(true),
+            Err(err) if matches!(err.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                Ok(false)
+            }
+            Err(_) => Err(ReceiveError::ConnectionClosed),
+        }
+    }
+
     /// Appends more bytes to `buf`; returns their number, zero at the end of the stream.
     async fn fill(&mut self) -> Result<usize, MessageError> {
         let len = self.buf.len();
@@ -268,6 +284,24 @@
     }
 }
 
+/// Fails once a head or a body has taken too long to arrive.
+async fn too_slow<T>(shared: &Shared) -> Result<T, ReceiveError> {
+    limit_passed(Instant::now(), || shared.limits().head_timeout).await;
+    Err(MessageError::TooSlow.into())
+}
+
+/// Completes once `limit` has passed since `start`. A limit that is raised meanwhile holds; one that
+/// is lowered does not, since the caller may go by the former one.
+async fn limit_passed(start: Instant, limit: impl Fn() -> Duration) {
+    loop {
+        let left = limit().saturating_sub(start.elapsed());
+        if left.is_zero() {
+            return;
+        }
+        coarse_sleep(left).await;
+    }
+}
+
 fn has_token(headers: &[httparse::Header<'_>], name: &str, token: &str) -> bool {
     let mut values = headers
         .iter()
