A connection that closes at a shutdown leaves unread what has just arrived

Cause: reads once more before a connection closes, also when idle connections close 4 s after SIGTERM. A caller that sends its next request at that moment got it begun, and its stream of 4.2 s was cut at the end of the shutdown (drain_ended requests_left=3 took_ms=7636).

Now bytes are read at the idle timeout only. At a shutdown the connection closes at once, as it did before, so that the caller may send its request elsewhere.

--- a/src/gateway/request_reader.rs
+++ b/src/gateway/request_reader.rs
@@ -80,25 +80,26 @@
     }
 
     /// Waits for the first bytes of a request, until the idle timeout passes or idle connections
-    /// close. Bytes that have arrived by then are read nevertheless, since the reactor may report them
-    /// later than the timeout.
+    /// close. Bytes that have arrived by the idle timeout are read nevertheless, since the reactor may
+    /// report them later; at a shutdown they are left unread, so that the caller may send its request
+    /// elsewhere.
     pub(crate) async fn wait_for_request(&mut self, shared: &Shared) -> Result<(), ReceiveError> {
         let idle_since = Instant::now();
         while self.buf.is_empty() {
             let readable = async {
                 let _ = self.stream.readable().await;
-                false
+                Wakeup::Readable
             };
             let idle = async {
                 limit_passed(idle_since, || shared.limits().idle_timeout).await;
-                true
+                Wakeup::Idle
             };
             let closing = async {
                 shared.drain.wait_idle_close().await;
-                true
+                Wakeup::Closing
             };
-            let must_close = readable.or(idle).or(closing).await;
-            if !self.fill_arrived()? && must_close {
+            let wakeup = readable.or(idle).or(closing).await;
+            if wakeup == Wakeup::Closing || (!self.fill_arrived()? && wakeup == Wakeup::Idle) {
                 return Err(ReceiveError::ConnectionClosed);
             }
         }
@@ -284,6 +285,17 @@
     }
 }
 
+/// Why a connection stops waiting for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wakeup {
+    /// Bytes may have arrived.
+    Readable,
+    /// The idle timeout has passed.
+    Idle,
+    /// Idle connections close, since the entry shuts down.
+    Closing,
+}
+
 /// Fails once a head or a body has taken too long to arrive.
 async fn too_slow<T>(shared: &Shared) -> Result<T, ReceiveError> {
     limit_passed(Instant::now(), || shared.limits().head_timeout).await;
