Kept connections for what runs once after many responses with IDs

Change: 64 responses in a row with the ID of their request count like a named refusal (the protocol says that targets echo it). A response without an ID ends that until a refusal with one; a response to another request, or bytes that are none, for a minute and 64 further responses.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -136,6 +136,27 @@
         self.run_on_new_connection(response).await
     }
 
+    /// Records how the target told which request its responses belong to.
+    fn record_conduct(
+        &self,
+        reader: &ResponseReader<'_>,
+        received: &Result<Received, AttemptError>,
+        history: ConnectionHistory,
+    ) {
+        let (conduct, service) = (&self.shared.conduct, &self.request.service);
+        if reader.has_unnamed() {
+            conduct.record_unnamed(self.shared.now(), service);
+        } else if reader.has_foreign() || is_malformed_on_kept(received, history) {
+            conduct.record_unassigned(self.shared.now(), service);
+        } else if let Ok(received) = received {
+            if received.meaning == ResponseMeaning::NotRun {
+                conduct.record_named_refusal(service);
+            } else {
+                conduct.record_named(service);
+            }
+        }
+    }
+
     /// Whether what the targets of the service sent lets a request that must not run twice use a
     /// connection that carried others.
     fn permits_kept(&self) -> bool {
@@ -198,12 +219,7 @@
         let received = self.receive(&mut reader, response, history);
         let hanging = self.until_path_lost(exchange.as_ref());
         let received = received.or(send).or(hanging).await;
-        if reader.has_unassigned() || is_malformed_on_kept(&received, history) {
-            let now = self.shared.now();
-            self.shared
-                .conduct
-                .record_unassigned(now, &self.request.service);
-        }
+        self.record_conduct(&reader, &received, history);
         let Received {
             response,
             meaning,
@@ -226,13 +242,7 @@
             connections.put(addr, connection, info.idle_timeout);
         }
         match meaning {
-            ResponseMeaning::NotRun => {
-                if info.request.is_some() {
-                    let conduct = &self.shared.conduct;
-                    conduct.record_named_refusal(&self.request.service);
-                }
-                Err(AttemptError::Refused(info))
-            }
+            ResponseMeaning::NotRun => Err(AttemptError::Refused(info)),
             ResponseMeaning::Doubtful => Err(AttemptError::Doubtful(info)),
             ResponseMeaning::UnprovenRefusal => Ok(TargetResponse::UnprovenRefusal),
             ResponseMeaning::Answer | ResponseMeaning::Foreign => Ok(response),
--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -50,8 +50,10 @@
     not_reusable: bool,
     /// Number of responses that were skipped.
     skipped_responses: u32,
-    /// Whether a response to another request, or one without an ID, was received.
-    has_unassigned: bool,
+    /// Whether a response to another request was received.
+    has_foreign: bool,
+    /// Whether a response without an ID was received.
+    has_unnamed: bool,
     /// Bytes received so far.
     received: usize,
 }
@@ -65,7 +67,8 @@
             raw: Vec::new(),
             not_reusable: false,
             skipped_responses: 0,
-            has_unassigned: false,
+            has_foreign: false,
+            has_unnamed: false,
             received: 0,
         }
     }
@@ -76,9 +79,14 @@
         self.raw.is_empty() && !self.not_reusable
     }
 
-    /// Whether a response to another request, or one without an ID, was received.
-    pub(crate) fn has_unassigned(&self) -> bool {
-        self.has_unassigned
+    /// Whether a response to another request was received.
+    pub(crate) fn has_foreign(&self) -> bool {
+        self.has_foreign
+    }
+
+    /// Whether a response without an ID was received.
+    pub(crate) fn has_unnamed(&self) -> bool {
+        self.has_unnamed
     }
 
     /// Bytes received so far.
@@ -99,7 +107,10 @@
                 continue;
             }
             let meaning = expected.meaning(head.status, &head.info);
-            self.has_unassigned |= head.info.request.as_deref() != Some(expected.request);
+            match head.info.request.as_deref() {
+                Some(id) => self.has_foreign |= id != expected.request,
+                None => self.has_unnamed = true,
+            }
             if meaning != ResponseMeaning::Foreign {
                 // The request's own response may follow.
                 self.not_reusable |= meaning == ResponseMeaning::Doubtful;
