What an entry knows of the store's objects in a room of its own; watches that are given up say why

The cache, its freshness, the outage and the requests to peers of each kind stood in four arrays of the gateway's state, and the decision to give a watch up in an async loop. They are `store_view` now, without input or output, with the times that decide how late a change may be known in one place.

Logs could not tell a watch that missed a change from one that nobody confirmed: `watch_doubted` (was `watch_behind_hub`) says the reason, how long the watch was open, who confirmed last and how long ago.

--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -46,8 +46,6 @@
     (Duration::from_millis(2_400), Duration::from_millis(7_500));
 /// Maximum number of entries for [`HEARTBEAT_TIMING`].
 const MAX_ENTRIES_SHORT_HEARTBEAT: u32 = 24;
-/// Time for noticing a change and for carrying it out, beside the pause between batches.
-const CHANGE_RESERVE: Duration = Duration::from_secs(1);
 
 /// Clients of the systems around a gateway.
 struct Clients {
@@ -346,11 +344,6 @@
         })
     }
 
-    /// Pause after each batch of changes: it takes less than half of the time that a change has.
-    fn batch_pause(&self) -> Duration {
-        (self.change_deadline / 2).saturating_sub(CHANGE_RESERVE)
-    }
-
     fn own_vm(&self) -> Vm {
         Vm {
             name: self.name.clone(),
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -25,6 +25,7 @@
 use crate::prelude::*;
 use crate::scheduler::{Effect, Event, Placement, RetryBurst, Scheduler, SchedulerSettings};
 use crate::shared_scheduler::{QuarantineNotices, SharedScheduler};
+use crate::store_view::batch_pause;
 use crate::telemetry::GatewayMetrics;
 
 /// Share of the saved-up retries that the schedulers of the failure domains use. Entries that
@@ -132,7 +133,7 @@
             stores: clients.stores,
             recovery_deadline: self.recovery_deadline,
             evacuation_deadline: self.evacuation_deadline,
-            batch_pause: self.batch_pause(),
+            batch_pause: batch_pause(self.change_deadline),
             target_heartbeat: self.target_heartbeat,
             registration_lifetime: self.target_heartbeat * LIFETIME_HEARTBEATS,
             mesh: OnceLock::default(),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -29,13 +29,14 @@
 use crate::context_store::ContextStoreClient;
 use crate::domain_scheduler::DomainScheduler;
 use crate::gateway::shared::{Shared, TargetObservation};
-use crate::gateway::{ConfirmedBy, Decoder, StoreOutage, WatchedKind};
+use crate::gateway::{Decoder, INTERVAL_JITTER, WatchedKind};
 use crate::lease::LeaseClient;
 use crate::peer::{Mesh, PeerLinks, PeerMessage};
 use crate::platform::{Listing, Platform, PlatformError, StoreRevision, Vm, WatchEvent};
 use crate::prelude::*;
 use crate::rate_limit::ColdBound;
 use crate::scheduler::{Effect, Event, Signal};
+use crate::store_view::{ConfirmedBy, StoreOutage};
 
 pub(crate) use domain_scheduling::HubLinks;
 use evacuations::EVACUATION_REWRITE_TIME;
@@ -112,7 +113,7 @@
     pub(crate) fn apply_listing(self: &Arc<Self>, watched: WatchedKind, listing: Listing) {
         let mut state = self.state();
         self.record_store_success(&mut state, watched);
-        let cache = &mut state.caches[watched.index()];
+        let cache = state.cache_mut(watched);
         if cache.is_outdated(&listing) {
             return;
         }
@@ -134,7 +135,7 @@
         let kind = watched.as_str();
         let items = listing.items.len();
         log::warn!("event=objects_restored kind={kind} era={era} listed={items}");
-        let cache = &mut state.caches[watched.index()];
+        let cache = state.cache_mut(watched);
         match watched {
             WatchedKind::Routes | WatchedKind::Weights => {
                 cache.merge_versioned(listing, |spec| self.decoder.version(watched, spec));
@@ -155,7 +156,7 @@
     pub(crate) fn apply_event(self: &Arc<Self>, watched: WatchedKind, event: WatchEvent) {
         let mut state = self.state();
         self.record_store_success(&mut state, watched);
-        if state.caches[watched.index()].apply(event) {
+        if state.cache_mut(watched).apply(event) {
             self.update_derived(&mut state, watched);
         }
     }
@@ -163,7 +164,7 @@
     fn record_store_success(&self, state: &mut State, watched: WatchedKind) {
         let now = self.now();
         self.confirm_objects(state, watched, ConfirmedBy::Store);
-        if let Some(outage) = state.outages[watched.index()].take() {
+        if let Some(outage) = state.view_mut(watched).end_outage() {
             let away_ms = now.saturating_sub(outage.noticed_at).as_millis();
             let kind = watched.as_str();
             log::info!("event=store_regained kind={kind} away_ms={away_ms}");
@@ -198,19 +199,10 @@
         let failures = &self.shared.metrics.store_failures;
         failures.with_label_values(&[kind]).inc();
         let mut state = self.state();
-        let n = watched.index();
-        if let Some(outage) = &mut state.outages[n] {
-            outage.record_failure(failed_at);
-            return;
+        let view = state.view_mut(watched);
+        if view.record_failure(self.now(), failed_at, longest_wait, err) {
+            log::warn!("event=store_lost kind={kind} error={:?}", err.to_string());
         }
-        let confirmed_at = state.freshness[n].confirmed_at();
-        let accepted_at = match err {
-            PlatformError::Unanswered(_) => confirmed_at,
-            // A store that turns calls away may still answer those that wait.
-            _ => confirmed_at.saturating_sub(longest_wait),
-        };
-        state.outages[n] = Some(StoreOutage::new(self.now(), accepted_at, err));
-        log::warn!("event=store_lost kind={kind} error={:?}", err.to_string());
     }
 
     /// Updates everything that is derived from the objects of one kind.
@@ -370,6 +362,7 @@
 
     /// Sleeps with a jitter of ±10 %, so that entries do not act in lockstep.
     pub(crate) async fn sleep_with_jitter(time: Duration) {
-        Timer::after(time.mul_f64(0.9 + fastrand::f64() / 5.0)).await;
+        let jitter = INTERVAL_JITTER * (2.0 * fastrand::f64() - 1.0);
+        Timer::after(time.mul_f64(1.0 + jitter)).await;
     }
 }
--- a/src/gateway/control/evacuations.rs
+++ b/src/gateway/control/evacuations.rs
@@ -35,14 +35,14 @@
     /// use any targets. The wait ends after the evacuation deadline, since the store and all peers
     /// may be unreachable.
     pub(super) fn awaits_evacuations(&self, state: &State) -> bool {
-        let known = state.caches[WatchedKind::Evacuations.index()].revision() > 0;
+        let known = state.cache(WatchedKind::Evacuations).revision() > 0;
         let limit = self.evacuation_deadline.filter(|_| !known);
         limit.is_some_and(|limit| self.now() < limit)
     }
 
     /// Tells both schedulers the evacuated failure domains.
     pub(super) fn apply_evacuations(&self, state: &mut State) {
-        let names = state.caches[WatchedKind::Evacuations.index()].iter();
+        let names = state.cache(WatchedKind::Evacuations).iter();
         let domains: BTreeSet<Name> = names
             .map(|(name, _)| self.decoder.evacuated_domain(name))
             .collect();
@@ -58,14 +58,14 @@
 
     /// Logs the evacuations that began or ended, once the targets are known.
     pub(super) fn record_evacuations(&self, state: &mut State) {
-        if state.caches[WatchedKind::Targets.index()].revision() == 0 {
+        if state.cache(WatchedKind::Targets).revision() == 0 {
             return;
         }
         let mut targets: BTreeMap<Name, usize> = BTreeMap::new();
         for target in state.targets.iter() {
             *targets.entry(target.info.domain.clone()).or_default() += 1;
         }
-        let revision = state.caches[WatchedKind::Evacuations.index()].revision();
+        let revision = state.cache(WatchedKind::Evacuations).revision();
         for change in state.evacuations.changes(&targets) {
             match change {
                 EvacuationChange::Began(domain, targets) => log::warn!(
--- a/src/gateway/control/freshness.rs
+++ b/src/gateway/control/freshness.rs
@@ -1,13 +1,11 @@
 //! How recently the objects of each kind were confirmed, by the store or by way of a hub.
 
-use crate::clock::whole_millis;
+use crate::gateway::WatchedKind;
 use crate::gateway::control::{Control, State};
-use crate::gateway::{ConfirmedBy, WatchedKind};
 use crate::peer::KindConfirmation;
 use crate::prelude::*;
+use crate::store_view::ConfirmedBy;
 
-/// Assumed transit time of a hub's confirmation, which its stated age does not include.
-const TRANSIT_ALLOWANCE: Duration = Duration::from_millis(100);
 /// Time without a confirmation of entries or declared weights that is logged.
 const SLOW_KIND_LIMIT: Duration = Duration::from_secs(15);
 
@@ -15,9 +13,9 @@
     /// Records that the store or a peer confirmed the objects of a kind.
     pub(crate) fn confirm_objects(&self, state: &mut State, watched: WatchedKind, by: ConfirmedBy) {
         let kind = watched.as_str();
-        let freshness = &mut state.freshness[watched.index()];
-        if let Some(silence) = freshness.confirm(self.now(), by) {
-            let by = freshness.confirmed_by();
+        let view = state.view_mut(watched);
+        if let Some(silence) = view.confirm(self.now(), by) {
+            let by = view.freshness.confirmed_by();
             let silent_ms = silence.as_millis();
             log::info!("event=objects_confirmed kind={kind} by={by} silent_ms={silent_ms}");
         }
@@ -29,8 +27,8 @@
         let config = self.shared.routes.load().as_ref().map_or(0, |t| t.version);
         for watched in self.watched_kinds() {
             let limit = self.confirmation_limit(watched);
-            let revision = state.caches[watched.index()].revision();
-            let freshness = &mut state.freshness[watched.index()];
+            let revision = state.cache(watched).revision();
+            let freshness = &mut state.view_mut(watched).freshness;
             let Some(silence) = freshness.newly_overdue(now, limit) else {
                 continue;
             };
@@ -66,14 +64,7 @@
         if !self.uses_hubs() || self.hub_selector.current().is_some() {
             return Vec::new();
         }
-        let kinds = WatchedKind::ALL.iter().map(|watched| {
-            let n = watched.index();
-            let answered_at = self.freshness[n].answered_at()?;
-            Some(KindConfirmation {
-                last_change: self.caches[n].last_change(),
-                age_ms: whole_millis(now.saturating_sub(answered_at)),
-            })
-        });
+        let kinds = self.views.iter().map(|view| view.confirmation(now));
         kinds.collect()
     }
 
@@ -84,20 +75,10 @@
         peer: &Name,
         confirmations: &[Option<KindConfirmation>],
     ) {
-        for (n, confirmation) in confirmations.iter().enumerate() {
-            let (Some(confirmation), Some(cache)) = (confirmation, self.caches.get(n)) else {
-                continue;
-            };
-            let age = Duration::from_millis(confirmation.age_ms) + TRANSIT_ALLOWANCE;
-            let at = now.saturating_sub(age);
-            let change = confirmation.last_change;
-            self.freshness[n].observe_confirmation(at, peer, change, cache.revision());
+        for (view, confirmation) in self.views.iter_mut().zip(confirmations) {
+            if let Some(confirmation) = confirmation {
+                view.observe_confirmation(now, peer, confirmation);
+            }
         }
     }
-
-    /// Whether a hub knows of a change that this entry does not know.
-    pub(crate) fn is_behind_hub(&self, watched: WatchedKind) -> bool {
-        let n = watched.index();
-        self.caches[n].revision() < self.freshness[n].peer_change()
-    }
 }
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -3,18 +3,14 @@
 use crate::clock::whole_millis;
 use crate::context_store::RetiredVersions;
 use crate::gateway::control::{Control, State};
-use crate::gateway::{ConfirmedBy, PeerObject, TargetLoad, VersionCutoff, WatchedKind};
+use crate::gateway::{TargetLoad, VersionCutoff, WatchedKind};
 use crate::name_hash::name_hash;
 use crate::peer::{GatewayStatus, Mesh, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::StoreRevision;
 use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
 use crate::scheduler::{Event, Signal};
-
-/// Time without the platform store after which objects are requested from peers.
-const OBJECT_REQUEST_DELAY: Duration = Duration::from_millis(300);
-/// Minimum interval between two requests for objects of one kind.
-const OBJECT_REQUEST_INTERVAL: Duration = Duration::from_millis(400);
+use crate::store_view::{ConfirmedBy, PeerObject};
 
 impl Control {
     /// Builds the status that this entry sends to its peers.
@@ -28,7 +24,7 @@
         let retired = state.retirement.retired();
         GatewayStatus {
             revisions: state.revisions(),
-            evacuations_revision: state.caches[WatchedKind::Evacuations.index()].revision(),
+            evacuations_revision: state.cache(WatchedKind::Evacuations).revision(),
             loads: loads
                 .map(|(name, load)| {
                     let load = TargetLoad::from_tokens(load.requests, load.work, load.context);
@@ -121,16 +117,10 @@
         }
         state.observe_confirmations(now, peer, &status.confirmations);
         for watched in self.watched_kinds() {
-            let n = watched.index();
-            state.freshness[n].observe_peer_revision(revisions[n]);
-            let outage = state.outages[n];
-            let unreachable = outage.is_some_and(|o| now >= o.noticed_at + OBJECT_REQUEST_DELAY);
-            let behind = revisions[n] > state.caches[n].revision();
-            let requested =
-                state.objects_requested_at[n].is_some_and(|at| now < at + OBJECT_REQUEST_INTERVAL);
-            if unreachable && behind && !requested {
-                state.objects_requested_at[n] = Some(now);
-                self.send(peer, PeerMessage::WantObjects { kind: n });
+            let kind = watched.index();
+            let view = state.view_mut(watched);
+            if view.observe_peer_revision(now, revisions[kind]) {
+                self.send(peer, PeerMessage::WantObjects { kind });
             }
         }
     }
@@ -138,7 +128,8 @@
     /// Sends the objects of one kind to a peer.
     pub(crate) fn send_objects(&self, peer: &str, kind: usize) {
         let state = self.state();
-        let Some(cache) = state.caches.get(kind).filter(|cache| cache.revision() > 0) else {
+        let cache = state.views.get(kind).map(|view| &view.cache);
+        let Some(cache) = cache.filter(|cache| cache.revision() > 0) else {
             return;
         };
         let message = PeerMessage::Objects {
@@ -163,13 +154,13 @@
         };
         let keep_until = self.keep_unlisted_until(watched);
         let mut state = self.state();
-        let former = StoreRevision::from_bits(state.caches[kind].revision());
-        if state.outages[kind].is_none()
-            || !state.caches[kind].replace_from_peer(revision, objects, keep_until)
-        {
+        let view = state.view_mut(watched);
+        let former = StoreRevision::from_bits(view.cache.revision());
+        if !view.adopt(revision, objects, keep_until) {
             return;
         }
-        if let Some(outage) = state.outages[kind].filter(|_| watched == WatchedKind::Targets) {
+        let outage = view.outage();
+        if let Some(outage) = outage.filter(|_| watched == WatchedKind::Targets) {
             // The peer may have read the list before targets had registered again.
             self.record_recovery_of_targets(&mut state, &outage);
         }
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -2,16 +2,12 @@
 
 use async_io::Timer;
 
-use crate::gateway::WatchedKind;
 use crate::gateway::control::{Control, TargetReport};
+use crate::gateway::{HUB_INTERVAL, STATUS_INTERVAL, WatchedKind};
 use crate::prelude::*;
 use crate::rollout::RolloutEvent;
 use crate::scheduler::Event;
 
-/// Interval at which the status is sent to all peers, in a small system.
-const STATUS_INTERVAL: Duration = Duration::from_millis(60);
-/// Interval at which statuses and digests are sent, in a large system with hubs.
-const HUB_INTERVAL: Duration = Duration::from_millis(300);
 /// Minimum and maximum interval between two ticks of the scheduler.
 const SCHEDULER_TICK_INTERVAL: (Duration, Duration) =
     (Duration::from_millis(5), Duration::from_millis(50));
--- a/src/gateway/control/routes.rs
+++ b/src/gateway/control/routes.rs
@@ -12,7 +12,7 @@
     /// Applies the newest configuration; one that is not newer than the current one is ignored.
     pub(super) fn apply_routes(self: &Arc<Self>, state: &mut State) {
         let known = self.shared.routes.load().as_ref().map(|t| t.version);
-        for (name, spec) in state.caches[WatchedKind::Routes.index()].iter() {
+        for (name, spec) in state.cache(WatchedKind::Routes).iter() {
             match self.decoder.routes(name, spec) {
                 Ok(Some(table)) if known.is_none_or(|known| table.version > known) => {
                     log::info!("event=config_in_force version={}", table.version);
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -5,15 +5,15 @@
 use crate::context_store::RetirementTracker;
 use crate::gateway::control::warm_ups::WarmUpState;
 use crate::gateway::{
-    DeclaredWeights, Decoder, Evacuations, HubAggregator, HubCandidate, HubSelector, KindFreshness,
-    LoadTable, ObjectCache, RegisteredTarget, StoreOutage, TargetLoad, TargetTable, WatchedKind,
-    WeightVersions,
+    DeclaredWeights, Decoder, Evacuations, HubAggregator, HubCandidate, HubSelector, LoadTable,
+    RegisteredTarget, TargetLoad, TargetTable, WatchedKind, WeightVersions,
 };
 use crate::name_hash::name_hash;
 use crate::peer::PeerInfo;
 use crate::platform::Vm;
 use crate::prelude::*;
 use crate::rollout::{RolloutPlanner, RolloutSettings, RolloutTarget};
+use crate::store_view::{KindView, ObjectCache};
 use crate::stream_origin::StreamOrigin;
 
 /// Time after which a peer's list of cordoned targets expires.
@@ -28,15 +28,8 @@
 
 /// State of a gateway's control tasks.
 pub(crate) struct State {
-    /// Cached objects of the platform store, by kind.
-    pub caches: [ObjectCache; KINDS],
-    /// Outages of the platform store that go on, by kind; from the start of the process until the
-    /// first successful call.
-    pub outages: [Option<StoreOutage>; KINDS],
-    /// How recently the objects were confirmed, by kind.
-    pub freshness: [KindFreshness; KINDS],
-    /// When objects were last requested from a peer, by kind.
-    pub objects_requested_at: [Option<Timestamp>; KINDS],
+    /// What this entry knows of the platform store's objects, by kind.
+    pub views: [KindView; KINDS],
     /// Failure domains to whose targets nothing may be sent.
     pub evacuations: Evacuations,
     /// Whether the targets are kept from the schedulers because the evacuations are not known yet.
@@ -89,10 +82,7 @@
 impl State {
     pub(crate) fn new(rollout: RolloutSettings, version_deadline: Duration) -> Self {
         Self {
-            caches: Default::default(),
-            outages: [Some(StoreOutage::default()); KINDS],
-            freshness: Default::default(),
-            objects_requested_at: [None; KINDS],
+            views: Default::default(),
             evacuations: Evacuations::default(),
             targets_withheld: false,
             targets: TargetTable::default(),
@@ -119,15 +109,35 @@
         }
     }
 
+    /// What this entry knows of the objects of a kind.
+    pub(crate) fn view(&self, watched: WatchedKind) -> &KindView {
+        &self.views[watched.index()]
+    }
+
+    /// The same, to be changed.
+    pub(crate) fn view_mut(&mut self, watched: WatchedKind) -> &mut KindView {
+        &mut self.views[watched.index()]
+    }
+
+    /// The objects of a kind.
+    pub(crate) fn cache(&self, watched: WatchedKind) -> &ObjectCache {
+        &self.view(watched).cache
+    }
+
+    /// The objects of a kind, to be changed.
+    pub(crate) fn cache_mut(&mut self, watched: WatchedKind) -> &mut ObjectCache {
+        &mut self.view_mut(watched).cache
+    }
+
     /// Revisions of the cached objects of the first four kinds.
     pub(crate) fn revisions(&self) -> [u64; 4] {
-        std::array::from_fn(|n| self.caches[n].revision())
+        std::array::from_fn(|n| self.views[n].cache.revision())
     }
 
     /// Decodes the registered targets; objects that cannot be decoded are skipped.
     pub(crate) fn decode_targets(&mut self, now: Timestamp, decoder: &dyn Decoder) {
         let mut registered = Vec::new();
-        for (name, spec) in self.caches[WatchedKind::Targets.index()].iter() {
+        for (name, spec) in self.views[WatchedKind::Targets.index()].cache.iter() {
             match decoder.target(name, spec) {
                 Ok(target) => {
                     self.warm_ups.record_registration(name, spec, target.cold);
@@ -150,7 +160,7 @@
         decoder: &dyn Decoder,
     ) -> Vec<DeclaredWeights> {
         let mut read = Vec::new();
-        let cache = &self.caches[WatchedKind::Weights.index()];
+        let cache = &self.views[WatchedKind::Weights.index()].cache;
         for (name, spec) in cache.iter() {
             match decoder.weights(name, spec) {
                 Ok(declared) => {
@@ -174,7 +184,7 @@
 
     /// Decodes the VMs of the entries; objects that cannot be decoded are skipped.
     pub(crate) fn decode_members(&self) -> Vec<Vm> {
-        let members = self.caches[WatchedKind::Members.index()].iter();
+        let members = self.cache(WatchedKind::Members).iter();
         let read = members.filter_map(|(name, spec)| {
             let vm = serde_json::from_value::<Vm>((**spec).clone());
             vm.inspect_err(|err| log::warn!("event=member_unreadable name={name:?} error={err:?}"))
@@ -220,13 +230,13 @@
     /// Removes the entries that did not register again after the platform store was restored;
     /// returns whether there were any.
     pub(crate) fn expire_members(&mut self, now: Timestamp) -> bool {
-        self.caches[WatchedKind::Members.index()].expire(now)
+        self.cache_mut(WatchedKind::Members).expire(now)
     }
 
     /// Removes the evacuations that were not written again after the platform store was restored;
     /// returns whether there were any.
     pub(crate) fn expire_evacuations(&mut self, now: Timestamp) -> bool {
-        self.caches[WatchedKind::Evacuations.index()].expire(now)
+        self.cache_mut(WatchedKind::Evacuations).expire(now)
     }
 
     /// Whether a target gets no new work, because this entry or a peer has cordoned it or its
@@ -287,21 +297,18 @@
 
     /// Number of entries in the platform store, including this one; at least one.
     pub(crate) fn entry_count(&self) -> usize {
-        self.caches[WatchedKind::Members.index()]
-            .iter()
-            .count()
-            .max(1)
+        self.cache(WatchedKind::Members).iter().count().max(1)
     }
 
     /// Number of entries in the platform store; `None` before its first listing.
     pub(crate) fn listed_entry_count(&self) -> Option<usize> {
-        let listed = self.caches[WatchedKind::Members.index()].revision() > 0;
+        let listed = self.cache(WatchedKind::Members).revision() > 0;
         listed.then(|| self.entry_count())
     }
 
     /// Names of the other entries in the platform store.
     pub(crate) fn other_entries(&self, own: &str) -> Vec<Name> {
-        let members = self.caches[WatchedKind::Members.index()].iter();
+        let members = self.cache(WatchedKind::Members).iter();
         let names = members.map(|(name, _)| name.clone());
         names.filter(|name| **name != *own).collect()
     }
--- a/src/gateway/control/warm_ups.rs
+++ b/src/gateway/control/warm_ups.rs
@@ -162,7 +162,7 @@
     /// allowance of each cold target.
     fn warm_up_position(&self, state: &State) -> SharePosition {
         let position = state.share_position(&self.name);
-        if state.caches[WatchedKind::Members.index()].revision() > 0 {
+        if state.cache(WatchedKind::Members).revision() > 0 {
             return position;
         }
         SharePosition {
--- a/src/gateway/hub_selector.rs
+++ b/src/gateway/hub_selector.rs
@@ -3,10 +3,9 @@
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
+use crate::gateway::HUB_TIMEOUT;
 use crate::prelude::*;
 
-/// Time without a digest from the hub after which another one is selected.
-const HUB_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a hub that timed out is not selected again; peers that are gone leave the list of
 /// candidates sooner.
 const EXCLUSION_PERIOD: Duration = Duration::from_secs(10);
--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -10,21 +10,38 @@
 use crate::gateway::control::Control;
 use crate::platform::{Platform, PlatformError, Version, WatchEvent, WatchTiming};
 use crate::prelude::*;
+use crate::store_view::{ChangeTimes, back_off_time};
 
-/// Backoff after the first failed call, doubled after each further one.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
-/// Maximum backoff after a failed call.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// Maximum time without an answer while the entries are watched: they find each other by links.
 const MEMBERS_MAX_SILENCE: Duration = Duration::from_secs(10);
 /// The same for declared weights: requests may begin on older ones for some seconds.
 const WEIGHTS_MAX_SILENCE: Duration = Duration::from_secs(4);
-/// Part of the recovery deadline for opening a failed watch again and for applying its changes.
-const RECOVERY_RESERVE: Duration = Duration::from_millis(900);
 /// Pause after each batch of changes to the list of entries in a large system. Nothing waits for
 /// them: an entry that starts connects to the others by itself.
 const MEMBERS_BATCH_PAUSE: Duration = Duration::from_millis(3_500);
 
+/// What a watcher does next.
+enum Step {
+    /// Reads all objects.
+    List,
+    /// Waits for the changes after a version.
+    Watch(Version),
+    /// Reads the changes after a version at once, since its watch may not work.
+    CatchUp(Version),
+}
+
+impl Step {
+    fn into_version(self) -> Option<Version> {
+        match self {
+            Self::List => None,
+            Self::Watch(version) | Self::CatchUp(version) => Some(version),
+        }
+    }
+}
+
+/// The next step, or the version that was reached before a call failed.
+type StepResult = Result<Step, (Option<Version>, PlatformError)>;
+
 /// Keeps the control's cache of one kind up to date.
 pub(crate) struct KindWatcher {
     /// Kind of objects.
@@ -39,37 +56,36 @@
     /// Lists the objects and watches from that version; lists again when the version has expired.
     /// Never returns.
     pub(crate) async fn run(self) {
-        let mut from = None;
+        let mut step = Step::List;
         let mut failures = 0;
         loop {
-            let result = match &from {
-                None => self.list().await,
-                Some(version) if failures > 0 => {
+            let result = match &step {
+                Step::List => self.list().await,
+                Step::Watch(version) => self.watch(version).await,
+                Step::CatchUp(version) => {
                     let caught_up = self.catch_up(version).await;
-                    caught_up.map_err(|err| (None, err))
+                    caught_up.map(Step::Watch).map_err(|err| (None, err))
                 }
-                Some(version) => self.watch(version).await,
             };
-            let reached = match result {
-                Ok(version) => {
+            let (reached, err) = match result {
+                Ok(next) => {
                     failures = 0;
-                    from = Some(version);
+                    step = next;
                     continue;
                 }
-                Err((reached, PlatformError::Expired)) => {
-                    log::info!("event=watch_expired kind={}", self.watched.as_str());
-                    from = None;
-                    reached
-                }
-                Err((reached, err)) => {
-                    self.record_failure(self.control.now(), &err);
-                    reached
-                }
+                Err(failure) => failure,
             };
             if reached.is_some() {
                 failures = 0;
-                from = reached.filter(|_| from.is_some());
             }
+            step = if err == PlatformError::Expired {
+                log::info!("event=watch_expired kind={}", self.watched.as_str());
+                Step::List
+            } else {
+                self.record_failure(self.control.now(), &err);
+                let version = reached.or(step.into_version());
+                version.map_or(Step::List, Step::CatchUp)
+            };
             back_off(failures).await;
             failures += 1;
         }
@@ -86,40 +102,39 @@
         }
     }
 
-    async fn list(&self) -> Result<Version, (Option<Version>, PlatformError)> {
+    async fn list(&self) -> StepResult {
         let kind = self.control.decoder.kind(self.watched);
         let listing = self.platform.list(kind).await.map_err(|err| (None, err))?;
         let version = listing.version.clone();
         self.control.apply_listing(self.watched, listing);
-        Ok(version)
+        Ok(Step::Watch(version))
     }
 
-    /// Maximum time without an answer of the store. A call that it took and never answers must not
-    /// hide a change for longer than entries have to catch up.
-    fn max_silence(&self) -> Duration {
+    /// Times of the watch. A call that the store took and never answers must not hide a change for
+    /// longer than entries have to catch up.
+    fn times(&self) -> ChangeTimes {
+        let pause = self.batch_pause();
         match self.watched {
-            WatchedKind::Routes | WatchedKind::Targets => self
-                .control
-                .recovery_deadline
-                .saturating_sub(RECOVERY_RESERVE),
-            WatchedKind::Evacuations => self
-                .control
-                .evacuation_silence_limit()
-                .saturating_sub(RECOVERY_RESERVE),
-            WatchedKind::Weights => WEIGHTS_MAX_SILENCE,
-            WatchedKind::Members => MEMBERS_MAX_SILENCE,
+            WatchedKind::Routes | WatchedKind::Targets => {
+                ChangeTimes::within(self.control.recovery_deadline, pause)
+            }
+            WatchedKind::Evacuations => {
+                ChangeTimes::within(self.control.evacuation_silence_limit(), pause)
+            }
+            WatchedKind::Weights => ChangeTimes::with_silence(WEIGHTS_MAX_SILENCE, pause),
+            WatchedKind::Members => ChangeTimes::with_silence(MEMBERS_MAX_SILENCE, pause),
         }
     }
 
     /// Records a failed call, which the store had not answered by `failed_at`.
     fn record_failure(&self, failed_at: Timestamp, err: &PlatformError) {
-        let longest_wait = WatchTiming::waiting(self.max_silence()).wait;
+        let longest_wait = WatchTiming::waiting(self.times().max_silence).wait;
         self.control
             .record_store_failure(self.watched, failed_at, longest_wait, err);
     }
 
     /// Applies changes until the watch ends; errors include the version that was reached.
-    async fn watch(&self, from: &Version) -> Result<Version, (Option<Version>, PlatformError)> {
+    async fn watch(&self, from: &Version) -> StepResult {
         let kind = self.control.decoder.kind(self.watched);
         let hub_confirms = self.control.state().has_confirming_hub();
         let timing = WatchTiming::waiting(self.watch_time(hub_confirms));
@@ -130,6 +145,9 @@
             let event = match self.next_event(&mut stream, hub_confirms).await {
                 WatchStep::Event(event) => event.map_err(|err| (reached.clone(), err))?,
                 WatchStep::Ended => break,
+                WatchStep::Doubted => {
+                    return Ok(Step::CatchUp(reached.unwrap_or_else(|| from.clone())));
+                }
             };
             let batch_ended = matches!(event, WatchEvent::Bookmark(_));
             if let WatchEvent::Bookmark(version) = &event {
@@ -144,13 +162,12 @@
                 break;
             }
         }
-        Ok(reached.unwrap_or_else(|| from.clone()))
+        Ok(Step::Watch(reached.unwrap_or_else(|| from.clone())))
     }
 }
 
 /// Waits with a random delay below a bound that doubles with each failure.
 async fn back_off(failures: u32) {
-    let uncapped = INITIAL_BACKOFF * 2_u32.saturating_pow(failures.min(8));
-    let pause = uncapped.min(MAX_BACKOFF);
+    let pause = back_off_time(failures);
     Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
 }
--- a/src/gateway/kind_watcher/catch_up.rs
+++ b/src/gateway/kind_watcher/catch_up.rs
@@ -12,9 +12,8 @@
 use super::{KindWatcher, back_off};
 use crate::platform::{PlatformError, Version, WatchEvent, WatchTiming};
 use crate::prelude::*;
+use crate::store_view::CATCH_UP_INTERVAL;
 
-/// Time after which another call is made.
-const CALL_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Time for which an answer is awaited.
 const MAX_SILENCE: Duration = Duration::from_secs(6);
 /// Most calls that wait for an answer.
@@ -43,7 +42,7 @@
             }
             let next = async { answers.recv().await.ok() };
             let interval = async {
-                Timer::after(CALL_INTERVAL).await;
+                Timer::after(CATCH_UP_INTERVAL).await;
                 None
             };
             match next.or(interval).await {
@@ -91,7 +90,7 @@
         };
         let is_outdated = {
             let state = self.control.state();
-            state.caches[self.watched.index()].is_ahead_of(&reached)
+            state.cache(self.watched).is_ahead_of(&reached)
         };
         if is_outdated {
             events.retain(|event| matches!(event, WatchEvent::Bookmark(_)));
--- a/src/gateway/kind_watcher/hub_confirmed.rs
+++ b/src/gateway/kind_watcher/hub_confirmed.rs
@@ -11,24 +11,19 @@
 use super::KindWatcher;
 use crate::platform::{PlatformError, WatchEvent, WatchStream};
 use crate::prelude::*;
+use crate::store_view::{HUB_CHECK_INTERVAL, OpenWatch, Replacement};
 
 /// Longest time without an answer of the store while a hub confirms the objects. It is limited, so
 /// that an entry does not rely on its hub alone for long.
 const CONFIRMED_WATCH_TIME: Duration = Duration::from_secs(15);
-/// Longest pause of a platform client between two calls of one watch.
-const CALL_PAUSE: Duration = Duration::from_millis(300);
-/// Interval at which the confirmations are checked.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Time after which a change that the hub knows and this entry does not counts as missed; before, it
-/// may still arrive on the watch.
-const PROPAGATION_TIME: Duration = Duration::from_millis(800);
-
 /// Result of waiting for the next event of a watch.
 pub(super) enum WatchStep {
     /// An event, or the failure of the watch.
     Event(Result<WatchEvent, PlatformError>),
-    /// The watch ended, or has missed a change, so it has to be opened again.
+    /// The watch ended, so it has to be opened again.
     Ended,
+    /// The watch may not work, so what has changed is to be read at once.
+    Doubted,
 }
 
 impl KindWatcher {
@@ -38,7 +33,7 @@
         if hub_confirms {
             CONFIRMED_WATCH_TIME
         } else {
-            self.max_silence()
+            self.times().max_silence
         }
     }
 
@@ -62,35 +57,39 @@
         }
     }
 
-    /// Time without a confirmation after which the watch fails. The hub hears from the store within
-    /// its own maximum silence, plus the pauses that follow each answer.
-    fn max_unconfirmed(&self) -> Duration {
-        self.max_silence() + self.batch_pause() + CALL_PAUSE
-    }
-
     /// Completes when the watch has missed a change, or when neither the store nor a hub has
     /// confirmed the objects for too long.
     async fn until_suspect(&self) -> WatchStep {
-        let began = self.control.now();
-        let mut behind_since = None;
+        let mut watch = OpenWatch::new(self.control.now());
         loop {
-            Timer::after(CHECK_INTERVAL).await;
+            Timer::after(HUB_CHECK_INTERVAL).await;
             let now = self.control.now();
             let state = self.control.state();
-            let confirmed_at = state.freshness[self.watched.index()].confirmed_at();
-            if now >= confirmed_at.max(began) + self.max_unconfirmed() {
-                let err = PlatformError::Unanswered("no response in time".into());
-                return WatchStep::Event(Err(err));
-            }
-            if !state.is_behind_hub(self.watched) {
-                behind_since = None;
+            let view = state.view(self.watched);
+            let verdict = watch.check(now, view, &self.times());
+            let Some(replacement) = verdict.replacement() else {
                 continue;
-            }
-            if now >= *behind_since.get_or_insert(now) + PROPAGATION_TIME {
-                let kind = self.watched.as_str();
-                log::info!("event=watch_behind_hub kind={kind}");
-                return WatchStep::Ended;
-            }
+            };
+            log::info!(
+                "event=watch_doubted kind={} reason={} open_ms={} revision={} hub_change={} by={} \
+                 unconfirmed_ms={}",
+                self.watched.as_str(),
+                verdict.as_str(),
+                watch.age(now).as_millis(),
+                view.cache.revision(),
+                view.freshness.peer_change(),
+                view.freshness.confirmed_by(),
+                now.saturating_sub(view.freshness.confirmed_at())
+                    .as_millis()
+            );
+            return match replacement {
+                Replacement::Renew => WatchStep::Ended,
+                Replacement::CatchUp => WatchStep::Doubted,
+                Replacement::Fail => {
+                    let err = PlatformError::Unanswered("no response in time".into());
+                    WatchStep::Event(Err(err))
+                }
+            };
         }
     }
 }
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -29,7 +29,7 @@
     "evacuation_in_force",
     "evacuation_ended",
     "load_uneven",
-    "watch_behind_hub",
+    "watch_doubted",
     "config_in_force",
     "weights_named",
     "weights_cutoff",
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,11 +5,11 @@
 use crate::catalog::{Catalog, ReleaseNote};
 use crate::claim::{Claim, ClaimError, ClaimOutcome, ClaimRequest, ClaimVerdict};
 use crate::domain_scheduler::{SchedulerCall, SchedulerReply};
-use crate::gateway::PeerObject;
 use crate::part_quarantine::PartNotice;
 use crate::peer::{GatewayDigest, GatewayStatus, LoadUpdate, RelayFailure, RelayedStoreUpdate};
 use crate::platform::Vm;
 use crate::prelude::*;
+use crate::store_view::PeerObject;
 use crate::stream_origin::{StreamKey, StreamOrigin};
 
 /// Version of the message format; a peer with another version is refused.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -17,7 +17,7 @@
 pub use remote::RemotePlatform;
 pub use revision::StoreRevision;
 pub use vm::{Role, Vm, VmPhase};
-pub use watch_timing::WatchTiming;
+pub use watch_timing::{CALL_TIMEOUT, WATCH_CALL_PAUSE, WatchTiming};
 
 /// Stream of watch events; after its end or an error, the watch must be opened again.
 pub type WatchStream = stream::Boxed<Result<WatchEvent, PlatformError>>;
--- a/src/platform/watch_timing.rs
+++ b/src/platform/watch_timing.rs
@@ -2,6 +2,10 @@
 
 use crate::prelude::*;
 
+/// Time limit for a call that does not wait for a change, and for opening a connection.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Pause between two calls of one watch, in which changes accumulate: each call has a price.
+pub const WATCH_CALL_PAUSE: Duration = Duration::from_millis(300);
 /// Time for an answer to arrive, beyond the time for which the store delays it.
 const ANSWER_TIME: Duration = Duration::from_millis(700);
 
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -8,13 +8,14 @@
 
 use guavahold::gateway::{
     BodyReader, BrittleTargets, EvacuationChange, Evacuations, EventSplitter, LoadTable,
-    ObjectCache, PeerObject, RegisteredTarget, ResponseInfo, TargetLoad, TargetTable,
+    RegisteredTarget, ResponseInfo, TargetLoad, TargetTable,
 };
 use guavahold::http::{Framing, MessageError};
 use guavahold::name_hash::name_hash;
 use guavahold::platform::{Listing, Object, Version, WatchEvent};
 use guavahold::prelude::Name;
 use guavahold::scheduler::TargetInfo;
+use guavahold::store_view::{ObjectCache, PeerObject};
 use guavahold::telemetry::{DEFAULT_LOG_LINES_PER_SECOND, LogQueue};
 use serde_json::json;
 
--- a/tests/kind_freshness.rs
+++ b/tests/kind_freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use guavahold::gateway::{ConfirmedBy, KindFreshness};
+use guavahold::store_view::{ConfirmedBy, KindFreshness};
 
 const LIMIT: Duration = Duration::from_secs(2);
 
--- a/tests/peer_compatibility/previous.rs
+++ b/tests/peer_compatibility/previous.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 
 use guavahold::catalog::PriorityClass;
-use guavahold::gateway::{PeerObject, TargetLoad};
+use guavahold::gateway::TargetLoad;
 use guavahold::prefix_keys::BlockKey;
 use guavahold::prelude::*;
 use guavahold::rate_limit::LimitReport;
 use guavahold::scheduler::{AttemptOutcome, Refusal};
+use guavahold::store_view::PeerObject;
 use guavahold::stream_origin::StreamOrigin;
 use serde::Deserialize;
 
--- a/tests/peer_compatibility/samples.rs
+++ b/tests/peer_compatibility/samples.rs
@@ -5,7 +5,7 @@
 use guavahold::domain_scheduler::{
     CallStep, Decision, DomainHub, Grant, RemoteArrival, SchedulerCall, SchedulerReply,
 };
-use guavahold::gateway::{PeerObject, TargetLoad};
+use guavahold::gateway::TargetLoad;
 use guavahold::http::RunState;
 use guavahold::part_quarantine::PartNotice;
 use guavahold::peer::{
@@ -15,6 +15,7 @@
 use guavahold::prelude::*;
 use guavahold::rate_limit::{LimitReport, RequestRate};
 use guavahold::scheduler::{Arrival, AttemptOutcome, Refusal};
+use guavahold::store_view::PeerObject;
 use guavahold::stream_origin::{StreamKey, StreamOrigin};
 use guavahold::target::LoadReport;
 use serde_json::json;
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -3,9 +3,10 @@
 
 use std::time::Duration;
 
-use guavahold::gateway::{ObjectCache, PeerObject, RegisteredTarget, TargetTable};
+use guavahold::gateway::{RegisteredTarget, TargetTable};
 use guavahold::platform::{Listing, Object, StoreRevision, WatchEvent};
 use guavahold::scheduler::TargetInfo;
+use guavahold::store_view::{ObjectCache, PeerObject};
 use serde_json::json;
 
 fn ms(n: u64) -> Duration {
--- a/tests/store_outage.rs
+++ b/tests/store_outage.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use guavahold::gateway::StoreOutage;
 use guavahold::platform::PlatformError;
+use guavahold::store_view::StoreOutage;
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const RECOVERY_DEADLINE: Duration = Duration::from_secs(3);
