An entry to which the store is silent beside a hub asks its peers

What callers saw: an entry to which the store is silent answers as an older configuration says for as long as that lasts, also beyond config-apply-ms + max-stretch-ms. Cause: its hub knows a change, so the watch is opened again after 0.8 s; the new call is as silent, and each new watch began the time without a confirmation anew. No call ever failed, no outage was recorded, and peers were not asked. Why this works: a watch that has missed a change is followed by a call that is answered at once, which the watcher of a failed call makes anyway. If it is not answered in 1.2 s the store counts as lost, and peers' objects are requested.

--- a/src/gateway/kind_watcher/hub_confirmed.rs
+++ b/src/gateway/kind_watcher/hub_confirmed.rs
@@ -83,7 +83,6 @@
                     .as_millis()
             );
             return match replacement {
-                Replacement::Renew => WatchStep::Ended,
                 Replacement::CatchUp => WatchStep::Doubted,
                 Replacement::Fail => {
                     let err = PlatformError::Unanswered("no response in time".into());
--- a/src/store_view/open_watch.rs
+++ b/src/store_view/open_watch.rs
@@ -17,8 +17,6 @@
 /// What is done instead of waiting for a watch any longer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Replacement {
-    /// The watch is opened again.
-    Renew,
     /// What has changed is read at once; a call that is not answered reveals an outage of the store.
     CatchUp,
     /// The watch counts as a failed call, after which what has changed is read.
@@ -31,7 +29,7 @@
     pub fn replacement(self) -> Option<Replacement> {
         match self {
             Self::Waiting => None,
-            Self::MissedChange => Some(Replacement::Renew),
+            Self::MissedChange => Some(Replacement::CatchUp),
             Self::Unconfirmed => Some(Replacement::Fail),
         }
     }
--- a/tests/store_view/entry.rs
+++ b/tests/store_view/entry.rs
@@ -210,7 +210,6 @@
         let verdict = relies.check(now, &self.view, &times);
         match verdict.replacement() {
             None => {}
-            Some(Replacement::Renew) => self.open_watch(now),
             Some(Replacement::CatchUp) => self.begin_catch_up(now, store),
             Some(Replacement::Fail) => self.fail(now, now, false),
         }
