A watch that relies on a hub ends when the hub does

What callers saw: refused as an older version says, seconds after a change, with a store that had been sound for long. Cause: the store had lost the answer to an entry's watch. The hub went on to confirm that nothing had changed, for up to 15 s, so the watch stayed open. When the hub was killed, stood still or left, nobody was there to tell of the next change: it was noticed after 3.9 s without a confirmation (3.0 are allowed). Evidence: watch_doubted reason=unconfirmed 3.9 to 4.15 s after the last confirmation at all 11 entries of the test, then the version. Why this works: whoever relied on the former hub reads at once what has changed, one call an entry and kind at each change of hub.

--- a/src/gateway/control/freshness.rs
+++ b/src/gateway/control/freshness.rs
@@ -53,10 +53,11 @@
 }
 
 impl State {
-    /// Whether the hub of this entry's failure domain tells it how recently the store confirmed
-    /// objects, so that an idle watch need not be renewed to find out whether it works.
-    pub(crate) fn has_confirming_hub(&self) -> bool {
-        self.uses_hubs() && self.hub_selector.current().is_some()
+    /// The hub that tells this entry how recently the store confirmed objects, so that an idle watch
+    /// need not be renewed to find out whether it works; `None` if there is none or this entry is it.
+    pub(crate) fn confirming_hub(&self) -> Option<&Name> {
+        let hub = self.hub_selector.current();
+        hub.filter(|_| self.uses_hubs())
     }
 
     /// What the store has confirmed to this entry, for its peers; empty unless it is a hub.
--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -136,13 +136,13 @@
     /// Applies changes until the watch ends; errors include the version that was reached.
     async fn watch(&self, from: &Version) -> StepResult {
         let kind = self.control.decoder.kind(self.watched);
-        let hub_confirms = self.control.state().has_confirming_hub();
-        let timing = WatchTiming::waiting(self.watch_time(hub_confirms));
+        let hub = self.control.state().confirming_hub().cloned();
+        let timing = WatchTiming::waiting(self.watch_time(hub.is_some()));
         let stream = self.platform.watch(kind, None, from.clone(), timing).await;
         let mut stream = stream.map_err(|err| (None, err))?;
         let mut reached = None;
         loop {
-            let event = match self.next_event(&mut stream, hub_confirms).await {
+            let event = match self.next_event(&mut stream, hub.as_ref()).await {
                 WatchStep::Event(event) => event.map_err(|err| (reached.clone(), err))?,
                 WatchStep::Ended => break,
                 WatchStep::Doubted => {
@@ -158,7 +158,7 @@
                 Timer::after(self.batch_pause()).await;
             }
             // The timing of an open watch cannot change, so a new watch is opened.
-            if batch_ended && hub_confirms != self.control.state().has_confirming_hub() {
+            if batch_ended && hub.as_ref() != self.control.state().confirming_hub() {
                 break;
             }
         }
--- a/src/gateway/kind_watcher/hub_confirmed.rs
+++ b/src/gateway/kind_watcher/hub_confirmed.rs
@@ -38,11 +38,11 @@
     }
 
     /// Waits for the next event of a watch. If a hub confirms the objects, stops waiting when the
-    /// watch has missed a change or the confirmations stop.
+    /// watch has missed a change, the confirmations stop, or the hub is another one.
     pub(super) async fn next_event(
         &self,
         stream: &mut WatchStream,
-        hub_confirms: bool,
+        hub: Option<&Name>,
     ) -> WatchStep {
         let event = async {
             stream
@@ -50,23 +50,22 @@
                 .await
                 .map_or(WatchStep::Ended, WatchStep::Event)
         };
-        if hub_confirms {
-            event.or(self.until_suspect()).await
-        } else {
-            event.await
+        match hub {
+            Some(hub) => event.or(self.until_doubted(hub)).await,
+            None => event.await,
         }
     }
 
-    /// Completes when the watch has missed a change, or when neither the store nor a hub has
-    /// confirmed the objects for too long.
-    async fn until_suspect(&self) -> WatchStep {
-        let mut watch = OpenWatch::new(self.control.now());
+    /// Completes when the watch has missed a change, when neither the store nor the hub has confirmed
+    /// the objects for too long, or when there is another hub.
+    async fn until_doubted(&self, hub: &Name) -> WatchStep {
+        let mut watch = OpenWatch::new(self.control.now(), Some(hub));
         loop {
             Timer::after(HUB_CHECK_INTERVAL).await;
             let now = self.control.now();
             let state = self.control.state();
             let view = state.view(self.watched);
-            let verdict = watch.check(now, view, &self.times());
+            let verdict = watch.check(now, view, state.confirming_hub(), &self.times());
             let Some(replacement) = verdict.replacement() else {
                 continue;
             };
--- a/src/store_view/open_watch.rs
+++ b/src/store_view/open_watch.rs
@@ -12,6 +12,8 @@
     MissedChange,
     /// Nobody has confirmed the objects for too long.
     Unconfirmed,
+    /// The hub that it relies on is the hub no longer; nobody may know that the watch hangs.
+    HubChanged,
 }
 
 /// What is done instead of waiting for a watch any longer.
@@ -29,7 +31,7 @@
     pub fn replacement(self) -> Option<Replacement> {
         match self {
             Self::Waiting => None,
-            Self::MissedChange => Some(Replacement::CatchUp),
+            Self::MissedChange | Self::HubChanged => Some(Replacement::CatchUp),
             Self::Unconfirmed => Some(Replacement::Fail),
         }
     }
@@ -41,6 +43,7 @@
             Self::Waiting => "waiting",
             Self::MissedChange => "missed_change",
             Self::Unconfirmed => "unconfirmed",
+            Self::HubChanged => "hub_changed",
         }
     }
 }
@@ -49,15 +52,18 @@
 #[derive(Clone, Debug)]
 pub struct OpenWatch {
     opened_at: Timestamp,
+    /// The hub at that time; `None` if this entry was the hub.
+    hub: Option<Name>,
     behind_since: Option<Timestamp>,
 }
 
 impl OpenWatch {
-    /// A watch that is opened now.
+    /// A watch that is opened now and relies on a hub.
     #[must_use]
-    pub fn new(now: Timestamp) -> Self {
+    pub fn new(now: Timestamp, hub: Option<&Name>) -> Self {
         Self {
             opened_at: now,
+            hub: hub.cloned(),
             behind_since: None,
         }
     }
@@ -68,8 +74,17 @@
         now.saturating_sub(self.opened_at)
     }
 
-    /// Checks the confirmations of the objects.
-    pub fn check(&mut self, now: Timestamp, view: &KindView, times: &ChangeTimes) -> WatchVerdict {
+    /// Checks the confirmations of the objects by the present hub.
+    pub fn check(
+        &mut self,
+        now: Timestamp,
+        view: &KindView,
+        hub: Option<&Name>,
+        times: &ChangeTimes,
+    ) -> WatchVerdict {
+        if hub != self.hub.as_ref() {
+            return WatchVerdict::HubChanged;
+        }
         let confirmed_at = view.freshness.confirmed_at().max(self.opened_at);
         if now >= confirmed_at + times.max_unconfirmed {
             return WatchVerdict::Unconfirmed;
--- a/tests/store_view/entry.rs
+++ b/tests/store_view/entry.rs
@@ -47,6 +47,8 @@
 struct Watch {
     /// Present if it relies on the hub.
     relies: Option<OpenWatch>,
+    /// The hub when it was opened.
+    hub: Option<Name>,
     max_silence: Duration,
     call: Option<usize>,
     /// When the next call begins, or when the current one has begun.
@@ -160,7 +162,7 @@
 
     fn step_watch(&mut self, now: Duration, store: &mut Store) {
         let times = self.site.times();
-        let confirms = self.has_hub();
+        let hub = self.hub().cloned();
         let Phase::Watch(watch) = &mut self.phase else {
             return;
         };
@@ -173,18 +175,18 @@
         }
         match watch.call.and_then(|call| store.answer(now, call)) {
             Some(Answer::Events(events)) => {
-                let relied = watch.relies.is_some();
+                let opened_with = watch.hub.clone();
                 // A batch ends with a pause, after which the next call has one of its own.
                 let again = now + self.site.batch_pause();
                 watch.call = None;
                 watch.called_at = again + WATCH_CALL_PAUSE;
                 watch.next_check = again + HUB_CHECK_INTERVAL;
                 if let Some(relies) = &mut watch.relies {
-                    *relies = OpenWatch::new(again);
+                    *relies = OpenWatch::new(again, hub.as_ref());
                 }
                 self.apply(now, events);
                 self.failures = 0;
-                if relied != confirms {
+                if opened_with != hub {
                     self.open_watch(again);
                 }
                 return;
@@ -207,7 +209,7 @@
         let Some(relies) = &mut watch.relies else {
             return;
         };
-        let verdict = relies.check(now, &self.view, &times);
+        let verdict = relies.check(now, &self.view, hub.as_ref(), &times);
         match verdict.replacement() {
             None => {}
             Some(Replacement::CatchUp) => self.begin_catch_up(now, store),
@@ -262,14 +264,15 @@
     }
 
     fn open_watch(&mut self, now: Duration) {
-        let relies = self.has_hub();
+        let hub = self.hub().cloned();
         self.phase = Phase::Watch(Watch {
-            relies: relies.then(|| OpenWatch::new(now)),
-            max_silence: if relies {
+            relies: hub.as_ref().map(|hub| OpenWatch::new(now, Some(hub))),
+            max_silence: if hub.is_some() {
                 CONFIRMED_WATCH_TIME
             } else {
                 self.site.times().max_silence
             },
+            hub,
             call: None,
             called_at: now,
             next_check: now + HUB_CHECK_INTERVAL,
@@ -321,8 +324,9 @@
     }
 
     /// The hub that this entry has selected, unless it is the hub itself.
-    pub fn has_hub(&self) -> bool {
-        self.site.uses_hubs() && self.selector.current().is_some()
+    pub fn hub(&self) -> Option<&Name> {
+        let hub = self.selector.current();
+        hub.filter(|_| self.site.uses_hubs())
     }
 
     /// Sends what is due to the peers that it counts as live.
--- a/tests/store_view/system.rs
+++ b/tests/store_view/system.rs
@@ -148,7 +148,7 @@
         let hub = self
             .vms
             .iter()
-            .position(|vm| vm.entry.as_ref().is_some_and(|e| !e.has_hub()));
+            .position(|vm| vm.entry.as_ref().is_some_and(|e| e.hub().is_none()));
         let n = match victim {
             Victim::Hub => hub.unwrap_or_default(),
             Victim::Entry(n) => n,
