Times of watches beside hubs follow from what the stable window leaves

What callers saw: refused as an older version says when the store was stable again after a silence, by up to 0.9 s by the sums. Cause: calls begun just before the store returns are never answered. A hub gave its own up after stable-window - 0.9 s, as an entry of a small system does, and its entries heard of the change 1.48 s later; by their own count they waited for stable-window + 0.3 s. Why this works: a hub waits for 0.9 s less, entries check each 0.1 s and allow their own watch 0.5 s, which is its pause of 0.3 s and an answer, and give up 0.6 s before the window ends: 3.75 and 3.58 s of 4.0, 4.75 and 4.58 s of 5.0, an answer taken as 0.1 s. Small systems are unchanged. Hubs make a call each 2.2 s of idle time instead of 3.2 s (stable window of 4 s); their entries none.

--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -112,23 +112,25 @@
 
     /// Times of the watch. A call that the store took and never answers must not hide a change for
     /// longer than entries have to catch up.
-    fn times(&self) -> ChangeTimes {
+    fn times(&self, uses_hubs: bool) -> ChangeTimes {
         let pause = self.batch_pause();
-        match self.watched {
-            WatchedKind::Routes | WatchedKind::Targets => {
-                ChangeTimes::within(self.control.recovery_deadline, pause)
-            }
-            WatchedKind::Evacuations => {
-                ChangeTimes::within(self.control.evacuation_silence_limit(), pause)
-            }
-            WatchedKind::Weights => ChangeTimes::with_silence(WEIGHTS_MAX_SILENCE, pause),
-            WatchedKind::Members => ChangeTimes::with_silence(MEMBERS_MAX_SILENCE, pause),
+        let deadline = match self.watched {
+            WatchedKind::Routes | WatchedKind::Targets => self.control.recovery_deadline,
+            WatchedKind::Evacuations => self.control.evacuation_silence_limit(),
+            WatchedKind::Weights => return ChangeTimes::with_silence(WEIGHTS_MAX_SILENCE, pause),
+            WatchedKind::Members => return ChangeTimes::with_silence(MEMBERS_MAX_SILENCE, pause),
+        };
+        if uses_hubs {
+            ChangeTimes::within_beside_hubs(deadline)
+        } else {
+            ChangeTimes::within(deadline)
         }
     }
 
     /// Records a failed call, which the store had not answered by `failed_at`.
     fn record_failure(&self, failed_at: Timestamp, err: &PlatformError) {
-        let longest_wait = WatchTiming::waiting(self.times().max_silence).wait;
+        let uses_hubs = self.control.state().uses_hubs();
+        let longest_wait = WatchTiming::waiting(self.times(uses_hubs).max_silence).wait;
         self.control
             .record_store_failure(self.watched, failed_at, longest_wait, err);
     }
--- a/src/gateway/kind_watcher/hub_confirmed.rs
+++ b/src/gateway/kind_watcher/hub_confirmed.rs
@@ -33,7 +33,8 @@
         if hub_confirms {
             CONFIRMED_WATCH_TIME
         } else {
-            self.times().max_silence
+            let uses_hubs = self.control.state().uses_hubs();
+            self.times(uses_hubs).max_silence
         }
     }
 
@@ -65,7 +66,8 @@
             let now = self.control.now();
             let state = self.control.state();
             let view = state.view(self.watched);
-            let verdict = watch.check(now, view, state.confirming_hub(), &self.times());
+            let times = self.times(state.uses_hubs());
+            let verdict = watch.check(now, view, state.confirming_hub(), &times);
             let Some(replacement) = verdict.replacement() else {
                 continue;
             };
--- a/src/store_view/change_times.rs
+++ b/src/store_view/change_times.rs
@@ -10,16 +10,20 @@
 /// Time after which another call is made beside those that the store has not answered.
 pub const CATCH_UP_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Interval at which a hub's confirmations are checked.
-pub const HUB_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+pub const HUB_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a change that the hub knows and this entry does not counts as missed; before, it
-/// may still arrive on the watch.
-pub const PROPAGATION_TIME: Duration = Duration::from_millis(800);
+/// may still arrive on the watch, which pauses between two calls.
+pub const PROPAGATION_TIME: Duration = Duration::from_millis(500);
 /// Time without the platform store after which objects are requested from peers.
 pub const OBJECT_REQUEST_DELAY: Duration = Duration::from_millis(300);
 /// Minimum interval between two requests for objects of one kind.
 pub const OBJECT_REQUEST_INTERVAL: Duration = Duration::from_millis(400);
 /// Part of the recovery deadline for opening a failed watch again and for applying its changes.
 const RECOVERY_RESERVE: Duration = Duration::from_millis(900);
+/// The same for a hub, whose entries then have to hear of the changes.
+const HUB_RECOVERY_RESERVE: Duration = Duration::from_millis(1_800);
+/// The same for a watch that nobody has confirmed beside a hub.
+const UNCONFIRMED_RESERVE: Duration = Duration::from_millis(600);
 
 /// Time for noticing a change and for carrying it out, beside the pause between batches.
 const CHANGE_RESERVE: Duration = Duration::from_secs(1);
@@ -41,11 +45,24 @@
 }
 
 impl ChangeTimes {
-    /// Times of a kind whose changes must be known `deadline` after a disruption of the store, with a
-    /// pause after each batch of changes.
+    /// Times of a kind whose changes must be known `deadline` after a disruption of the store, in a
+    /// system without hubs.
     #[must_use]
-    pub fn within(deadline: Duration, batch_pause: Duration) -> Self {
-        Self::with_silence(deadline.saturating_sub(RECOVERY_RESERVE), batch_pause)
+    pub fn within(deadline: Duration) -> Self {
+        let max_silence = deadline.saturating_sub(RECOVERY_RESERVE);
+        Self {
+            max_silence,
+            max_unconfirmed: max_silence,
+        }
+    }
+
+    /// The same in a system with hubs.
+    #[must_use]
+    pub fn within_beside_hubs(deadline: Duration) -> Self {
+        Self {
+            max_silence: deadline.saturating_sub(HUB_RECOVERY_RESERVE),
+            max_unconfirmed: deadline.saturating_sub(UNCONFIRMED_RESERVE),
+        }
     }
 
     /// Times of a kind that has no deadline after a disruption. A hub hears from the store within its
--- a/tests/store_view/site.rs
+++ b/tests/store_view/site.rs
@@ -56,6 +56,10 @@
 
     /// Times of the watch of configurations.
     pub fn times(&self) -> ChangeTimes {
-        ChangeTimes::within(self.stable_window, self.batch_pause())
+        if self.uses_hubs() {
+            ChangeTimes::within_beside_hubs(self.stable_window)
+        } else {
+            ChangeTimes::within(self.stable_window)
+        }
     }
 }
--- a/tests/store_view/sums.rs
+++ b/tests/store_view/sums.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use guavahold::gateway::{HUB_INTERVAL, INTERVAL_JITTER, STATUS_INTERVAL};
+use guavahold::gateway::{HUB_INTERVAL, HUB_TIMEOUT, INTERVAL_JITTER, STATUS_INTERVAL};
 use guavahold::platform::{CALL_TIMEOUT, WATCH_CALL_PAUSE, WatchTiming};
 use guavahold::store_view::{
     CATCH_UP_INTERVAL, HUB_CHECK_INTERVAL, MAX_BACKOFF, OBJECT_REQUEST_DELAY, PROPAGATION_TIME,
@@ -72,6 +72,9 @@
     if !site.uses_hubs() {
         return ways;
     }
+    // The hub knows of a change and ends just before it tells its entries.
+    let hub_lost = HUB_TIMEOUT + next_status(site) + HUB_CHECK_INTERVAL + TRANSIT;
+    ways.push(("hub that ends", own_watch(site) + hub_lost, site.apply));
     let told = own_watch(site) + told_by_hub(site);
     ways.push(("missed change, told by the hub", told, site.apply));
     let unconfirmed = site.times().max_unconfirmed + HUB_CHECK_INTERVAL + back_off_time(0);
