A listing that is older than what a peer told replaces nothing

Cause: a listing that the store answered before, and that arrives after, newer objects of a peer took their place, and the higher revision stayed: the entry was older than it said, to its peers as well, which then did not ask for what they lacked. Why this works: an outdated listing counts as an answer of the store and changes no object; the watch from its version brings the rest. It is logged (listing_outdated). Test: replace_older_listing_takes_nothing_back failed before.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -115,6 +115,9 @@
         self.record_store_success(&mut state, watched);
         let cache = state.cache_mut(watched);
         if cache.is_outdated(&listing) {
+            let (kind, known) = (watched.as_str(), cache.revision());
+            let listed = StoreRevision::of(&listing.version).to_bits();
+            log::info!("event=listing_outdated kind={kind} listed={listed} known={known}");
             return;
         }
         if cache.is_restored_by(&listing) {
--- a/src/store_view/object_cache.rs
+++ b/src/store_view/object_cache.rs
@@ -65,15 +65,17 @@
         self.revision > 0 && StoreRevision::of(&listing.version).era() > era
     }
 
-    /// Whether a listing is of a former era of the store.
+    /// Whether a listing is older than what is known: it arrived late, or is of a former era.
     #[must_use]
     pub fn is_outdated(&self, listing: &Listing) -> bool {
-        let era = StoreRevision::from_bits(self.revision).era();
-        StoreRevision::of(&listing.version).era() < era
+        self.is_ahead_of(&listing.version)
     }
 
-    /// Replaces all objects with a full listing.
+    /// Replaces all objects with a full listing, unless it is outdated.
     pub fn replace(&mut self, listing: Listing) {
+        if self.is_outdated(&listing) {
+            return;
+        }
         self.revision = self.revision.max(revision_of(&listing.version));
         let changes = listing.items.iter().map(|o| revision_of(&o.version));
         self.last_change = self.last_change.max(changes.max().unwrap_or_default());
@@ -94,6 +96,9 @@
     /// Replaces all objects with a full listing, except those that still wait to be written again
     /// after a restore, whether this entry or the peer that told them kept them.
     pub fn replace_confirmed(&mut self, listing: Listing) {
+        if self.is_outdated(&listing) {
+            return;
+        }
         let known = std::mem::take(&mut self.objects);
         let unconfirmed = std::mem::take(&mut self.unconfirmed);
         let told = std::mem::take(&mut self.told_after_restore);
