A hub that adopted a peer's objects confirms no older change as the newest

Cause: adopting a peer's objects raised the revision and not the newest change, so that a hub confirmed an older change as the newest, and an entry that lacked the newer one counted as confirmed by it. Why this works: the peer's revision is taken as that of the newest change, which errs on the side of one call more.

--- a/src/store_view/object_cache.rs
+++ b/src/store_view/object_cache.rs
@@ -21,7 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ObjectCache {
     revision: u64,
-    /// Newest revision of a change to any object, deletions included; encoded in the same way.
+    /// Newest revision of a change to any object, deletions included, or of objects that a peer told;
+    /// encoded in the same way.
     last_change: u64,
     objects: BTreeMap<Name, Arc<Value>>,
     /// Objects that a restored store lacks, and until when they are kept for their writers to write
@@ -41,7 +42,7 @@
     }
 
     /// Newest revision at which an object was changed or deleted, as far as the store has reported
-    /// it; at most [`Self::revision`].
+    /// it, or up to which a peer told all objects; at most [`Self::revision`].
     #[must_use]
     pub fn last_change(&self) -> u64 {
         self.last_change
@@ -220,6 +221,8 @@
                 let known = std::mem::replace(&mut self.objects, objects);
                 let unconfirmed = std::mem::take(&mut self.unconfirmed);
                 self.revision = revision;
+                // The peer does not say when the newest change was.
+                self.last_change = self.last_change.max(revision);
                 if let Some(until) = keep_until {
                     if may_be_restored {
                         let told = self.objects.keys().cloned();
