Adopted objects of a peer do not count as confirmed

Why this works: only the store, and a hub that states the age of the store's answer, confirm objects. What depends on it is objects_unconfirmed, which now stays until the store or a hub confirms them.

--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -10,7 +10,7 @@
 use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
 use crate::scheduler::{Event, Signal};
-use crate::store_view::{ConfirmedBy, PeerObject};
+use crate::store_view::PeerObject;
 
 impl Control {
     /// Builds the status that this entry sends to its peers.
@@ -164,7 +164,6 @@
             // The peer may have read the list before targets had registered again.
             self.record_recovery_of_targets(&mut state, &outage);
         }
-        self.confirm_objects(&mut state, watched, ConfirmedBy::Peer(peer.into()));
         let restored = StoreRevision::from_bits(revision).era() > former.era();
         if watched == WatchedKind::Targets && restored && former.to_bits() > 0 {
             let (now, lifetime) = (self.now(), self.registration_lifetime);
--- a/tests/store_view/entry.rs
+++ b/tests/store_view/entry.rs
@@ -37,7 +37,6 @@
         from: usize,
     },
     Objects {
-        from: usize,
         revision: u64,
         objects: Vec<PeerObject>,
     },
@@ -387,21 +386,11 @@
             Message::WantObjects { from } => {
                 let revision = self.view.cache.revision();
                 let objects = self.view.cache.to_peer_objects();
-                let message = Message::Objects {
-                    from: self.index,
-                    revision,
-                    objects,
-                };
+                let message = Message::Objects { revision, objects };
                 (revision > bits(0)).then_some((from, message))
             }
-            Message::Objects {
-                from,
-                revision,
-                objects,
-            } => {
-                if self.view.adopt(revision, objects, None) {
-                    self.view.confirm(now, ConfirmedBy::Peer(name(from)));
-                }
+            Message::Objects { revision, objects } => {
+                self.view.adopt(revision, objects, None);
                 None
             }
         }
