--- a/src/gateway/object_cache.rs
+++ b/src/store_view/object_cache.rs
@@ -21,7 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ObjectCache {
     revision: u64,
-    /// Newest revision of a change to any object, deletions included; encoded in the same way.
+    /// Newest revision of a change to any object, deletions included, or of objects that a peer told;
+    /// encoded in the same way.
     last_change: u64,
     objects: BTreeMap<Name, Arc<Value>>,
     /// Objects that a restored store lacks, and until when they are kept for their writers to write
@@ -41,7 +42,7 @@
     }
 
     /// Newest revision at which an object was changed or deleted, as far as the store has reported
-    /// it; at most [`Self::revision`].
+    /// it, or up to which a peer told all objects; at most [`Self::revision`].
     #[must_use]
     pub fn last_change(&self) -> u64 {
         self.last_change
@@ -65,15 +66,17 @@
         self.revision > 0 && StoreRevision::of(&listing.version).era() > era
     }
 
-    /// Whether a listing is of a former era of the store.
+    /// Whether a listing is older than what is known: it arrived late, or is of a former era.
     #[must_use]
     pub fn is_outdated(&self, listing: &Listing) -> bool {
-        let era = StoreRevision::from_bits(self.revision).era();
-        StoreRevision::of(&listing.version).era() < era
+        self.is_ahead_of(&listing.version)
     }
 
-    /// Replaces all objects with a full listing.
+    /// Replaces all objects with a full listing, unless it is outdated.
     pub fn replace(&mut self, listing: Listing) {
+        if self.is_outdated(&listing) {
+            return;
+        }
         self.revision = self.revision.max(revision_of(&listing.version));
         let changes = listing.items.iter().map(|o| revision_of(&o.version));
         self.last_change = self.last_change.max(changes.max().unwrap_or_default());
@@ -94,6 +97,9 @@
     /// Replaces all objects with a full listing, except those that still wait to be written again
     /// after a restore, whether this entry or the peer that told them kept them.
     pub fn replace_confirmed(&mut self, listing: Listing) {
+        if self.is_outdated(&listing) {
+            return;
+        }
         let known = std::mem::take(&mut self.objects);
         let unconfirmed = std::mem::take(&mut self.unconfirmed);
         let told = std::mem::take(&mut self.told_after_restore);
@@ -215,6 +221,8 @@
                 let known = std::mem::replace(&mut self.objects, objects);
                 let unconfirmed = std::mem::take(&mut self.unconfirmed);
                 self.revision = revision;
+                // The peer does not say when the newest change was.
+                self.last_change = self.last_change.max(revision);
                 if let Some(until) = keep_until {
                     if may_be_restored {
                         let told = self.objects.keys().cloned();
