Model of changes: a store that turns all entries away at once is down

The trace: two disruptions of some entries overlapped so that the store answered no running entry at all, which no entry can bridge; the rule stretches the bound only while the store is not down.

--- a/tests/store_view/system.rs
+++ b/tests/store_view/system.rs
@@ -159,6 +159,9 @@
     fn expire(&mut self, now: Duration) {
         let silent_until = &self.silent_until;
         self.store.silent_to.retain(|n| now < silent_until[*n]);
+        if !self.is_store_reached(now) {
+            self.down_until = self.down_until.max(now);
+        }
         if now >= self.slow_until {
             self.store.delay = Duration::ZERO;
         }
@@ -169,6 +172,15 @@
         }
     }
 
+    /// Whether the store answers any running entry; if none, no entry can know of a change.
+    fn is_store_reached(&self, now: Duration) -> bool {
+        let mut vms = self.vms.iter().enumerate();
+        vms.any(|(n, vm)| {
+            let runs = vm.entry.is_some() && now >= vm.paused_until;
+            runs && !self.store.silent_to.contains(&n)
+        })
+    }
+
     fn step_entries(&mut self, now: Duration) {
         let running = |vm: &Vm| vm.entry.is_some();
         let live: Vec<usize> = (0..self.vms.len())
