A lowered idle timeout spares connections that were in use before

What callers saw: a connection closed at 0.4 s of idle time although the limit was 12 s when its request before was sent; with bad luck beside their next request. Cause: the wait for the next request went by the limits at its own start. A request that was under way while the limit was lowered was followed by a wait under the new one. Why this works: a connection keeps the idle timeout that was in force when its last request arrived; the greater of that and the present one holds.

--- a/src/gateway/request_reader.rs
+++ b/src/gateway/request_reader.rs
@@ -68,6 +68,8 @@
 pub(crate) struct RequestReader {
     stream: Arc<Async<TcpStream>>,
     buf: Vec<u8>,
+    /// Idle timeout when the request before arrived, by which its caller may go.
+    known_idle_timeout: Duration,
 }
 
 impl RequestReader {
@@ -76,6 +78,7 @@
         Self {
             stream,
             buf: Vec::new(),
+            known_idle_timeout: Duration::ZERO,
         }
     }
 
@@ -91,7 +94,8 @@
                 Wakeup::Readable
             };
             let idle = async {
-                limit_passed(idle_since, || shared.limits().idle_timeout).await;
+                let idle_timeout = || shared.limits().idle_timeout.max(self.known_idle_timeout);
+                limit_passed(idle_since, idle_timeout).await;
                 Wakeup::Idle
             };
             let closing = async {
@@ -112,6 +116,7 @@
         shared: &Shared,
     ) -> Result<ReceivedRequest, ReceiveError> {
         let limits = shared.limits();
+        self.known_idle_timeout = limits.idle_timeout;
         let head = self.receive_head(&*shared.dialect, &limits);
         let head = head.or(too_slow(shared)).await?;
         let body = self.receive_body(&head, &limits);
