--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -33,6 +33,7 @@
     "config_in_force",
     "weights_named",
     "weights_cutoff",
+    "listing_outdated",
     "store_lost",
     "store_regained",
     "missing_targets_kept",
