--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -15,7 +15,7 @@
 const QUARANTINED: &str = "targets ended one after the other with equal requests or with a part of its \
      prompt, so it was not sent";
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 33] = [
+const STATE_EVENTS: [&str; 34] = [
     "target_unreachable",
     "target_unlisted",
     "target_path",
