A watch opened while few entries were known is opened again with the times of a system with hubs

Cause: an entry that starts knows few entries and opens its watch with the times of a small system. The hub kept them for good, as a watch is opened again only when its hub is another one; its entries now wait for less and gave their watches up in a sound system. Evidence: watch_doubted reason=unconfirmed at 3.4 s at nearly all entries of a domain, in a quiet system. Test: quiet_hub_confirms_watches_in_time: 11 watches given up before, none after.

--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -139,7 +139,8 @@
     async fn watch(&self, from: &Version) -> StepResult {
         let kind = self.control.decoder.kind(self.watched);
         let hub = self.control.state().confirming_hub().cloned();
-        let timing = WatchTiming::waiting(self.watch_time(hub.is_some()));
+        let watch_time = self.watch_time(hub.is_some());
+        let timing = WatchTiming::waiting(watch_time);
         let stream = self.platform.watch(kind, None, from.clone(), timing).await;
         let mut stream = stream.map_err(|err| (None, err))?;
         let mut reached = None;
@@ -160,7 +161,8 @@
                 Timer::after(self.batch_pause()).await;
             }
             // The timing of an open watch cannot change, so a new watch is opened.
-            if batch_ended && hub.as_ref() != self.control.state().confirming_hub() {
+            let has_other_hub = hub.as_ref() != self.control.state().confirming_hub();
+            if batch_ended && (has_other_hub || watch_time != self.watch_time(hub.is_some())) {
                 break;
             }
         }
