--- a/src/gateway/kind_watcher/hub_confirmed.rs
+++ b/src/gateway/kind_watcher/hub_confirmed.rs
@@ -3,7 +3,8 @@
 //! A watch without events may be idle or broken, so it has to be renewed at short intervals, which
 //! costs each entry of a large system a call. The hub of the failure domain makes these calls and
 //! tells its entries which change is the newest. An entry renews its watch before
-//! [`CONFIRMED_WATCH_TIME`] only if it has missed that change, or if the hub stops confirming.
+//! [`CONFIRMED_WATCH_TIME`] only if it has missed that change, if the hub stops confirming, or if
+//! there is another hub.
 
 use async_io::Timer;
 use futures_lite::{FutureExt, StreamExt};
@@ -16,6 +17,7 @@
 /// Longest time without an answer of the store while a hub confirms the objects. It is limited, so
 /// that an entry does not rely on its hub alone for long.
 const CONFIRMED_WATCH_TIME: Duration = Duration::from_secs(15);
+
 /// Result of waiting for the next event of a watch.
 pub(super) enum WatchStep {
     /// An event, or the failure of the watch.
