--- a/review/stand-ins/src/entry.rs
+++ b/review/stand-ins/src/entry.rs
@@ -161,6 +161,28 @@
     }
 }
 
+impl Entry {
+    /// Memory that it has resident, in kilobytes; zero when it has ended.
+    pub fn memory_kb(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|n| n.parse().ok()).unwrap_or_default()
+    }
+
+    /// Kills it and starts it again after a short delay.
+    pub fn kill_and_start(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        std::thread::sleep(Duration::from_millis(300));
+        self.spawn();
+    }
+}
+
 impl Drop for Entry {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -3,6 +3,8 @@
 
 mod case_crash;
 mod case_free;
+mod case_late_crash;
+mod case_memory;
 mod case_wall;
 mod entry;
 mod http;
@@ -48,6 +50,8 @@
     let verdict = match name.as_str() {
         "wall" => case_wall::run(&args),
         "free" => case_free::run(&args),
+        "late-crash" => case_late_crash::run(&args),
+        "memory" => case_memory::run(&args),
         "crash" => case_crash::run(&args),
         _ => Verdict::Failed(format!("no case {name}")),
     };
--- a/review/stand-ins/src/runner.rs
+++ b/review/stand-ins/src/runner.rs
@@ -453,7 +453,8 @@
         stream: &mut TcpStream,
     ) -> std::io::Result<()> {
         self.read_prompt(request, id);
-        self.note_run(id, false);
+        let crashes = request.body == CRASHING_BODY.as_bytes();
+        self.note_run(id, crashes);
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {}.{id}\r\n\
              Weight-Versions: {version}\r\nContent-Type: text/event-stream\r\n\
@@ -465,6 +466,11 @@
             std::thread::sleep(Duration::from_millis(10));
             let event = format!("id: {n}\ndata: {id}-{n}\n\n");
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            if crashes {
+                std::thread::sleep(Duration::from_millis(30));
+                self.crash();
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
         }
         stream.write_all(b"0\r\n\r\n")
     }
