--- a/review/stand-ins/src/case_memory.rs
+++ b/review/stand-ins/src/case_memory.rs
@@ -18,8 +18,17 @@
 /// `max-body-bytes` of the configuration.
 const BODY_BYTES: usize = 4_194_304;
 /// Clients that upload at the same time, as usual and in the burst (1.7 times as many).
-const CLIENTS: usize = 12;
-const BURST_CLIENTS: usize = 20;
+const CLIENTS: usize = 16;
+const BURST_CLIENTS: usize = 27;
+/// Pause of a client between two uploads.
+const UPLOAD_PAUSE: Duration = Duration::from_millis(20);
+/// Clients that send short bookings, and the pause of each between two.
+const BOOKING_CLIENTS: usize = 10;
+const BOOKING_PAUSE: Duration = Duration::from_millis(50);
+/// Pieces in which a client sends a body, and the pause after each: 2 MB/s, so that all clients together
+/// stay below the machine's link of 1,000 Mbit/s.
+const PIECE_BYTES: usize = 64 * 1024;
+const PIECE_PAUSE: Duration = Duration::from_micros(31_250);
 const TIME: Duration = Duration::from_secs(30);
 const CONFIG: &str = r#"{"version":3,"routes":[{"name":"r-book","host":"desk.example","path-prefix":"/book/","kind":"unsafe","timeout-ms":3000,"target-latency-ms":300,"priority":2,"service":"booking","max-attempts":1,"public":false}],"services":[{"name":"booking","health-path":"/health","max-connections":100,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"ta","api-keys":["key-a"]}]}"#;
 
@@ -80,12 +89,27 @@
     let threads: Vec<_> = (0..clients)
         .map(|client| {
             let (stop, lost, record) = (stop.clone(), lost.clone(), record.clone());
-            std::thread::spawn(move || upload(client, front, &stop, &lost, &record))
+            let caller = Caller {
+                name: format!("up-{client}"),
+                body: vec![b'x'; BODY_BYTES],
+                pause: UPLOAD_PAUSE,
+            };
+            std::thread::spawn(move || caller.run(front, &stop, &lost, &record))
         })
         .collect();
+    let bookings = (0..BOOKING_CLIENTS).map(|client| {
+        let (stop, lost, record) = (stop.clone(), lost.clone(), record.clone());
+        let caller = Caller {
+            name: format!("book-{client}"),
+            body: vec![b'x'; 600],
+            pause: BOOKING_PAUSE,
+        };
+        std::thread::spawn(move || caller.run(front, &stop, &lost, &record))
+    });
+    let bookings: Vec<_> = bookings.collect();
     std::thread::sleep(TIME);
     stop.store(true, Ordering::Relaxed);
-    for thread in threads {
+    for thread in threads.into_iter().chain(bookings) {
         let _ = thread.join();
     }
     let _ = warden.join();
@@ -110,60 +134,78 @@
     }
 }
 
-/// Uploads one body after another on a kept connection.
-fn upload(
-    client: usize,
-    front: SocketAddr,
-    stop: &AtomicBool,
-    lost: &Mutex<Vec<String>>,
-    record: &Record,
-) {
-    let body = vec![b'x'; BODY_BYTES];
-    let mut number = 0;
-    while !stop.load(Ordering::Relaxed) {
-        let Ok(mut stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) else {
-            std::thread::sleep(Duration::from_millis(200));
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
-        let mut reader = Reader::new(stream.try_clone().expect("no second handle"));
-        let mut kept = false;
+/// A client that sends one request after another on a kept connection.
+struct Caller {
+    name: String,
+    body: Vec<u8>,
+    pause: Duration,
+}
+
+impl Caller {
+    fn run(
+        &self,
+        front: SocketAddr,
+        stop: &AtomicBool,
+        lost: &Mutex<Vec<String>>,
+        record: &Record,
+    ) {
+        let mut number = 0;
         while !stop.load(Ordering::Relaxed) {
-            number += 1;
-            let id = format!("up-{client}-{number}");
-            let head = format!(
-                "POST /book/{id} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {id}\r\n\
-                 Deadline-Ms: 3000\r\nCredential: key-a\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
-            );
-            let started = Instant::now();
-            let sent = stream
-                .write_all(head.as_bytes())
-                .and_then(|()| stream.write_all(&body));
-            let answer = sent.ok().and_then(|()| reader.answer());
-            match answer {
-                Some(answer) if answer.complete => {
-                    kept = answer.header("connection") != Some("close");
-                    if answer.status() != 200 {
-                        record.line(&format!("request {id}: {}", answer.status()));
-                    }
-                }
-                _ => {
+            let Ok(mut stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) else {
+                std::thread::sleep(Duration::from_millis(200));
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+            let mut reader = Reader::new(stream.try_clone().expect("no second handle"));
+            let mut kept = false;
+            while !stop.load(Ordering::Relaxed) {
+                number += 1;
+                let id = format!("{}-{number}", self.name);
+                let started = Instant::now();
+                let sent = self.send(&id, &mut stream);
+                let answer = sent.ok().and_then(|()| reader.answer());
+                let Some(answer) = answer.filter(|answer| answer.complete) else {
+                    let took = started.elapsed().as_millis();
                     record.line(&format!(
-                        "request {id}: no answer after {} ms, kept connection: {kept}",
-                        started.elapsed().as_millis()
+                        "request {id}: no answer after {took} ms, kept: {kept}"
                     ));
                     if kept {
                         lost.lock().unwrap().push(id);
                     }
                     break;
+                };
+                record.line(&format!("request {id}: answer {}", answer.status()));
+                kept = answer.header("connection") != Some("close");
+                if !kept {
+                    break;
                 }
+                std::thread::sleep(self.pause);
             }
-            if !kept {
-                break;
-            }
-            std::thread::sleep(Duration::from_millis(20));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    fn send(&self, id: &str, stream: &mut TcpStream) -> std::io::Result<()> {
+        let head = format!(
+            "POST /book/{id} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {id}\r\n\
+             Deadline-Ms: 3000\r\nCredential: key-a\r\nContent-Length: {}\r\n\r\n",
+            self.body.len()
+        );
+        stream.write_all(head.as_bytes())?;
+        send_paced(stream, &self.body)
+    }
+}
+
+/// Sends a body at the speed of a client's link.
+fn send_paced(stream: &mut TcpStream, body: &[u8]) -> std::io::Result<()> {
+    let mut next = Instant::now();
+    for piece in body.chunks(PIECE_BYTES) {
+        stream.write_all(piece)?;
+        if piece.len() == PIECE_BYTES {
+            next += PIECE_PAUSE;
+            std::thread::sleep(next.saturating_duration_since(Instant::now()));
         }
-        std::thread::sleep(Duration::from_millis(100));
     }
+    Ok(())
 }
--- a/review/stand-ins/src/entry.rs
+++ b/review/stand-ins/src/entry.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http;
@@ -34,29 +35,27 @@
 
 /// Free addresses for several entries.
 pub fn free_addresses(count: usize) -> Vec<Addresses> {
-    let mut held = Vec::new();
-    let mut free = || {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
-        let address = listener.local_addr().expect("no address");
-        held.push(listener);
-        address
-    };
+    let address = || SocketAddr::from(([127, 0, 0, 1], free_ports(1)));
     let found = (0..count).map(|_| Addresses {
-        front: free(),
-        ready: free(),
-        control: free(),
-        first_internal_port: free_pair(),
+        front: address(),
+        ready: address(),
+        control: address(),
+        first_internal_port: free_ports(16),
     });
     found.collect()
 }
 
-/// A port that is followed by a free one, where the entry serves its metrics.
-fn free_pair() -> u16 {
+/// The first of `count` free ports in a row, below those that the system gives to connections: one of
+/// these could take the port of an entry while it restarts.
+fn free_ports(count: u16) -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = u16::try_from(std::process::id() % 400).unwrap_or_default() * 30;
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("no free port");
-        let port = listener.local_addr().expect("no address").port();
-        if port < 65_000 && TcpListener::bind(("127.0.0.1", port + 1)).is_ok() {
-            return port;
+        let taken = NEXT.fetch_add(count, Ordering::Relaxed) % 14_000;
+        let first = 16_000 + (start + taken) % 14_000;
+        let is_free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if (first..first + count).all(is_free) {
+            return first;
         }
     }
 }
