--- a/review/stand-ins/src/case_free.rs
+++ b/review/stand-ins/src/case_free.rs
@@ -33,7 +33,7 @@
 /// Clients of the machine that is cut off, by kind, and the pause of each between two prompts. They
 /// send about what the clients of the zone `parnu-a` send to its only machine: 9 long and 47 short
 /// prompts a second.
-const LONG_CLIENTS: usize = 3;
+const LONG_CLIENTS: usize = 4;
 const SHORT_CLIENTS: usize = 12;
 const PAUSE: Duration = Duration::from_millis(200);
 /// Clients that send each session's first prompts.
@@ -71,7 +71,7 @@
         let number = self.sent.fetch_add(1, Ordering::Relaxed);
         let id = format!("p-{number}");
         let [first, middle, own] = kind.tokens;
-        let initial = &kind.name[..1].as_bytes()[0];
+        let initial = kind.name.as_bytes()[0];
         let request = format!(
             "POST /chat/x HTTP/1.1\r\nHost: salon.example\r\nRequest-Id: {id}\r\nModel: m0\r\n\
              Token-Usage: {},16\r\nPrompt-Prefix: c0{initial:02x}{:04x}:{first},\
