--- a/review/stand-ins/src/entry.rs
+++ b/review/stand-ins/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -10,9 +11,14 @@
 use crate::http;
 
 const SIGTERM: i32 = 15;
+const SIGKILL: u64 = 9;
+
+/// Option of `prctl`: the signal that a process gets when the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, signal: u64) -> i32;
 }
 
 /// Addresses of one entry.
@@ -110,13 +116,22 @@
     fn spawn(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("cannot open the log");
-        let child = Command::new("target/release/guavahold-node")
+        let mut command = Command::new("target/release/guavahold-node");
+        command
             .env_clear()
             .env("GUAVAHOLD_BOOT", &self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("no second handle"))
-            .stderr(log)
-            .spawn();
+            .stderr(log);
+        // SAFETY: `prctl` with this option only sets a field of the new process. It ends with this
+        // one, also if this one is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn();
         self.child = Some(child.expect("cannot start target/release/guavahold-node"));
     }
 
