Gateway: what follows from what may have run, in a module without input or output

RunRecord holds whether any target may run or have run a request, and which final outcome a refusal or the deadline has then, so that a test can play all histories and endings and a model of a request's life can use it. Behaviour is unchanged: an attempt's error takes the mark back exactly if it proves that the request has not run (NotSent, Withheld, OutsideRegions, Evacuated, Refused), and all else that was listed before (Response, PathLost, Doubtful) is the rest of the errors in that branch.

--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -6,18 +6,18 @@
 
 use crate::clock::coarse_sleep;
 use crate::domain_scheduler::ScheduledRequest;
-use crate::gateway::RunReport;
 use crate::gateway::admitted_request::AdmittedRequest;
 use crate::gateway::arrival::version_of;
 use crate::gateway::attempt::{Assignment, Attempt, AttemptProgress};
 use crate::gateway::attempt_error::{AttemptError, TargetResponse};
 use crate::gateway::caller_response::CallerResponse;
 use crate::gateway::outcome::Outcome;
-use crate::gateway::refusal::{deadline_passed, refused, unknown_fate};
+use crate::gateway::refusal::unknown_fate;
 use crate::gateway::request_log::{AttemptRecord, RequestLog};
 use crate::gateway::request_reader::RequestReader;
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::shared::{Shared, TargetObservation};
+use crate::gateway::{Ending, EndingOutcome, ResponseState, RunRecord, RunReport};
 use crate::http::RunState;
 use crate::name_hash::hash_label;
 use crate::part_quarantine::Permission;
@@ -56,8 +56,8 @@
     pub handle: ScheduledRequest,
     /// Error response of a target, relayed if no later attempt succeeds.
     pub target_error: Option<(ResponseHead, Vec<u8>)>,
-    /// Whether any byte of the request may have been sent to a target.
-    pub may_have_been_sent: bool,
+    /// Whether any target may run or have run the request.
+    pub run_record: RunRecord,
     /// Its attempts, for the log.
     pub request_log: RequestLog,
 }
@@ -145,11 +145,8 @@
         NextEvent::DeadlinePassed
     }
 
-    fn deadline_outcome(&self, response: &CallerResponse<'_>) -> Outcome {
-        if response.head_sent {
-            return Outcome::CutShort;
-        }
-        Outcome::LocalResponse(deadline_passed(self.may_have_been_sent))
+    fn deadline_outcome(&mut self, response: &CallerResponse<'_>) -> Outcome {
+        self.outcome(&Ending::DeadlinePassed, response)
     }
 
     /// Runs one attempt; `None` when the scheduler decides how the request continues.
@@ -164,7 +161,7 @@
         if let Permission::Held(retry_after) = permission {
             return Some(self.held_outcome(retry_after, response));
         }
-        let sent_before = std::mem::replace(&mut self.may_have_been_sent, true);
+        let record_before = self.run_record.begin_attempt();
         let started = Instant::now();
         let progress = AttemptProgress::default();
         let result = {
@@ -196,13 +193,9 @@
                 Some(Outcome::CallerLeft)
             }
             Ok(Err(error)) => {
-                self.may_have_been_sent = sent_before
-                    || matches!(
-                        error,
-                        AttemptError::Response(_)
-                            | AttemptError::PathLost
-                            | AttemptError::Doubtful(_)
-                    );
+                if error.is_not_run() {
+                    self.run_record.end_not_run(record_before);
+                }
                 self.on_error(assignment, &error, progress.answer_began());
                 None
             }
@@ -359,14 +352,21 @@
     }
 
     fn on_refusal(&mut self, refusal: &Refusal, response: &CallerResponse<'_>) -> Outcome {
-        if response.head_sent {
-            return Outcome::CutShort;
-        }
-        match self.target_error.take() {
-            Some((head, body)) => Outcome::Response(head, body),
-            // The scheduler may not know of an attempt that it did not dispatch itself.
-            None if self.may_have_been_sent => Outcome::LocalResponse(unknown_fate()),
-            None => Outcome::LocalResponse(refused(refusal)),
+        self.outcome(&Ending::Refused(refusal), response)
+    }
+
+    fn outcome(&mut self, ending: &Ending<'_>, response: &CallerResponse<'_>) -> Outcome {
+        let state = ResponseState {
+            head_sent: response.head_sent,
+            has_target_error: self.target_error.is_some(),
+        };
+        match (
+            self.run_record.outcome(ending, state),
+            self.target_error.take(),
+        ) {
+            (EndingOutcome::TargetError, Some((head, body))) => Outcome::Response(head, body),
+            (EndingOutcome::CutShort | EndingOutcome::TargetError, _) => Outcome::CutShort,
+            (EndingOutcome::LocalResponse(response), _) => Outcome::LocalResponse(response),
         }
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,7 +15,7 @@
 use crate::gateway::request_log::RequestLog;
 use crate::gateway::request_reader::{self, RequestReader};
 use crate::gateway::shared::Shared;
-use crate::gateway::{LocalResponse, RequestHead};
+use crate::gateway::{LocalResponse, RequestHead, RunRecord};
 use crate::prelude::*;
 use crate::route::{Route, RouteMatch, RouteTable};
 
@@ -68,7 +68,7 @@
         request: &request,
         handle: shared.scheduler_client.submit(arrival),
         target_error: None,
-        may_have_been_sent: false,
+        run_record: RunRecord::default(),
         request_log: RequestLog::default(),
     };
     let outcome = driver.run(&mut response, reader).await;
