Entry's side of hubs: during an attempt, only a hub's Cancel is carried out

What callers could see: a booking or a stream that may not be resumed runs twice, or waits for its deadline although its target refused it at once. Cause: a hub's replies name the entry and the number of a request, and numbers begin at one in each process of an entry. A Declined or a refusal as no-target that arrives during an attempt made the entry take the request back at once: its own scheduler, which knows of no attempt, queued it, ignored the end of the attempt of the hub's, and dispatched it when a target had room. Another refusal left nobody to decide.

Evidence: on_reply_decision_during_an_attempt_does_not_have_the_request_sent_again ("Declined: expected a refusal, got Dispatch") and on_reply_decision_during_an_attempt_leaves_the_request_to_its_hub failed before.

Why it works: a hub decides on a request that has an attempt running only to cancel the attempt; the scheduler's random test asserts that it refuses none of these. So anything else then belongs to another request. Each is logged as decision_ignored.

--- a/src/domain_scheduler/scheduled_request.rs
+++ b/src/domain_scheduler/scheduled_request.rs
@@ -147,11 +147,23 @@
         state.history.heard = true;
         match decision {
             Some(Decision::Queued) => None,
-            // The grant of a request that an earlier process of this entry gave the same number.
+            Some(Decision::Cancel(attempt)) => {
+                state.history.running = false;
+                state.history.sent += 1;
+                state.history.run = RunState::Unknown;
+                Some(Effect::Cancel { id, attempt })
+            }
+            // All else that arrives during an attempt is for a request that an earlier process of this
+            // entry gave the same number.
             Some(Decision::Dispatch(grant)) if state.history.running => {
                 self.log_ignored(&grant);
                 None
             }
+            Some(decision) if state.history.running => {
+                let number = id.0;
+                log::warn!("event=decision_ignored number={number} decision={decision:?}");
+                None
+            }
             Some(Decision::Dispatch(grant)) if !self.may_run_again(&state.history) => {
                 drop(state);
                 self.log_ignored(&grant);
@@ -180,12 +192,6 @@
                 self.client.close(id.0);
                 Some(Effect::Refuse { id, refusal })
             }
-            Some(Decision::Cancel(attempt)) => {
-                state.history.running = false;
-                state.history.sent += 1;
-                state.history.run = RunState::Unknown;
-                Some(Effect::Cancel { id, attempt })
-            }
         }
     }
 
