--- a/tests/request_life/driver.rs
+++ b/tests/request_life/driver.rs
@@ -76,8 +76,7 @@
 
 /// Plays one request from its arrival to its final response.
 pub async fn run(world: Arc<World>, mut rng: Rng) {
-    let id = world.own.next_id().0;
-    world.arrived.fetch_max(id, Ordering::Relaxed);
+    let id = world.arrived.fetch_add(1, Ordering::Relaxed) + 1;
     let repeatable = rng.u8(..5) == 0;
     world.ledger.arrived(id, !repeatable);
     let total_ms = rng.u64(300..2_000);
