--- a/tests/request_life/disturbance.rs
+++ b/tests/request_life/disturbance.rs
@@ -133,10 +133,12 @@
 }
 
 /// Delivers a decision about a request of an earlier process of the entry that had the number of one of
-/// the latest requests.
+/// the latest requests, or of one that was dispatched a short time ago.
 fn stray(world: &World, hub: usize, rng: &mut Rng) {
     let latest = world.arrived.load(Ordering::Relaxed);
-    let id = latest.saturating_sub(rng.u64(..STRAY_RANGE));
+    let any = latest.saturating_sub(rng.u64(..STRAY_RANGE));
+    let dispatched = world.dispatched(rng).filter(|_| rng.u8(..3) > 0);
+    let id = dispatched.unwrap_or(any);
     let retry_after = ms(500);
     let decision = match rng.u8(..60) {
         0..8 => Decision::Queued,
@@ -151,7 +153,11 @@
             retry_after,
         }),
     };
-    world.reply(hub, SchedulerReply { id, decision });
+    // The one that does not have the request is ignored.
+    for hub in 0..HUBS {
+        let decision = decision.clone();
+        world.reply(hub, SchedulerReply { id, decision });
+    }
 }
 
 fn grant(hub: usize, rng: &mut Rng) -> Grant {
--- a/tests/request_life/driver.rs
+++ b/tests/request_life/driver.rs
@@ -124,6 +124,7 @@
                 }) => {
                     let note = format!("dispatched {attempt} to {target}");
                     self.world.ledger.note(self.id, note);
+                    self.world.record_dispatch(self.id);
                     if let Some(end) = self.attempt(attempt).await {
                         return end;
                     }
--- a/tests/request_life/world.rs
+++ b/tests/request_life/world.rs
@@ -1,7 +1,8 @@
 //! An entry, two hubs and the links between them.
 
-use std::sync::Arc;
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -24,6 +25,8 @@
 pub const SLOTS: u32 = 16;
 /// Name of the entry at its hubs.
 pub const ENTRY: &str = "entry";
+/// Requests that are remembered as dispatched last.
+const LATEST_DISPATCHED: usize = 12;
 const PROBE_TIME: Duration = Duration::from_millis(3);
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -38,6 +41,8 @@
     pub ex: Arc<Executor<'static>>,
     /// Number of requests so far.
     pub arrived: AtomicU64,
+    /// The requests that were dispatched last, the latest at the end.
+    dispatched: Mutex<VecDeque<u64>>,
 }
 
 pub fn domain(n: usize) -> Name {
@@ -119,6 +124,7 @@
             ledger: Ledger::default(),
             ex: ex.clone(),
             arrived: AtomicU64::new(0),
+            dispatched: Mutex::default(),
         });
         world.name_hubs();
         world.start_tasks(seed, decisions);
@@ -203,6 +209,21 @@
         }
     }
 
+    pub fn record_dispatch(&self, id: u64) {
+        let mut dispatched = self.dispatched.lock().unwrap();
+        dispatched.push_back(id);
+        if dispatched.len() > LATEST_DISPATCHED {
+            dispatched.pop_front();
+        }
+    }
+
+    /// One of the requests that were dispatched last.
+    pub fn dispatched(&self, rng: &mut fastrand::Rng) -> Option<u64> {
+        let dispatched = self.dispatched.lock().unwrap();
+        let at = rng.usize(..dispatched.len().max(1));
+        dispatched.get(at).copied()
+    }
+
     pub fn is_live(&self, hub: usize) -> bool {
         !self.links.calls[hub].state.is_down.load(Ordering::Relaxed)
     }
