Driver: a request that may have run and must not run twice is not sent again, whoever dispatches it

RunRecord::permits_attempt decides; a dispatch that it does not permit is an invariant violation (metric, error line repeated_run_withheld) and ends the request with 502, which promises nothing. permits_attempt_only_of_what_may_be_repeated_or_has_not_run plays all histories of up to three attempts.

--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -149,6 +149,27 @@
         self.outcome(&Ending::DeadlinePassed, response)
     }
 
+    /// Ends a request that was dispatched again although it must not run twice: a fault of the
+    /// schedulers.
+    fn withhold_attempt(
+        &mut self,
+        assignment: &Assignment,
+        response: &CallerResponse<'_>,
+    ) -> Outcome {
+        self.shared.metrics.invariants.inc();
+        log::error!(
+            "event=repeated_run_withheld request={} number={} target={}",
+            self.request.head.id,
+            assignment.number,
+            assignment.target
+        );
+        let refusal = Refusal::Failed {
+            run: RunState::Unknown,
+            retry_after: Duration::ZERO,
+        };
+        self.outcome(&Ending::Refused(&refusal), response)
+    }
+
     /// Runs one attempt; `None` when the scheduler decides how the request continues.
     async fn attempt(
         &mut self,
@@ -156,6 +177,10 @@
         response: &mut CallerResponse<'_>,
         reader: &mut RequestReader,
     ) -> Option<Outcome> {
+        let repeatable = self.request.route.is_repeatable();
+        if !self.run_record.permits_attempt(repeatable) {
+            return Some(self.withhold_attempt(assignment, response));
+        }
         let quarantine = &self.shared.prompt_quarantine;
         let permission = quarantine.begin_attempt(self.request);
         if let Permission::Held(retry_after) = permission {
--- a/src/gateway/run_record.rs
+++ b/src/gateway/run_record.rs
@@ -41,6 +41,13 @@
 }
 
 impl RunRecord {
+    /// Whether another attempt may begin: the request is `repeatable`, or no target may run or have run
+    /// it.
+    #[must_use]
+    pub fn permits_attempt(self, repeatable: bool) -> bool {
+        repeatable || !self.may_have_run
+    }
+
     /// Records that an attempt begins, of which anything may be sent from now on; returns the record
     /// before it.
     #[must_use]
--- a/tests/run_record.rs
+++ b/tests/run_record.rs
@@ -78,6 +78,20 @@
     })
 }
 
+#[test]
+fn permits_attempt_only_of_what_may_be_repeated_or_has_not_run() {
+    for (ended, running) in histories() {
+        let record = record(&ended, running);
+        let proven = !running && ended.iter().all(|end| *end == AttemptEnd::ProvenNotRun);
+        assert!(record.permits_attempt(true), "{ended:?}, {running}");
+        assert_eq!(
+            record.permits_attempt(false),
+            proven,
+            "{ended:?}, {running}"
+        );
+    }
+}
+
 /// Guards against a promise to a request of which anything may have run, and against none for one
 /// that surely has not.
 #[test]
