Intake: bounds on the memory and connections that callers hold

The module decides, without input or output, which connections are admitted and which requests may hold how many bytes. It is not wired in yet.

- Bounds follow from the memory and the descriptors of the machine: two fifths of the memory for requests, a tenth for idle connections, half of the sockets for callers.
- Bytes are an absolute figure per request, stated before they are allocated.
An evicted request counts until its buffers are freed, and the asker waits meanwhile, so that the sum never passes the bound.
- Only incomplete requests without 4 KiB of progress in 250 ms are evicted, the one without progress longest first.
Moving and complete requests stay.
- Requests up to 64 KiB have an eighth of the bytes to themselves and may use half; larger ones use the rest.
A crowd of large bodies, also one that moves, leaves room to ordinary requests, and a crowd of small ones leaves half to large ones.
- First come, first served in each class; after one second, or behind a queue that wants more than its class may hold, a request is refused.
What never fits is refused at once.
- Only the first of a class evicts, so requests that grow step by step and wait for each other half way make way in order instead of deadlocking.

The test plays random crowds (prompt, stalling, trickling, over the limit, silent, closing at any moment) and checks each answer against a plain model.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod entry;
 pub mod gateway;
 pub mod http;
+pub mod intake;
 mod latch;
 pub mod lease;
 pub mod name_hash;
