--- a/rig/tests/caller_crowd.rs
+++ b/rig/tests/caller_crowd.rs
@@ -12,6 +12,7 @@
 use caller_crowd::play::*;
 use guavahold_rig::{Process, TestCluster};
 use serde_json::{Value, json};
+use uuid::Uuid;
 
 /// Time limits for messages and idle connections, in milliseconds: no crowd ends by itself during a
 /// test.
@@ -128,7 +129,7 @@
         endpoint: Endpoint {
             address,
             request: listener.request(),
-            headers: CALLER_HEADERS,
+            headers: caller_headers,
             body: if listener == Listener::Callers {
                 chat_body
             } else {
@@ -140,6 +141,11 @@
     });
 }
 
+/// Header lines of a request, with an idempotency key of its own.
+fn caller_headers(_: usize) -> String {
+    format!("{CALLER_HEADERS}Idempotency-Key: {}\r\n", Uuid::now_v7())
+}
+
 /// A chat of so many bytes.
 fn chat_body(len: usize) -> Vec<u8> {
     const START: &str =
