Intake as tasks share it: permits of connections, counters by limit, responses that are not read

SharedIntake hands out one permit for each connection, wakes those that wait for memory and tells those that must make way; a wait that is given up ends, so that it holds up no other. ChunkedBody grows in steps whose memory its reader reserves first.

--- a/src/http.rs
+++ b/src/http.rs
@@ -7,6 +7,7 @@
 mod body_throttle;
 mod buffered;
 mod chunk;
+mod chunked_body;
 mod client;
 mod control;
 mod error;
@@ -26,6 +27,7 @@
 pub use body_throttle::{AdmissionFuture, BodyThrottle};
 pub use buffered::poll_read_buffered;
 pub use chunk::ChunkScanner;
+pub(crate) use chunked_body::{ChunkedBody, allocate};
 pub use client::{ClientResponse, Connection};
 pub use control::ServerControl;
 pub use error::{ExchangeError, MessageError};
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -26,6 +26,8 @@
     CutShort,
     /// The message did not arrive in time.
     TooSlow,
+    /// There is no memory for the message.
+    NoMemory,
 }
 
 impl MessageError {
@@ -36,6 +38,7 @@
             Self::HeadTooLarge => StatusCode::RequestHeaderFieldsTooLarge,
             Self::BodyTooLarge => StatusCode::PayloadTooLarge,
             Self::TooSlow => StatusCode::RequestTimeout,
+            Self::NoMemory => StatusCode::ServiceUnavailable,
             Self::BadCoding => StatusCode::NotImplemented,
             _ => StatusCode::BadRequest,
         }
@@ -54,6 +57,7 @@
             Self::BodyTooLarge => "message body too large",
             Self::CutShort => "connection ended inside the message",
             Self::TooSlow => "message did not arrive in time",
+            Self::NoMemory => "no memory for the message",
         })
     }
 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -13,6 +13,7 @@
 
 mod connection;
 mod connection_id;
+mod counters;
 mod evicted;
 mod ledger;
 mod limits;
@@ -33,6 +34,7 @@
 use crate::prelude::*;
 
 pub use connection_id::ConnectionId;
+pub use counters::IntakeCounters;
 pub use evicted::Evicted;
 pub use limits::{CONNECTION_BYTES, IntakeLimits, SMALL_BYTES};
 pub use opened::Opened;
@@ -43,10 +45,12 @@
 /// Time without progress after which a connection may be evicted for its place. Longer than a
 /// caller needs to send a request on a connection that it has just opened.
 pub const MIN_IDLE_TIME: Duration = Duration::from_millis(500);
+/// Additional time for a caller to go on reading its response, which its target may have run.
+pub const READ_GRACE: Duration = Duration::from_millis(1_750);
 /// Bytes that count as progress. Fewer do not, so that a caller cannot keep its memory by sending
 /// single bytes.
 pub const PROGRESS_BYTES: usize = 4 * 1024;
-/// Time after which a request that waits for memory is refused.
+/// Time after which a request that waits for memory is refused, over all its waits.
 pub const MAX_WAIT: Duration = Duration::from_secs(1);
 /// Time after which the caller of a request that never fits is asked to return, the longest of all.
 pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -69,8 +73,7 @@
     opened: u64,
     /// Waits begun so far.
     waits: u64,
-    evictions: u64,
-    refusals: u64,
+    counters: IntakeCounters,
 }
 
 impl Intake {
@@ -83,8 +86,7 @@
             ledger: Ledger::new(limits),
             opened: 0,
             waits: 0,
-            evictions: 0,
-            refusals: 0,
+            counters: IntakeCounters::default(),
         }
     }
 
@@ -98,9 +100,10 @@
         }
         let quietest = self.ledger.quietest_since(now.checked_sub(MIN_IDLE_TIME));
         let Some(evicted) = quietest.filter(|_| has_place) else {
-            self.refusals += 1;
+            self.counters.refused_connections += 1;
             return Opened::Refused;
         };
+        self.counters.evicted_for_place += 1;
         self.evict(evicted);
         let id = self.admit(now);
         Opened::AdmittedInPlaceOf { id, evicted }
@@ -120,18 +123,23 @@
             self.update(id, |connection| connection.begin(now));
         }
         if bytes <= held {
-            return self.grant(id, bytes);
+            return self.grant(now, id, bytes);
         }
         let req = RoomRequest { id, held, bytes };
         if !self.ledger.can_ever_hold(req) {
             return self.refuse(id, MAX_RETRY_AFTER);
         }
         if self.ledger.is_next(req) && self.ledger.has_room(req) {
-            return self.grant(id, bytes);
+            return self.grant(now, id, bytes);
         }
         self.wait(now, req)
     }
 
+    /// Ends the wait of a connection that asks no more for the bytes that it waits for.
+    pub fn stop_waiting(&mut self, now: Timestamp, id: ConnectionId) {
+        self.update(id, |connection| connection.end_wait(now));
+    }
+
     /// Records bytes that arrived for a request that is being received.
     pub fn progress(&mut self, now: Timestamp, id: ConnectionId, received_bytes: usize) {
         self.update(id, |connection| connection.receive(now, received_bytes));
@@ -155,6 +163,16 @@
         Ok(())
     }
 
+    /// Records that the caller takes no more bytes of its response for now, or has just taken some.
+    pub fn stall_response(&mut self, now: Timestamp, id: ConnectionId) {
+        self.update(id, |connection| connection.stall_response(now));
+    }
+
+    /// Records that the caller has taken all bytes of its response so far.
+    pub fn resume_response(&mut self, id: ConnectionId) {
+        self.update(id, Connection::resume_response);
+    }
+
     /// Records that a request has been answered: its bytes are free and its connection is idle.
     pub fn release(&mut self, now: Timestamp, id: ConnectionId) {
         self.update(id, |connection| connection.become_idle(now));
@@ -193,16 +211,16 @@
         self.ledger.waiters()
     }
 
-    /// Connections evicted so far.
+    /// What was refused and evicted so far.
     #[must_use]
-    pub fn evictions(&self) -> u64 {
-        self.evictions
+    pub fn counters(&self) -> IntakeCounters {
+        self.counters
     }
 
-    /// Connections and requests refused so far.
+    /// Bounds of the process.
     #[must_use]
-    pub fn refusals(&self) -> u64 {
-        self.refusals
+    pub fn limits(&self) -> IntakeLimits {
+        self.limits
     }
 
     fn admit(&mut self, now: Timestamp) -> ConnectionId {
@@ -214,17 +232,17 @@
         id
     }
 
-    fn grant(&mut self, id: ConnectionId, bytes: usize) -> Reservation {
+    fn grant(&mut self, now: Timestamp, id: ConnectionId, bytes: usize) -> Reservation {
         self.update(id, |connection| {
             connection.bytes = bytes;
-            connection.wait = None;
+            connection.end_wait(now);
         });
         Reservation::Granted
     }
 
     fn refuse(&mut self, id: ConnectionId, retry_after: Duration) -> Reservation {
         self.update(id, |connection| connection.wait = None);
-        self.refusals += 1;
+        self.counters.refused_requests += 1;
         Reservation::Refused { retry_after }
     }
 
@@ -252,8 +270,10 @@
 
     /// The wait of a request; one that asked before keeps its place.
     fn wait_of(&mut self, now: Timestamp, req: RoomRequest) -> Wait {
-        let former = self.connections.get(&req.id).and_then(|c| c.wait);
-        let since = former.map_or(now, |wait| wait.since);
+        let connection = self.connections.get(&req.id);
+        let former = connection.and_then(|c| c.wait);
+        let waited = connection.map_or(Duration::ZERO, |c| c.waited);
+        let since = former.map_or(now.saturating_sub(waited), |wait| wait.since);
         let place = former.filter(|wait| wait.class == req.class());
         let ticket = place.map_or(self.waits, |wait| wait.ticket);
         self.waits = self.waits.max(ticket + 1);
@@ -269,6 +289,7 @@
     fn make_room(&mut self, now: Timestamp, req: RoomRequest) -> SmallVec<[ConnectionId; 4]> {
         let mut evicted = SmallVec::new();
         while let Some(id) = self.ledger.evictable_for(now, req) {
+            self.counters.evicted_for_memory += 1;
             self.evict(id);
             evicted.push(id);
         }
@@ -276,7 +297,6 @@
     }
 
     fn evict(&mut self, id: ConnectionId) {
-        self.evictions += 1;
         self.update(id, |connection| {
             connection.is_evicted = true;
             connection.wait = None;
--- a/src/intake/connection.rs
+++ b/src/intake/connection.rs
@@ -3,7 +3,7 @@
 use crate::intake::room_request::RoomRequest;
 use crate::intake::size_class::SizeClass;
 use crate::intake::wait::Wait;
-use crate::intake::{ConnectionId, PROGRESS_BYTES};
+use crate::intake::{ConnectionId, PROGRESS_BYTES, READ_GRACE};
 use crate::prelude::*;
 
 /// How far the request on a connection is.
@@ -15,6 +15,8 @@
     Receiving,
     /// It has been received whole.
     Complete,
+    /// Its caller takes no bytes of the response for now.
+    Responding,
 }
 
 /// A connection of a caller.
@@ -30,6 +32,8 @@
     /// Bytes received since, which are too few to count as progress.
     received_bytes: usize,
     pub(crate) wait: Option<Wait>,
+    /// Time for which its request has waited before.
+    pub(crate) waited: Duration,
 }
 
 impl Connection {
@@ -41,6 +45,7 @@
             last_progress: now,
             received_bytes: 0,
             wait: None,
+            waited: Duration::ZERO,
         }
     }
 
@@ -52,6 +57,13 @@
         }
     }
 
+    /// Ends the wait for memory, if there is one.
+    pub(crate) fn end_wait(&mut self, now: Timestamp) {
+        if let Some(wait) = self.wait.take() {
+            self.waited = now.saturating_sub(wait.since);
+        }
+    }
+
     /// Counts bytes of a request that is being received.
     pub(crate) fn receive(&mut self, now: Timestamp, bytes: usize) {
         self.received_bytes = self.received_bytes.saturating_add(bytes);
@@ -65,9 +77,33 @@
         self.stage = Stage::Idle;
         self.bytes = 0;
         self.wait = None;
+        self.waited = Duration::ZERO;
         self.record_progress(now);
     }
 
+    /// Notes that the caller takes no more bytes of its response for now.
+    pub(crate) fn stall_response(&mut self, now: Timestamp) {
+        if matches!(self.stage, Stage::Complete | Stage::Responding) {
+            self.stage = Stage::Responding;
+            self.record_progress(now);
+        }
+    }
+
+    /// Notes that the caller has taken all bytes of its response so far.
+    pub(crate) fn resume_response(&mut self) {
+        if self.stage == Stage::Responding {
+            self.stage = Stage::Complete;
+        }
+    }
+
+    /// Time from which it counts as being without progress.
+    pub(crate) fn quiet_since(&self) -> Timestamp {
+        match self.stage {
+            Stage::Responding => self.last_progress + READ_GRACE,
+            Stage::Idle | Stage::Receiving | Stage::Complete => self.last_progress,
+        }
+    }
+
     /// Whether it may be evicted for its place.
     pub(crate) fn is_quiet(&self) -> bool {
         !self.is_evicted && self.stage != Stage::Complete
--- a/src/intake/ledger.rs
+++ b/src/intake/ledger.rs
@@ -36,7 +36,7 @@
     pub(crate) fn add(&mut self, id: ConnectionId, connection: &Connection) {
         self.closing_connections += usize::from(connection.is_evicted);
         if connection.is_quiet() {
-            self.by_progress.insert((connection.last_progress, id));
+            self.by_progress.insert((connection.quiet_since(), id));
         }
         let share = self.share_mut(connection.class());
         share.add_holder(id, connection);
@@ -48,7 +48,7 @@
     /// Takes a connection out again, which has not changed since it was included.
     pub(crate) fn remove(&mut self, id: ConnectionId, connection: &Connection) {
         self.closing_connections -= usize::from(connection.is_evicted);
-        self.by_progress.remove(&(connection.last_progress, id));
+        self.by_progress.remove(&(connection.quiet_since(), id));
         let share = self.share_mut(connection.class());
         share.remove_holder(id, connection);
         if let Some(wait) = &connection.wait {
--- a/src/intake/limits.rs
+++ b/src/intake/limits.rs
@@ -7,10 +7,9 @@
 
 /// Descriptors that stay free for files.
 const FILE_DESCRIPTORS: usize = 200;
-/// Descriptors that stay free for listeners, peers and the platform's store.
-const SYSTEM_SOCKETS: usize = 128;
-/// Sockets for each caller: its own and one to a target.
-const SOCKETS_PER_CALLER: usize = 2;
+/// Most descriptors that stay free for listeners, peers and the platform's store; an eighth if that
+/// is less.
+const MAX_SYSTEM_SOCKETS: usize = 128;
 /// Least bytes of all requests.
 const MIN_BYTES: usize = 1024 * 1024;
 /// Least number of connections.
@@ -30,8 +29,10 @@
     /// a process may open: two fifths of the memory for requests, a tenth for idle connections.
     #[must_use]
     pub fn for_machine(memory_bytes: usize, max_descriptors: usize) -> Self {
-        let sockets = max_descriptors.saturating_sub(FILE_DESCRIPTORS + SYSTEM_SOCKETS);
-        let by_sockets = sockets / SOCKETS_PER_CALLER;
+        let sockets = max_descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let system_sockets = (sockets / 8).min(MAX_SYSTEM_SOCKETS);
+        // The rest is for connections to targets: most callers' connections are idle or wait.
+        let by_sockets = (sockets - system_sockets) / 3 * 2;
         let by_memory = memory_bytes / 10 / CONNECTION_BYTES;
         Self {
             bytes: (memory_bytes / 5 * 2).max(MIN_BYTES),
--- a/src/intake/size_share.rs
+++ b/src/intake/size_share.rs
@@ -81,7 +81,7 @@
             self.closing_bytes += connection.bytes;
         }
         if connection.is_evictable_holder() {
-            self.by_progress.insert((connection.last_progress, id));
+            self.by_progress.insert((connection.quiet_since(), id));
         }
     }
 
@@ -90,7 +90,7 @@
         if connection.is_evicted {
             self.closing_bytes -= connection.bytes;
         }
-        self.by_progress.remove(&(connection.last_progress, id));
+        self.by_progress.remove(&(connection.quiet_since(), id));
     }
 
     pub(crate) fn add_wait(&mut self, id: ConnectionId, wait: &Wait) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod scheduler;
 pub mod secret;
 pub mod settings;
+pub mod shared_intake;
 pub mod shared_scheduler;
 pub mod store_view;
 pub mod stream_origin;
