Gateway: callers' requests, unread responses and connections take their room from one budget

What callers and operators saw: a process that ends for its memory while clients send legal bodies, most held just short of their end, so that bookings under way are cut; or one that has no descriptor left. Cause: each body had a limit and a time of its own, and nothing bounded their sum, nor the number of connections; limits.memory-mb and limits.max-fds were not read. Buffers doubled, so that a body took up to twice its size, three times while it moved. The class: limits for each of what there is no limit of.

Two fifths of the memory are for callers' requests and large responses, counted by capacity for as long as they are held; a body of stated length is reserved before its first byte, a chunked one as it grows, in buffers of exactly that size. A request without room waits for up to a second, then gets 503 (nothing of it was sent); one that stands still gives its room up to it. Small requests have an eighth for themselves. Bytes beyond 16 KiB that are pipelined are dropped, and the connection ends after its response. A caller that reads nothing is cut off when others need its room. A response before the end of a body is followed by at most 16 MiB of reading. New metrics and the line caller_limit say which limit was reached.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -12,6 +12,7 @@
 mod brittle_targets;
 mod builder;
 mod caller_response;
+mod caller_room;
 mod connection_pool;
 mod control;
 mod decoder;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -308,7 +308,7 @@
             });
         }
         let body = reader
-            .read_body(&head, &self.shared.response_buffers)
+            .read_body(&head, &self.shared.response_buffers, response.room)
             .await
             .map_err(AttemptError::Response)?;
         Ok(Received {
--- a/src/gateway/attempt_error.rs
+++ b/src/gateway/attempt_error.rs
@@ -109,6 +109,9 @@
             Self::Response(ResponseError::Malformed) => {
                 f.write_str("garbled (bytes that are no answer)")
             }
+            Self::Response(ResponseError::NoMemory) => {
+                f.write_str("no-memory (the response has no room)")
+            }
             Self::PathLost => {
                 f.write_str("path-lost (the connection hangs, peers reach the target)")
             }
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -22,6 +22,7 @@
 use crate::gateway::stream_origins::OriginCall;
 use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
 use crate::http::{Limits, Server, ServerControl};
+use crate::intake::IntakeLimits;
 use crate::latch::Latch;
 use crate::part_quarantine::PartNotice;
 use crate::peer::Mesh;
@@ -44,6 +45,10 @@
 /// of which has many connections; the loss of a hub is detected sooner, by the hub timeout.
 const LARGE_SYSTEM_HEARTBEAT_TIMING: (Duration, Duration) =
     (Duration::from_millis(2_400), Duration::from_millis(7_500));
+/// Memory of a VM unless stated, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 256 * 1024 * 1024;
+/// Descriptors that a process may open unless stated.
+const DEFAULT_MAX_DESCRIPTORS: usize = 4_096;
 /// Maximum number of entries for [`HEARTBEAT_TIMING`].
 const MAX_ENTRIES_SHORT_HEARTBEAT: u32 = 24;
 
@@ -88,6 +93,7 @@
     version_deadline: Duration,
     cold_bound: Option<ColdBound>,
     evacuation_deadline: Option<Duration>,
+    intake: IntakeLimits,
 }
 
 impl GatewayBuilder {
@@ -124,9 +130,18 @@
             version_deadline: Duration::from_secs(12),
             cold_bound: None,
             evacuation_deadline: None,
+            intake: IntakeLimits::for_machine(DEFAULT_MEMORY_BYTES, DEFAULT_MAX_DESCRIPTORS),
         }
     }
 
+    /// Sets the memory of this VM, in bytes, and the number of descriptors that the process may open,
+    /// which bound what callers may hold.
+    #[must_use]
+    pub fn machine(mut self, memory_bytes: usize, max_descriptors: usize) -> Self {
+        self.intake = IntakeLimits::for_machine(memory_bytes, max_descriptors);
+        self
+    }
+
     /// Serves metrics on a separate address as well.
     #[must_use]
     pub fn metrics(mut self, addr: Option<SocketAddr>) -> Self {
@@ -303,12 +318,7 @@
             ready_path: shared.dialect.ready_path().into(),
         });
         for listener in std::iter::once(probe_listener).chain(metrics_listener) {
-            let server = Server::new(
-                listener,
-                Limits::default(),
-                probe.clone(),
-                probe_control.clone(),
-            )?;
+            let server = Server::new(listener, Limits::default(), probe.clone(), probe_control.clone())?;
             control_ex.spawn(server.run(control_ex.clone())).detach();
         }
         spawn_control(&control, &control_ex, effects, observations, rollout);
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -24,6 +24,7 @@
 use crate::lease::{LeaseClient, LeaseSettings};
 use crate::prelude::*;
 use crate::scheduler::{Effect, Event, Placement, RetryBurst, Scheduler, SchedulerSettings};
+use crate::shared_intake::SharedIntake;
 use crate::shared_scheduler::{QuarantineNotices, SharedScheduler};
 use crate::store_view::batch_pause;
 use crate::telemetry::GatewayMetrics;
@@ -70,6 +71,7 @@
             stream_origins: StreamOrigins::new(channels.origins),
             store_directory: Arc::default(),
             fetch_clock: Arc::default(),
+            intake: SharedIntake::new(self.intake),
             drain: Arc::new(Drain::default()),
             metrics: Arc::new(GatewayMetrics::new()),
             target_observations: channels.observations,
--- a/src/gateway/caller_response.rs
+++ b/src/gateway/caller_response.rs
@@ -1,21 +1,28 @@
 //! The response to one caller.
 
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 use std::time::Instant;
 
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use socket2::SockRef;
 
 use crate::gateway::RawEvent;
 use crate::gateway::attempt_error::AttemptError;
+use crate::gateway::caller_room::CallerRoom;
 use crate::gateway::response_head::ResponseHead;
 use crate::prelude::*;
 
+/// Largest body that is copied to be sent in one write with its head, in bytes.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
 /// Sends the response to one caller, across all attempts.
 pub(crate) struct CallerResponse<'a> {
     /// The caller's connection.
     pub stream: &'a Async<TcpStream>,
+    /// The memory that the connection holds.
+    pub room: &'a CallerRoom,
     /// Whether the connection closes after this response.
     pub close: bool,
     /// Whether the head of a streamed response was sent.
@@ -29,10 +36,40 @@
 }
 
 impl CallerResponse<'_> {
-    async fn write(&mut self, bytes: &[u8]) -> Result<(), AttemptError> {
+    /// Sends bytes. A caller that takes none for long is cut off if others need its place or its memory.
+    pub(crate) async fn write(&self, bytes: &[u8]) -> Result<(), AttemptError> {
+        let evicted = async {
+            self.room.evicted().await;
+            // What the system still holds for the caller is dropped as well.
+            let _ = SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO));
+            Err(AttemptError::CallerLeft)
+        };
+        self.write_all(bytes).or(evicted).await
+    }
+
+    async fn write_all(&self, mut bytes: &[u8]) -> Result<(), AttemptError> {
         let mut stream = self.stream;
-        let written = stream.write_all(bytes).await;
-        written.map_err(|_| AttemptError::CallerLeft)
+        let mut stalled = false;
+        while !bytes.is_empty() {
+            let written = match stream.get_ref().write(bytes) {
+                Err(err) if err.kind() == ErrorKind::WouldBlock => {
+                    stalled = true;
+                    self.room.stall_response();
+                    stream.write(bytes).await
+                }
+                written => written,
+            };
+            match written {
+                Ok(0) => return Err(AttemptError::CallerLeft),
+                Ok(written) => bytes = &bytes[written..],
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err(AttemptError::CallerLeft),
+            }
+        }
+        if stalled {
+            self.room.resume_response();
+        }
+        Ok(())
     }
 
     /// Sends events in one chunk, preceded by the head if it was not sent yet.
@@ -74,8 +111,12 @@
         head: &ResponseHead,
         body: &[u8],
     ) -> Result<(), AttemptError> {
-        let mut out = Vec::with_capacity(body.len() + 512);
+        let mut out = Vec::with_capacity(512);
         head.write_complete(body.len(), self.close, &mut out);
+        if body.len() > MAX_COPIED_BYTES {
+            self.write(&out).await?;
+            return self.write(body).await;
+        }
         out.extend_from_slice(body);
         self.write(&out).await
     }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,5 +1,6 @@
 //! Control tasks of a gateway: watches of the platform store, messages to peers, and weight orders.
 
+mod caller_limits;
 mod domain_scheduling;
 mod evacuations;
 mod freshness;
@@ -38,6 +39,7 @@
 use crate::scheduler::{Effect, Event, Signal};
 use crate::store_view::{ConfirmedBy, StoreOutage};
 
+use caller_limits::CallerLimitReport;
 pub(crate) use domain_scheduling::HubLinks;
 use evacuations::EVACUATION_REWRITE_TIME;
 pub use orders::{TargetControl, TargetStatus};
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -65,6 +65,7 @@
             self.submit_reports(&mut state);
         }
         self.report_load_spread(now, &mut state);
+        self.report_caller_limits(now, &mut state);
         self.submit_rate_shares(&mut state);
         self.refresh_warm_up_plans(&mut state);
         self.log_warm_ups(&mut state);
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use crate::context_store::RetirementTracker;
+use crate::gateway::control::CallerLimitReport;
 use crate::gateway::control::warm_ups::WarmUpState;
 use crate::gateway::{
     DeclaredWeights, Decoder, Evacuations, HubAggregator, HubCandidate, HubSelector, LoadTable,
@@ -75,6 +76,8 @@
     unreadable_targets: HashSet<Name>,
     /// When unevenly loaded targets were last logged.
     pub(super) spread_logged_at: Option<Timestamp>,
+    /// What was reported about the limits on what callers hold.
+    pub(super) caller_limits: CallerLimitReport,
     /// Oldest weight version that any target has, and since when.
     pub(super) oldest_version: (u64, Timestamp),
 }
@@ -105,6 +108,7 @@
             cpu_shares: HashMap::new(),
             unreadable_targets: HashSet::new(),
             spread_logged_at: None,
+            caller_limits: CallerLimitReport::default(),
             oldest_version: (0, Timestamp::ZERO),
         }
     }
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -7,7 +7,8 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 
 use crate::clock::coarse_sleep;
-use crate::gateway::refusal::rejected;
+use crate::gateway::LocalResponse;
+use crate::gateway::caller_room::CallerRoom;
 use crate::gateway::request_reader::{ReceiveError, RequestReader};
 use crate::gateway::serve::serve;
 use crate::gateway::shared::Shared;
@@ -20,6 +21,10 @@
 /// Time for which bytes are still read after the last response, since closing with unread bytes
 /// resets the connection and may destroy the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of bytes that are read in that time.
+const MAX_LINGER_BYTES: usize = 16 * 1024 * 1024;
+/// Size of such a read, in bytes.
+const LINGER_READ_SIZE: usize = 4 * 1024;
 
 /// Accepts connections until `stop` is set.
 pub(crate) async fn accept(
@@ -51,49 +56,72 @@
     }
 }
 
+/// Serves a connection if there is a place for it; otherwise it is closed.
 fn spawn(stream: Async<TcpStream>, shared: &Arc<Shared>, ex: &Executor<'static>) {
+    let Some(permit) = shared.intake.open() else {
+        return;
+    };
+    let room = Arc::new(CallerRoom::new(permit));
     enable_dead_peer_detection(stream.get_ref());
-    ex.spawn(serve_connection(stream, shared.clone())).detach();
+    ex.spawn(serve_connection(stream, room, shared.clone()))
+        .detach();
 }
 
-async fn serve_connection(stream: Async<TcpStream>, shared: Arc<Shared>) {
+async fn serve_connection(stream: Async<TcpStream>, room: Arc<CallerRoom>, shared: Arc<Shared>) {
     let _open = shared.drain.count_connection();
     let stream = Arc::new(stream);
-    let mut reader = RequestReader::new(stream.clone());
+    let mut reader = RequestReader::new(stream.clone(), room.clone());
     loop {
         if reader.wait_for_request(&shared).await.is_err() {
             return;
         }
         let running = shared.drain.count_request();
         let keep = match reader.receive(&shared).await {
-            Ok(received) => serve(&shared, received, &stream, &mut reader).await,
+            Ok(received) => serve(&shared, received, &stream, &room, &mut reader).await,
             Err(ReceiveError::ConnectionClosed) => return,
-            Err(ReceiveError::Rejected(status, code)) => {
-                let mut out = Vec::new();
-                let local_response = rejected(status, code);
-                shared
-                    .dialect
-                    .encode_local_response(None, &local_response, true, &mut out);
-                log::info!("event=request_rejected status={status} reason={code}");
-                let _ = (&*stream).write_all(&out).await;
+            Err(ReceiveError::Rejected(local_response)) => {
+                reader.finish_request(false);
+                let rejected = reject(&shared, &stream, &local_response);
+                rejected.or(room.evicted()).await;
                 false
             }
         };
         drop(running);
-        if !keep {
-            return linger(&stream).await;
+        if !reader.finish_request(keep) {
+            return linger(&stream).or(room.evicted()).await;
         }
     }
 }
 
+/// Answers a request that was not received whole.
+async fn reject(shared: &Shared, mut stream: &Async<TcpStream>, response: &LocalResponse) {
+    let mut out = Vec::new();
+    shared
+        .dialect
+        .encode_local_response(None, response, true, &mut out);
+    log::info!(
+        "event=request_rejected status={} reason={}",
+        response.status,
+        response.code
+    );
+    let _ = stream.write_all(&out).await;
+}
+
 /// Closes a connection gracefully: reads what the caller still sends, so that the last response
 /// is not lost to a reset.
 async fn linger(stream: &Async<TcpStream>) {
     if stream.get_ref().shutdown(Shutdown::Write).is_err() {
         return;
     }
-    let mut chunk = [0; 512];
+    let mut chunk = vec![0; LINGER_READ_SIZE];
     let mut input = stream;
-    let drain = async { while matches!(input.read(&mut chunk).await, Ok(n) if n > 0) {} };
+    let drain = async {
+        let mut left = MAX_LINGER_BYTES;
+        while let Ok(read @ 1..) = input.read(&mut chunk).await
+            && left > read
+        {
+            left -= read;
+        }
+    };
     drain.or(coarse_sleep(LINGER_TIMEOUT)).await;
 }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -45,6 +45,15 @@
     }
 }
 
+/// The response to a request for which there is no memory; nothing of it was sent to a target.
+pub(crate) fn no_memory(retry_after: Duration) -> LocalResponse {
+    LocalResponse {
+        status: 503,
+        code: "no-memory",
+        retry_after: Some(retry_after),
+    }
+}
+
 /// The response while no configuration is known.
 pub(crate) fn unconfigured() -> LocalResponse {
     LocalResponse {
--- a/src/gateway/request_reader.rs
+++ b/src/gateway/request_reader.rs
@@ -1,23 +1,30 @@
 //! Reads callers' requests from a connection.
 
-use std::io::{ErrorKind, Read};
+mod body;
+mod input;
+
 use std::net::TcpStream;
 use std::time::Instant;
 
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncWriteExt, FutureExt};
+use input::Input;
 
 use crate::clock::coarse_sleep;
+use crate::gateway::caller_room::CallerRoom;
+use crate::gateway::refusal::{no_memory, rejected};
 use crate::gateway::shared::Shared;
-use crate::gateway::{Dialect, RequestHead, RequestHeadError};
-use crate::http::{ChunkScanner, Framing, MAX_HEADERS, MessageError};
+use crate::gateway::{Dialect, LocalResponse, RequestHead, RequestHeadError};
+use crate::http::{Framing, MAX_HEADERS, MessageError};
+use crate::intake::Evicted;
 use crate::prelude::*;
 use crate::route::CallerLimits;
+use crate::shared_intake::NoRoom;
 
-/// Size of a read from a socket, in bytes.
-const READ_SIZE: usize = 8 * 1024;
 /// Maximum number of buffered bytes of pipelined requests while a request is served.
-const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+const MAX_PIPELINED_BYTES: usize = 16 * 1024;
+/// Time after which a caller whose request was evicted is asked to return.
+const EVICTED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A request with its complete body.
 #[derive(Debug)]
@@ -37,9 +44,15 @@
 pub(crate) enum ReceiveError {
     /// The connection closed, failed or reached its idle timeout.
     ConnectionClosed,
-    /// The request is invalid, with the status and the code of the response; the connection closes
-    /// after the response.
-    Rejected(u16, &'static str),
+    /// The request is invalid, too slow or has no room; the connection closes after the response.
+    Rejected(LocalResponse),
+}
+
+impl ReceiveError {
+    /// The request has no room in memory; nothing of it was sent to a target.
+    fn no_memory() -> Self {
+        Self::Rejected(no_memory(EVICTED_RETRY_AFTER))
+    }
 }
 
 impl From<MessageError> for ReceiveError {
@@ -47,13 +60,31 @@
         if err == MessageError::CutShort {
             return Self::ConnectionClosed;
         }
-        Self::Rejected(u16::from(err.status()), "bad-message")
+        if err == MessageError::NoMemory {
+            return Self::no_memory();
+        }
+        Self::Rejected(rejected(u16::from(err.status()), "bad-message"))
     }
 }
 
 impl From<RequestHeadError> for ReceiveError {
     fn from(_: RequestHeadError) -> Self {
-        Self::Rejected(400, "bad-header")
+        Self::Rejected(rejected(400, "bad-header"))
+    }
+}
+
+impl From<NoRoom> for ReceiveError {
+    fn from(reason: NoRoom) -> Self {
+        match reason {
+            NoRoom::Refused { retry_after } => Self::Rejected(no_memory(retry_after)),
+            NoRoom::Evicted => Self::no_memory(),
+        }
+    }
+}
+
+impl From<Evicted> for ReceiveError {
+    fn from(_: Evicted) -> Self {
+        Self::no_memory()
     }
 }
 
@@ -66,31 +97,37 @@
 
 /// Reads requests from one connection.
 pub(crate) struct RequestReader {
-    stream: Arc<Async<TcpStream>>,
-    buf: Vec<u8>,
+    input: Input,
+    room: Arc<CallerRoom>,
+    /// Size of the request's head, in bytes.
+    head_bytes: usize,
+    /// Whether so many bytes were pipelined that no further request is served on the connection.
+    overrun: bool,
     /// Idle timeout when the request before arrived, by which its caller may go.
     known_idle_timeout: Duration,
 }
 
 impl RequestReader {
-    /// Creates a reader of a connection.
-    pub(crate) fn new(stream: Arc<Async<TcpStream>>) -> Self {
+    /// Creates a reader of a connection that was admitted.
+    pub(crate) fn new(stream: Arc<Async<TcpStream>>, room: Arc<CallerRoom>) -> Self {
         Self {
-            stream,
-            buf: Vec::new(),
+            input: Input::new(stream),
+            room,
+            head_bytes: 0,
+            overrun: false,
             known_idle_timeout: Duration::ZERO,
         }
     }
 
-    /// Waits for the first bytes of a request, until the idle timeout passes or idle connections
-    /// close. Bytes that have arrived by the idle timeout are read nevertheless, since the reactor may
-    /// report them later; at a shutdown they are left unread, so that the caller may send its request
-    /// elsewhere.
+    /// Waits for the first bytes of a request, until the idle timeout passes, idle connections
+    /// close or the connection makes way for others. Bytes that have arrived by then are read
+    /// nevertheless, since the reactor may report them later; at a shutdown they are left unread,
+    /// so that the caller may send its request elsewhere.
     pub(crate) async fn wait_for_request(&mut self, shared: &Shared) -> Result<(), ReceiveError> {
         let idle_since = Instant::now();
-        while self.buf.is_empty() {
+        while self.input.buf.is_empty() {
             let readable = async {
-                let _ = self.stream.readable().await;
+                let _ = self.input.stream.readable().await;
                 Wakeup::Readable
             };
             let idle = async {
@@ -102,8 +139,15 @@
                 shared.drain.wait_idle_close().await;
                 Wakeup::Closing
             };
-            let wakeup = readable.or(idle).or(closing).await;
-            if wakeup == Wakeup::Closing || (!self.fill_arrived()? && wakeup == Wakeup::Idle) {
+            let evicted = async {
+                self.room.evicted().await;
+                Wakeup::Evicted
+            };
+            let wakeup = readable.or(idle).or(closing).or(evicted).await;
+            if wakeup == Wakeup::Closing {
+                return Err(ReceiveError::ConnectionClosed);
+            }
+            if !self.input.fill_arrived()? && wakeup != Wakeup::Readable {
                 return Err(ReceiveError::ConnectionClosed);
             }
         }
@@ -117,10 +161,14 @@
     ) -> Result<ReceivedRequest, ReceiveError> {
         let limits = shared.limits();
         self.known_idle_timeout = limits.idle_timeout;
-        let head = self.receive_head(&*shared.dialect, &limits);
-        let head = head.or(too_slow(shared)).await?;
-        let body = self.receive_body(&head, &limits);
-        let body = body.or(too_slow(shared)).await?;
+        let evicted = self.room.evicted();
+        let evicted = async {
+            evicted.await;
+            Err(Evicted.into())
+        };
+        let received = self.receive_whole(shared, &limits);
+        let (head, body) = received.or(evicted).await?;
+        self.room.complete()?;
         Ok(ReceivedRequest {
             head: head.request,
             body,
@@ -129,32 +177,71 @@
         })
     }
 
-    /// Completes when the caller has closed the connection; never with a full buffer of pipelined
-    /// requests.
+    async fn receive_whole(
+        &mut self,
+        shared: &Shared,
+        limits: &CallerLimits,
+    ) -> Result<(MessageHead, Option<Vec<u8>>), ReceiveError> {
+        let head = self.receive_head(&*shared.dialect, limits);
+        let head = head.or(too_slow(shared)).await?;
+        let body = self.receive_body(&head, limits);
+        let body = body.or(too_slow(shared)).await?;
+        Ok((head, body))
+    }
+
+    /// Completes when the caller has closed the connection. Bytes beyond a bound are dropped, since
+    /// a close cannot be detected without reading, and the connection then ends after the response.
     pub(crate) async fn caller_closed(&mut self) {
         loop {
-            if self.buf.len() >= MAX_PIPELINED_BYTES {
-                // A close cannot be detected without reading more.
-                std::future::pending::<()>().await;
+            self.overrun |= self.input.buf.len() >= MAX_PIPELINED_BYTES;
+            if !self.overrun && self.input.must_grow() {
+                let bytes = self.input.capacity_to_fill();
+                self.overrun = !self.room.try_hold_input(bytes);
             }
-            if !matches!(self.fill().await, Ok(n) if n > 0) {
+            let read = if self.overrun {
+                self.input.discard().await
+            } else {
+                self.input.fill().await
+            };
+            if !matches!(read, Ok(n) if n > 0) {
                 return;
             }
         }
     }
 
+    /// Gives back the memory of the request; returns whether the connection takes another one.
+    pub(crate) fn finish_request(&mut self, keep: bool) -> bool {
+        let keep = keep && !self.overrun;
+        if !keep || self.input.buf.is_empty() {
+            self.input.buf = Vec::new();
+        }
+        self.room.release();
+        keep
+    }
+
+    /// Waits for room for another read.
+    async fn hold_input(&self) -> Result<(), ReceiveError> {
+        let bytes = self.input.capacity_to_fill();
+        Ok(self.room.hold_input(bytes).await?)
+    }
+
+    /// Waits for room for `bytes` of the request's body beside its head.
+    async fn hold_body(&self, bytes: usize) -> Result<(), ReceiveError> {
+        Ok(self.room.hold_request(self.head_bytes + bytes).await?)
+    }
+
     async fn receive_head(
         &mut self,
         dialect: &dyn Dialect,
         limits: &CallerLimits,
     ) -> Result<MessageHead, ReceiveError> {
         loop {
+            self.hold_input().await?;
             if let Some(head) = self.parse_head(dialect, limits)? {
                 return Ok(head);
             }
-            if self.fill().await? == 0 {
-                return Err(ReceiveError::ConnectionClosed);
-            }
+            let read = self.input.fill().await?;
+            self.record_read(read)?;
         }
     }
 
@@ -165,9 +252,9 @@
     ) -> Result<Option<MessageHead>, ReceiveError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut req = httparse::Request::new(&mut headers);
-        let len = match req.parse(&self.buf) {
+        let len = match req.parse(&self.input.buf) {
             Ok(httparse::Status::Complete(len)) if len <= limits.head_bytes => len,
-            Ok(httparse::Status::Partial) if self.buf.len() <= limits.head_bytes => {
+            Ok(httparse::Status::Partial) if self.input.buf.len() <= limits.head_bytes => {
                 return Ok(None);
             }
             Ok(_) | Err(httparse::Error::TooManyHeaders) => {
@@ -189,7 +276,8 @@
             close: has_token(req.headers, "connection", "close"),
             request: dialect.decode_request(&req)?,
         };
-        self.buf.drain(..len);
+        self.input.buf.drain(..len);
+        self.head_bytes = len;
         Ok(Some(head))
     }
 
@@ -198,8 +286,11 @@
         head: &MessageHead,
         limits: &CallerLimits,
     ) -> Result<Option<Vec<u8>>, ReceiveError> {
-        if head.expects_continue && head.framing != Framing::Unspecified && self.buf.is_empty() {
-            let mut stream = &*self.stream;
+        if head.expects_continue
+            && head.framing != Framing::Unspecified
+            && self.input.buf.is_empty()
+        {
+            let mut stream = &*self.input.stream;
             let sent = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             sent.map_err(|_| ReceiveError::ConnectionClosed)?;
         }
@@ -209,85 +300,6 @@
             Framing::Chunked => self.receive_chunked(limits).await.map(Some),
         }
     }
-
-    async fn receive_length(
-        &mut self,
-        len: u64,
-        limits: &CallerLimits,
-    ) -> Result<Vec<u8>, ReceiveError> {
-        let len = usize::try_from(len).map_err(|_| MessageError::BodyTooLarge)?;
-        if len > limits.body_bytes {
-            return Err(MessageError::BodyTooLarge.into());
-        }
-        while self.buf.len() < len {
-            if self.fill().await? == 0 {
-                return Err(ReceiveError::ConnectionClosed);
-            }
-        }
-        let rest = self.buf.split_off(len);
-        Ok(std::mem::replace(&mut self.buf, rest))
-    }
-
-    async fn receive_chunked(&mut self, limits: &CallerLimits) -> Result<Vec<u8>, ReceiveError> {
-        let mut scanner = ChunkScanner::new();
-        let mut body = Vec::new();
-        loop {
-            let n = scanner.feed(&self.buf, Some(&mut body))?;
-            self.buf.drain(..n);
-            if body.len() > limits.body_bytes {
-                return Err(MessageError::BodyTooLarge.into());
-            }
-            if scanner.is_done() {
-                return Ok(body);
-            }
-            if self.fill().await? == 0 {
-                return Err(ReceiveError::ConnectionClosed);
-            }
-        }
-    }
-
-    /// Appends the bytes that have arrived to `buf`; `false` when there are none yet.
-    fn fill_arrived(&mut self) -> Result<bool, ReceiveError> {
-        let len = self.buf.len();
-        self.buf.resize(len + READ_SIZE, 0);
-        let read = self.stream.get_ref().read(&mut self.buf[len..]);
-        self.buf.truncate(len + *read.as_ref().unwrap_or(&0));
-        match read {
-            Ok(0) => Err(ReceiveError::ConnectionClosed),
-            Ok(_) => Ok(true),
-            Err(err) if matches!(err.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                Ok(false)
-            }
-            Err(_) => Err(ReceiveError::ConnectionClosed),
-        }
-    }
-
-    /// Appends more bytes to `buf`; returns their number, zero at the end of the stream.
-    async fn fill(&mut self) -> Result<usize, MessageError> {
-        let len = self.buf.len();
-        self.buf.resize(len + READ_SIZE, 0);
-        let mut stream = &*self.stream;
-        let mut guard = TruncateOnDrop {
-            buf: &mut self.buf,
-            len,
-        };
-        let read = stream.read(&mut guard.buf[len..]).await;
-        let read = read.map_err(|_| MessageError::CutShort)?;
-        guard.len = len + read;
-        Ok(read)
-    }
-}
-
-/// Truncates a buffer to its filled part when dropped, even if the read was cancelled.
-struct TruncateOnDrop<'a> {
-    buf: &'a mut Vec<u8>,
-    len: usize,
-}
-
-impl Drop for TruncateOnDrop<'_> {
-    fn drop(&mut self) {
-        self.buf.truncate(self.len);
-    }
 }
 
 /// Why a connection stops waiting for a request.
@@ -299,6 +311,8 @@
     Idle,
     /// Idle connections close, since the entry shuts down.
     Closing,
+    /// Others need the connection's place.
+    Evicted,
 }
 
 /// Fails once a head or a body has taken too long to arrive.
--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -5,6 +5,7 @@
 use futures_lite::FutureExt;
 
 use crate::clock::coarse_sleep;
+use crate::gateway::caller_room::CallerRoom;
 use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::target_stream::TargetStream;
@@ -31,6 +32,8 @@
     CutShort,
     /// The bytes are no valid response.
     Malformed,
+    /// There is no memory for the response.
+    NoMemory,
 }
 
 impl From<MessageError> for ResponseError {
@@ -159,6 +162,7 @@
         &mut self,
         head: &ResponseHead,
         buffers: &ResponseBuffers,
+        room: &CallerRoom,
     ) -> Result<Vec<u8>, ResponseError> {
         let mut body = Vec::new();
         let mut buffered = buffers.begin();
@@ -169,6 +173,10 @@
             if !buffered.grow_to(self.received - received_before) {
                 return Err(ResponseError::Malformed);
             }
+            if body.capacity() > READ_SIZE {
+                let held = room.hold_response(body.capacity() + READ_SIZE).await;
+                held.map_err(|_| ResponseError::NoMemory)?;
+            }
         }
         Ok(body)
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -4,11 +4,11 @@
 use std::time::Instant;
 
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
 
 use crate::gateway::admitted_request::AdmittedRequest;
 use crate::gateway::arrival::arrival_of;
 use crate::gateway::caller_response::CallerResponse;
+use crate::gateway::caller_room::CallerRoom;
 use crate::gateway::outcome::Outcome;
 use crate::gateway::refusal::{held_back, rejected, unconfigured, unknown_origin};
 use crate::gateway::request_driver::RequestDriver;
@@ -27,10 +27,12 @@
     shared: &Arc<Shared>,
     received: request_reader::ReceivedRequest,
     stream: &Async<TcpStream>,
+    room: &CallerRoom,
     reader: &mut RequestReader,
 ) -> bool {
     let mut response = CallerResponse {
         stream,
+        room,
         close: received.close || shared.drain.is_draining(),
         head_sent: false,
         last_event: received.head.last_event,
@@ -106,8 +108,7 @@
     shared
         .dialect
         .encode_local_response(Some(head), local_response, response.close, &mut out);
-    let mut stream = response.stream;
-    stream.write_all(&out).await.is_ok() && !response.close
+    response.write(&out).await.is_ok() && !response.close
 }
 
 type ResolvedRoute = (Arc<Route>, Option<Arc<crate::route::KeyHolder>>, Name);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -24,6 +24,7 @@
 use crate::rollout::RolloutEffect;
 use crate::route::{CallerLimits, RouteTable};
 use crate::scheduler::Signal;
+use crate::shared_intake::SharedIntake;
 use crate::shared_scheduler::{QuarantineNotices, SharedScheduler};
 use crate::telemetry::GatewayMetrics;
 
@@ -65,6 +66,8 @@
     pub store_directory: Arc<Mutex<StoreDirectory>>,
     /// Estimate of the targets' clock, for the deadlines of fetches.
     pub fetch_clock: Arc<FetchClock>,
+    /// Memory and connections of callers.
+    pub intake: Arc<SharedIntake>,
     /// State of the graceful shutdown.
     pub drain: Arc<Drain>,
     /// Metrics.
--- a/src/telemetry/gateway_metrics.rs
+++ b/src/telemetry/gateway_metrics.rs
@@ -45,6 +45,14 @@
     pub store_failures: IntCounterVec,
     /// Orders to targets by result: `accepted`, `conflict`, `stale` or `unanswered`.
     pub orders: IntCounterVec,
+    /// Connections of callers.
+    pub caller_connections: IntGauge,
+    /// Bytes that callers' requests hold.
+    pub caller_bytes: IntGauge,
+    /// Connections and requests of callers that were refused, by limit: `connections` or `memory`.
+    pub callers_refused: IntCounterVec,
+    /// Connections of callers that were evicted, by limit: `connections` or `memory`.
+    pub callers_evicted: IntCounterVec,
     /// Invariant violations; each is a bug in this program.
     pub invariants: IntCounter,
 }
@@ -84,6 +92,20 @@
             peers: gauge(&r, "peers", "Peers connected"),
             store_failures: counters(&r, "store_failures_total", "Failed store calls", "kind"),
             orders: counters(&r, "orders_total", "Orders to targets by end", "end"),
+            caller_connections: gauge(&r, "caller_connections", "Connections of callers"),
+            caller_bytes: gauge(&r, "caller_bytes", "Bytes that callers' requests hold"),
+            callers_refused: counters(
+                &r,
+                "callers_refused_total",
+                "Callers refused by limit",
+                "limit",
+            ),
+            callers_evicted: counters(
+                &r,
+                "callers_evicted_total",
+                "Callers evicted by limit",
+                "limit",
+            ),
             invariants: counter(&r, "invariant_violations_total", "Broken invariants"),
             registry: r,
         }
