HTTP servers: requests and connections of a listener are bounded in sum

Each listener has an intake of its own. At the bound of connections, idle ones make way for new ones. guavahold-entry reads limits.memory_mb; two fifteenths of it are for requests, since a chat takes about three times its size while it is served; a body limit that does not fit is a finding of the settings. Readiness, metrics and administration take small bodies only.

--- a/src/entry/builder.rs
+++ b/src/entry/builder.rs
@@ -28,6 +28,16 @@
 use crate::shared_scheduler::{QuarantineNotices, SharedScheduler};
 use crate::telemetry::{EntryMetrics, SpanSink};
 
+/// Limits on the messages of operators.
+const ADMIN_LIMITS: Limits = Limits {
+    head_bytes: 8 * 1024 - 1,
+    body_bytes: 64 * 1024,
+    message_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_mins(2),
+    connections: 32,
+    request_bytes: 2 * 1024 * 1024,
+};
+
 /// Socket addresses that an entry listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EntryAddresses {
@@ -125,12 +135,7 @@
             metrics: tasks.control.shared.metrics.clone(),
         };
         let admin_control = Arc::new(ServerControl::default());
-        let admin = Server::new(
-            self.admin,
-            Limits::default(),
-            Arc::new(admin),
-            admin_control,
-        )?;
+        let admin = Server::new(self.admin, ADMIN_LIMITS, Arc::new(admin), admin_control)?;
         control_ex.spawn(admin.run(control_ex.clone())).detach();
         tasks.spawn(self.peers, &control_ex);
         let (mesh, claims) = (tasks.mesh.clone(), tasks.claims.clone());
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -45,6 +45,15 @@
 /// of which has many connections; the loss of a hub is detected sooner, by the hub timeout.
 const LARGE_SYSTEM_HEARTBEAT_TIMING: (Duration, Duration) =
     (Duration::from_millis(2_400), Duration::from_millis(7_500));
+/// Limits on readiness checks and on scrapes of metrics, which have no bodies.
+const PROBE_LIMITS: Limits = Limits {
+    head_bytes: 8 * 1024 - 1,
+    body_bytes: 1024,
+    message_timeout: Duration::from_secs(2),
+    idle_timeout: Duration::from_mins(2),
+    connections: 32,
+    request_bytes: 1024 * 1024,
+};
 /// Memory of a VM unless stated, in bytes.
 const DEFAULT_MEMORY_BYTES: usize = 256 * 1024 * 1024;
 /// Descriptors that a process may open unless stated.
@@ -318,7 +327,7 @@
             ready_path: shared.dialect.ready_path().into(),
         });
         for listener in std::iter::once(probe_listener).chain(metrics_listener) {
-            let server = Server::new(listener, Limits::default(), probe.clone(), probe_control.clone())?;
+            let server = Server::new(listener, PROBE_LIMITS, probe.clone(), probe_control.clone())?;
             control_ex.spawn(server.run(control_ex.clone())).detach();
         }
         spawn_control(&control, &control_ex, effects, observations, rollout);
--- a/src/http/limits.rs
+++ b/src/http/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::intake::IntakeLimits;
+
 /// Limits of one listener.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -14,8 +16,30 @@
     pub message_timeout: Duration,
     /// Longest time a connection may stay idle between messages.
     pub idle_timeout: Duration,
-    /// Maximum number of open connections; further ones are closed without a response.
+    /// Maximum number of open connections. Beyond it, idle ones are closed for new ones, and new ones
+    /// are closed without a response if none is idle.
     pub connections: usize,
+    /// Maximum size of all messages that are being received or served, in bytes; further ones are
+    /// refused.
+    pub request_bytes: usize,
+}
+
+impl Limits {
+    /// Bounds on what all clients hold together.
+    #[must_use]
+    pub fn intake(&self) -> IntakeLimits {
+        IntakeLimits {
+            bytes: self.request_bytes,
+            connections: self.connections,
+        }
+    }
+
+    /// Bytes that the largest message occupies while it is received: a chunked body is in two buffers
+    /// when it grows for the last time.
+    #[must_use]
+    pub fn max_request_bytes(&self) -> usize {
+        2 * self.head_bytes + self.body_bytes / 2 * 3
+    }
 }
 
 impl Default for Limits {
@@ -26,6 +50,7 @@
             message_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_mins(2),
             connections: 16_384,
+            request_bytes: 64 * 1024 * 1024,
         }
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -12,6 +12,7 @@
 
 use crate::http::server_connection::ServerConnection;
 use crate::http::{Handler, Limits, ServerControl};
+use crate::shared_intake::SharedIntake;
 
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -22,6 +23,7 @@
     limits: Arc<Limits>,
     handler: Arc<dyn Handler>,
     control: Arc<ServerControl>,
+    intake: Arc<SharedIntake>,
     write_timeout: Option<Duration>,
 }
 
@@ -36,8 +38,10 @@
         handler: Arc<dyn Handler>,
         control: Arc<ServerControl>,
     ) -> io::Result<Self> {
+        let intake = SharedIntake::new(limits.intake());
         Ok(Self {
             listener: Async::new(listener)?,
+            intake,
             limits: Arc::new(limits),
             handler,
             control,
@@ -82,9 +86,9 @@
     }
 
     fn spawn(&self, stream: Async<TcpStream>, peer: SocketAddr, ex: &Executor<'static>) {
-        if self.control.connections() >= self.limits.connections {
+        let Some(permit) = self.intake.open() else {
             return;
-        }
+        };
         let _ = stream.get_ref().set_nodelay(true);
         if let Some(timeout) = self.write_timeout {
             let _ = SockRef::from(stream.get_ref()).set_tcp_user_timeout(Some(timeout));
@@ -92,6 +96,7 @@
         let connection = ServerConnection::new(
             stream,
             peer,
+            permit,
             self.limits.clone(),
             self.handler.clone(),
             self.control.clone(),
--- a/src/http/server_connection.rs
+++ b/src/http/server_connection.rs
@@ -13,9 +13,10 @@
 use crate::clock::coarse_sleep;
 use crate::http::head_stream::HeadStream;
 use crate::http::{
-    BodyThrottle, ChunkScanner, Framing, Handler, IncomingRequest, Limits, MessageError, Problem,
+    BodyThrottle, ChunkedBody, Framing, Handler, IncomingRequest, Limits, MessageError, Problem,
     RequestHead, ServerControl,
 };
+use crate::shared_intake::IntakePermit;
 
 /// Bytes read from a socket in one call, except for bodies of stated length.
 const READ_BYTES: usize = 4 * 1024;
@@ -25,6 +26,8 @@
 const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Bytes of a body of stated length read from a socket in one call.
 const BODY_READ_BYTES: usize = 64 * 1024;
+/// Time after which the caller of a request for which there is no memory is asked to return.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after the stop in which an idle connection may still receive a request already in transit.
 const STOP_GRACE: Duration = Duration::from_millis(200);
 
@@ -49,6 +52,7 @@
     stream: Async<TcpStream>,
     peer: SocketAddr,
     buf: Vec<u8>,
+    permit: IntakePermit,
     limits: Arc<Limits>,
     handler: Arc<dyn Handler>,
     control: Arc<ServerControl>,
@@ -65,6 +69,7 @@
     pub(crate) fn new(
         stream: Async<TcpStream>,
         peer: SocketAddr,
+        permit: IntakePermit,
         limits: Arc<Limits>,
         handler: Arc<dyn Handler>,
         control: Arc<ServerControl>,
@@ -74,6 +79,7 @@
             stream,
             peer,
             buf: Vec::new(),
+            permit,
             limits,
             handler,
             control,
@@ -84,7 +90,7 @@
     pub(crate) async fn run(mut self) {
         loop {
             match self.serve_request().await {
-                Ok(true) => {}
+                Ok(true) => self.permit.release(),
                 Ok(false) => return,
                 Err(err) => {
                     log::debug!("event=connection_failed peer={} error={err:?}", self.peer);
@@ -101,7 +107,9 @@
         }
         let running = RunningRequest::new(&self.control);
         let timeout = self.limits.message_timeout;
-        let mut head = match self.receive_head().or(time_out(timeout)).await {
+        let evicted = self.permit.evicted();
+        let head = self.receive_head().or(time_out(timeout));
+        let mut head = match head.or(evict(evicted)).await {
             Ok(head) => head,
             Err(err) => return self.reject(err).await,
         };
@@ -121,14 +129,15 @@
                 None => return Ok(false),
             };
         }
-        let body = match self
-            .receive_body(&head, &mut throttle)
-            .or(time_out(timeout))
-            .await
-        {
+        let evicted = self.permit.evicted();
+        let body = self.receive_body(&head, &mut throttle);
+        let body = match body.or(time_out(timeout)).or(evict(evicted)).await {
             Ok(body) => body,
             Err(err) => return self.reject(err).await,
         };
+        if self.permit.complete().is_err() {
+            return self.reject(MessageError::NoMemory).await;
+        }
         let request = IncomingRequest {
             req,
             body,
@@ -162,15 +171,36 @@
             Timer::after(STOP_GRACE).await;
             Ok(false)
         };
-        if !readable.or(idle).or(stop).await? {
+        let evicted = async {
+            self.permit.evicted().await;
+            Ok(false)
+        };
+        if !readable.or(idle).or(stop).or(evicted).await? {
             return Ok(false);
         }
         Ok(self.fill().await.is_ok_and(|n| n > 0))
     }
 
+    /// Waits for room for the buffer after another read and for `more` bytes beside it.
+    async fn hold(&self, more: usize) -> Result<(), MessageError> {
+        let bytes = self.buf.capacity().max(self.buf.len() + READ_BYTES) + more;
+        let held = self.permit.reserve(bytes).await;
+        held.map_err(|_| MessageError::NoMemory)
+    }
+
+    /// Records bytes of a message that arrived; an error at the end of the stream.
+    fn record_read(&self, read: usize) -> Result<(), MessageError> {
+        if read == 0 {
+            return Err(MessageError::CutShort);
+        }
+        self.permit.record_progress(read);
+        Ok(())
+    }
+
     /// Appends received bytes to `buf`; `0` at the end of the stream.
     async fn fill(&mut self) -> Result<usize, MessageError> {
         let len = self.buf.len();
+        self.buf.reserve_exact(READ_BYTES);
         self.buf.resize(len + READ_BYTES, 0);
         let read = self.stream.read(&mut self.buf[len..]).await;
         self.buf.truncate(len + *read.as_ref().unwrap_or(&0));
@@ -180,13 +210,13 @@
     /// Receives and parses a request head and removes it from `buf`.
     async fn receive_head(&mut self) -> Result<RequestHead, MessageError> {
         loop {
+            self.hold(0).await?;
             if let Some(head) = RequestHead::parse(&self.buf, &self.limits)? {
                 self.buf.drain(..head.consumed);
                 return Ok(head);
             }
-            if self.fill().await? == 0 {
-                return Err(MessageError::CutShort);
-            }
+            let read = self.fill().await?;
+            self.record_read(read)?;
         }
     }
 
@@ -217,6 +247,12 @@
         if len > self.limits.body_bytes {
             return Err(MessageError::BodyTooLarge);
         }
+        if self.buf.len() < len {
+            self.hold(len).await?;
+            let more = len - self.buf.len();
+            let allocated = self.buf.try_reserve_exact(more);
+            allocated.map_err(|_| MessageError::NoMemory)?;
+        }
         while self.buf.len() < len {
             let left = len - self.buf.len();
             let allowed = match throttle {
@@ -238,35 +274,35 @@
             self.buf.resize(start + size, 0);
             let read = self.stream.read(&mut self.buf[start..]).await;
             self.buf.truncate(start + *read.as_ref().unwrap_or(&0));
-            if read.map_err(|_| MessageError::CutShort)? == 0 {
-                return Err(MessageError::CutShort);
-            }
+            self.record_read(read.map_err(|_| MessageError::CutShort)?)?;
         }
         Ok(())
     }
 
     /// Receives a chunked body, unthrottled since its length is not known in advance.
     async fn receive_chunked_body(&mut self) -> Result<Vec<u8>, MessageError> {
-        let mut scanner = ChunkScanner::new();
-        let mut body = Vec::new();
+        let mut body = ChunkedBody::new(self.limits.body_bytes);
         loop {
-            let n = scanner.feed(&self.buf, Some(&mut body))?;
-            self.buf.drain(..n);
-            if body.len() > self.limits.body_bytes {
-                return Err(MessageError::BodyTooLarge);
+            if let Some(capacity) = body.needed_capacity(self.buf.len()) {
+                self.hold(body.capacity() + capacity).await?;
+                body.grow(capacity)?;
+                self.hold(capacity).await?;
             }
-            if scanner.is_done() {
-                return Ok(body);
-            }
-            if self.fill().await? == 0 {
-                return Err(MessageError::CutShort);
+            if body.feed(&mut self.buf)? {
+                return Ok(body.into_decoded());
             }
+            let read = self.fill().await?;
+            self.record_read(read)?;
         }
     }
 
     /// Responds to an invalid message and closes the connection.
     async fn reject(&mut self, err: MessageError) -> io::Result<bool> {
-        let res = Problem::not_run(err.status(), "bad-message", err.to_string()).into_response();
+        let mut problem = Problem::not_run(err.status(), "bad-message", err.to_string());
+        if err == MessageError::NoMemory {
+            problem = problem.with_retry_after(NO_MEMORY_RETRY_AFTER);
+        }
+        let res = problem.into_response();
         // The request's method may be unknown; with any method but HEAD the body is sent.
         self.respond_and_close(res, Method::Post).await
     }
@@ -342,6 +378,12 @@
     }
 }
 
+/// Fails with [`MessageError::NoMemory`] once the connection is evicted.
+async fn evict<T>(evicted: impl Future<Output = ()>) -> Result<T, MessageError> {
+    evicted.await;
+    Err(MessageError::NoMemory)
+}
+
 /// Fails with [`MessageError::TooSlow`] after `limit`.
 async fn time_out<T>(limit: Duration) -> Result<T, MessageError> {
     coarse_sleep(limit).await;
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::http::Limits;
+use crate::intake::IntakeLimits;
 use crate::prelude::*;
 use crate::settings::{Document, Fields, Findings};
 
@@ -117,17 +118,41 @@
     }
 }
 
+/// Least memory of a VM whose settings state none, in megabytes.
+const MIN_DEFAULT_MEMORY_MB: u64 = 256;
+/// Bytes of a megabyte in the settings.
+const BYTES_PER_MB: u64 = 1024 * 1024;
+/// Copies of a chat's body that are in memory while it is served: as received, parsed and rendered.
+const BODY_COPIES: usize = 3;
+
+/// Memory of a VM whose settings state none: enough for several of the largest bodies.
+fn default_memory_mb(body_bytes: u64) -> u64 {
+    (24 * body_bytes / BYTES_PER_MB).max(MIN_DEFAULT_MEMORY_MB)
+}
+
+/// Size of all messages that a VM with this memory has room for, in bytes.
+fn request_bytes(memory_mb: u64) -> Option<usize> {
+    let memory_bytes = usize::try_from(memory_mb.saturating_mul(BYTES_PER_MB)).ok()?;
+    Some(IntakeLimits::for_machine(memory_bytes, usize::MAX).bytes / BODY_COPIES)
+}
+
 fn read_limits(fields: &mut Fields<'_>) -> Limits {
     let defaults = Limits::default();
     let read = fields.optional_object("limits", |f| {
         let body = f.integer("body_bytes", 1024..=64 * 1024 * 1024, 4 * 1024 * 1024);
-        Some(Limits {
+        let memory_mb = f.integer("memory_mb", 16..=1 << 20, default_memory_mb(body));
+        let limits = Limits {
             head_bytes: defaults.head_bytes,
             body_bytes: usize::try_from(body).ok()?,
             message_timeout: f.millis("message_ms", 100..=600_000, defaults.message_timeout),
             idle_timeout: f.millis("idle_ms", 100..=3_600_000, defaults.idle_timeout),
             connections: usize::try_from(f.integer("connections", 1..=1_000_000, 16_384)).ok()?,
-        })
+            request_bytes: request_bytes(memory_mb)?,
+        };
+        if limits.intake().large_bytes() < limits.max_request_bytes() {
+            f.report_field("memory_mb", "expected room for a body of body_bytes");
+        }
+        Some(limits)
     });
     read.unwrap_or_default()
 }
