Peers' port: silent connections make way for new ones during the handshake

What was seen: 150 connections that say nothing take 167 sockets of 100 allowed, and a peer that connects finds no place until they time out. Cause: up to 256 handshakes whatever the machine's descriptors, and new ones were closed. The handshakes have an intake: as many as callers' connections, 256 at most, and one that is silent for half a second makes way.

--- a/src/entry/builder.rs
+++ b/src/entry/builder.rs
@@ -37,6 +37,8 @@
     connections: 32,
     request_bytes: 2 * 1024 * 1024,
 };
+/// Maximum number of peers' connections in their handshake.
+const MAX_HANDSHAKES: usize = 256;
 
 /// Socket addresses that an entry listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -187,6 +189,7 @@
             .timing(cfg.heartbeat, cfg.peer_timeout)
             .seeds(cfg.seed_addresses.clone())
             .metrics(metrics.clone())
+            .max_handshakes(cfg.limits.connections.min(MAX_HANDSHAKES))
             .build(peer_handler.clone());
         sync.set_links(mesh.clone());
         let claims = ClaimTable::new(
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -45,6 +45,8 @@
 /// of which has many connections; the loss of a hub is detected sooner, by the hub timeout.
 const LARGE_SYSTEM_HEARTBEAT_TIMING: (Duration, Duration) =
     (Duration::from_millis(2_400), Duration::from_millis(7_500));
+/// Maximum number of peers' connections in their handshake.
+const MAX_HANDSHAKES: usize = 256;
 /// Limits on readiness checks and on scrapes of metrics, which have no bodies.
 const PROBE_LIMITS: Limits = Limits {
     head_bytes: 8 * 1024 - 1,
@@ -312,6 +314,7 @@
             .timing(timing.0, timing.1)
             .full_mesh()
             .seeds(self.seeds.clone())
+            .max_handshakes(self.intake.connections.min(MAX_HANDSHAKES))
             .build(peer_handler);
         let _ = control.mesh.set(mesh.clone());
         shared.relays.set_mesh(mesh.clone());
--- a/src/peer/builder.rs
+++ b/src/peer/builder.rs
@@ -19,6 +19,7 @@
     pub(crate) full_mesh: bool,
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) metrics: Option<Arc<EntryMetrics>>,
+    pub(crate) max_handshakes: usize,
 }
 
 impl MeshBuilder {
@@ -33,6 +34,7 @@
             full_mesh: false,
             seeds: Vec::new(),
             metrics: None,
+            max_handshakes: 256,
         }
     }
 
@@ -72,6 +74,14 @@
         self
     }
 
+    /// Sets the number of accepted connections that may be in their handshake at once. Beyond it, those
+    /// that are silent make way for new ones.
+    #[must_use]
+    pub fn max_handshakes(mut self, max: usize) -> Self {
+        self.max_handshakes = max;
+        self
+    }
+
     /// Builds the mesh; it opens no links until [`Mesh::run`].
     #[must_use]
     pub fn build(self, events: Arc<dyn PeerEvents>) -> Arc<Mesh> {
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -17,6 +17,7 @@
     CodecError, ConnId, MemberEvent, Mesh, PROTOCOL_VERSION, PeerMessage, decode, encode, relay,
 };
 use crate::prelude::*;
+use crate::shared_intake::IntakePermit;
 
 /// Largest message, in bytes; a full catalog has to fit.
 const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
@@ -46,8 +47,7 @@
 }
 
 /// Runs an accepted connection until it ends.
-pub(crate) async fn accept(mesh: &Arc<Mesh>, stream: Async<TcpStream>) {
-    let guard = mesh.count_handshake();
+pub(crate) async fn accept(mesh: &Arc<Mesh>, stream: Async<TcpStream>, permit: IntakePermit) {
     let _ = stream.get_ref().set_nodelay(true);
     let handshake = async {
         let stream = HandshakeStream::new(stream);
@@ -55,9 +55,13 @@
         let ws = accept_async_with_config(stream, Some(config)).await?;
         exchange_hello(mesh, ws, Role::Server).await
     };
-    match with_timeout(mesh.peer_timeout, handshake).await {
+    let evicted = async {
+        permit.evicted().await;
+        Err(handshake_error("others need the connection's place"))
+    };
+    match with_timeout(mesh.peer_timeout, handshake.or(evicted)).await {
         Ok((ws, purpose)) => {
-            drop(guard);
+            drop(permit);
             match purpose {
                 Purpose::Link(peer) => run(mesh, ws, peer, None).await,
                 Purpose::Relay { peer, target } => {
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -1,14 +1,13 @@
 //! The links of one entry to its peers: sockets, queues and timers around [`Membership`].
 
 mod connections;
-mod handshakes;
 mod links;
 mod queue;
 mod relays;
 
 use std::collections::HashMap;
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
@@ -20,6 +19,7 @@
 use queue::Queue;
 
 use crate::claim::ClaimRequest;
+use crate::intake::IntakeLimits;
 use crate::peer::claim_calls::ClaimCalls;
 use crate::peer::{
     ClaimServer, ConnId, LinkCounters, MemberEffect, MemberEvent, Membership, MembershipSettings,
@@ -29,14 +29,15 @@
 use crate::platform::Vm;
 use crate::prelude::*;
 use crate::secret::Secret;
+use crate::shared_intake::SharedIntake;
 use crate::telemetry::{EntryMetrics, log_event};
 
 /// Interval at which timeouts and due dials are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Accepted connections that may be in their handshake at once; further ones are closed.
-const MAX_HANDSHAKES: usize = 256;
+/// Memory of a connection in its handshake, in bytes.
+const HANDSHAKE_BYTES: usize = 64 * 1024;
 
 /// WebSocket links of one entry to its live peers.
 pub struct Mesh {
@@ -55,7 +56,8 @@
     status: Mutex<CatalogStatus>,
     draining: AtomicBool,
     last_conn: AtomicU64,
-    handshakes: AtomicUsize,
+    /// Bounds on the accepted connections that are in their handshake.
+    handshakes: Arc<SharedIntake>,
     metrics: Option<Arc<EntryMetrics>>,
     counters: LinkCounters,
     executor: OnceLock<Arc<Executor<'static>>>,
@@ -116,7 +118,10 @@
             }),
             draining: AtomicBool::new(false),
             last_conn: AtomicU64::new(0),
-            handshakes: AtomicUsize::new(0),
+            handshakes: SharedIntake::new(IntakeLimits {
+                bytes: cfg.max_handshakes * HANDSHAKE_BYTES,
+                connections: cfg.max_handshakes,
+            }),
             metrics: cfg.metrics,
             counters: LinkCounters::default(),
             executor: OnceLock::new(),
@@ -202,9 +207,9 @@
     }
 
     fn start_accepted(self: &Arc<Self>, stream: Async<TcpStream>) {
-        if self.handshakes.load(Ordering::Relaxed) < MAX_HANDSHAKES {
+        if let Some(permit) = self.handshakes.open() {
             let this = self.clone();
-            self.spawn(async move { connection::accept(&this, stream).await });
+            self.spawn(async move { connection::accept(&this, stream, permit).await });
         }
     }
 
