--- a/src/telemetry/gateway_metrics.rs
+++ b/src/telemetry/gateway_metrics.rs
@@ -47,6 +47,14 @@
     pub orders: IntCounterVec,
     /// Refused requests of which nothing was sent and that were left out of the log.
     pub unlogged_refusals: IntCounter,
+    /// Connections of callers.
+    pub caller_connections: IntGauge,
+    /// Bytes that callers' requests hold.
+    pub caller_bytes: IntGauge,
+    /// Connections and requests of callers that were refused, by limit: `connections` or `memory`.
+    pub callers_refused: IntCounterVec,
+    /// Connections of callers that were evicted, by limit: `connections` or `memory`.
+    pub callers_evicted: IntCounterVec,
     /// Invariant violations; each is a bug in this program.
     pub invariants: IntCounter,
 }
@@ -91,6 +99,20 @@
                 "unlogged_refusals_total",
                 "Refusals of unsent requests left out of the log",
             ),
+            caller_connections: gauge(&r, "caller_connections", "Connections of callers"),
+            caller_bytes: gauge(&r, "caller_bytes", "Bytes that callers' requests hold"),
+            callers_refused: counters(
+                &r,
+                "callers_refused_total",
+                "Callers refused by limit",
+                "limit",
+            ),
+            callers_evicted: counters(
+                &r,
+                "callers_evicted_total",
+                "Callers evicted by limit",
+                "limit",
+            ),
             invariants: counter(&r, "invariant_violations_total", "Broken invariants"),
             registry: r,
         }
