--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -174,8 +174,8 @@
                 return Err(ResponseError::Malformed);
             }
             if body.capacity() > READ_SIZE {
-                let held = room.hold_response(body.capacity() + READ_SIZE).await;
-                held.map_err(|_| ResponseError::NoMemory)?;
+                let reserved = room.hold_response(body.capacity() + READ_SIZE).await;
+                reserved.map_err(|_| ResponseError::NoMemory)?;
             }
         }
         Ok(body)
