Chunked bodies: one byte above the limit needs no larger buffer

What was seen: entry_body_above_the_limit_alone_is_answered_with_413 got 503 once callers' memory was bounded: a body that had filled its buffer of exactly the limit had to grow once more to be found too long, and twice the limit had no room.

--- a/src/http/chunked_body.rs
+++ b/src/http/chunked_body.rs
@@ -4,6 +4,8 @@
 
 /// First capacity of a body, in bytes.
 const FIRST_CAPACITY: usize = 16 * 1024;
+/// Room beyond the longest body, in bytes, so that one that is too long is found without growing.
+const OVERRUN_BYTES: usize = 16 * 1024;
 
 /// A chunked body that is being received.
 #[derive(Debug)]
@@ -31,8 +33,8 @@
     /// Capacity that the body must grow to before it takes `more` bytes, if it must grow.
     pub(crate) fn needed_capacity(&self, more: usize) -> Option<usize> {
         let needed = self.decoded.len() + more;
-        let doubled =
-            (self.capacity() * 2).clamp(FIRST_CAPACITY, self.max_bytes.max(FIRST_CAPACITY));
+        let max_capacity = self.max_bytes + OVERRUN_BYTES;
+        let doubled = (self.capacity() * 2).clamp(FIRST_CAPACITY, max_capacity);
         (needed > self.capacity()).then_some(doubled.max(needed))
     }
 
