The scope of shared context changes with the set of isolated customers

What callers saw: after a configuration made a customer isolated, prompts of other customers were still served from what that customer had made before, at targets (Cache-Salt) and by fetches from context stores (WALL). Prompts that had been accepted before the change and were sent after it, its own included, went under the former shared scope as well. Cause: all customers that are not isolated had one scope for each weight version, which stayed the same when one of them left it; and whether a customer is isolated was read from the configuration under which its request was accepted. Change: CacheScopes, built once for each configuration. The shared scope is VERSION while nobody is isolated, as before, else VERSION~HASH over the names of all isolated customers, those without a key too; an isolated customer has VERSION.CUSTOMER, as before. It is looked up when a request is sent. scope_version finds the version in both, so that parts under former scopes are freed with it. Why this works: a request has the shared scope of a set only while its entry has that set and its customer is not in it, so no member of the set ever made context there, whatever the order of the changes; a set that comes back may have its scope again. Digits before ~ and digits before . cannot be mistaken for each other, whatever a customer is called. Weighed: the version of the configuration that last changed the set needs state that entries do not have after a restart; a scope of its own for every customer shares nothing; freeing the customer's parts is not possible at targets, and stores do not say who made a part. That a customer is new and made nothing cannot be told from the configuration, so it changes the scope too. Cost: all shared context is read again whenever the set changes, and once when entries of this build replace those before while anybody is isolated; stored parts under a former scope keep their room until their version is retired. In between: an entry that has not got the configuration yet uses the former scope, which no entry that has got it reads, so it errs towards reading again. Entries of the build before keep the fault, and do not free parts under VERSION~HASH. Not mended: a request that its target holds back keeps the scope it was sent with. Also looked at: affinity only places prompts, and goes by the present configuration now; quarantine scopes say whose evidence holds a prompt back and lead to no context; store contents that entries relay are keyed by the whole scope. None crosses the wall.

--- a/src/context_store/directory.rs
+++ b/src/context_store/directory.rs
@@ -8,6 +8,7 @@
 use crate::context_store::{FETCH_TIMEOUT, PartKey, RetiredVersions, StoreChange, StoreUpdate};
 use crate::prelude::*;
 use crate::residency::AllowedDomains;
+use crate::route::scope_version;
 
 /// Time after a store's last answer during which the store is used. Nothing is fetched from a store
 /// that has been silent for longer, since it may have restarted and may be writing the same parts
@@ -327,8 +328,3 @@
         })
     }
 }
-
-/// Weight version of a scope: the number before its first `.`, if it starts with one.
-fn scope_version(scope: &str) -> Option<u64> {
-    scope.split('.').next()?.parse().ok()
-}
--- a/src/gateway/admitted_request.rs
+++ b/src/gateway/admitted_request.rs
@@ -28,15 +28,6 @@
 }
 
 impl AdmittedRequest {
-    /// Scope under which context of the prompt is cached: context is shared within one weight
-    /// version, and isolated customers have a scope of their own.
-    pub(crate) fn cache_scope(&self, weights: u64) -> Name {
-        match self.holder.as_ref().filter(|h| h.isolated) {
-            Some(holder) => format!("{weights}.{}", holder.customer).into(),
-            None => weights.to_string().into(),
-        }
-    }
-
     /// Failure domains in which it may run, if it is restricted to regions.
     pub(crate) fn allowed_targets(&self) -> Option<&AllowedDomains> {
         self.residency.as_ref().map(|r| &r.targets)
--- a/src/gateway/arrival.rs
+++ b/src/gateway/arrival.rs
@@ -38,8 +38,9 @@
         .map(|w| stored_prompt(shared, request, w))
         .collect();
     // Isolated customers share no cached context, so their prompts have places of their own.
-    let isolated = request.holder.as_ref().filter(|h| h.isolated);
-    let scope = isolated.map_or("", |h| &*h.customer);
+    let scopes = shared.cache_scopes();
+    let isolated = scopes.isolated_customer(request.holder.as_deref());
+    let scope = isolated.map_or("", |customer| &**customer);
     let affinity = shared_part.map_or(&*request.head.id, |part| &*part.id);
     let affinity = format!("{affinity}{scope}");
     Arrival {
@@ -75,7 +76,8 @@
     let (Some(prompt), Some(version)) = (&request.head.prompt, version_of(weights)) else {
         return StoredPrompt::default();
     };
-    let scope = request.cache_scope(version);
+    let scopes = shared.cache_scopes();
+    let scope = scopes.scope(request.holder.as_deref(), version);
     let (now, directory) = (shared.now(), shared.store_directory());
     let allowed = request.allowed_targets();
     let mut stored = StoredPrompt::default();
--- a/src/gateway/attempt/encoding.rs
+++ b/src/gateway/attempt/encoding.rs
@@ -11,7 +11,9 @@
 impl Attempt<'_> {
     pub(super) fn encode(&self, response: &CallerResponse<'_>) -> Vec<u8> {
         let request = self.request;
-        let scope = self.assignment.weights.map(|w| self.request.cache_scope(w));
+        let holder = request.holder.as_deref();
+        let scopes = self.shared.cache_scopes();
+        let scope = self.assignment.weights.map(|w| scopes.scope(holder, w));
         let transfers = scope.as_ref().map(|scope| self.plan_transfers(scope));
         let dispatch = Dispatch {
             transfers: transfers.unwrap_or_default(),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,7 +22,7 @@
 use crate::prelude::*;
 use crate::residency::RegionMap;
 use crate::rollout::RolloutEffect;
-use crate::route::{CallerLimits, RouteTable};
+use crate::route::{CacheScopes, CallerLimits, RouteTable};
 use crate::scheduler::Signal;
 use crate::shared_scheduler::{QuarantineNotices, SharedScheduler};
 use crate::telemetry::GatewayMetrics;
@@ -100,6 +100,14 @@
             .map_or_else(CallerLimits::default, |r| r.limits)
     }
 
+    /// Scopes under which cached context is shared now. Requests that were accepted under an older
+    /// configuration use them too, so that they get no context that is kept apart by now.
+    pub(crate) fn cache_scopes(&self) -> Arc<CacheScopes> {
+        let routes = self.routes.load();
+        let scopes = routes.as_ref().map(|r| r.cache_scopes.clone());
+        scopes.unwrap_or_default()
+    }
+
     /// The response to a request whose route has no service.
     pub(crate) fn no_target() -> LocalResponse {
         LocalResponse {
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -1,9 +1,9 @@
 //! Lookup of routes by host and path prefix.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::prelude::*;
-use crate::route::{CallerLimits, KeyHolder, ServiceInfo, TrafficSplit};
+use crate::route::{CacheScopes, CallerLimits, KeyHolder, ServiceInfo, TrafficSplit};
 
 /// How requests of one host and path prefix are served.
 #[derive(Clone, Debug, PartialEq)]
@@ -91,6 +91,8 @@
     pub version: u64,
     /// Size limits and timeouts for callers' requests.
     pub limits: CallerLimits,
+    /// Scopes under which cached context is shared.
+    pub cache_scopes: Arc<CacheScopes>,
     /// Routes by host, longest prefix first.
     by_host: HashMap<Name, Vec<Arc<Route>>>,
     /// Customers by key; `None` if no route requires a key.
@@ -113,10 +115,13 @@
     /// Starts building a table of a version.
     #[must_use]
     pub fn builder(version: u64) -> RouteTableBuilder {
-        RouteTableBuilder(Self {
-            version,
-            ..Self::default()
-        })
+        RouteTableBuilder {
+            table: Self {
+                version,
+                ..Self::default()
+            },
+            isolated: BTreeSet::new(),
+        }
     }
 
     /// Finds the route of a request and the customer that its key belongs to.
@@ -166,13 +171,17 @@
 
 /// A [`RouteTable`] under construction.
 #[derive(Debug)]
-pub struct RouteTableBuilder(RouteTable);
+pub struct RouteTableBuilder {
+    table: RouteTable,
+    /// Customers whose cached context is kept apart.
+    isolated: BTreeSet<Name>,
+}
 
 impl RouteTableBuilder {
     /// Adds a route; of two with the same host and prefix, the first takes precedence.
     #[must_use]
     pub fn route(mut self, route: Route) -> Self {
-        let routes = self.0.by_host.entry(route.host.clone()).or_default();
+        let routes = self.table.by_host.entry(route.host.clone()).or_default();
         routes.push(Arc::new(route));
         self
     }
@@ -181,37 +190,45 @@
     #[must_use]
     pub fn service(mut self, service: ServiceInfo) -> Self {
         let name = service.name.clone();
-        self.0.services.insert(name, Arc::new(service));
+        self.table.services.insert(name, Arc::new(service));
         self
     }
 
     /// Requires keys on all routes that are not public.
     #[must_use]
     pub fn require_keys(mut self) -> Self {
-        self.0.keys.get_or_insert_default();
+        self.table.keys.get_or_insert_default();
         self
     }
 
     /// Adds a key of a customer, which makes keys required on all routes that are not public.
     #[must_use]
     pub fn key(mut self, key: Name, holder: Arc<KeyHolder>) -> Self {
-        self.0.keys.get_or_insert_default().insert(key, holder);
+        self.table.keys.get_or_insert_default().insert(key, holder);
+        self
+    }
+
+    /// Keeps the cached context of a customer apart, whether or not it has a key: it may have had one.
+    #[must_use]
+    pub fn isolated_customer(mut self, customer: Name) -> Self {
+        self.isolated.insert(customer);
         self
     }
 
     /// Sets the size limits and timeouts for callers' requests.
     #[must_use]
     pub fn limits(mut self, limits: CallerLimits) -> Self {
-        self.0.limits = limits;
+        self.table.limits = limits;
         self
     }
 
     /// Builds the table.
     #[must_use]
     pub fn build(mut self) -> RouteTable {
-        for routes in self.0.by_host.values_mut() {
+        for routes in self.table.by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        self.0
+        self.table.cache_scopes = Arc::new(CacheScopes::new(self.isolated));
+        self.table
     }
 }
--- a/tests/context_store.rs
+++ b/tests/context_store.rs
@@ -216,7 +216,17 @@
     directory.apply_changes(
         ms(10),
         store(1),
-        update(7, 2, &[("1", "p", 500), ("2.cust", "p", 500)]),
+        update(
+            7,
+            2,
+            &[
+                ("1", "p", 500),
+                ("2.cust", "p", 500),
+                ("1~57a04113bc387223", "p", 500),
+                ("1.cu~st", "p", 500),
+                ("2~57a04113bc387223", "p", 500),
+            ],
+        ),
     );
     let retired = RetiredVersions {
         all_below: 2,
@@ -224,8 +234,11 @@
     };
     directory.restrict_fetches(retired, true);
     assert_eq!(plan(&mut directory, 20, "p"), (None, None));
-    let unused = directory.freeable_parts(ms(20), retired);
-    assert_eq!(unused, [(store(1), 7, vec![part("1", "p")])]);
+    let mut unused = directory.freeable_parts(ms(20), retired);
+    assert_eq!(unused.len(), 1);
+    unused[0].2.sort();
+    let old = ["1", "1.cu~st", "1~57a04113bc387223"];
+    assert_eq!(unused, [(store(1), 7, old.map(|s| part(s, "p")).to_vec())]);
     assert!(
         directory
             .freeable_parts(ms(20), RetiredVersions::default())
