--- a/src/gateway/caller_response.rs
+++ b/src/gateway/caller_response.rs
@@ -35,16 +35,9 @@
     pub first_event_at: Option<Instant>,
 }
 
-/// Marks a response of which the caller takes no bytes for now, until it is dropped.
+/// Ends the mark of a response of which the caller takes no bytes when it is dropped.
 struct StalledResponse<'a>(&'a CallerRoom);
 
-impl<'a> StalledResponse<'a> {
-    fn new(room: &'a CallerRoom) -> Self {
-        room.stall_response();
-        Self(room)
-    }
-}
-
 impl Drop for StalledResponse<'_> {
     fn drop(&mut self) {
         self.0.resume_response();
@@ -69,7 +62,8 @@
         while !bytes.is_empty() {
             let written = match stream.get_ref().write(bytes) {
                 Err(err) if err.kind() == ErrorKind::WouldBlock => {
-                    stalled = Some(StalledResponse::new(self.room));
+                    self.room.stall_response();
+                    stalled.get_or_insert_with(|| StalledResponse(self.room));
                     stream.write(bytes).await
                 }
                 written => written,
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -85,6 +85,7 @@
             Err(ReceiveError::Rejected(local_response)) => {
                 reader.finish_request(false);
                 reject(&shared, &stream, &local_response).await;
+                drop(running);
                 return linger(&stream, &room).await;
             }
         };
--- a/src/shared_intake/permit.rs
+++ b/src/shared_intake/permit.rs
@@ -51,7 +51,7 @@
                 Answer::Granted => return Ok(()),
                 Answer::NoRoom(reason) => return Err(reason),
                 Answer::Wait { ask_again, woken } => {
-                    wait.get_or_insert(Wait(self));
+                    wait.get_or_insert_with(|| Wait(self));
                     let woken = async {
                         let _ = woken.recv().await;
                     };
