Refused bodies: the answer reaches a client that goes on sending

Bytes are read now for as long as they come, three seconds and 16 MiB at most, and half a second after the last one.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -19,9 +19,11 @@
 
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time for which bytes are still read after the last response, since closing with unread bytes
-/// resets the connection and may destroy the response.
+/// Time without a byte after which a connection closes after its last response. Until then bytes are
+/// read, since closing with unread bytes resets the connection and may destroy the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for which such bytes are read.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(3);
 /// The same time if others need the connection's place.
 const EVICTED_LINGER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of bytes that are read in that time.
@@ -125,10 +127,15 @@
     let mut input = stream;
     let drain = async {
         let mut left = MAX_LINGER_BYTES;
-        while let Ok(read @ 1..) = input.read(&mut chunk).await
-            && left > read
-        {
-            left -= read;
+        loop {
+            let silence = async {
+                coarse_sleep(LINGER_TIMEOUT).await;
+                Ok(0)
+            };
+            match input.read(&mut chunk).or(silence).await {
+                Ok(read @ 1..) if read < left => left -= read,
+                _ => return,
+            }
             yield_now().await;
         }
     };
@@ -136,5 +143,5 @@
         room.evicted().await;
         coarse_sleep(EVICTED_LINGER_TIMEOUT).await;
     };
-    drain.or(coarse_sleep(LINGER_TIMEOUT)).or(evicted).await;
+    drain.or(coarse_sleep(MAX_LINGER_TIME)).or(evicted).await;
 }
--- a/src/http/server_connection.rs
+++ b/src/http/server_connection.rs
@@ -30,6 +30,10 @@
 const BODY_READ_BYTES: usize = 64 * 1024;
 /// Time after which the caller of a request for which there is no memory is asked to return.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time without a byte after which no more are read after the last response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for which they are read.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of bytes that are read after the last response.
 const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 /// Time after the stop in which an idle connection may still receive a request already in transit.
@@ -320,25 +324,27 @@
         Ok(false)
     }
 
-    /// Discards what the peer still sends for up to a second: closing a socket with unread bytes
-    /// resets the connection, and the peer may lose the response.
+    /// Discards what the peer still sends: closing a socket with unread bytes resets the connection, and
+    /// the peer may lose the response.
     async fn discard_input(&mut self) {
         let mut stream = &self.stream;
         let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
         let mut buf = vec![0; READ_BYTES];
         let drain = async {
             let mut left = MAX_DISCARDED_BYTES;
-            while let Ok(read @ 1..) = stream.read(&mut buf).await
-                && left > read
-            {
-                left -= read;
+            loop {
+                let silence = async {
+                    coarse_sleep(DISCARD_TIMEOUT).await;
+                    Ok(0)
+                };
+                match stream.read(&mut buf).or(silence).await {
+                    Ok(read @ 1..) if read < left => left -= read,
+                    _ => return,
+                }
                 yield_now().await;
             }
         };
-        let timed_out = async {
-            Timer::after(Duration::from_secs(1)).await;
-        };
-        drain.or(timed_out).await;
+        drain.or(coarse_sleep(MAX_DISCARD_TIME)).await;
     }
 
     /// Sends a response; `false` when the connection must be closed.
