Split the file of a server's connection and that of the gateway's builder

Moved without change: reading of messages into server_connection/input.rs, the control thread's tasks into builder/tasks.rs.

--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -1,6 +1,7 @@
 //! Construction, startup and graceful shutdown of a gateway.
 
 mod parts;
+mod tasks;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -11,8 +12,8 @@
 
 use crate::context_store::ContextStoreClient;
 use crate::entry::Threads;
-use crate::gateway::control::{Control, HubLinks, TargetControl, TargetObservationReceiver};
-use crate::gateway::kind_watcher::KindWatcher;
+use crate::gateway::builder::tasks::{spawn_control, spawn_watchers};
+use crate::gateway::control::{HubLinks, TargetControl};
 use crate::gateway::listener::accept;
 use crate::gateway::peer_handler::PeerHandler;
 use crate::gateway::probe::ProbeHandler;
@@ -378,37 +379,3 @@
         }
     }
 }
-
-fn spawn_watchers(
-    control: &Arc<Control>,
-    platform: &Arc<dyn Platform>,
-    ex: &Arc<Executor<'static>>,
-) {
-    for watched in control.watched_kinds() {
-        let watcher = KindWatcher {
-            watched,
-            platform: platform.clone(),
-            control: control.clone(),
-        };
-        ex.spawn(watcher.run()).detach();
-    }
-}
-
-fn spawn_control(
-    control: &Arc<Control>,
-    ex: &Arc<Executor<'static>>,
-    effects: async_channel::Receiver<Effect>,
-    observations: TargetObservationReceiver,
-    rollout: async_channel::Receiver<RolloutEffect>,
-) {
-    ex.spawn(control.clone().run_effects(effects)).detach();
-    ex.spawn(control.clone().run_observations(observations))
-        .detach();
-    ex.spawn(control.clone().run_orders(rollout)).detach();
-    ex.spawn(control.clone().run_lease()).detach();
-    ex.spawn(control.clone().run_periodic()).detach();
-    ex.spawn(control.clone().run_path_checks()).detach();
-    ex.spawn(control.clone().run_scheduler()).detach();
-    ex.spawn(control.clone().run_domain_scheduler()).detach();
-    ex.spawn(control.clone().run_store_cleanup()).detach();
-}
--- a/src/http/server_connection.rs
+++ b/src/http/server_connection.rs
@@ -1,5 +1,7 @@
 //! Server side of one HTTP connection.
 
+mod input;
+
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -15,8 +17,7 @@
 use crate::http::head_stream::HeadStream;
 use crate::http::response_writer::ResponseWriter;
 use crate::http::{
-    BodyThrottle, ChunkedBody, Framing, Handler, IncomingRequest, Limits, MessageError, Problem,
-    RequestHead, ServerControl,
+    Handler, IncomingRequest, Limits, MessageError, Problem, RequestHead, ServerControl,
 };
 use crate::shared_intake::IntakePermit;
 
@@ -26,8 +27,6 @@
 const HALF_CLOSE_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Interim response, which clients skip (RFC 9110, section 15.2).
 const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-/// Bytes of a body of stated length read from a socket in one call.
-const BODY_READ_BYTES: usize = 64 * 1024;
 /// Time after which the caller of a request for which there is no memory is asked to return.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time without a byte after which no more are read after the last response.
@@ -189,32 +188,6 @@
         Ok(self.fill().await.is_ok_and(|n| n > 0))
     }
 
-    /// Waits for room for the buffer after another read and for `more` bytes beside it.
-    async fn hold(&self, more: usize) -> Result<(), MessageError> {
-        let bytes = self.buf.capacity().max(self.buf.len() + READ_BYTES) + more;
-        let held = self.permit.reserve(bytes).await;
-        held.map_err(|_| MessageError::NoMemory)
-    }
-
-    /// Records bytes of a message that arrived; an error at the end of the stream.
-    fn record_read(&self, read: usize) -> Result<(), MessageError> {
-        if read == 0 {
-            return Err(MessageError::CutShort);
-        }
-        self.permit.record_progress(read);
-        Ok(())
-    }
-
-    /// Appends received bytes to `buf`; `0` at the end of the stream.
-    async fn fill(&mut self) -> Result<usize, MessageError> {
-        let len = self.buf.len();
-        self.buf.reserve_exact(READ_BYTES);
-        self.buf.resize(len + READ_BYTES, 0);
-        let read = self.stream.read(&mut self.buf[len..]).await;
-        self.buf.truncate(len + *read.as_ref().unwrap_or(&0));
-        read.map_err(|_| MessageError::CutShort)
-    }
-
     /// Receives and parses a request head and removes it from `buf`.
     async fn receive_head(&mut self) -> Result<RequestHead, MessageError> {
         loop {
@@ -228,82 +201,6 @@
         }
     }
 
-    async fn receive_body(
-        &mut self,
-        head: &RequestHead,
-        throttle: &mut Option<Box<dyn BodyThrottle>>,
-    ) -> Result<Vec<u8>, MessageError> {
-        if head.expects_continue && head.framing != Framing::Unspecified {
-            let _ = self
-                .stream
-                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-                .await;
-        }
-        match head.framing {
-            Framing::Unspecified => Ok(Vec::new()),
-            Framing::Length(len) => self.receive_sized_body(len, throttle).await,
-            Framing::Chunked => self.receive_chunked_body().await,
-        }
-    }
-
-    async fn receive_sized_body(
-        &mut self,
-        len: u64,
-        throttle: &mut Option<Box<dyn BodyThrottle>>,
-    ) -> Result<Vec<u8>, MessageError> {
-        let len = usize::try_from(len).map_err(|_| MessageError::BodyTooLarge)?;
-        if len > self.limits.body_bytes {
-            return Err(MessageError::BodyTooLarge);
-        }
-        if self.buf.len() < len {
-            self.hold(len).await?;
-            let more = len - self.buf.len();
-            let allocated = self.buf.try_reserve_exact(more);
-            allocated.map_err(|_| MessageError::NoMemory)?;
-        }
-        while self.buf.len() < len {
-            let left = len - self.buf.len();
-            let allowed = match throttle {
-                Some(throttle) => throttle.acquire(left).await,
-                None => left,
-            };
-            self.receive_bytes(allowed.clamp(1, left)).await?;
-        }
-        let rest = self.buf.split_off(len);
-        Ok(std::mem::replace(&mut self.buf, rest))
-    }
-
-    /// Appends exactly `len` bytes of a body to `buf`.
-    async fn receive_bytes(&mut self, len: usize) -> Result<(), MessageError> {
-        let end = self.buf.len() + len;
-        while self.buf.len() < end {
-            let start = self.buf.len();
-            let size = (end - start).min(BODY_READ_BYTES);
-            self.buf.resize(start + size, 0);
-            let read = self.stream.read(&mut self.buf[start..]).await;
-            self.buf.truncate(start + *read.as_ref().unwrap_or(&0));
-            self.record_read(read.map_err(|_| MessageError::CutShort)?)?;
-        }
-        Ok(())
-    }
-
-    /// Receives a chunked body, unthrottled since its length is not known in advance.
-    async fn receive_chunked_body(&mut self) -> Result<Vec<u8>, MessageError> {
-        let mut body = ChunkedBody::new(self.limits.body_bytes);
-        loop {
-            if let Some(capacity) = body.needed_capacity(self.buf.len()) {
-                self.hold(body.capacity() + capacity).await?;
-                body.grow(capacity)?;
-                self.hold(capacity).await?;
-            }
-            if body.feed(&mut self.buf)? {
-                return Ok(body.into_decoded());
-            }
-            let read = self.fill().await?;
-            self.record_read(read)?;
-        }
-    }
-
     /// Responds to an invalid message and closes the connection.
     async fn reject(&mut self, err: MessageError) -> io::Result<bool> {
         let mut problem = Problem::not_run(err.status(), "bad-message", err.to_string());
