--- a/src/http.rs
+++ b/src/http.rs
@@ -28,7 +28,7 @@
 pub use body_throttle::{AdmissionFuture, BodyThrottle};
 pub use buffered::poll_read_buffered;
 pub use chunk::ChunkScanner;
-pub(crate) use chunked_body::{ChunkedBody, allocate};
+pub(crate) use chunked_body::{ChunkedBody, OVERRUN_BYTES, allocate};
 pub use client::{ClientResponse, Connection};
 pub use control::ServerControl;
 pub use error::{ExchangeError, MessageError};
--- a/src/http/chunked_body.rs
+++ b/src/http/chunked_body.rs
@@ -5,7 +5,7 @@
 /// First capacity of a body, in bytes.
 const FIRST_CAPACITY: usize = 16 * 1024;
 /// Room beyond the longest body, in bytes, so that one that is too long is found without growing.
-const OVERRUN_BYTES: usize = 16 * 1024;
+pub(crate) const OVERRUN_BYTES: usize = 16 * 1024;
 
 /// A chunked body that is being received.
 #[derive(Debug)]
@@ -30,12 +30,18 @@
         self.decoded.capacity()
     }
 
-    /// Capacity that the body must grow to before it takes `more` bytes, if it must grow.
+    /// Capacity that the body must grow to before it takes `more` bytes, if it must grow: that of the
+    /// longest body, halved as often as the bytes permit, so that the last move needs the least room.
     pub(crate) fn needed_capacity(&self, more: usize) -> Option<usize> {
         let needed = self.decoded.len() + more;
-        let max_capacity = self.max_bytes + OVERRUN_BYTES;
-        let doubled = (self.capacity() * 2).clamp(FIRST_CAPACITY, max_capacity);
-        (needed > self.capacity()).then_some(doubled.max(needed))
+        if needed <= self.capacity() {
+            return None;
+        }
+        let mut capacity = needed.max(self.max_bytes + OVERRUN_BYTES);
+        while capacity / 2 >= needed.max(FIRST_CAPACITY) {
+            capacity /= 2;
+        }
+        Some(capacity)
     }
 
     /// Moves the body to a buffer of this capacity; until then both buffers are in memory.
--- a/src/http/limits.rs
+++ b/src/http/limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::http::OVERRUN_BYTES;
 use crate::intake::IntakeLimits;
 
 /// Limits of one listener.
@@ -38,7 +39,8 @@
     /// when it grows for the last time.
     #[must_use]
     pub fn max_request_bytes(&self) -> usize {
-        2 * self.head_bytes + self.body_bytes / 2 * 3
+        let longest_body = self.body_bytes + OVERRUN_BYTES;
+        2 * self.head_bytes + longest_body + longest_body / 2
     }
 }
 
