--- a/src/context_store/watcher.rs
+++ b/src/context_store/watcher.rs
@@ -111,7 +111,7 @@
         let Some(update) = update else {
             return false;
         };
-        self.fetch_clock.observe(update.clock_ms);
+        self.fetch_clock.observe(time_since_boot(), update.clock_ms);
         if !update.gap && from_seq > 0 {
             self.relay.relay_update(self.store, from_seq, &update);
         }
--- a/src/gateway/attempt/encoding.rs
+++ b/src/gateway/attempt/encoding.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::clock::time_since_boot;
 use crate::context_store::{FETCH_TIMEOUT, TransferPlan};
 use crate::gateway::Dispatch;
 use crate::gateway::attempt::Attempt;
@@ -14,10 +15,12 @@
         let holder = request.holder.as_deref();
         let scopes = self.shared.cache_scopes();
         let scope = self.assignment.weights.map(|w| scopes.scope(holder, w));
+        // The deadline comes first: if the process stands still after it, fetches end no later.
+        let fetch_until_ms = self.fetch_deadline();
         let transfers = scope.as_ref().map(|scope| self.plan_transfers(scope));
         let dispatch = Dispatch {
             transfers: transfers.unwrap_or_default(),
-            fetch_until_ms: self.shared.fetch_clock.after(FETCH_TIMEOUT),
+            fetch_until_ms,
             target: self.assignment.target.clone(),
             time_left: request.time_left(),
             customer: request.holder.as_ref().map(|h| h.customer.clone()),
@@ -56,7 +59,7 @@
             *fetch = fetch.or(neighbour);
         }
         // Without a reading of the targets' clock, fetches would have no deadline.
-        if self.shared.fetch_clock.after(FETCH_TIMEOUT).is_none() {
+        if self.fetch_deadline().is_none() {
             plan.fetch.clear();
         }
         let count = |stores: &[Option<SocketAddr>]| stores.iter().flatten().count();
@@ -65,6 +68,12 @@
         plan
     }
 
+    /// Deadline of fetches that begin now, by the targets' clock.
+    fn fetch_deadline(&self) -> Option<u64> {
+        let clock = &self.shared.fetch_clock;
+        clock.after(time_since_boot(), FETCH_TIMEOUT)
+    }
+
     fn urgency(&self) -> Option<u8> {
         self.request.head.prompt.as_ref()?;
         let own = self.request.holder.as_ref().and_then(|h| h.urgency);
--- a/src/gateway/control/store_relay.rs
+++ b/src/gateway/control/store_relay.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::clock::time_since_boot;
 use crate::context_store::{PartKey, RelayOutcome, StoreChange, StoreUpdate, StoreUpdateRelay};
 use crate::gateway::control::Control;
 use crate::peer::{PeerInfo, PeerMessage, RelayedStoreUpdate};
@@ -71,7 +72,8 @@
             }
             return;
         }
-        self.shared.fetch_clock.observe(relayed.clock_ms);
+        let clock = &self.shared.fetch_clock;
+        clock.observe(time_since_boot(), relayed.clock_ms);
         if self.watches(relayed.store) {
             return;
         }
--- a/src/gateway/fetch_clock.rs
+++ b/src/gateway/fetch_clock.rs
@@ -1,37 +1,53 @@
 //! Estimate of the clock by which targets measure the deadlines of fetches.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use crate::clock::time_since_boot;
+use crate::clock::whole_millis;
 use crate::prelude::*;
 
+/// Time for which readings are collected. Those of the last two such times are kept: the clock of
+/// this VM may run faster than that of the targets, so that older readings would be too late.
+const READINGS_PERIOD: Duration = Duration::from_secs(30);
+
 /// Estimates the targets' clock from the readings that context stores report. Keeps the largest
-/// offset, in milliseconds, from this VM's time since boot, so that the estimate advances while the
-/// VM is suspended.
+/// recent offset, in milliseconds, from this VM's time since boot, so that the estimate advances
+/// while the VM is suspended. All times are since boot.
+#[derive(Debug, Default)]
+pub struct FetchClock(Mutex<Offsets>);
+
+/// Largest offsets of the current and of the previous period.
 #[derive(Debug, Default)]
-pub struct FetchClock(Mutex<Option<u64>>);
+struct Offsets {
+    period_began: Duration,
+    current: Option<u64>,
+    previous: Option<u64>,
+}
 
 impl FetchClock {
     /// Records a reading in milliseconds as taken now; delay of the report makes the estimate too
     /// early, never too late.
-    pub fn observe(&self, clock_ms: Option<u64>) {
+    pub fn observe(&self, now: Duration, clock_ms: Option<u64>) {
         let Some(clock_ms) = clock_ms else {
             return;
         };
-        let offset = clock_ms.saturating_sub(boot_ms());
-        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *known = Some(known.map_or(offset, |old| old.max(offset)));
+        let offset = clock_ms.saturating_sub(whole_millis(now));
+        let mut offsets = self.lock();
+        if now >= offsets.period_began + READINGS_PERIOD {
+            offsets.period_began = now;
+            offsets.previous = offsets.current.take();
+        }
+        offsets.current = offsets.current.max(Some(offset));
     }
 
     /// The targets' clock after `time` from now, in milliseconds; `None` without any reading.
     #[must_use]
-    pub fn after(&self, time: Duration) -> Option<u64> {
-        let known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let ahead = u64::try_from(time.as_millis()).unwrap_or_default();
-        known.map(|offset| offset + boot_ms() + ahead)
+    pub fn after(&self, now: Duration, time: Duration) -> Option<u64> {
+        let offsets = self.lock();
+        let known = offsets.current.max(offsets.previous);
+        known.map(|offset| offset + whole_millis(now + time))
     }
-}
 
-fn boot_ms() -> u64 {
-    u64::try_from(time_since_boot().as_millis()).unwrap_or_default()
+    fn lock(&self) -> MutexGuard<'_, Offsets> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
