--- a/src/context_store.rs
+++ b/src/context_store.rs
@@ -10,7 +10,9 @@
 mod retirement;
 mod watcher;
 
-pub use client::{ContextStoreClient, PartKey, StoreChange, StoreUpdate};
+pub use client::{ContextStoreClient, FreeCall, PartKey, StoreChange, StoreUpdate};
 pub use directory::{RelayOutcome, StoreDirectory, StoreInfo, TransferPlan};
-pub use retirement::{FETCH_TIMEOUT, RetiredVersions, RetirementTracker};
+pub use retirement::{
+    FETCH_LEASE, FETCH_TIMEOUT, FREE_DELAY, FetchLease, RetiredVersions, RetirementTracker,
+};
 pub(crate) use watcher::{StoreUpdateRelay, StoreWatcher};
--- a/src/context_store/client.rs
+++ b/src/context_store/client.rs
@@ -39,6 +39,19 @@
     pub clock_ms: Option<u64>,
 }
 
+/// Parts that a store is to free.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FreeCall {
+    /// The store.
+    pub store: SocketAddr,
+    /// Its boot epoch; it frees nothing if it has another one.
+    pub epoch: u64,
+    /// Reading of the targets' clock, in milliseconds, after which it frees nothing.
+    pub until_ms: Option<u64>,
+    /// The parts.
+    pub parts: Vec<PartKey>,
+}
+
 /// Client of the context stores.
 pub trait ContextStoreClient: Send + Sync {
     /// Changes from sequence number `from_seq` on, waiting up to `wait` for the first one; `None`
@@ -53,7 +66,6 @@
     /// All complete parts at a store; `None` without a valid answer.
     fn list(&self, store: SocketAddr) -> Boxed<Option<StoreUpdate>>;
 
-    /// Frees parts unless the store's boot epoch differs from `epoch`; returns whether they were
-    /// freed.
-    fn free(&self, store: SocketAddr, epoch: u64, parts: Vec<PartKey>) -> Boxed<bool>;
+    /// Frees parts; returns whether they were freed.
+    fn free(&self, call: FreeCall) -> Boxed<bool>;
 }
--- a/src/context_store/directory.rs
+++ b/src/context_store/directory.rs
@@ -142,15 +142,16 @@
     /// When a save of each part was last requested, until a store reports a change of the part.
     requested_saves: HashMap<PartKey, Timestamp>,
     retired: RetiredVersions,
-    may_fetch: bool,
+    /// Until when parts may be fetched.
+    fetch_until: Timestamp,
 }
 
 impl StoreDirectory {
-    /// Sets the retired versions, whose parts are neither fetched nor saved, and whether anything
+    /// Sets the retired versions, whose parts are neither fetched nor saved, and until when anything
     /// may be fetched at all.
-    pub fn restrict_fetches(&mut self, retired: RetiredVersions, may_fetch: bool) {
+    pub fn restrict_fetches(&mut self, retired: RetiredVersions, fetch_until: Timestamp) {
         self.retired = retired;
-        self.may_fetch = may_fetch;
+        self.fetch_until = fetch_until;
     }
 
     fn is_retired(&self, part: &PartKey) -> bool {
--- a/src/context_store/directory/transfers.rs
+++ b/src/context_store/directory/transfers.rs
@@ -69,7 +69,7 @@
         part: &PartKey,
         allowed: Option<&AllowedDomains>,
     ) -> Option<SocketAddr> {
-        if !self.may_fetch || self.is_retired(part) {
+        if now >= self.fetch_until || self.is_retired(part) {
             return None;
         }
         let usable = self
--- a/src/context_store/retirement.rs
+++ b/src/context_store/retirement.rs
@@ -1,25 +1,43 @@
-//! Agreement among entries on which weight versions' stored context may be freed.
+//! Agreement among entries on which weight versions' stored context is fetched and which is freed.
 //!
 //! Retirement is monotonic: a version that was retired stays so. Each entry reports to its peers
 //! what it has retired, merges what they report into its own, and fetches nothing that it has
-//! retired. A version's context is freed once every known entry has reported it retired for longer
-//! than a fetch begun before may take. An unreachable entry delays this; context of versions that
-//! no target runs any more is freed without waiting for it.
+//! retired. Nobody waits for an entry that is cut off:
+//!
+//! - An entry fetches under a lease: it knows what enough entries had retired at most
+//!   [`FETCH_LEASE`] ago.
+//! - Context is freed once a majority has had it retired for [`FREE_DELAY`].
+//!
+//! Enough entries and a majority have one in common. So when context is freed, each entry has
+//! learned that it is retired, or its lease has ended, and its last fetch as well. An entry that
+//! restarts forgets what it had retired; it counts again once that cannot matter any more.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use crate::name_hash::name_hash;
 use crate::prelude::*;
 
-/// Age at which a peer's report expires: until the next one, the peer counts as having retired
-/// nothing.
-const REPORT_TTL: Duration = Duration::from_secs(3);
 /// Longest time that a fetch may run after its request was sent; the request carries it as a
 /// deadline.
 pub const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time beyond [`FETCH_TIMEOUT`] before freeing; allows for clocks that run at different rates and
-/// for requests in transit.
-const FREE_MARGIN: Duration = Duration::from_millis(500);
+/// Time for which an entry may fetch after what it knows of the others.
+pub const FETCH_LEASE: Duration = Duration::from_secs(3);
+/// Allowance for clocks that run at different rates and for requests in transit.
+const MARGIN: Duration = Duration::from_millis(500);
+/// Time for which a majority has had context retired when it is freed.
+pub const FREE_DELAY: Duration = FETCH_LEASE
+    .saturating_add(FETCH_TIMEOUT)
+    .saturating_add(MARGIN);
+/// Age at which a peer's report expires: until the next one, the peer counts as having retired
+/// nothing.
+const REPORT_TTL: Duration = Duration::from_secs(3);
+/// Time after its start from which a process counts that does not know what an earlier process of
+/// its entry had retired: by then, what that process reported has expired, and so have the leases
+/// that rest on it.
+const RECALL_DELAY: Duration = REPORT_TTL
+    .saturating_add(FETCH_LEASE)
+    .saturating_add(MARGIN);
 
 /// Weight versions whose stored context is retired, wholly or by half.
 ///
@@ -64,19 +82,48 @@
     blake3::hash(part.as_bytes()).as_bytes()[0].is_multiple_of(2)
 }
 
+/// What a peer had retired.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    /// Time at which the peer had retired this and no more, or a later one.
+    known_at: Timestamp,
+    retired: RetiredVersions,
+}
+
+/// How recently an entry has heard what the others have retired.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FetchLease {
+    /// Until when it may fetch; `None` if it may not.
+    pub until: Option<Timestamp>,
+    /// Listed entries of which it has a report, itself included if it counts.
+    pub reports: usize,
+    /// Reports that it needs.
+    pub needed: usize,
+}
+
 /// What one entry has retired, and what it knows of its peers.
 #[derive(Clone, Debug, Default)]
 pub struct RetirementTracker {
+    started_at: Timestamp,
+    /// Whether it has retired all that an earlier process of this entry may have retired.
+    recalled: bool,
     retired: RetiredVersions,
-    /// Last report and its time, by the name hash of the peer.
-    reports: HashMap<u32, (Timestamp, RetiredVersions)>,
-    /// What all entries have had retired since the given time, oldest first.
+    /// Last report of each peer, by the hash of its name.
+    reports: HashMap<u32, Report>,
+    /// What a majority has had retired since the given time, oldest first.
     agreed_since: Vec<(Timestamp, RetiredVersions)>,
-    /// Whether a majority of entries, this one included, has reported since the start.
-    majority_reported: bool,
 }
 
 impl RetirementTracker {
+    /// Makes the tracker of a process that starts now.
+    #[must_use]
+    pub fn started_at(now: Timestamp) -> Self {
+        Self {
+            started_at: now,
+            ..Self::default()
+        }
+    }
+
     /// What this entry has retired.
     #[must_use]
     pub fn retired(&self) -> RetiredVersions {
@@ -88,42 +135,71 @@
         self.retired = self.retired.union(more);
     }
 
-    /// Records what a peer reported as retired in its status, and retires the same.
-    pub fn record_status(&mut self, now: Timestamp, peer: &Name, report: RetiredVersions) {
-        self.reports.insert(name_hash(peer), (now, report));
-        self.retire(report);
+    /// Records that the platform's store lists `newest` as the newest version, and retires all
+    /// older ones: an earlier process of this entry may have done so. Does nothing once this process
+    /// counts.
+    pub fn recall(&mut self, now: Timestamp, newest: u64) {
+        if self.counts(now) {
+            return;
+        }
+        self.recalled = true;
+        self.retire(RetiredVersions {
+            all_below: newest,
+            half_below: newest,
+        });
     }
 
-    /// Records what several entries, given by name hash, have all retired.
-    pub fn record_retired_by_all(
-        &mut self,
-        now: Timestamp,
-        entries: &[u32],
-        retired: RetiredVersions,
-    ) {
-        for entry in entries {
-            self.reports.insert(*entry, (now, retired));
+    /// Whether what this entry reports counts: it includes what earlier processes of the entry had
+    /// retired, or nobody goes by that any more.
+    #[must_use]
+    pub fn counts(&self, now: Timestamp) -> bool {
+        self.recalled || now >= self.started_at + RECALL_DELAY
+    }
+
+    /// Records what a peer had retired at `known_at` or later, according to a report that counts.
+    pub fn record_report(&mut self, known_at: Timestamp, peer: u32, retired: RetiredVersions) {
+        let known = self.reports.get(&peer);
+        if known.is_none_or(|known| known.known_at <= known_at) {
+            self.reports.insert(peer, Report { known_at, retired });
         }
     }
 
-    /// Whether this entry may fetch: reports of a majority of all `entries`, itself included, have
-    /// arrived since its start, so that it knows what was retired before. It may not while it has not
-    /// read how many entries there are.
-    pub fn may_fetch(&mut self, entries: Option<usize>) -> bool {
-        let reported = self.reports.len() + 1;
-        self.majority_reported |= entries.is_some_and(|entries| reported * 2 > entries);
-        self.majority_reported
+    /// How long this entry may fetch. `others` are the other entries in the platform's list; none
+    /// while it has not been read.
+    #[must_use]
+    pub fn fetch_lease<'a>(
+        &self,
+        now: Timestamp,
+        others: Option<impl IntoIterator<Item = &'a Name>>,
+    ) -> FetchLease {
+        let mut listed = 1;
+        let own = self.counts(now).then_some(now);
+        let mut known: Vec<Timestamp> = own.into_iter().collect();
+        let is_read = others.is_some();
+        for name in others.into_iter().flatten() {
+            listed += 1;
+            let report = self.reports.get(&name_hash(name));
+            known.extend(report.map(|r| r.known_at));
+        }
+        let needed = listed - majority(listed) + 1;
+        known.sort_unstable_by_key(|at| Reverse(*at));
+        let oldest = known.get(needed - 1).filter(|_| is_read);
+        FetchLease {
+            until: oldest.map(|at| *at + FETCH_LEASE),
+            reports: known.len(),
+            needed,
+        }
     }
 
-    /// Returns what may be freed: what every entry has had retired for so long that fetches begun
-    /// before have ended. `listed` are the other entries in the platform's list. Call this
+    /// Returns what may be freed: what a majority has had retired for so long that fetches begun
+    /// before have ended. `others` are the other entries in the platform's list. Call this
     /// regularly, since agreement is timed from the call that first finds it.
     pub fn freeable<'a>(
         &mut self,
         now: Timestamp,
-        listed: impl IntoIterator<Item = &'a Name>,
+        others: impl IntoIterator<Item = &'a Name>,
     ) -> RetiredVersions {
-        let current = self.agreed_now(now, listed);
+        let current = self.agreed_now(now, others);
         // The timing starts over for whatever is no longer agreed, such as after a report expired.
         self.agreed_since
             .retain(|(_, agreed)| agreed.intersection(current) == *agreed);
@@ -134,31 +210,43 @@
         {
             self.agreed_since.push((now, current));
         }
-        let wait = FETCH_TIMEOUT + FREE_MARGIN;
         let due = self
             .agreed_since
             .iter()
-            .filter(|(since, _)| now >= *since + wait);
+            .filter(|(since, _)| now >= *since + FREE_DELAY);
         due.map(|(_, agreed)| *agreed)
             .fold(RetiredVersions::default(), RetiredVersions::union)
     }
 
-    /// What this entry, all listed entries and all that ever reported have retired in common now.
+    /// What a majority of the listed entries, this one included, has retired now.
     fn agreed_now<'a>(
         &self,
         now: Timestamp,
-        listed: impl IntoIterator<Item = &'a Name>,
+        others: impl IntoIterator<Item = &'a Name>,
     ) -> RetiredVersions {
-        let retired_by = |report: Option<&(Timestamp, RetiredVersions)>| {
-            let fresh = report.filter(|(at, _)| now < *at + REPORT_TTL);
-            fresh.map_or(RetiredVersions::default(), |(_, retired)| *retired)
+        let retired_by = |name: &Name| {
+            let report = self.reports.get(&name_hash(name));
+            let fresh = report.filter(|report| now < report.known_at + REPORT_TTL);
+            fresh.map_or(RetiredVersions::default(), |report| report.retired)
         };
-        let listed = listed
-            .into_iter()
-            .map(|name| retired_by(self.reports.get(&name_hash(name))));
-        let reporting = self.reports.values().map(|report| retired_by(Some(report)));
-        listed
-            .chain(reporting)
-            .fold(self.retired, RetiredVersions::intersection)
+        let mut retired: Vec<RetiredVersions> = others.into_iter().map(retired_by).collect();
+        let own = Some(self.retired).filter(|_| self.counts(now));
+        retired.push(own.unwrap_or_default());
+        RetiredVersions {
+            all_below: retired_by_majority(retired.iter().map(|r| r.all_below)),
+            half_below: retired_by_majority(retired.iter().map(|r| r.half_below)),
+        }
     }
 }
+
+/// Fewest of `entries` that are more than half.
+fn majority(entries: usize) -> usize {
+    entries / 2 + 1
+}
+
+/// The highest bound that a majority has reached.
+fn retired_by_majority(bounds: impl Iterator<Item = u64>) -> u64 {
+    let mut bounds: Vec<u64> = bounds.collect();
+    bounds.sort_unstable_by_key(|bound| Reverse(*bound));
+    bounds[majority(bounds.len()) - 1]
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -69,7 +69,9 @@
 pub use evacuations::{EvacuationChange, Evacuations};
 pub use events::{EventSplitter, RawEvent};
 pub use fetch_clock::FetchClock;
-pub use gossip_times::{HUB_INTERVAL, HUB_TIMEOUT, INTERVAL_JITTER, STATUS_INTERVAL};
+pub use gossip_times::{
+    HUB_INTERVAL, HUB_TIMEOUT, INTERVAL_JITTER, ROUND_TRIP_INTERVAL, STATUS_INTERVAL,
+};
 pub use hub_aggregator::HubAggregator;
 pub use hub_selector::{HubCandidate, HubSelector};
 pub use loads::{LoadTable, TargetLoad};
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -144,7 +144,11 @@
             executor: executor.clone(),
             cold_bound: self.cold_bound,
             estimated_entries: self.entries,
-            state: Mutex::new(State::new(self.rollout.clone(), self.version_deadline)),
+            state: Mutex::new(State::new(
+                &self.name,
+                self.rollout.clone(),
+                self.version_deadline,
+            )),
         }
     }
 }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -122,6 +122,7 @@
             log::info!("event=listing_outdated kind={kind} listed={listed} known={known}");
             return;
         }
+        let is_original = StoreRevision::of(&listing.version).is_of_first_era();
         if cache.is_restored_by(&listing) {
             self.merge_restored(&mut state, watched, listing);
         } else if watched == WatchedKind::Evacuations {
@@ -130,6 +131,9 @@
             cache.replace(listing);
         }
         self.update_derived(&mut state, watched);
+        if watched == WatchedKind::Weights && is_original {
+            state.recall_retired(self.now());
+        }
     }
 
     /// Adopts the first listing after the store was restored from an older copy. What it lacks or
--- a/src/gateway/control/hub.rs
+++ b/src/gateway/control/hub.rs
@@ -5,8 +5,8 @@
 //! A hub does so for each entry of its failure domain and for each other failure domain.
 
 use crate::gateway::HubSelector;
-use crate::gateway::control::Control;
 use crate::gateway::control::peers::retired_versions;
+use crate::gateway::control::{Control, State};
 use crate::peer::{GatewayDigest, Mesh, PeerInfo, PeerLinks, PeerMessage};
 use crate::prelude::*;
 
@@ -30,6 +30,7 @@
                 state.aggregator.clear();
             }
             state.loads_sent_to_hub.clone_from(&status.loads);
+            status.round_trip = Some(state.round_trips.round_trip(now, [&hub]));
             self.domain_scheduler.set_serving(false);
             drop(state);
             mesh.send(&hub, PeerMessage::Gateway(Box::new(status)));
@@ -40,7 +41,7 @@
             state.loads.clear();
         }
         let active = state.aggregator.live_hubs(now);
-        let (domain, all) = state
+        let (mut domain, mut all) = state
             .aggregator
             .digests(now, &self.own_domain_hub(), status);
         self.shared.scheduler_client.set_hubs(all.hubs.clone());
@@ -49,12 +50,15 @@
             log::info!("event=domain_scheduler_started");
             self.submit_targets(&mut state);
         }
+        let hubs = HubSelector::other_domain_hubs(&own, &peers, &active);
+        let near = peers.iter().filter(|p| p.domain == own.domain);
+        let near: Vec<Name> = near.map(|p| p.name.clone()).collect();
+        domain.merged.round_trip = Some(state.round_trips.round_trip(now, &hubs));
+        all.merged.round_trip = Some(state.round_trips.round_trip(now, &near));
         drop(state);
-        for hub in HubSelector::other_domain_hubs(&own, &peers, &active) {
+        for hub in hubs {
             mesh.send(&hub, PeerMessage::Digest(Box::new(domain.clone())));
         }
-        let near = peers.iter().filter(|p| p.domain == own.domain);
-        let near: Vec<Name> = near.map(|p| p.name.clone()).collect();
         mesh.multicast(&near, &PeerMessage::Digest(Box::new(all)));
     }
 
@@ -65,6 +69,8 @@
         let now = self.now();
         let store_updates = std::mem::take(&mut digest.store_updates);
         let mut state = self.state();
+        let round_trip = digest.merged.round_trip.as_ref();
+        let made_after = round_trip.and_then(|r| state.round_trips.record(&from.name, r));
         if from.domain == self.domain {
             if state.hub_selector.current() != Some(&from.name) {
                 self.observe_revisions(&mut state, &from.name, &digest.merged);
@@ -82,12 +88,9 @@
             state.loads.record(now, &from.name, loads);
             state
                 .aggregator
-                .record_digest(now, &from.name, digest.clone());
+                .record_digest(now, made_after, &from.name, digest.clone());
         }
-        let retired_by_all = retired_versions(digest.retired_by_all);
-        state
-            .retirement
-            .record_retired_by_all(now, &digest.entries, retired_by_all);
+        record_retired_by_all(&mut state, made_after, &digest);
         state
             .retirement
             .retire(retired_versions(digest.merged.retired_below));
@@ -98,3 +101,16 @@
         }
     }
 }
+
+/// Records what the entries of a digest have all retired.
+fn record_retired_by_all(state: &mut State, made_after: Option<Timestamp>, digest: &GatewayDigest) {
+    let age = digest.entries_age_ms.map(Duration::from_millis);
+    let Some((made_after, age)) = made_after.zip(age) else {
+        return;
+    };
+    let retired = retired_versions(digest.retired_by_all);
+    for entry in &digest.entries {
+        let known_at = made_after.saturating_sub(age);
+        state.retirement.record_report(known_at, *entry, retired);
+    }
+}
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -49,6 +49,8 @@
             },
             undated_versions: state.versions.undated_declarations(now).collect(),
             retired_below: (retired.all_below, retired.half_below),
+            retired_counts: state.retirement.counts(now),
+            round_trip: None,
             limits: self.shared.limits.reports(now),
             cut_off_entries: {
                 let cut_off = self.shared.paths.is_cut_off();
@@ -61,7 +63,10 @@
 
     /// Sends the own status to all peers, as is done in a small system.
     pub(crate) fn broadcast_status(&self, mesh: &Mesh) {
-        let status = self.own_status(&mut self.state());
+        let mut state = self.state();
+        let mut status = self.own_status(&mut state);
+        status.round_trip = state.due_round_trip(self.now());
+        drop(state);
         mesh.broadcast(&PeerMessage::Gateway(Box::new(status)));
     }
 
@@ -70,15 +75,20 @@
     pub(crate) fn apply_status(&self, peer: &PeerInfo, status: &GatewayStatus) {
         let now = self.now();
         let mut state = self.state();
+        let round_trip = status.round_trip.as_ref();
+        let made_after = round_trip.and_then(|r| state.round_trips.record(&peer.name, r));
         if state.uses_hubs() && peer.domain == self.domain {
             state
                 .aggregator
-                .record_status(now, &peer.name, status.clone());
+                .record_status(now, made_after, &peer.name, status.clone());
         }
         state.loads.record(now, &peer.name, status.loads.clone());
-        state
-            .retirement
-            .record_status(now, &peer.name, retired_versions(status.retired_below));
+        let retired = retired_versions(status.retired_below);
+        state.retirement.retire(retired);
+        if let Some(made_after) = made_after.filter(|_| status.retired_counts) {
+            let peer = name_hash(&peer.name);
+            state.retirement.record_report(made_after, peer, retired);
+        }
         self.apply_common(&mut state, &peer.name, status);
     }
 
@@ -184,6 +194,7 @@
     /// Updates the live peers.
     pub(crate) fn set_live_peers(&self, live: &[PeerInfo]) {
         let mut state = self.state();
+        let names_of_linked: Vec<Name> = live.iter().map(|p| p.name.clone()).collect();
         let staying = live.iter().filter(|p| !p.draining);
         let names: Vec<Name> = staying.clone().map(|p| p.name.clone()).collect();
         for lost in state.peers.iter().filter(|n| !names.contains(n)) {
@@ -205,6 +216,9 @@
         self.domain_scheduler.retain_entries(is_live);
         self.shared.scheduler_client.retain_hubs(is_live);
         self.shared.prompt_quarantine.set_peers(names.clone());
+        state
+            .round_trips
+            .retain(|name| names_of_linked.contains(name));
         state.peers = names;
         self.update_relays(&state, &state.decode_members());
         state.set_hub_candidates(staying.cloned().collect());
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -2,7 +2,8 @@
 
 use async_io::Timer;
 
-use crate::gateway::control::{Control, TargetReport};
+use crate::context_store::FetchLease;
+use crate::gateway::control::{Control, State, TargetReport};
 use crate::gateway::{HUB_INTERVAL, STATUS_INTERVAL, WatchedKind};
 use crate::prelude::*;
 use crate::rollout::RolloutEvent;
@@ -45,11 +46,11 @@
         let mut state = self.state();
         state.retire_context(now);
         let retired = state.retirement.retired();
-        let entries = state.listed_entry_count();
-        let may_fetch = state.retirement.may_fetch(entries);
+        let lease = state.fetch_lease(now, &self.name);
+        log_fetch_lease(&mut state, now, lease);
         self.shared
             .store_directory()
-            .restrict_fetches(retired, may_fetch);
+            .restrict_fetches(retired, lease.until.unwrap_or_default());
         let expired = state.expire(now);
         if state.expire_members(now) {
             self.update_derived(&mut state, WatchedKind::Members);
@@ -107,3 +108,20 @@
         }
     }
 }
+
+/// Logs whether stored context may be fetched, when that changes.
+fn log_fetch_lease(state: &mut State, now: Timestamp, lease: FetchLease) {
+    let held = lease.until.is_some_and(|until| now < until);
+    if std::mem::replace(&mut state.may_fetch, held) == held {
+        return;
+    }
+    let FetchLease {
+        until,
+        reports,
+        needed,
+    } = lease;
+    let ended_ms = until.map(|until| now.saturating_sub(until).as_millis());
+    log::info!(
+        "event=fetch_lease held={held} reports={reports} needed={needed} ended_ms={ended_ms:?}"
+    );
+}
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -2,15 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
-use crate::context_store::RetirementTracker;
+use crate::context_store::{FetchLease, RetirementTracker};
 use crate::gateway::control::CallerLimitReport;
 use crate::gateway::control::warm_ups::WarmUpState;
 use crate::gateway::{
     DeclaredWeights, Decoder, Evacuations, HubAggregator, HubCandidate, HubSelector, LoadTable,
-    RegisteredTarget, TargetLoad, TargetTable, WatchedKind, WeightVersions,
+    ROUND_TRIP_INTERVAL, RegisteredTarget, TargetLoad, TargetTable, WatchedKind, WeightVersions,
 };
 use crate::name_hash::name_hash;
-use crate::peer::PeerInfo;
+use crate::peer::{PeerInfo, RoundTrip, RoundTripClock};
 use crate::platform::Vm;
 use crate::prelude::*;
 use crate::rollout::{RolloutPlanner, RolloutSettings, RolloutTarget};
@@ -43,6 +43,12 @@
     pub loads: LoadTable,
     /// Agreement of the entries on stored context that none of them fetches any more.
     pub retirement: RetirementTracker,
+    /// How recent the messages of peers are.
+    pub round_trips: RoundTripClock,
+    /// When the status last proved how recent it is, in a small system.
+    round_trip_sent_at: Timestamp,
+    /// Whether stored context may be fetched, when that was last logged.
+    pub may_fetch: bool,
     /// Whether declared weights were read before; those in the first listing may have been declared
     /// long ago.
     weights_read: bool,
@@ -78,12 +84,10 @@
     pub(super) spread_logged_at: Option<Timestamp>,
     /// What was reported about the limits on what callers hold.
     pub(super) caller_limits: CallerLimitReport,
-    /// Oldest weight version that any target has, and since when.
-    pub(super) oldest_version: (u64, Timestamp),
 }
 
 impl State {
-    pub(crate) fn new(rollout: RolloutSettings, version_deadline: Duration) -> Self {
+    pub(crate) fn new(entry: &str, rollout: RolloutSettings, version_deadline: Duration) -> Self {
         Self {
             views: Default::default(),
             evacuations: Evacuations::default(),
@@ -92,6 +96,9 @@
             versions: WeightVersions::with_deadline(version_deadline),
             loads: LoadTable::default(),
             retirement: RetirementTracker::default(),
+            round_trips: RoundTripClock::new(entry, fastrand::u64(..)),
+            round_trip_sent_at: Timestamp::ZERO,
+            may_fetch: false,
             weights_read: false,
             rollout: RolloutPlanner::new(rollout),
             reported_versions: BTreeMap::new(),
@@ -109,7 +116,6 @@
             unreadable_targets: HashSet::new(),
             spread_logged_at: None,
             caller_limits: CallerLimitReport::default(),
-            oldest_version: (0, Timestamp::ZERO),
         }
     }
 
@@ -304,10 +310,20 @@
         self.cache(WatchedKind::Members).iter().count().max(1)
     }
 
-    /// Number of entries in the platform store; `None` before its first listing.
-    pub(crate) fn listed_entry_count(&self) -> Option<usize> {
-        let listed = self.cache(WatchedKind::Members).revision() > 0;
-        listed.then(|| self.entry_count())
+    /// Until when this entry may fetch stored context; `own` is its name.
+    pub(crate) fn fetch_lease(&self, now: Timestamp, own: &str) -> FetchLease {
+        let is_listed = self.cache(WatchedKind::Members).revision() > 0;
+        let others = is_listed.then(|| self.other_entries(own));
+        self.retirement.fetch_lease(now, others.as_ref())
+    }
+
+    /// Proof of how recent the next status to all peers is, if one is due.
+    pub(crate) fn due_round_trip(&mut self, now: Timestamp) -> Option<RoundTrip> {
+        if now < self.round_trip_sent_at + ROUND_TRIP_INTERVAL {
+            return None;
+        }
+        self.round_trip_sent_at = now;
+        Some(self.round_trips.round_trip(now, &self.peers))
     }
 
     /// Names of the other entries in the platform store.
--- a/src/gateway/control/store_cleanup.rs
+++ b/src/gateway/control/store_cleanup.rs
@@ -2,43 +2,65 @@
 
 use std::net::SocketAddr;
 
-use crate::context_store::PartKey;
+use crate::clock::time_since_boot;
+use crate::context_store::{FreeCall, PartKey, RetiredVersions};
 use crate::gateway::control::Control;
 use crate::prelude::*;
 
 /// Interval between two searches for context to free.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time in which a store carries out a call to free context, or never: by then, entries that restart
+/// may have forgotten that the context is retired.
+const FREE_CALL_TIME: Duration = Duration::from_secs(2);
+
 /// Address and epoch of each store, and the parts to free in it.
 type FreeableParts = Vec<(SocketAddr, u64, Vec<PartKey>)>;
 
 impl Control {
-    /// Frees context that all entries have retired, and context of versions older than any target
-    /// has, if this entry is the first live one by name; never returns.
+    /// Frees context that a majority of the entries has retired, if this entry is the first live one
+    /// by name; never returns.
     pub(crate) async fn run_store_cleanup(self: Arc<Self>) {
         loop {
             Self::sleep_with_jitter(CLEANUP_INTERVAL).await;
-            for (store, epoch, parts) in self.freeable_parts() {
+            let freeable = self.freeable();
+            for (store, epoch, parts) in self.freeable_parts(freeable) {
                 let count = parts.len();
-                let done = self.stores.free(store, epoch, parts).await;
-                log::info!("event=context_freed store={store} parts={count} done={done}");
+                let clock = &self.shared.fetch_clock;
+                let call = FreeCall {
+                    store,
+                    epoch,
+                    until_ms: clock.after(time_since_boot(), FREE_CALL_TIME),
+                    parts,
+                };
+                let done = self.stores.free(call).await;
+                let (all, half) = (freeable.all_below, freeable.half_below);
+                log::info!(
+                    "event=context_freed store={store} epoch={epoch} parts={count} done={done} \
+                     all_below={all} half_below={half}"
+                );
             }
         }
     }
 
-    fn freeable_parts(&self) -> FreeableParts {
+    /// What this entry may free: nothing unless it is the first live one.
+    fn freeable(&self) -> RetiredVersions {
         let now = self.now();
         let mut state = self.state();
-        // Evaluated at every entry, since both measure for how long context has been unused; an
-        // entry that becomes the first need not measure anew.
+        // Evaluated at every entry, since it is measured for how long a majority agrees; an entry
+        // that becomes the first need not measure anew.
         let others = state.other_entries(&self.name);
         let agreed = state.retirement.freeable(now, &others);
-        let freed = agreed.union(state.versions_without_targets(now));
         let is_first = state.peers.iter().all(|peer| *peer > self.name);
-        drop(state);
-        if !is_first {
-            return FreeableParts::new();
+        if is_first {
+            agreed
+        } else {
+            RetiredVersions::default()
         }
-        self.shared.store_directory().freeable_parts(now, freed)
+    }
+
+    fn freeable_parts(&self, freeable: RetiredVersions) -> FreeableParts {
+        let now = self.now();
+        self.shared.store_directory().freeable_parts(now, freeable)
     }
 }
--- a/src/gateway/control/target_versions.rs
+++ b/src/gateway/control/target_versions.rs
@@ -1,4 +1,4 @@
-//! Weight versions that targets have, and the stored context that they still need.
+//! Weight versions that targets have, and the stored context that is retired on account of them.
 
 use crate::context_store::RetiredVersions;
 use crate::gateway::RegisteredTarget;
@@ -8,9 +8,6 @@
 
 /// Time for which a reported weight version overrides an older one in the target's registration.
 const REPORTED_VERSION_TTL: Duration = Duration::from_secs(8);
-/// Time after the last target changed away from a weight version until its stored context is freed:
-/// by then its runs have ended, and no request may start on it.
-const VERSION_UNUSED_DELAY: Duration = Duration::from_secs(3);
 
 impl State {
     /// Records the weight version that a target reported.
@@ -65,19 +62,13 @@
         })
     }
 
-    /// Versions older than any target has, once that has been so for [`VERSION_UNUSED_DELAY`].
-    pub(crate) fn versions_without_targets(&mut self, now: Timestamp) -> RetiredVersions {
-        let oldest = self.effective_weights(now).map(|(_, v)| v).min();
-        let Some(oldest) = oldest else {
-            return RetiredVersions::default();
-        };
-        if self.oldest_version.0 != oldest {
-            self.oldest_version = (oldest, now);
-        }
-        let settled = now >= self.oldest_version.1 + VERSION_UNUSED_DELAY;
-        RetiredVersions {
-            all_below: if settled { oldest } else { 0 },
-            half_below: 0,
+    /// Retires what an earlier process of this entry may have retired, once the platform's store has
+    /// listed the declared versions. With several models, versions of one say nothing about those
+    /// of another.
+    pub(crate) fn recall_retired(&mut self, now: Timestamp) {
+        if self.versions.model_count() <= 1 {
+            let newest = self.versions.newest();
+            self.retirement.recall(now, newest.unwrap_or_default());
         }
     }
 
--- a/src/gateway/hub_aggregator.rs
+++ b/src/gateway/hub_aggregator.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::context_store::FETCH_LEASE;
 use crate::domain_scheduler::DomainHub;
 use crate::name_hash::name_hash;
 use crate::peer::{GatewayDigest, GatewayStatus, RelayedStoreUpdate};
@@ -13,34 +14,74 @@
 /// the full contents of the store.
 const MAX_QUEUED_UPDATES: usize = 512;
 
+/// A message, and when it was received and made.
+#[derive(Clone, Debug)]
+struct Received<T> {
+    at: Timestamp,
+    /// Time after which it was made, if known.
+    made_after: Option<Timestamp>,
+    message: T,
+}
+
+impl<T> Received<T> {
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        now < self.at + STATUS_TTL
+    }
+
+    /// Time since it was made, at most; `None` if unknown.
+    fn age(&self, now: Timestamp) -> Option<Duration> {
+        self.made_after.map(|at| now.saturating_sub(at))
+    }
+}
+
 /// The latest statuses of the entries of the own failure domain, the latest digests of other hubs,
 /// and store updates to forward.
 #[derive(Debug, Default)]
 pub struct HubAggregator {
-    statuses: BTreeMap<Name, (Timestamp, GatewayStatus)>,
-    digests: BTreeMap<Name, (Timestamp, GatewayDigest)>,
+    statuses: BTreeMap<Name, Received<GatewayStatus>>,
+    digests: BTreeMap<Name, Received<GatewayDigest>>,
     for_hubs: Vec<RelayedStoreUpdate>,
     for_entries: Vec<RelayedStoreUpdate>,
 }
 
 impl HubAggregator {
-    /// Records the status of an entry of the own failure domain.
-    pub fn record_status(&mut self, now: Timestamp, entry: &Name, status: GatewayStatus) {
-        self.statuses.insert(entry.clone(), (now, status));
+    /// Records the status of an entry of the own failure domain, which was made after `made_after`,
+    /// if that is known.
+    pub fn record_status(
+        &mut self,
+        now: Timestamp,
+        made_after: Option<Timestamp>,
+        entry: &Name,
+        status: GatewayStatus,
+    ) {
+        let received = Received {
+            at: now,
+            made_after,
+            message: status,
+        };
+        self.statuses.insert(entry.clone(), received);
     }
 
-    /// Records another hub's digest.
-    pub fn record_digest(&mut self, now: Timestamp, hub: &Name, digest: GatewayDigest) {
-        self.digests.insert(hub.clone(), (now, digest));
+    /// Records another hub's digest, which was made after `made_after`, if that is known.
+    pub fn record_digest(
+        &mut self,
+        now: Timestamp,
+        made_after: Option<Timestamp>,
+        hub: &Name,
+        digest: GatewayDigest,
+    ) {
+        let received = Received {
+            at: now,
+            made_after,
+            message: digest,
+        };
+        self.digests.insert(hub.clone(), received);
     }
 
     /// Other hubs whose last digest has not expired.
     #[must_use]
     pub fn live_hubs(&self, now: Timestamp) -> Vec<Name> {
-        let fresh = self
-            .digests
-            .iter()
-            .filter(|(_, (at, _))| now < *at + STATUS_TTL);
+        let fresh = self.digests.iter().filter(|(_, d)| d.is_fresh(now));
         fresh.map(|(hub, _)| hub.clone()).collect()
     }
 
@@ -68,18 +109,21 @@
         own: &DomainHub,
         own_status: GatewayStatus,
     ) -> (GatewayDigest, GatewayDigest) {
-        self.statuses.retain(|_, (at, _)| now < *at + STATUS_TTL);
-        self.digests.retain(|_, (at, _)| now < *at + STATUS_TTL);
-        let mut domain = GatewayDigest::from_status(name_hash(&own.entry), own_status);
+        self.statuses.retain(|_, status| status.is_fresh(now));
+        self.digests.retain(|_, digest| digest.is_fresh(now));
+        let own_hash = name_hash(&own.entry);
+        let mut domain = GatewayDigest::from_status(own_hash, own_status, Some(Duration::ZERO));
         domain.hubs.push(own.clone());
-        for (entry, (at, status)) in &self.statuses {
-            let status = status.clone().aged_by(now.saturating_sub(*at));
-            domain.merge(&GatewayDigest::from_status(name_hash(entry), status));
+        for (entry, received) in &self.statuses {
+            let status = received.message.clone();
+            let status = status.aged_by(now.saturating_sub(received.at));
+            let age = received.age(now).filter(|age| *age < FETCH_LEASE);
+            domain.merge(&GatewayDigest::from_status(name_hash(entry), status, age));
         }
         let mut all = domain.clone();
-        for (at, digest) in self.digests.values() {
-            let mut digest = digest.clone();
-            digest.merged = digest.merged.aged_by(now.saturating_sub(*at));
+        for received in self.digests.values() {
+            let mut digest = received.message.clone().aged_by(received.age(now));
+            digest.merged = digest.merged.aged_by(now.saturating_sub(received.at));
             all.merge(&digest);
         }
         domain.store_updates = std::mem::take(&mut self.for_hubs);
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -223,6 +223,12 @@
         self.models.get(model)?.newest()
     }
 
+    /// Number of models of which a version was declared or loaded.
+    #[must_use]
+    pub fn model_count(&self) -> usize {
+        self.models.len()
+    }
+
     /// The newest version declared for any model.
     #[must_use]
     pub fn newest(&self) -> Option<u64> {
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -15,7 +15,7 @@
 const QUARANTINED: &str = "targets ended one after the other with equal requests or with a part of its \
      prompt, so it was not sent";
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 34] = [
+const STATE_EVENTS: [&str; 36] = [
     "target_unreachable",
     "target_unlisted",
     "target_path",
@@ -46,10 +46,12 @@
     "part_quarantined",
     "part_cleared",
     "order",
+    "context_freed",
     "context_store_lost",
     "context_store_regained",
     "started",
     "drain_started",
+    "fetch_lease",
 ];
 
 /// Steps of a request and their context.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -21,6 +21,7 @@
 pub(crate) mod relay;
 mod relayed_store_update;
 mod rendezvous;
+mod round_trip;
 
 pub use builder::MeshBuilder;
 pub use claim_calls::ClaimServer;
@@ -38,3 +39,4 @@
 pub use relay::{RelayError, RelayFailure, RelayServer, RelayedTarget};
 pub use relayed_store_update::RelayedStoreUpdate;
 pub use rendezvous::{BRIDGES_PER_DOMAIN, rendezvous_key, rendezvous_rank};
+pub use round_trip::{RoundTrip, RoundTripClock};
--- a/src/peer/gateway_status.rs
+++ b/src/peer/gateway_status.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::whole_millis;
 use crate::gateway::{TargetLoad, WatchedKind};
+use crate::peer::RoundTrip;
 use crate::prelude::*;
 use crate::rate_limit::LimitReport;
 use crate::stream_origin::StreamOrigin;
@@ -44,6 +45,13 @@
     /// first, and half of it, selected by hash, for versions below the second.
     #[serde(rename = "x", default)]
     pub retired_below: (u64, u64),
+    /// Whether this includes all that earlier processes of the entry had retired, as far as anybody
+    /// may still go by it. Missing from earlier builds, whose word does not count.
+    #[serde(rename = "y", default, skip_serializing_if = "std::ops::Not::not")]
+    pub retired_counts: bool,
+    /// Proof of how recent this state is; not in every message of a small system.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub round_trip: Option<RoundTrip>,
     /// Weight versions that targets report, by name hash; they may be newer than the versions
     /// in the platform's store.
     #[serde(rename = "v", default)]
@@ -96,8 +104,8 @@
     }
 
     /// Merges another entry's state: sums of loads, unions of target sets, newest versions and
-    /// limits, largest ages and highest bounds of retired context. The revisions and confirmations
-    /// stay as they are.
+    /// limits, largest ages and highest bounds of retired context. The revisions, confirmations and
+    /// the proof of how recent they are stay as they are.
     pub fn merge(&mut self, other: &Self) {
         for (target, load) in &other.loads {
             match self.loads.iter_mut().find(|(key, _)| key == target) {
--- a/src/platform/revision.rs
+++ b/src/platform/revision.rs
@@ -7,6 +7,9 @@
 /// Bits that hold the revision within its era; the era has the others.
 const REVISION_BITS: u32 = 40;
 
+/// Era of a store that was never restored, if it states one.
+const FIRST_ERA: u64 = 1;
+
 /// Revision of a store together with the era in which the store gave it out. The era rises by one
 /// each time the store is restored from an older copy, after which revisions are given out again.
 /// Revisions are ordered by era first, so one of a later era is always greater. In a store that
@@ -40,6 +43,12 @@
         self.0 >> REVISION_BITS
     }
 
+    /// Whether the store was never restored from an older copy.
+    #[must_use]
+    pub fn is_of_first_era(self) -> bool {
+        self.era() <= FIRST_ERA
+    }
+
     /// Revision within the era, as the store states it.
     #[must_use]
     pub fn number(self) -> u64 {
--- a/tests/context_store.rs
+++ b/tests/context_store.rs
@@ -53,7 +53,7 @@
 /// A directory of two empty stores that have answered: store 1 with boot epoch 7, store 2 with 8.
 fn directory() -> StoreDirectory {
     let mut directory = StoreDirectory::default();
-    directory.restrict_fetches(RetiredVersions::default(), true);
+    directory.restrict_fetches(RetiredVersions::default(), Duration::MAX);
     assert_eq!(directory.set_stores(&[info(1), info(2)]).len(), 2);
     assert!(!directory.apply_changes(Duration::ZERO, store(1), update(7, 1, &[])));
     assert!(!directory.apply_changes(Duration::ZERO, store(2), update(8, 1, &[])));
@@ -154,7 +154,7 @@
 fn plan_of_an_entry_that_starts_saves_at_stores_that_hold_parts() {
     let first_save = |first: StoreUpdate| {
         let mut directory = StoreDirectory::default();
-        directory.restrict_fetches(RetiredVersions::default(), true);
+        directory.restrict_fetches(RetiredVersions::default(), Duration::MAX);
         directory.set_stores(&[info(1)]);
         if directory.apply_changes(ms(0), store(1), first.clone()) {
             directory.apply_list(ms(0), store(1), update(7, 9, &[("1", "o", 1_000)]));
@@ -232,7 +232,7 @@
         all_below: 2,
         half_below: 2,
     };
-    directory.restrict_fetches(retired, true);
+    directory.restrict_fetches(retired, Duration::MAX);
     assert_eq!(plan(&mut directory, 20, "p"), (None, None));
     let mut unused = directory.freeable_parts(ms(20), retired);
     assert_eq!(unused.len(), 1);
@@ -251,7 +251,7 @@
     let mut watcher = directory();
     watcher.apply_changes(ms(10), store(1), update(7, 5, &[("1", "p", 1_000)]));
     let mut peer = StoreDirectory::default();
-    peer.restrict_fetches(RetiredVersions::default(), true);
+    peer.restrict_fetches(RetiredVersions::default(), Duration::MAX);
     peer.set_stores(&[info(1), info(2)]);
     (watcher, peer)
 }
--- a/tests/hubs.rs
+++ b/tests/hubs.rs
@@ -148,7 +148,7 @@
         match message {
             Message::Status(status) => {
                 self.loads.record(now, &from.name, status.loads.clone());
-                self.aggregator.record_status(now, &from.name, status);
+                self.aggregator.record_status(now, None, &from.name, status);
             }
             Message::Digest(digest) if from.domain == self.peer.domain => {
                 if self.selector.current() != Some(&from.name) {
@@ -162,7 +162,7 @@
             Message::Digest(digest) => {
                 let loads = digest.merged.loads.clone();
                 self.loads.record(now, &from.name, loads);
-                self.aggregator.record_digest(now, &from.name, digest);
+                self.aggregator.record_digest(now, None, &from.name, digest);
             }
         }
     }
@@ -252,14 +252,23 @@
 fn digest_retired_by_all_is_minimum_and_merged_is_maximum() {
     let status = |below| GatewayStatus {
         retired_below: (below, below + 1),
+        retired_counts: true,
         ..GatewayStatus::default()
     };
+    let forgetful = GatewayStatus {
+        retired_counts: false,
+        ..status(2)
+    };
     let mut aggregator = HubAggregator::default();
     let now = Duration::from_secs(1);
-    aggregator.record_status(now, &"b".into(), status(3));
-    aggregator.record_status(now, &"c".into(), status(5));
+    let made_after = Some(Duration::from_millis(700));
+    aggregator.record_status(now, made_after, &"b".into(), status(3));
+    aggregator.record_status(now, made_after, &"c".into(), status(5));
+    aggregator.record_status(now, None, &"of unknown age".into(), status(1));
+    aggregator.record_status(now, made_after, &"restarted".into(), forgetful);
     let (digest, _) = aggregator.digests(now, &domain_hub("a"), status(4));
     assert_eq!(digest.retired_by_all, (3, 4));
+    assert_eq!(digest.entries_age_ms, Some(300));
     assert_eq!(digest.merged.retired_below, (5, 6));
     let names: Vec<Name> = ["a", "b", "c"].map(Name::from).into();
     let mut entries = digest.entries.clone();
@@ -268,42 +277,65 @@
     expected.sort_unstable();
     assert_eq!(entries, expected);
 
-    // An entry frees only what the digest covers for every entry in the platform store.
+    // An entry frees only what the digest covers for a majority of the entries in the platform store.
     let freed_for = |listed: &[Name]| {
         let mut retirement = RetirementTracker::default();
+        retirement.recall(Duration::ZERO, 0);
         let mut freed = RetiredVersions::default();
         retirement.retire(RetiredVersions {
             all_below: 5,
             half_below: 6,
         });
-        for ms in (0..4_000).step_by(150) {
+        for ms in (0..7_000).step_by(150) {
             let now = Duration::from_millis(ms);
-            retirement.record_retired_by_all(
-                now,
-                &digest.entries,
-                RetiredVersions {
-                    all_below: digest.retired_by_all.0,
-                    half_below: digest.retired_by_all.1,
-                },
-            );
+            let retired = RetiredVersions {
+                all_below: digest.retired_by_all.0,
+                half_below: digest.retired_by_all.1,
+            };
+            for entry in &digest.entries {
+                retirement.record_report(now, *entry, retired);
+            }
             freed = retirement.freeable(now, listed);
         }
         freed
     };
     assert_eq!(freed_for(&names).all_below, 3);
-    let more: Vec<Name> = names.iter().cloned().chain(["d".into()]).collect();
+    let silent = ["d", "e", "f", "g"].map(Name::from);
+    let more: Vec<Name> = names.iter().cloned().chain(silent).collect();
     assert_eq!(freed_for(&more), RetiredVersions::default());
 }
 
+/// Guards against a hub that passes on an old report as if it were new.
+#[test]
+fn digest_ages_reports_until_they_do_not_count() {
+    let digest = GatewayDigest {
+        entries: vec![1, 2],
+        entries_age_ms: Some(900),
+        ..GatewayDigest::default()
+    };
+    let after = |ms| digest.clone().aged_by(Some(Duration::from_millis(ms)));
+    assert_eq!(after(400).entries_age_ms, Some(1_300));
+    assert_eq!(after(400).entries, [1, 2]);
+    assert!(after(2_200).entries.is_empty(), "older than a lease");
+    assert!(digest.clone().aged_by(None).entries.is_empty());
+    let of_earlier_build = GatewayDigest {
+        entries_age_ms: None,
+        ..digest
+    };
+    let aged = of_earlier_build.aged_by(Some(Duration::ZERO));
+    assert!(aged.entries.is_empty());
+}
+
 #[test]
 fn hub_aggregator_omits_expired_statuses() {
     let mut aggregator = HubAggregator::default();
-    aggregator.record_status(Duration::ZERO, &"b".into(), GatewayStatus::default());
-    let (digest, _) = aggregator.digests(
-        Duration::from_secs(2),
-        &domain_hub("a"),
-        GatewayStatus::default(),
-    );
+    let status = GatewayStatus {
+        retired_counts: true,
+        ..GatewayStatus::default()
+    };
+    let at = Duration::ZERO;
+    aggregator.record_status(at, Some(at), &"b".into(), status.clone());
+    let (digest, _) = aggregator.digests(Duration::from_secs(2), &domain_hub("a"), status);
     assert_eq!(digest.entries, [name_hash("a")]);
 }
 
@@ -320,6 +352,7 @@
     let own = status(900, &[(21, 4)]);
     aggregator.record_status(
         Duration::ZERO,
+        None,
         &"b".into(),
         status(800, &[(21, 4), (21, 3)]),
     );
--- a/tests/peer_compatibility.rs
+++ b/tests/peer_compatibility.rs
@@ -11,7 +11,7 @@
 
 use ciborium::Value;
 use guavahold::domain_scheduler::{CallStep, Decision, SchedulerCall, SchedulerReply};
-use guavahold::peer::{CodecError, PeerMessage, decode, encode};
+use guavahold::peer::{CodecError, PeerMessage, RoundTrip, decode, encode};
 use guavahold::residency::AllowedDomains;
 
 fn recorded_path(name: &str) -> PathBuf {
@@ -128,6 +128,14 @@
     let step = CallStep::Arrive(Box::new(arrival));
     let mut status = samples::status();
     status.undated_versions = vec![(21, 4)];
+    status.retired_counts = true;
+    status.round_trip = Some(RoundTrip {
+        clock: 3,
+        echoes: vec![(4, 5)],
+    });
+    let mut digest = samples::digest();
+    digest.entries_age_ms = Some(700);
+    digest.merged.round_trip.clone_from(&status.round_trip);
     let decision = Decision::Dispatch(Box::new(samples::grant()));
     let sent = [
         (
@@ -139,7 +147,7 @@
             PeerMessage::SchedulerReply(SchedulerReply { id: 5, decision }),
         ),
         ("gateway", PeerMessage::Gateway(Box::new(status))),
-        ("digest", PeerMessage::Digest(Box::new(samples::digest()))),
+        ("digest", PeerMessage::Digest(Box::new(digest))),
     ];
     for (name, message) in sent {
         let understood = decode_as_previous(&encode(&message));
--- a/tests/peer_compatibility/samples.rs
+++ b/tests/peer_compatibility/samples.rs
@@ -182,7 +182,10 @@
             queued: 6,
         }],
         store_updates: vec![store_update()],
-        ..GatewayDigest::from_status(24, status())
+        entries: vec![24],
+        retired_by_all: status().retired_below,
+        merged: status(),
+        ..GatewayDigest::default()
     }
 }
 
--- a/tests/retirement.rs
+++ b/tests/retirement.rs
@@ -1,165 +1,199 @@
-//! Agreement of all entries on which weight versions' stored context may be freed.
+//! Which stored context entries fetch and which they free, without a network.
+
+#[path = "retirement/simulation.rs"]
+mod simulation;
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use guavahold::context_store::{FETCH_TIMEOUT, RetiredVersions, RetirementTracker};
+use guavahold::context_store::{
+    FETCH_LEASE, FREE_DELAY, FetchLease, RetiredVersions, RetirementTracker,
+};
+use guavahold::gateway::{HUB_INTERVAL, INTERVAL_JITTER, ROUND_TRIP_INTERVAL, STATUS_INTERVAL};
+use guavahold::name_hash::name_hash;
 use guavahold::prelude::Name;
-use proptest::prelude::*;
+use simulation::{Simulation, SimulationCfg};
+
+/// Seeds that CI plays.
+const SEEDS: u64 = 300;
+/// Seeds that the long run plays.
+const LONG_SEEDS: u64 = 5_000;
+
+const RETIRED: RetiredVersions = RetiredVersions {
+    all_below: 2,
+    half_below: 3,
+};
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
-/// A simulated entry; times in milliseconds.
-#[derive(Default)]
-struct Entry {
-    retirement: RetirementTracker,
-    /// Latest end of its fetches of a part of version 1.
-    fetching_until: u64,
-    paused_until: u64,
+fn names(names: &[&str]) -> Vec<Name> {
+    names.iter().map(|name| Name::from(*name)).collect()
 }
 
-#[derive(Clone, Debug)]
-enum Step {
-    /// All entries exchange reports, except over the cut links between these pairs.
-    Reports(Vec<(usize, usize)>),
-    /// An entry learns of version 2 and retires version 1.
-    Retire(usize),
-    /// An entry begins a fetch of version 1 if it may.
-    Fetch(usize),
-    /// An entry is suspended for this many milliseconds.
-    Pause(usize, u64),
-    /// An entry determines what may be freed.
-    Free(usize),
+fn record(tracker: &mut RetirementTracker, at: Duration, peer: &str, retired: RetiredVersions) {
+    tracker.record_report(at, name_hash(peer), retired);
 }
 
-const ENTRIES: usize = 4;
-
-fn step() -> impl Strategy<Value = Step> {
-    let entry = 0..ENTRIES;
-    prop_oneof![
-        6 => prop::collection::vec((0..ENTRIES, 0..ENTRIES), 0..4).prop_map(Step::Reports),
-        1 => entry.clone().prop_map(Step::Retire),
-        4 => entry.clone().prop_map(Step::Fetch),
-        1 => (entry.clone(), 100_u64..5_000).prop_map(|(n, t)| Step::Pause(n, t)),
-        4 => entry.prop_map(Step::Free),
-    ]
+/// A tracker that knows what was retired before its process started.
+fn recalled() -> RetirementTracker {
+    let mut tracker = RetirementTracker::default();
+    tracker.recall(ms(0), 0);
+    tracker
 }
 
-fn name(n: usize) -> Name {
-    format!("entry-{n}").into()
+fn lease(tracker: &RetirementTracker, now: Duration, others: &[&str]) -> FetchLease {
+    tracker.fetch_lease(now, Some(&names(others)))
 }
 
-fn simulate(steps: Vec<(u64, Step)>) {
-    let mut entries: BTreeMap<usize, Entry> = (0..ENTRIES).map(|n| (n, Entry::default())).collect();
-    let all: Vec<Name> = (0..ENTRIES).map(name).collect();
-    let mut now = 0;
-    for (pause, step) in steps {
-        now += pause;
-        let awake = |entries: &BTreeMap<usize, Entry>, n: usize| entries[&n].paused_until <= now;
-        match step {
-            Step::Reports(cut) => {
-                let awake: Vec<usize> = (0..ENTRIES).filter(|n| awake(&entries, *n)).collect();
-                for from in &awake {
-                    let report = entries[from].retirement.retired();
-                    for to in awake.iter().filter(|to| *to != from) {
-                        if cut.contains(&(*from, *to)) || cut.contains(&(*to, *from)) {
-                            continue;
-                        }
-                        let to = entries.get_mut(to).unwrap();
-                        to.retirement.record_status(ms(now), &name(*from), report);
-                    }
-                }
-            }
-            Step::Retire(n) if awake(&entries, n) => {
-                let retired = RetiredVersions {
-                    all_below: 2,
-                    half_below: 2,
-                };
-                entries.get_mut(&n).unwrap().retirement.retire(retired);
-            }
-            Step::Fetch(n) if awake(&entries, n) => {
-                let entry = entries.get_mut(&n).unwrap();
-                let retired = entry.retirement.retired().covers(1, "p");
-                if entry.retirement.may_fetch(Some(ENTRIES)) && !retired {
-                    let timeout = u64::try_from(FETCH_TIMEOUT.as_millis()).unwrap();
-                    entry.fetching_until = now + timeout;
-                }
-            }
-            Step::Pause(n, length) => entries.get_mut(&n).unwrap().paused_until = now + length,
-            Step::Free(n) if awake(&entries, n) => {
-                let others: Vec<Name> = all.iter().filter(|o| **o != name(n)).cloned().collect();
-                let freed = entries
-                    .get_mut(&n)
-                    .unwrap()
-                    .retirement
-                    .freeable(ms(now), &others);
-                if freed.covers(1, "p") {
-                    for (fetcher, entry) in &entries {
-                        assert!(
-                            entry.fetching_until <= now,
-                            "entry {n} frees at {now} ms what entry {fetcher} is fetching"
-                        );
-                    }
-                }
-            }
-            Step::Retire(_) | Step::Fetch(_) | Step::Free(_) => {}
-        }
+/// Guards against context that is freed in a store while an entry that is cut off, stood still, was
+/// restarted or is told of it late still fetches it.
+#[test]
+fn retirement_frees_no_part_during_a_fetch() {
+    for seed in 0..SEEDS {
+        Simulation::play(&SimulationCfg::default(), seed).assert_sound(seed);
     }
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+/// Guards against leases and waits that nobody outlives: in a sound system entries fetch, and what is
+/// retired is freed; one entry that is cut off for good prevents neither.
+#[test]
+fn retirement_frees_although_an_entry_is_cut_off() {
+    for seed in 0..SEEDS / 10 {
+        let cfg = SimulationCfg {
+            faults: false,
+            silent_entry: true,
+            ..SimulationCfg::default()
+        };
+        let outcome = Simulation::play(&cfg, seed);
+        outcome.assert_sound(seed);
+        assert!(outcome.fetches > 100, "seed {seed}: {outcome:?}");
+        assert!(outcome.frees > 0, "seed {seed}: {outcome:?}");
+    }
+}
 
-    /// Stores do not check whether a part is being fetched, so entries must not free one during a
-    /// fetch. Links are cut and entries suspended at random.
-    #[test]
-    fn retirement_frees_no_part_during_a_fetch(
-        steps in prop::collection::vec((0_u64..200, step()), 1..200)
-    ) {
-        simulate(steps);
+#[test]
+#[ignore = "long"]
+fn retirement_long() {
+    let seed = std::env::var("RETIREMENT_SEED").ok();
+    let first = seed.map_or_else(|| fastrand::u64(..u64::MAX / 2), |s| s.parse().unwrap());
+    println!("from seed {first}");
+    let mut freed = 0;
+    for seed in first..first + LONG_SEEDS {
+        let outcome = Simulation::play(&SimulationCfg::default(), seed);
+        outcome.assert_sound(seed);
+        freed += u64::from(outcome.frees > 0);
     }
+    println!("{LONG_SEEDS} seeds, freed in {freed}");
+}
+
+/// Time that a message takes to arrive and be applied.
+const TRANSIT: Duration = Duration::from_millis(100);
+
+/// Guards against leases that end between two messages of a sound system. docs/design/context-leases.md
+/// has the same sums.
+#[test]
+fn fetch_lease_outlasts_the_exchange_of_reports() {
+    let longest = |interval: Duration| interval.mul_f64(1.0 + INTERVAL_JITTER);
+    let small = 2 * (ROUND_TRIP_INTERVAL + longest(STATUS_INTERVAL) + TRANSIT);
+    // From an entry to its hub, to another hub, and to an entry there; each repeats the reading of the
+    // next one's clock.
+    let large = 3 * 2 * (longest(HUB_INTERVAL) + TRANSIT);
+    println!("small {small:?}, large {large:?} of {FETCH_LEASE:?}");
+    assert!(small < FETCH_LEASE && large < FETCH_LEASE);
 }
 
 /// Guards against an entry that has just started, knows no other entry yet and takes itself for the
 /// majority: it would fetch what the others have agreed to free.
 #[test]
-fn may_fetch_waits_until_a_majority_of_the_listed_entries_has_reported() {
-    let mut tracker = RetirementTracker::default();
-    assert!(!tracker.may_fetch(None), "the list has not been read");
-    assert!(!tracker.may_fetch(Some(4)));
-    for n in 1..3 {
-        tracker.record_status(ms(n), &name(1), RetiredVersions::default());
-        tracker.record_status(ms(n), &name(2), RetiredVersions::default());
+fn fetch_lease_needs_reports_of_half_of_the_listed_entries() {
+    let mut tracker = recalled();
+    let unread = tracker.fetch_lease(ms(0), None::<&Vec<Name>>);
+    assert_eq!(unread.until, None, "the list has not been read");
+    let others = ["b", "c", "d", "e"];
+    record(&mut tracker, ms(1), "b", RetiredVersions::default());
+    assert_eq!(lease(&tracker, ms(2), &others).until, None);
+    record(&mut tracker, ms(2), "c", RetiredVersions::default());
+    let three_of_five = lease(&tracker, ms(3), &others);
+    assert_eq!(three_of_five.until, Some(ms(1) + FETCH_LEASE));
+    let unlisted = lease(&tracker, ms(3), &["x", "y", "z", "u"]);
+    assert_eq!(
+        unlisted.until, None,
+        "reports of entries that are not listed"
+    );
+    assert!(lease(&recalled(), ms(0), &[]).until.is_some(), "alone");
+}
+
+/// Guards against an entry that goes on fetching for ever once it has heard of the others.
+#[test]
+fn fetch_lease_ends_with_the_oldest_report_that_it_needs() {
+    let mut tracker = recalled();
+    for (at, peer) in [(100, "b"), (900, "c"), (500, "d")] {
+        record(&mut tracker, ms(at), peer, RetiredVersions::default());
     }
-    assert!(tracker.may_fetch(Some(4)), "three of four");
-    assert!(RetirementTracker::default().may_fetch(Some(1)), "alone");
+    let held = lease(&tracker, ms(1_000), &["b", "c", "d", "e"]);
+    assert_eq!(held.until, Some(ms(500) + FETCH_LEASE));
+    record(&mut tracker, ms(50), "d", RetiredVersions::default());
+    let late = lease(&tracker, ms(1_000), &["b", "c", "d", "e"]);
+    assert_eq!(late, held, "an older report arrives late");
 }
 
-/// A version is freed only after all entries have reported it retired for 2.5 s without a gap; a
-/// listed entry that never reported prevents it.
+/// Guards against an entry that forgets with a restart what it had told others that it retired.
 #[test]
-fn retirement_frees_after_all_entries_agree() {
-    let mut tracker = RetirementTracker::default();
-    let retired = RetiredVersions {
-        all_below: 2,
-        half_below: 3,
-    };
-    tracker.retire(retired);
-    let others: Vec<Name> = vec!["b".into()];
-    tracker.record_status(ms(0), &"b".into(), retired);
+fn retirement_counts_once_an_earlier_process_does_not_matter() {
+    let started = ms(1_000);
+    let mut tracker = RetirementTracker::started_at(started);
+    assert!(!tracker.counts(started));
+    assert!(!tracker.counts(started + FETCH_LEASE + ms(3_000)));
+    assert!(tracker.counts(started + FETCH_LEASE + ms(3_500)));
+    assert_eq!(lease(&tracker, started, &["b"]).until, None);
+    tracker.recall(started, 4);
+    assert!(tracker.counts(started));
+    assert!(tracker.retired().covers(3, "any part"));
+    assert!(!tracker.retired().covers(4, "any part"));
+    tracker.recall(started, 9);
+    assert!(!tracker.retired().covers(4, "any part"), "only once");
+}
+
+/// Context is freed only after a majority has reported it retired for longer than a lease and a fetch
+/// last; an entry that never reported does not prevent it, two of four do.
+#[test]
+fn retirement_frees_after_a_majority_agrees() {
+    let mut tracker = recalled();
+    tracker.retire(RETIRED);
+    let others = names(&["b", "c"]);
+    record(&mut tracker, ms(0), "b", RETIRED);
     assert_eq!(tracker.freeable(ms(0), &others), RetiredVersions::default());
-    tracker.record_status(ms(2_400), &"b".into(), retired);
+    let almost = FREE_DELAY.checked_sub(ms(100)).unwrap();
+    for at in [ms(2_000), ms(4_000), almost] {
+        record(&mut tracker, at, "b", RETIRED);
+        assert_eq!(tracker.freeable(at, &others), RetiredVersions::default());
+    }
+    assert_eq!(tracker.freeable(FREE_DELAY, &others), RETIRED);
+    let half = names(&["b", "c", "d"]);
     assert_eq!(
-        tracker.freeable(ms(2_400), &others),
+        tracker.freeable(FREE_DELAY + ms(1), &half),
         RetiredVersions::default()
     );
-    tracker.record_status(ms(2_500), &"b".into(), retired);
-    assert_eq!(tracker.freeable(ms(2_500), &others), retired);
-    let with_silent: Vec<Name> = vec!["b".into(), "c".into()];
+}
+
+/// The timing starts over when a report expires.
+#[test]
+fn retirement_starts_over_after_a_report_expired() {
+    let mut tracker = recalled();
+    tracker.retire(RETIRED);
+    let others = names(&["b", "c"]);
+    record(&mut tracker, ms(0), "b", RETIRED);
+    tracker.freeable(ms(0), &others);
     assert_eq!(
-        tracker.freeable(ms(2_600), &with_silent),
+        tracker.freeable(ms(3_000), &others),
         RetiredVersions::default()
     );
+    for at in [3_100, 5_000, 7_000] {
+        record(&mut tracker, ms(at), "b", RETIRED);
+        let freed = tracker.freeable(ms(at), &others);
+        assert_eq!(freed, RetiredVersions::default(), "at {at}");
+    }
+    record(&mut tracker, ms(8_600), "b", RETIRED);
+    assert_eq!(tracker.freeable(ms(8_600), &others), RETIRED);
 }
