A request that ends targets within their answers is quarantined

What callers saw: a stream that ends its target 30 ms after its first event came 16 times and ended 16 targets; all others with streams there were cut off with it.

Cause: a broken stream counted against its request only if no event had arrived (record_lost, which the entry's and the hub's schedulers share). Ruled out: an end that is not noticed, evidence that is cleared, entries that count apart (no request_suspected at all).

Change: targets that die in an answer are victims of another kind. Four of both kinds quarantine a request, three let it run alone; two that died before an answer do as before. So a sound stream may lose three targets in a row. A whole run takes one such victim back. Ends of targets that had said that they leave count for nothing. The notice to peers has a field for the new kind; a build before ignores it.

--- a/src/domain_scheduler/server.rs
+++ b/src/domain_scheduler/server.rs
@@ -191,7 +191,7 @@
             } => (id, Decision::Refuse(Refusal::NoTarget { retry_after })),
             Effect::Refuse { id, refusal } => (id, Decision::Refuse(refusal)),
             Effect::Cancel { id, attempt } => (id, Decision::Cancel(attempt)),
-            Effect::Quarantine { .. } | Effect::Probe { .. } => return None,
+            Effect::Quarantine(_) | Effect::Probe { .. } => return None,
         };
         let mut state = self.lock();
         let open = state.open.get_mut(&id)?;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -17,10 +17,8 @@
 use crate::order::OrderController;
 use crate::peer::{LoadUpdate, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::{Role, Vm, VmPhase};
-use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
-use crate::scheduler::{Effect, Event, Signal, TargetInfo};
-use crate::shared_scheduler::QuarantineNotice;
+use crate::scheduler::{Effect, Event, Signal, SuspectRequest, TargetInfo};
 use crate::target::LoadReport;
 use crate::telemetry::log_event;
 
@@ -307,24 +305,16 @@
         while let Ok(effect) = effects.recv().await {
             match effect {
                 Effect::Probe { target, .. } => self.probe_now(&target),
-                Effect::Quarantine {
-                    fingerprint,
-                    victims,
-                    ttl,
-                } => self.broadcast_quarantine(&fingerprint, victims, ttl),
+                Effect::Quarantine(suspect) => self.broadcast_quarantine(suspect),
                 _ => {}
             }
         }
     }
 
-    fn broadcast_quarantine(&self, fingerprint: &BlockKey, victims: Vec<Name>, ttl: Duration) {
+    fn broadcast_quarantine(&self, suspect: SuspectRequest) {
         let peers = self.links.live().into_iter().map(|peer| peer.name);
-        let fingerprint = Name::from(fingerprint.to_string());
-        let notice = self
-            .shared
-            .quarantine_notices
-            .record_sent(fingerprint, victims, ttl, peers);
-        self.links.broadcast(&quarantine_message(notice));
+        let notice = self.shared.quarantine_notices.record_sent(suspect, peers);
+        self.links.broadcast(&notice.into_message());
     }
 
     /// Sends active quarantine notices to peers that joined, and stops waiting for acknowledgements
@@ -337,7 +327,7 @@
         let mut known = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
         for joined in names.difference(&known) {
             for notice in self.shared.quarantine_notices.active() {
-                self.links.send(joined, quarantine_message(notice));
+                self.links.send(joined, notice.into_message());
             }
         }
         *known = names;
@@ -357,15 +347,6 @@
 /// Lower bound of a probe's timeout, which is otherwise the probe interval.
 const MIN_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-fn quarantine_message(notice: QuarantineNotice) -> PeerMessage {
-    PeerMessage::Quarantine {
-        seq: notice.seq,
-        fingerprint: notice.fingerprint,
-        victims: notice.victims,
-        ttl_ms: u64::try_from(notice.ttl.as_millis()).unwrap_or(u64::MAX),
-    }
-}
-
 fn target_info(vm: &Vm) -> Option<TargetInfo> {
     matches!(vm.role, Role::Engine | Role::Service).then(|| TargetInfo {
         name: vm.name.clone(),
--- a/src/entry/peer_handler.rs
+++ b/src/entry/peer_handler.rs
@@ -13,7 +13,7 @@
 use crate::platform::Vm;
 use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
-use crate::scheduler::{Event, Signal};
+use crate::scheduler::{Event, Signal, SuspectRequest};
 
 /// Dispatches peers' messages to the claim table, the control state, the catalog replica and the
 /// scheduler.
@@ -69,14 +69,17 @@
                 seq,
                 fingerprint,
                 victims,
+                answering_victims,
                 ttl_ms,
             } => {
                 if let Ok(fingerprint) = fingerprint.parse::<BlockKey>() {
-                    control.shared.scheduler.submit(Event::Quarantine {
+                    let suspect = SuspectRequest {
                         fingerprint,
                         victims,
+                        answering_victims,
                         ttl: Duration::from_millis(ttl_ms),
-                    });
+                    };
+                    control.shared.scheduler.submit(Event::Quarantine(suspect));
                 }
                 control
                     .links
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -312,11 +312,7 @@
                     let probe = self.clone().probe(target, address);
                     self.executor.spawn(probe).detach();
                 }
-                Effect::Quarantine {
-                    fingerprint,
-                    victims,
-                    ttl,
-                } => self.broadcast_quarantine(&fingerprint, victims, ttl),
+                Effect::Quarantine(suspect) => self.broadcast_quarantine(suspect),
                 _ => {}
             }
         }
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -7,9 +7,8 @@
 use crate::name_hash::name_hash;
 use crate::peer::{GatewayStatus, Mesh, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::StoreRevision;
-use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
-use crate::scheduler::{Event, Signal};
+use crate::scheduler::{Event, Signal, SuspectRequest};
 use crate::store_view::PeerObject;
 
 impl Control {
@@ -227,31 +226,20 @@
     }
 
     /// Sends a quarantine notice to all peers about a request suspected of crashing targets.
-    pub(crate) fn broadcast_quarantine(
-        &self,
-        fingerprint: &BlockKey,
-        victims: Vec<Name>,
-        ttl: Duration,
-    ) {
+    pub(crate) fn broadcast_quarantine(&self, suspect: SuspectRequest) {
         let Some(mesh) = self.mesh.get() else {
             return;
         };
         log::warn!(
-            "event=request_suspected fingerprint={fingerprint} victims={victims:?} ttl_ms={}",
-            ttl.as_millis()
+            "event=request_suspected fingerprint={} victims={:?} answering_victims={:?} ttl_ms={}",
+            suspect.fingerprint,
+            suspect.victims,
+            suspect.answering_victims,
+            suspect.ttl.as_millis()
         );
         let peers = mesh.live().into_iter().map(|peer| peer.name);
-        let fingerprint = Name::from(fingerprint.to_string());
-        let notice = self
-            .shared
-            .quarantine_notices
-            .record_sent(fingerprint, victims, ttl, peers);
-        mesh.broadcast(&PeerMessage::Quarantine {
-            seq: notice.seq,
-            fingerprint: notice.fingerprint,
-            victims: notice.victims,
-            ttl_ms: whole_millis(notice.ttl),
-        });
+        let notice = self.shared.quarantine_notices.record_sent(suspect, peers);
+        mesh.broadcast(&notice.into_message());
     }
 }
 
--- a/src/gateway/peer_handler.rs
+++ b/src/gateway/peer_handler.rs
@@ -5,7 +5,7 @@
 use crate::gateway::control::Control;
 use crate::peer::{PeerEvents, PeerInfo, PeerMessage};
 use crate::prelude::*;
-use crate::scheduler::Event;
+use crate::scheduler::{Event, SuspectRequest};
 
 /// Dispatches peers' messages to the control tasks.
 pub(crate) struct PeerHandler(pub std::sync::OnceLock<Weak<Control>>);
@@ -49,15 +49,17 @@
                 seq,
                 fingerprint,
                 victims,
+                answering_victims,
                 ttl_ms,
             } => {
                 control.send(&from.name, PeerMessage::QuarantineAck { seq });
                 if let Ok(fingerprint) = fingerprint.parse() {
-                    control.submit_to_schedulers(&Event::Quarantine {
+                    control.submit_to_schedulers(&Event::Quarantine(SuspectRequest {
                         fingerprint,
                         victims,
+                        answering_victims,
                         ttl: Duration::from_millis(ttl_ms),
-                    });
+                    }));
                 }
             }
             PeerMessage::QuarantineAck { seq } => {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -84,8 +84,11 @@
         seq: u64,
         /// Fingerprint of customer, route and body.
         fingerprint: Name,
-        /// Targets known to have crashed while they ran it.
+        /// Targets known to have crashed while they ran it, before they began to answer.
         victims: Vec<Name>,
+        /// Targets known to have crashed while they answered it.
+        #[serde(rename = "answering", default, skip_serializing_if = "Vec::is_empty")]
+        answering_victims: Vec<Name>,
         /// Remaining time of the quarantine, in milliseconds; zero while it is only suspected.
         ttl_ms: u64,
     },
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -22,6 +22,7 @@
 mod request;
 mod reservations;
 mod settings;
+mod suspect_request;
 mod suspect_requests;
 mod warm_up;
 
@@ -34,4 +35,5 @@
 pub use machine::Scheduler;
 pub use refusal::Refusal;
 pub use settings::{Placement, RetryBurst, SchedulerSettings};
+pub use suspect_request::SuspectRequest;
 pub use warm_up::{WarmUpPlan, WarmUpReason, WarmingTarget};
--- a/src/scheduler/effect.rs
+++ b/src/scheduler/effect.rs
@@ -4,9 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
-use crate::scheduler::{LoadEstimate, Refusal, RequestId};
+use crate::scheduler::{LoadEstimate, Refusal, RequestId, SuspectRequest};
 
 /// An action that the program carries out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -57,14 +56,7 @@
         attempt: u32,
     },
     /// Notify the peers of a suspected or quarantined request.
-    Quarantine {
-        /// Fingerprint of the request.
-        fingerprint: BlockKey,
-        /// Targets that died while running it.
-        victims: Vec<Name>,
-        /// Remaining time of the quarantine; zero while the request is only suspected.
-        ttl: Duration,
-    },
+    Quarantine(SuspectRequest),
     /// Try a new connection to a target and report the result as a signal, and the load report if
     /// the target sends one.
     Probe {
@@ -83,7 +75,7 @@
             Self::Dispatch { id, .. } | Self::Refuse { id, .. } | Self::Cancel { id, .. } => {
                 Some(*id)
             }
-            Self::Quarantine { .. } | Self::Probe { .. } => None,
+            Self::Quarantine(_) | Self::Probe { .. } => None,
         }
     }
 }
--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -11,7 +11,7 @@
 use crate::prelude::*;
 use crate::rate_limit::RateShare;
 use crate::residency::AllowedDomains;
-use crate::scheduler::WarmUpPlan;
+use crate::scheduler::{SuspectRequest, WarmUpPlan};
 use crate::target::LoadReport;
 
 /// Number of a request, unique within one entry process.
@@ -253,14 +253,7 @@
     #[serde(rename = "entries")]
     EntryCount(u32),
     /// A peer suspects a request of crashing targets, or has put it into quarantine.
-    Quarantine {
-        /// Fingerprint of the request.
-        fingerprint: BlockKey,
-        /// Targets that died while running it.
-        victims: Vec<Name>,
-        /// Remaining time of the quarantine; zero while the request is only suspected.
-        ttl: Duration,
-    },
+    Quarantine(SuspectRequest),
     /// The entry is shutting down.
     Drain,
     /// Time has passed: timers that are due run.
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -100,11 +100,7 @@
             Event::WarmUpPlans(plans) => self.apply_warm_up_plans(plans),
             Event::Catalog(catalog) => self.catalog = catalog,
             Event::EntryCount(n) => self.apply_entry_count(n),
-            Event::Quarantine {
-                fingerprint,
-                victims,
-                ttl,
-            } => self.apply_quarantine(&fingerprint, &victims, ttl, effects),
+            Event::Quarantine(suspect) => self.apply_quarantine(&suspect, effects),
             Event::Drain => self.draining = true,
             Event::Tick => {}
         }
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -5,8 +5,10 @@
 use crate::scheduler::backoff::Backoff;
 use crate::scheduler::fleet::TargetIx;
 use crate::scheduler::request::{Attempt, Timer};
-use crate::scheduler::suspect_requests::{Notice, Permission};
-use crate::scheduler::{Effect, Refusal, RequestId, Scheduler, Signal, TargetInfo, WarmUpReason};
+use crate::scheduler::suspect_requests::Permission;
+use crate::scheduler::{
+    Effect, Refusal, RequestId, Scheduler, Signal, SuspectRequest, TargetInfo, WarmUpReason,
+};
 use crate::target::LoadReport;
 
 /// Time after which an unanswered probe counts as failed.
@@ -217,7 +219,7 @@
     }
 
     /// Records a lost exchange with a target and probes it, to find out whether the target died or
-    /// only the connection broke. A request is not to blame if its answer had begun.
+    /// only the connection broke. A request is not to blame for the end of a target that is leaving.
     pub(super) fn record_lost(
         &mut self,
         id: RequestId,
@@ -228,8 +230,11 @@
             return;
         };
         let ix = attempt.target;
-        if !attempt.first_token_received {
-            self.suspects.exchange_lost(&req.arrival.fingerprint, ix);
+        let is_leaving = self.fleet.get(ix).is_some_and(|t| t.health.is_leaving());
+        if !is_leaving {
+            let (fingerprint, answer_began) =
+                (&req.arrival.fingerprint, attempt.first_token_received);
+            self.suspects.exchange_lost(fingerprint, ix, answer_began);
         }
         let listed = self.fleet.get(ix).filter(|t| t.listed);
         match listed.map(|t| t.health.unreachable) {
@@ -309,29 +314,17 @@
         }
     }
 
-    pub(super) fn apply_quarantine(
-        &mut self,
-        fingerprint: &BlockKey,
-        victims: &[Name],
-        ttl: Duration,
-        effects: &mut Vec<Effect>,
-    ) {
-        let notice = self
-            .suspects
-            .merge_notice(self.now, fingerprint, victims, ttl);
+    pub(super) fn apply_quarantine(&mut self, suspect: &SuspectRequest, effects: &mut Vec<Effect>) {
+        let notice = self.suspects.merge_notice(self.now, suspect);
         self.send_notices(notice.into_iter().collect(), effects);
-        self.refuse_waiting(fingerprint, effects);
+        self.refuse_waiting(&suspect.fingerprint, effects);
     }
 
-    fn send_notices(&mut self, notices: Vec<Notice>, effects: &mut Vec<Effect>) {
+    fn send_notices(&mut self, notices: Vec<SuspectRequest>, effects: &mut Vec<Effect>) {
         for notice in notices {
-            let fingerprint = notice.fingerprint;
-            effects.push(Effect::Quarantine {
-                fingerprint,
-                victims: notice.victims,
-                ttl: notice.ttl,
-            });
-            if !notice.ttl.is_zero() {
+            let quarantined = notice.is_quarantined().then_some(notice.fingerprint);
+            effects.push(Effect::Quarantine(notice));
+            if let Some(fingerprint) = quarantined {
                 self.refuse_waiting(&fingerprint, effects);
             }
         }
--- a/src/scheduler/suspect_requests.rs
+++ b/src/scheduler/suspect_requests.rs
@@ -4,24 +4,31 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use fingerprint_state::{FingerprintState, SUSPICION_TIME};
+use fingerprint_state::{FingerprintState, LostExchange, QUARANTINE_VICTIMS, SUSPICION_TIME};
 
 use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
+use crate::scheduler::SuspectRequest;
 use crate::scheduler::fleet::TargetIx;
 
-/// Crashed targets that put a request into quarantine. A request that has not yet run to its end is
-/// dispatched to at most this many targets at once, so that it cannot crash more.
-pub(super) const QUARANTINE_VICTIMS: usize = 2;
 /// Wait after a crash for notices from peers that ran the same request.
 const PEER_NOTICE_WAIT: Duration = Duration::from_millis(50);
 /// Most suspected and quarantined requests remembered.
 const MAX_FLAGGED: usize = 4096;
 /// Most requests remembered as proven harmless.
 const MAX_PROVEN: usize = 16_384;
-/// Most victims named in a notice.
+/// Most victims of each kind named in a notice.
 const MAX_NOTICE_VICTIMS: usize = 4;
 
+/// A target that died while running a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Victim {
+    /// Name of the target.
+    pub(super) name: Name,
+    /// Whether it had begun its answer.
+    pub(super) answer_began: bool,
+}
+
 /// Where a request may be dispatched.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Permission {
@@ -38,17 +45,6 @@
     Quarantined(Timestamp),
 }
 
-/// A suspicion or quarantine to send to the peers.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Notice {
-    /// Fingerprint of the request.
-    pub(super) fingerprint: BlockKey,
-    /// Targets that died while running it.
-    pub(super) victims: Vec<Name>,
-    /// Remaining time of the quarantine; zero while the request is only suspected.
-    pub(super) ttl: Duration,
-}
-
 /// Runs and crashes of requests, by fingerprint; the number of fingerprints is bounded.
 ///
 /// A lost exchange is unresolved until a probe shows whether its target died. If it did, the target
@@ -85,16 +81,17 @@
         if let Some(until) = state.quarantined_until.filter(|until| now < *until) {
             return Permission::Quarantined(until);
         }
-        if !state.unresolved.is_empty() {
+        if !state.unresolved.is_empty() && state.may_be_suspected() {
             return Permission::Wait;
         }
-        let suspected = !state.victims.is_empty() && now < state.last_death + SUSPICION_TIME;
+        let suspected = state.is_suspected() && now < state.last_death + SUSPICION_TIME;
         let awaiting_peers = now < state.last_death + PEER_NOTICE_WAIT;
         if suspected && (awaiting_peers || !state.running.is_empty()) {
             return Permission::Wait;
         }
         if suspected {
-            return Permission::Alone(state.victims.clone());
+            let victims = state.victims.iter().map(|v| v.name.clone());
+            return Permission::Alone(victims.collect());
         }
         if state.proven_harmless || state.running.len() < QUARANTINE_VICTIMS {
             return Permission::Anywhere;
@@ -106,10 +103,11 @@
         Permission::OnlyOn(targets)
     }
 
-    /// Whether a request has victims or a lost exchange that is unresolved.
+    /// Whether a request has enough victims to be suspected, or has them once its lost exchanges are
+    /// resolved.
     pub(super) fn is_suspected(&self, fingerprint: &BlockKey) -> bool {
         let state = self.states.get(fingerprint);
-        state.is_some_and(|s| !s.victims.is_empty() || !s.unresolved.is_empty())
+        state.is_some_and(FingerprintState::may_be_suspected)
     }
 
     /// Records the start of an attempt.
@@ -126,8 +124,8 @@
         if let Some(at) = state.running.iter().position(|t| *t == target) {
             state.running.swap_remove(at);
         }
-        if done && state.quarantined_until.is_none() {
-            state.victims.clear();
+        if done {
+            state.record_whole_run();
         }
         if done && !state.proven_harmless {
             state.proven_harmless = true;
@@ -138,10 +136,19 @@
         }
     }
 
-    /// Records a lost exchange with `target`, which may have died.
-    pub(super) fn exchange_lost(&mut self, fingerprint: &BlockKey, target: TargetIx) {
+    /// Records a lost exchange with `target`, which may have died; `answer_began` says whether its
+    /// answer had begun.
+    pub(super) fn exchange_lost(
+        &mut self,
+        fingerprint: &BlockKey,
+        target: TargetIx,
+        answer_began: bool,
+    ) {
         let state = self.states.entry(*fingerprint).or_default();
-        state.unresolved.push(target);
+        state.unresolved.push(LostExchange {
+            target,
+            answer_began,
+        });
         self.unresolved
             .entry(target)
             .or_default()
@@ -155,7 +162,7 @@
         now: Timestamp,
         target: TargetIx,
         died: Option<&Name>,
-    ) -> Vec<Notice> {
+    ) -> Vec<SuspectRequest> {
         let Some(fingerprints) = self.unresolved.remove(&target) else {
             return Vec::new();
         };
@@ -164,9 +171,18 @@
             let Some(state) = self.states.get_mut(&fingerprint) else {
                 continue;
             };
-            state.unresolved.retain(|t| *t != target);
+            // If one was lost before an answer, that counts.
+            let lost = state.unresolved.iter().filter(|l| l.target == target);
+            let answer_began = lost.map(|l| l.answer_began).min().unwrap_or_default();
+            state.unresolved.retain(|l| l.target != target);
             match died {
-                Some(victim) => notices.extend(self.add_victim(now, &fingerprint, victim)),
+                Some(name) => {
+                    let victim = Victim {
+                        name: name.clone(),
+                        answer_began,
+                    };
+                    notices.extend(self.add_victim(now, &fingerprint, &victim));
+                }
                 None if state.is_idle() && !state.proven_harmless => {
                     self.states.remove(&fingerprint);
                 }
@@ -180,8 +196,8 @@
         &mut self,
         now: Timestamp,
         fingerprint: &BlockKey,
-        victim: &Name,
-    ) -> Option<Notice> {
+        victim: &Victim,
+    ) -> Option<SuspectRequest> {
         let state = self.states.entry(*fingerprint).or_default();
         if !state.add_victim(now, victim) {
             return None;
@@ -199,23 +215,25 @@
         let Some(state) = self.states.get_mut(fingerprint) else {
             return Duration::ZERO;
         };
-        if state.victims.len() < QUARANTINE_VICTIMS {
+        if !state.is_due() {
             return Duration::ZERO;
         }
         state.quarantined_until = Some(now + self.quarantine_time);
         self.quarantine_time
     }
 
-    fn make_notice(&self, fingerprint: &BlockKey, ttl: Duration) -> Option<Notice> {
+    fn make_notice(&self, fingerprint: &BlockKey, ttl: Duration) -> Option<SuspectRequest> {
         let state = self.states.get(fingerprint)?;
-        Some(Notice {
+        let victims = |answer_began: bool| {
+            let victims = state.victims.iter();
+            let victims = victims.filter(move |v| v.answer_began == answer_began);
+            let names = victims.map(|v| v.name.clone());
+            names.take(MAX_NOTICE_VICTIMS).collect()
+        };
+        Some(SuspectRequest {
             fingerprint: *fingerprint,
-            victims: state
-                .victims
-                .iter()
-                .take(MAX_NOTICE_VICTIMS)
-                .cloned()
-                .collect(),
+            victims: victims(false),
+            answering_victims: victims(true),
             ttl,
         })
     }
@@ -225,14 +243,13 @@
     pub(super) fn merge_notice(
         &mut self,
         now: Timestamp,
-        fingerprint: &BlockKey,
-        victims: &[Name],
-        ttl: Duration,
-    ) -> Option<Notice> {
+        suspect: &SuspectRequest,
+    ) -> Option<SuspectRequest> {
+        let (fingerprint, ttl) = (&suspect.fingerprint, suspect.ttl);
         let state = self.states.entry(*fingerprint).or_default();
         let fresh = state.victims.is_empty();
-        for victim in victims.iter().take(MAX_NOTICE_VICTIMS) {
-            state.add_victim(now, victim);
+        for victim in victims_of(suspect) {
+            state.add_victim(now, &victim);
         }
         if fresh {
             self.flagged.push_back(*fingerprint);
@@ -249,17 +266,12 @@
         self.make_notice(fingerprint, ttl)
     }
 
-    /// Clears the suspicion of requests with a single victim that is among `dead`: targets that
-    /// died together with much of their failure domain.
+    /// Clears the suspicion of requests whose victims are among `dead`: targets that died together
+    /// with much of their failure domain.
     pub(super) fn clear_domain_loss(&mut self, dead: &[Name]) {
         for fingerprint in &self.flagged {
-            let Some(state) = self.states.get_mut(fingerprint) else {
-                continue;
-            };
-            let suspected =
-                state.quarantined_until.is_none() && state.victims.len() < QUARANTINE_VICTIMS;
-            if suspected && state.victims.iter().all(|v| dead.contains(v)) {
-                state.victims.clear();
+            if let Some(state) = self.states.get_mut(fingerprint) {
+                state.clear_domain_loss(dead);
             }
         }
         let states = &self.states;
@@ -304,3 +316,18 @@
         }
     }
 }
+
+/// Victims in a peer's notice.
+fn victims_of(suspect: &SuspectRequest) -> impl Iterator<Item = Victim> {
+    let kinds = [
+        (&suspect.victims, false),
+        (&suspect.answering_victims, true),
+    ];
+    kinds.into_iter().flat_map(|(names, answer_began)| {
+        let names = names.iter().take(MAX_NOTICE_VICTIMS);
+        names.map(move |name| Victim {
+            name: name.clone(),
+            answer_began,
+        })
+    })
+}
--- a/src/shared_scheduler/handle.rs
+++ b/src/shared_scheduler/handle.rs
@@ -208,7 +208,7 @@
         // notices that were issued before its own effect.
         let (notices, others): (Vec<_>, Vec<_>) = effects
             .drain(..)
-            .partition(|effect| matches!(effect, Effect::Quarantine { .. }));
+            .partition(|effect| matches!(effect, Effect::Quarantine(_)));
         let mut count = 0;
         for effect in notices.into_iter().chain(others) {
             if effect.request() == Some(counted) {
@@ -230,7 +230,7 @@
             }
             return;
         }
-        if matches!(effect, Effect::Quarantine { .. }) {
+        if matches!(effect, Effect::Quarantine(_)) {
             self.notices.expect_notice();
         }
         let _ = self.control.try_send(effect);
--- a/src/shared_scheduler/quarantine_notices.rs
+++ b/src/shared_scheduler/quarantine_notices.rs
@@ -7,8 +7,10 @@
 
 use futures_lite::FutureExt;
 
-use crate::clock::coarse_sleep;
+use crate::clock::{coarse_sleep, whole_millis};
+use crate::peer::PeerMessage;
 use crate::prelude::*;
+use crate::scheduler::SuspectRequest;
 
 /// Longest wait for acknowledgements, so that a peer that does not respond delays no caller further.
 const ACK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -20,12 +22,28 @@
 pub struct QuarantineNotice {
     /// Sequence number, which peers repeat in their acknowledgement.
     pub seq: u64,
-    /// Fingerprint of customer, route and body, as hexadecimal digits.
-    pub fingerprint: Name,
-    /// Targets that died while running the request.
-    pub victims: Vec<Name>,
-    /// Remaining time of the quarantine; zero while the request is only suspected.
-    pub ttl: Duration,
+    /// The request.
+    pub suspect: SuspectRequest,
+}
+
+impl QuarantineNotice {
+    /// The message to the peers.
+    #[must_use]
+    pub fn into_message(self) -> PeerMessage {
+        let SuspectRequest {
+            fingerprint,
+            victims,
+            answering_victims,
+            ttl,
+        } = self.suspect;
+        PeerMessage::Quarantine {
+            seq: self.seq,
+            fingerprint: fingerprint.to_string().into(),
+            victims,
+            answering_victims,
+            ttl_ms: whole_millis(ttl),
+        }
+    }
 }
 
 /// Tracks which quarantine notices peers have acknowledged.
@@ -60,18 +78,14 @@
     /// Makes the next notice, which the caller sends to `peers`, and records that it was sent.
     pub fn record_sent(
         &self,
-        fingerprint: Name,
-        victims: Vec<Name>,
-        ttl: Duration,
+        suspect: SuspectRequest,
         peers: impl IntoIterator<Item = Name>,
     ) -> QuarantineNotice {
         let mut state = self.lock();
         state.sent += 1;
         let notice = QuarantineNotice {
             seq: state.sent,
-            fingerprint,
-            victims,
-            ttl,
+            suspect,
         };
         let peers: HashSet<Name> = peers.into_iter().collect();
         if !peers.is_empty() {
@@ -109,13 +123,11 @@
     pub fn active(&self) -> Vec<QuarantineNotice> {
         let state = self.lock();
         let notices = state.recent.iter().filter_map(|(notice, sent_at)| {
-            let ttl = notice.ttl.checked_sub(sent_at.elapsed())?;
-            Some(QuarantineNotice {
-                ttl,
-                ..notice.clone()
-            })
+            let mut notice = notice.clone();
+            notice.suspect.ttl = notice.suspect.ttl.checked_sub(sent_at.elapsed())?;
+            Some(notice)
         });
-        notices.filter(|notice| !notice.ttl.is_zero()).collect()
+        notices.filter(|n| n.suspect.is_quarantined()).collect()
     }
 
     /// Waits until all live peers have acknowledged every notice issued so far, at most half a
--- a/tests/peer_compatibility/samples.rs
+++ b/tests/peer_compatibility/samples.rs
@@ -97,6 +97,7 @@
         seq: 9,
         fingerprint: "abcd".into(),
         victims: vec!["t-1".into()],
+        answering_victims: Vec::new(),
         ttl_ms: 30_000,
     };
     let signal = PeerMessage::TargetSignal {
--- a/tests/request_life/disturbance.rs
+++ b/tests/request_life/disturbance.rs
@@ -9,7 +9,7 @@
 use guavahold::domain_scheduler::{Decision, Grant, SchedulerReply};
 use guavahold::http::RunState;
 use guavahold::prelude::Name;
-use guavahold::scheduler::{Event, Refusal, Signal};
+use guavahold::scheduler::{Event, Refusal, Signal, SuspectRequest};
 
 use crate::links::hub_name;
 use crate::simulation::{key, ms};
@@ -105,11 +105,11 @@
 fn quarantine(world: &World, rng: &mut Rng) {
     let latest = world.arrived.load(Ordering::Relaxed);
     let fingerprint = key(latest.saturating_sub(rng.u64(..STRAY_RANGE)));
-    world.submit(&Event::Quarantine {
+    world.submit(&Event::Quarantine(SuspectRequest::new(
         fingerprint,
-        victims: vec![random_target(rng)],
-        ttl: ms(rng.u64(..2) * 800),
-    });
+        vec![random_target(rng)],
+        ms(rng.u64(..2) * 800),
+    )));
 }
 
 fn evacuate(world: &Arc<World>, hub: usize, time: Duration) {
--- a/tests/scheduler/machine/checked_scheduler.rs
+++ b/tests/scheduler/machine/checked_scheduler.rs
@@ -8,7 +8,7 @@
 use guavahold::catalog::{Policy, PriorityClass};
 use guavahold::prelude::*;
 use guavahold::scheduler::{
-    AttemptOutcome, Event, RequestId, Scheduler, SchedulerSettings, Signal,
+    AttemptOutcome, Event, RequestId, Scheduler, SchedulerSettings, Signal, SuspectRequest,
 };
 
 use super::step::{Step, TARGETS};
@@ -272,11 +272,7 @@
             let until = self.quarantined.entry(n).or_default();
             *until = (*until).max(self.now + ttl);
         }
-        self.submit(Event::Quarantine {
-            fingerprint: key(n),
-            victims,
-            ttl,
-        });
+        self.submit(Event::Quarantine(SuspectRequest::new(key(n), victims, ttl)));
     }
 
     /// Lets all requests end, and checks that the scheduler holds no request or slot.
--- a/tests/scheduler/machine/checks.rs
+++ b/tests/scheduler/machine/checks.rs
@@ -2,7 +2,7 @@
 
 use guavahold::http::RunState;
 use guavahold::prelude::*;
-use guavahold::scheduler::{Effect, Refusal, RequestId};
+use guavahold::scheduler::{Effect, Refusal, RequestId, SuspectRequest};
 
 use super::{Caller, CheckedScheduler, RETRY_BUDGET, TARGETS, domain, name};
 use crate::simulation::key;
@@ -32,13 +32,14 @@
                     "cancelled the only attempt"
                 );
             }
-            Effect::Quarantine {
-                fingerprint,
-                ttl,
-                victims,
-            } => {
-                assert!(!victims.is_empty());
-                assert_eq!(ttl.is_zero(), victims.len() < 2, "{victims:?} for {ttl:?}");
+            Effect::Quarantine(suspect) => {
+                let all = suspect.victims.len() + suspect.answering_victims.len();
+                assert!(all > 0);
+                let due = suspect.victims.len() >= 2 || all >= 4;
+                assert_eq!(suspect.is_quarantined(), due, "{suspect:?}");
+                let SuspectRequest {
+                    fingerprint, ttl, ..
+                } = suspect;
                 let n = (0..30).find(|n| key(*n) == fingerprint).unwrap();
                 if !ttl.is_zero() {
                     self.quarantined.insert(n, self.now + ttl);
--- a/tests/scheduler/refusals.rs
+++ b/tests/scheduler/refusals.rs
@@ -5,7 +5,9 @@
 
 use guavahold::catalog::{Policy, PriorityClass};
 use guavahold::prelude::*;
-use guavahold::scheduler::{Arrival, AttemptOutcome, Effect, Event, Refusal, RequestId, Signal};
+use guavahold::scheduler::{
+    Arrival, AttemptOutcome, Effect, Event, Refusal, RequestId, Signal, SuspectRequest,
+};
 use guavahold::target::LoadReport;
 
 use crate::simulation::{arrival, key, ms, policy, report};
@@ -166,11 +168,11 @@
 
 fn quarantined_by_peer() -> Refusal {
     let mut scheduler = TestScheduler::new(2);
-    scheduler.submit(Event::Quarantine {
-        fingerprint: key(1),
-        victims: vec!["x".into(), "y".into()],
-        ttl: ms(5_000),
-    });
+    scheduler.submit(Event::Quarantine(SuspectRequest::new(
+        key(1),
+        vec!["x".into(), "y".into()],
+        ms(5_000),
+    )));
     scheduler.arrive(1, &quick());
     scheduler.refusal(1)
 }
@@ -182,11 +184,11 @@
         ..arrival(7, "a", &quick())
     };
     scheduler.submit(Event::Arrive(running));
-    scheduler.submit(Event::Quarantine {
-        fingerprint: key(1),
-        victims: vec!["engine-0".into()],
-        ttl: ms(5_000),
-    });
+    scheduler.submit(Event::Quarantine(SuspectRequest::new(
+        key(1),
+        vec!["engine-0".into()],
+        ms(5_000),
+    )));
     for name in ["engine-0", "engine-1", "engine-2"] {
         scheduler.signal(name, Signal::Unreachable);
     }
@@ -199,11 +201,11 @@
     let mut scheduler = TestScheduler::new(1);
     scheduler.arrive(2, &quick());
     scheduler.arrive(1, &quick());
-    scheduler.submit(Event::Quarantine {
-        fingerprint: key(1),
-        victims: vec!["x".into(), "y".into()],
-        ttl: ms(5_000),
-    });
+    scheduler.submit(Event::Quarantine(SuspectRequest::new(
+        key(1),
+        vec!["x".into(), "y".into()],
+        ms(5_000),
+    )));
     scheduler.refusal(1)
 }
 
--- a/tests/scheduler/residency.rs
+++ b/tests/scheduler/residency.rs
@@ -11,7 +11,7 @@
 use guavahold::catalog::{Policy, PriorityClass};
 use guavahold::prelude::*;
 use guavahold::scheduler::{
-    Arrival, AttemptOutcome, Effect, Event, Placement, RequestId, Scheduler, Signal,
+    Arrival, AttemptOutcome, Effect, Event, Placement, RequestId, Scheduler, Signal, SuspectRequest,
 };
 use guavahold::target::LoadReport;
 
@@ -185,11 +185,11 @@
 fn suspected_request_is_isolated_in_allowed_domain() {
     for id in 0..20 {
         let mut scheduler = scheduler(Placement::LeastWork, 1, 8);
-        let quarantine = Event::Quarantine {
-            fingerprint: key(id),
-            victims: vec!["engine-1".into()],
-            ttl: Duration::ZERO,
-        };
+        let quarantine = Event::Quarantine(SuspectRequest::new(
+            key(id),
+            vec!["engine-1".into()],
+            Duration::ZERO,
+        ));
         submit(&mut scheduler, 0, quarantine);
         // By then, peers have told what they know of the request.
         let arrive = Event::Arrive(restricted(id, true));
--- a/tests/scheduler/run_once.rs
+++ b/tests/scheduler/run_once.rs
@@ -8,6 +8,7 @@
 use guavahold::prelude::*;
 use guavahold::scheduler::{
     AttemptOutcome, Effect, Event, Refusal, RequestId, Scheduler, SchedulerSettings, Signal,
+    SuspectRequest,
 };
 
 use crate::simulation::{arrival, key, ms, report, target};
@@ -86,7 +87,7 @@
                 Effect::Dispatch { id, attempt, .. } => self.check_dispatch(id, attempt),
                 Effect::Refuse { id, refusal } => self.check_refusal(id, &refusal),
                 Effect::Cancel { id, attempt } => self.check_cancel(id, attempt),
-                Effect::Quarantine { .. } | Effect::Probe { .. } => {}
+                Effect::Quarantine(_) | Effect::Probe { .. } => {}
             }
         }
     }
@@ -245,11 +246,11 @@
     }
 
     fn quarantine(&mut self) {
-        let event = Event::Quarantine {
-            fingerprint: key(self.rng.u64(..FINGERPRINTS)),
-            victims: (0..=self.rng.u64(..2)).map(name).collect(),
-            ttl: ms(self.rng.u64(..3) * 1_000),
-        };
+        let event = Event::Quarantine(SuspectRequest::new(
+            key(self.rng.u64(..FINGERPRINTS)),
+            (0..=self.rng.u64(..2)).map(name).collect(),
+            ms(self.rng.u64(..3) * 1_000),
+        ));
         self.submit(event);
     }
 
--- a/tests/scheduler/simulation.rs
+++ b/tests/scheduler/simulation.rs
@@ -272,7 +272,7 @@
             Effect::Probe { target, .. } => {
                 self.schedule(self.now + PROBE_DURATION, SimEvent::Probed(target));
             }
-            Effect::Quarantine { .. } => {}
+            Effect::Quarantine(_) => {}
         }
     }
 
--- a/tests/scheduler/traces.rs
+++ b/tests/scheduler/traces.rs
@@ -48,8 +48,14 @@
                 format!("refuse {} {} {}", id.0, refusal.code(), refusal.run())
             }
             Effect::Cancel { id, attempt } => format!("cancel {} attempt {attempt}", id.0),
-            Effect::Quarantine { victims, ttl, .. } => {
-                format!("quarantine {}s for {}", ttl.as_secs(), victims.join(", "))
+            Effect::Quarantine(suspect) => {
+                let victims = suspect.victims.iter().chain(&suspect.answering_victims);
+                let victims: Vec<&str> = victims.map(|name| &**name).collect();
+                format!(
+                    "quarantine {}s for {}",
+                    suspect.ttl.as_secs(),
+                    victims.join(", ")
+                )
             }
             Effect::Probe { target, .. } => format!("probe {target}"),
         };
