Entries that start or were cut off ask which requests end targets

What callers saw: a request that is refused everywhere since it ended two targets ended two more after each restart of an entry, with all that ran there.

Cause: the gateway told a peer that it found of parts of prompts only, and an entry that knew of a quarantine did not answer a peer's mere suspicion. Ruled out: an entry that was told too late (no notice came at all), another fingerprint after the restart (it is the same).

Change: one exchange for parts and requests. An entry asks the first three peers that it finds within 10 s; the answer is one message of at most 256 requests, the latest first, with the remaining time of each quarantine and the age of the latest death, from which all ends count, so that no retelling prolongs one. Who knows of a quarantine answers a mere suspicion.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,6 +6,7 @@
 mod peer_handler;
 mod probe;
 mod probe_assignment;
+mod quarantine;
 mod running_entry;
 mod status;
 mod threads;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -15,10 +15,10 @@
 use crate::entry::probe::{ProbeOutcome, probe};
 use crate::entry::status::EntryStatus;
 use crate::order::OrderController;
-use crate::peer::{LoadUpdate, PeerInfo, PeerLinks, PeerMessage};
+use crate::peer::{JoinQuestions, LoadUpdate, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::{Role, Vm, VmPhase};
 use crate::prelude::*;
-use crate::scheduler::{Effect, Event, Signal, SuspectRequest, TargetInfo};
+use crate::scheduler::{Effect, Event, Signal, TargetInfo};
 use crate::target::LoadReport;
 use crate::telemetry::log_event;
 
@@ -27,6 +27,14 @@
 /// Shortest interval between two scheduler ticks.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Peers as of the last change.
+#[derive(Default)]
+struct Peers {
+    live: HashSet<Name>,
+    /// Bounds the questions to those that are found.
+    questions: JoinQuestions,
+}
+
 /// State of the control thread.
 pub(crate) struct Control {
     /// State shared with the traffic threads.
@@ -43,8 +51,7 @@
     started: Instant,
     targets: Mutex<HashMap<Name, TargetState>>,
     probe_assignment: Mutex<ProbeAssignment>,
-    /// Peers that were live at the last change; each was sent the active quarantine notices.
-    peers: Mutex<HashSet<Name>>,
+    peers: Mutex<Peers>,
     pub(crate) order_controller: Arc<OrderController>,
     vms: Mutex<Vec<Vm>>,
 }
@@ -311,26 +318,21 @@
         }
     }
 
-    fn broadcast_quarantine(&self, suspect: SuspectRequest) {
-        let peers = self.links.live().into_iter().map(|peer| peer.name);
-        let notice = self.shared.quarantine_notices.record_sent(suspect, peers);
-        self.links.broadcast(&notice.into_message());
-    }
-
-    /// Sends active quarantine notices to peers that joined, and stops waiting for acknowledgements
-    /// of peers that are no longer live.
+    /// Asks peers that were found for what they know of requests that crash targets, and stops waiting
+    /// for acknowledgements of peers that are no longer live.
     pub(crate) fn update_quarantine_peers(&self, live: &[PeerInfo]) {
         let names: HashSet<Name> = live.iter().map(|peer| peer.name.clone()).collect();
         self.shared
             .quarantine_notices
             .retain_peers(|name| names.contains(name));
-        let mut known = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        for joined in names.difference(&known) {
-            for notice in self.shared.quarantine_notices.active() {
-                self.links.send(joined, notice.into_message());
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        let Peers { live, questions } = &mut *peers;
+        for found in names.difference(live) {
+            if questions.permit(self.started.elapsed()) {
+                self.links.send(found, PeerMessage::WantSuspectRequests);
             }
         }
-        *known = names;
+        *live = names;
     }
 
     /// Probes a target without waiting for the next round.
--- a/src/entry/peer_handler.rs
+++ b/src/entry/peer_handler.rs
@@ -78,13 +78,18 @@
                         victims,
                         answering_victims,
                         ttl: Duration::from_millis(ttl_ms),
+                        age: Duration::ZERO,
                     };
-                    control.shared.scheduler.submit(Event::Quarantine(suspect));
+                    control.apply_quarantine(&from.name, &suspect);
                 }
                 control
                     .links
                     .send(&from.name, PeerMessage::QuarantineAck { seq });
             }
+            PeerMessage::SuspectRequests(suspects) => {
+                control.apply_suspects(&from.name, &suspects);
+            }
+            PeerMessage::WantSuspectRequests => control.send_suspects(&from.name),
             PeerMessage::QuarantineAck { seq } => {
                 control
                     .shared
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -1,4 +1,4 @@
-//! Messages between entries: status, objects of the platform store, and quarantine notices.
+//! Messages between entries: status, and objects of the platform store.
 
 use crate::clock::whole_millis;
 use crate::context_store::RetiredVersions;
@@ -8,7 +8,7 @@
 use crate::peer::{GatewayStatus, Mesh, PeerInfo, PeerLinks, PeerMessage};
 use crate::platform::StoreRevision;
 use crate::prelude::*;
-use crate::scheduler::{Event, Signal, SuspectRequest};
+use crate::scheduler::{Event, Signal};
 use crate::store_view::PeerObject;
 
 impl Control {
@@ -199,9 +199,13 @@
         for lost in state.peers.iter().filter(|n| !names.contains(n)) {
             log::info!("event=peer_lost peer={lost}");
         }
-        for found in names.iter().filter(|n| !state.peers.contains(n)) {
+        let found = names.iter().filter(|n| !state.peers.contains(n));
+        let found: Vec<Name> = found.cloned().collect();
+        for found in &found {
             log::info!("event=peer_found peer={found}");
-            self.exchange_part_notices(found);
+        }
+        for found in &found {
+            self.exchange_quarantines(&mut state, found);
         }
         // Entries that only this one cannot reach use their part of the retry budget as well.
         let entries = state.entry_count().max(names.len() + 1);
@@ -224,23 +228,6 @@
         drop(state);
         self.shared.scheduler.submit(Event::EntryCount(entries));
     }
-
-    /// Sends a quarantine notice to all peers about a request suspected of crashing targets.
-    pub(crate) fn broadcast_quarantine(&self, suspect: SuspectRequest) {
-        let Some(mesh) = self.mesh.get() else {
-            return;
-        };
-        log::warn!(
-            "event=request_suspected fingerprint={} victims={:?} answering_victims={:?} ttl_ms={}",
-            suspect.fingerprint,
-            suspect.victims,
-            suspect.answering_victims,
-            suspect.ttl.as_millis()
-        );
-        let peers = mesh.live().into_iter().map(|peer| peer.name);
-        let notice = self.shared.quarantine_notices.record_sent(suspect, peers);
-        mesh.broadcast(&notice.into_message());
-    }
 }
 
 /// Logs until when requests may start on weights older than a version, and which entry said so.
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -10,7 +10,7 @@
     ROUND_TRIP_INTERVAL, RegisteredTarget, TargetLoad, TargetTable, WatchedKind, WeightVersions,
 };
 use crate::name_hash::name_hash;
-use crate::peer::{PeerInfo, RoundTrip, RoundTripClock};
+use crate::peer::{JoinQuestions, PeerInfo, RoundTrip, RoundTripClock};
 use crate::platform::Vm;
 use crate::prelude::*;
 use crate::rollout::{RolloutPlanner, RolloutSettings, RolloutTarget};
@@ -43,6 +43,8 @@
     pub loads: LoadTable,
     /// Agreement of the entries on stored context that none of them fetches any more.
     pub retirement: RetirementTracker,
+    /// Bounds the questions to peers that are found.
+    pub join_questions: JoinQuestions,
     /// How recent the messages of peers are.
     pub round_trips: RoundTripClock,
     /// When the status last proved how recent it is, in a small system.
@@ -96,6 +98,7 @@
             versions: WeightVersions::with_deadline(version_deadline),
             loads: LoadTable::default(),
             retirement: RetirementTracker::default(),
+            join_questions: JoinQuestions::default(),
             round_trips: RoundTripClock::new(entry, fastrand::u64(..)),
             round_trip_sent_at: Timestamp::ZERO,
             may_fetch: false,
--- a/src/gateway/peer_handler.rs
+++ b/src/gateway/peer_handler.rs
@@ -5,7 +5,7 @@
 use crate::gateway::control::Control;
 use crate::peer::{PeerEvents, PeerInfo, PeerMessage};
 use crate::prelude::*;
-use crate::scheduler::{Event, SuspectRequest};
+use crate::scheduler::SuspectRequest;
 
 /// Dispatches peers' messages to the control tasks.
 pub(crate) struct PeerHandler(pub std::sync::OnceLock<Weak<Control>>);
@@ -33,6 +33,10 @@
                 let quarantine = &control.shared.prompt_quarantine;
                 quarantine.apply(&from.name, notice);
             }
+            PeerMessage::SuspectRequests(suspects) => {
+                control.apply_suspects(&from.name, &suspects);
+            }
+            PeerMessage::WantSuspectRequests => control.send_suspects(&from.name),
             PeerMessage::WantPromptParts => control.send_part_notices(&from.name),
             PeerMessage::StreamOrigins(origins) => control.record_stream_origins(origins),
             PeerMessage::WantStreamOrigins(wanted) => {
@@ -54,12 +58,14 @@
             } => {
                 control.send(&from.name, PeerMessage::QuarantineAck { seq });
                 if let Ok(fingerprint) = fingerprint.parse() {
-                    control.submit_to_schedulers(&Event::Quarantine(SuspectRequest {
+                    let suspect = SuspectRequest {
                         fingerprint,
                         victims,
                         answering_victims,
                         ttl: Duration::from_millis(ttl_ms),
-                    }));
+                        age: Duration::ZERO,
+                    };
+                    control.apply_quarantine(&from.name, &suspect);
                 }
             }
             PeerMessage::QuarantineAck { seq } => {
--- a/src/gateway/prompt_quarantine.rs
+++ b/src/gateway/prompt_quarantine.rs
@@ -1,6 +1,5 @@
 //! Quarantine of parts of prompts, shared by the request and control tasks.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
@@ -21,8 +20,6 @@
 const TURN: Duration = Duration::from_secs(5);
 /// Most turns that an entry waits.
 const MAX_TURNS: u32 = 12;
-/// Peers that an entry asks after its start.
-const ASKED_PEERS: usize = 3;
 
 /// Receiver of notices for the peers.
 pub(crate) type PartNoticeReceiver = async_channel::Receiver<PartNotice>;
@@ -35,8 +32,6 @@
     /// Live peers, which take turns with this entry in trying a part again.
     peers: ArcSwap<Vec<Name>>,
     table: Mutex<PartQuarantine>,
-    /// Number of peers asked so far.
-    asked: AtomicUsize,
     notices: async_channel::Sender<PartNotice>,
 }
 
@@ -48,7 +43,6 @@
             origin: time_since_boot(),
             peers: ArcSwap::default(),
             table: Mutex::default(),
-            asked: AtomicUsize::new(0),
             notices,
         }
     }
@@ -149,11 +143,6 @@
         self.lock().notices(self.now())
     }
 
-    /// Whether one more peer is to be asked for what it knows; counts it.
-    pub(crate) fn may_ask(&self) -> bool {
-        self.asked.fetch_add(1, Ordering::Relaxed) < ASKED_PEERS
-    }
-
     /// Time after the quarantine of a part from which this entry may try it again. Entries that see
     /// the same live peers try one after the other: prompts with the part may come at any of them.
     fn try_delay(&self, part: &str) -> Duration {
--- a/src/operator/explain.rs
+++ b/src/operator/explain.rs
@@ -15,7 +15,7 @@
 const QUARANTINED: &str = "targets ended one after the other with equal requests or with a part of its \
      prompt, so it was not sent";
 /// Names of log events that change an entry's view of targets, peers, stores or settings.
-const STATE_EVENTS: [&str; 36] = [
+const STATE_EVENTS: [&str; 37] = [
     "target_unreachable",
     "target_unlisted",
     "target_path",
@@ -43,6 +43,7 @@
     "peer_lost",
     "peer_found",
     "request_suspected",
+    "suspect_requests_heard",
     "part_quarantined",
     "part_cleared",
     "order",
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -9,6 +9,7 @@
 use crate::peer::{GatewayDigest, GatewayStatus, LoadUpdate, RelayFailure, RelayedStoreUpdate};
 use crate::platform::Vm;
 use crate::prelude::*;
+use crate::scheduler::SuspectRequest;
 use crate::store_view::PeerObject;
 use crate::stream_origin::{StreamKey, StreamOrigin};
 
@@ -92,6 +93,11 @@
         /// Remaining time of the quarantine, in milliseconds; zero while it is only suspected.
         ttl_ms: u64,
     },
+    /// Requests that crash targets, as far as the sender knows.
+    SuspectRequests(Vec<SuspectRequest>),
+    /// Requests what the receiver knows of such requests, from an entry that has started or was cut
+    /// off.
+    WantSuspectRequests,
     /// Acknowledges [`PeerMessage::Quarantine`].
     #[serde(rename = "quarantine-seen")]
     QuarantineAck {
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -20,6 +20,7 @@
 use std::net::SocketAddr;
 
 use crate::catalog::Catalog;
+use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
 use crate::residency::AllowedDomains;
 use crate::scheduler::fleet::{Fleet, OwnLoad, PoolIx};
@@ -28,7 +29,7 @@
 use crate::scheduler::request::{Request, Timer};
 use crate::scheduler::reservations::Reservations;
 use crate::scheduler::suspect_requests::SuspectRequests;
-use crate::scheduler::{Effect, Event, LoadSpread, RequestId, SchedulerSettings};
+use crate::scheduler::{Effect, Event, LoadSpread, RequestId, SchedulerSettings, SuspectRequest};
 
 /// Admission, placement, retries and hedges of one entry, as a state machine.
 #[derive(Debug)]
@@ -202,6 +203,20 @@
         self.suspects.len()
     }
 
+    /// Requests that are suspected of crashing targets or quarantined, the latest first, at most
+    /// `most`.
+    #[must_use]
+    pub fn suspects(&self, now: Timestamp, most: usize) -> Vec<SuspectRequest> {
+        self.suspects.suspects(now, most)
+    }
+
+    /// What is known of a request that is quarantined; `None` if it is not.
+    #[must_use]
+    pub fn quarantined(&self, now: Timestamp, fingerprint: &BlockKey) -> Option<SuspectRequest> {
+        let suspect = self.suspects.suspect(now, fingerprint);
+        suspect.filter(SuspectRequest::is_quarantined)
+    }
+
     /// Number of broken invariants found; each is a bug in this program.
     #[must_use]
     pub fn broken_invariants(&self) -> u64 {
--- a/src/scheduler/suspect_request.rs
+++ b/src/scheduler/suspect_request.rs
@@ -17,6 +17,9 @@
     pub answering_victims: Vec<Name>,
     /// Remaining time of the quarantine; zero while the request is only suspected.
     pub ttl: Duration,
+    /// Time since the latest of the targets died.
+    #[serde(default, skip_serializing_if = "Duration::is_zero")]
+    pub age: Duration,
 }
 
 impl SuspectRequest {
@@ -29,6 +32,7 @@
             victims,
             answering_victims: Vec::new(),
             ttl,
+            age: Duration::ZERO,
         }
     }
 
--- a/src/scheduler/suspect_requests.rs
+++ b/src/scheduler/suspect_requests.rs
@@ -199,7 +199,7 @@
         victim: &Victim,
     ) -> Option<SuspectRequest> {
         let state = self.states.entry(*fingerprint).or_default();
-        if !state.add_victim(now, victim) {
+        if !state.add_victim(now, now, victim) {
             return None;
         }
         if state.victims.len() == 1 && !self.flagged.contains(fingerprint) {
@@ -207,10 +207,11 @@
         }
         let ttl = self.quarantine_if_due(now, fingerprint);
         self.evict_flagged();
-        self.make_notice(fingerprint, ttl)
+        self.make_notice(now, fingerprint, ttl)
     }
 
-    /// Quarantines a request with enough victims and returns for how long; zero if it has too few.
+    /// Quarantines a request with enough victims, from the latest death on, and returns for how long;
+    /// zero if it has too few.
     fn quarantine_if_due(&mut self, now: Timestamp, fingerprint: &BlockKey) -> Duration {
         let Some(state) = self.states.get_mut(fingerprint) else {
             return Duration::ZERO;
@@ -218,11 +219,17 @@
         if !state.is_due() {
             return Duration::ZERO;
         }
-        state.quarantined_until = Some(now + self.quarantine_time);
-        self.quarantine_time
+        let until = state.last_death + self.quarantine_time;
+        state.quarantined_until = Some(until);
+        until.saturating_sub(now)
     }
 
-    fn make_notice(&self, fingerprint: &BlockKey, ttl: Duration) -> Option<SuspectRequest> {
+    fn make_notice(
+        &self,
+        now: Timestamp,
+        fingerprint: &BlockKey,
+        ttl: Duration,
+    ) -> Option<SuspectRequest> {
         let state = self.states.get(fingerprint)?;
         let victims = |answer_began: bool| {
             let victims = state.victims.iter();
@@ -235,6 +242,7 @@
             victims: victims(false),
             answering_victims: victims(true),
             ttl,
+            age: now.saturating_sub(state.last_death),
         })
     }
 
@@ -245,11 +253,15 @@
         now: Timestamp,
         suspect: &SuspectRequest,
     ) -> Option<SuspectRequest> {
+        if suspect.age >= SUSPICION_TIME {
+            return None;
+        }
         let (fingerprint, ttl) = (&suspect.fingerprint, suspect.ttl);
+        let died_at = now.saturating_sub(suspect.age);
         let state = self.states.entry(*fingerprint).or_default();
         let fresh = state.victims.is_empty();
         for victim in victims_of(suspect) {
-            state.add_victim(now, &victim);
+            state.add_victim(now, died_at, &victim);
         }
         if fresh {
             self.flagged.push_back(*fingerprint);
@@ -263,7 +275,25 @@
         let quarantined = may_quarantine.then(|| self.quarantine_if_due(now, fingerprint));
         self.evict_flagged();
         let ttl = quarantined.filter(|ttl| !ttl.is_zero())?;
-        self.make_notice(fingerprint, ttl)
+        self.make_notice(now, fingerprint, ttl)
+    }
+
+    /// The suspected and quarantined requests, the latest first, at most `most`.
+    pub(super) fn suspects(&self, now: Timestamp, most: usize) -> Vec<SuspectRequest> {
+        let latest_first = self.flagged.iter().rev();
+        let suspects = latest_first.filter_map(|fingerprint| self.suspect(now, fingerprint));
+        suspects.take(most).collect()
+    }
+
+    /// What is known of a request, if it is suspected or quarantined now.
+    pub(super) fn suspect(&self, now: Timestamp, fingerprint: &BlockKey) -> Option<SuspectRequest> {
+        let state = self.states.get(fingerprint)?;
+        let until = state.quarantined_until.unwrap_or_default();
+        let ttl = until.saturating_sub(now);
+        if state.is_forgotten(now) || (ttl.is_zero() && state.is_due()) {
+            return None;
+        }
+        self.make_notice(now, fingerprint, ttl)
     }
 
     /// Clears the suspicion of requests whose victims are among `dead`: targets that died together
--- a/src/scheduler/suspect_requests/fingerprint_state.rs
+++ b/src/scheduler/suspect_requests/fingerprint_state.rs
@@ -81,14 +81,24 @@
         }
     }
 
-    /// Adds a victim; `false` when it was known already.
-    pub(super) fn add_victim(&mut self, now: Timestamp, victim: &Victim) -> bool {
+    /// Whether what counts against it is so old that it is not suspected any more.
+    pub(super) fn is_forgotten(&self, now: Timestamp) -> bool {
+        self.victims.is_empty() || now >= self.last_death + SUSPICION_TIME
+    }
+
+    /// Adds a victim that died at `died_at`; `false` when it was known already.
+    pub(super) fn add_victim(
+        &mut self,
+        now: Timestamp,
+        died_at: Timestamp,
+        victim: &Victim,
+    ) -> bool {
         self.forget_old_victims(now);
         if self.victims.iter().any(|known| known.name == victim.name) {
             return false;
         }
         self.victims.push(victim.clone());
-        self.last_death = now;
+        self.last_death = self.last_death.max(died_at);
         self.proven_harmless = false;
         true
     }
--- a/src/shared_scheduler.rs
+++ b/src/shared_scheduler.rs
@@ -2,7 +2,9 @@
 //! the quarantine notices that it sends to peers.
 
 mod handle;
+mod quarantine_exchange;
 mod quarantine_notices;
 
 pub use handle::{RequestHandle, SharedScheduler};
+pub use quarantine_exchange::QuarantineExchange;
 pub use quarantine_notices::{QuarantineNotice, QuarantineNotices};
--- a/src/shared_scheduler/handle.rs
+++ b/src/shared_scheduler/handle.rs
@@ -6,11 +6,12 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use crate::clock::time_since_boot;
+use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
 use crate::residency::AllowedDomains;
 use crate::scheduler::{
     Arrival, AttemptOutcome, Effect, Event, LoadSpread, OwnLoad, RequestId, Scheduler,
-    WarmingTarget,
+    SuspectRequest, WarmingTarget,
 };
 use crate::shared_scheduler::QuarantineNotices;
 
@@ -147,6 +148,21 @@
         self.lock().scheduler.sole_software(serves)
     }
 
+    /// Requests that are suspected of crashing targets or quarantined, the latest first, at most
+    /// `most`.
+    #[must_use]
+    pub fn suspects(&self, most: usize) -> Vec<SuspectRequest> {
+        let now = self.now();
+        self.lock().scheduler.suspects(now, most)
+    }
+
+    /// What is known of a request that is quarantined; `None` if it is not.
+    #[must_use]
+    pub fn quarantined(&self, fingerprint: &BlockKey) -> Option<SuspectRequest> {
+        let now = self.now();
+        self.lock().scheduler.quarantined(now, fingerprint)
+    }
+
     /// Time until an [`Event::Tick`] has to be submitted; `None` when no timer is set.
     #[must_use]
     pub fn until_wakeup(&self) -> Option<Duration> {
--- a/src/shared_scheduler/quarantine_notices.rs
+++ b/src/shared_scheduler/quarantine_notices.rs
@@ -1,9 +1,8 @@
 //! Quarantine notices sent to peers, and their acknowledgements.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
 use futures_lite::FutureExt;
 
@@ -14,8 +13,6 @@
 
 /// Longest wait for acknowledgements, so that a peer that does not respond delays no caller further.
 const ACK_TIMEOUT: Duration = Duration::from_millis(500);
-/// Most notices remembered for peers that join later.
-const MAX_RECENT_NOTICES: usize = 256;
 
 /// A notice to peers that a request is suspected of crashing targets or is quarantined.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +32,7 @@
             victims,
             answering_victims,
             ttl,
+            ..
         } = self.suspect;
         PeerMessage::Quarantine {
             seq: self.seq,
@@ -63,8 +61,6 @@
     sent: u64,
     /// Peers that have not acknowledged a notice, by its sequence number.
     unacknowledged: BTreeMap<u64, HashSet<Name>>,
-    /// Latest notices, with the time at which they were sent.
-    recent: VecDeque<(QuarantineNotice, Instant)>,
     /// Channels that are closed at the next change.
     waiters: Vec<async_channel::Sender<()>>,
 }
@@ -91,10 +87,6 @@
         if !peers.is_empty() {
             state.unacknowledged.insert(notice.seq, peers);
         }
-        state.recent.push_back((notice.clone(), Instant::now()));
-        if state.recent.len() > MAX_RECENT_NOTICES {
-            state.recent.pop_front();
-        }
         state.wake();
         notice
     }
@@ -117,19 +109,6 @@
         state.remove_acknowledged();
     }
 
-    /// Notices of quarantines that have not expired, with the remaining time of each, for a peer
-    /// that joins.
-    #[must_use]
-    pub fn active(&self) -> Vec<QuarantineNotice> {
-        let state = self.lock();
-        let notices = state.recent.iter().filter_map(|(notice, sent_at)| {
-            let mut notice = notice.clone();
-            notice.suspect.ttl = notice.suspect.ttl.checked_sub(sent_at.elapsed())?;
-            Some(notice)
-        });
-        notices.filter(|n| n.suspect.is_quarantined()).collect()
-    }
-
     /// Waits until all live peers have acknowledged every notice issued so far, at most half a
     /// second.
     pub async fn wait_acknowledged(&self) {
