Ends of a target that comes back under its name count each time

A request that ends its target within its answer goes back to the same target by its prompt's start. If that restarts under its name, all its ends counted as one, and the request was never held back. Victims are named by their process now: target and start, where that is registered. A build before names the target alone; such a notice counts no end twice.

ends_of_one_target_count_as_often_as_it_was_started: three ends with the names of processes, one without a registered start, as before the change.

--- a/src/scheduler/event.rs
+++ b/src/scheduler/event.rs
@@ -98,6 +98,27 @@
     pub software: Name,
 }
 
+impl TargetInfo {
+    /// Name of the target's process, which differs after a restart if its start is known.
+    #[must_use]
+    pub fn process_name(&self) -> Name {
+        if self.started_ms == 0 {
+            return self.name.clone();
+        }
+        format!("{}{PROCESS_MARK}{}", self.name, self.started_ms).into()
+    }
+}
+
+/// Separates the name of a target from the start of its process.
+const PROCESS_MARK: char = '@';
+
+/// Name of the target of a process named by [`TargetInfo::process_name`].
+pub(super) fn target_of(process: &str) -> &str {
+    process
+        .rsplit_once(PROCESS_MARK)
+        .map_or(process, |(target, _)| target)
+}
+
 /// What an entry learned about a target, by itself or from a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/scheduler/machine/signal.rs
+++ b/src/scheduler/machine/signal.rs
@@ -37,7 +37,7 @@
             self.schedule_share_refresh(ix);
         }
         for ix in change.removed {
-            let died = self.fleet.get(ix).map(|t| t.info.name.clone());
+            let died = self.fleet.get(ix).map(|t| t.info.process_name());
             let notices = self.suspects.resolve_lost(self.now, ix, died.as_ref());
             self.send_notices(notices, effects);
         }
@@ -150,7 +150,7 @@
     fn resolve_unreachable(&mut self, ix: TargetIx, effects: &mut Vec<Effect>) {
         let target = self.fleet.get(ix);
         let died = target.filter(|t| t.health.ended_at.is_some() || !t.listed);
-        let died = died.map(|t| t.info.name.clone());
+        let died = died.map(|t| t.info.process_name());
         let notices = self.suspects.resolve_lost(self.now, ix, died.as_ref());
         self.send_notices(notices, effects);
     }
--- a/src/scheduler/suspect_requests.rs
+++ b/src/scheduler/suspect_requests.rs
@@ -9,6 +9,7 @@
 use crate::prefix_keys::BlockKey;
 use crate::prelude::*;
 use crate::scheduler::SuspectRequest;
+use crate::scheduler::event::target_of;
 use crate::scheduler::fleet::TargetIx;
 
 /// Wait after a crash for notices from peers that ran the same request.
@@ -23,12 +24,26 @@
 /// A target that died while running a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Victim {
-    /// Name of the target.
+    /// Name of its process; that of the target alone from earlier builds.
     pub(super) name: Name,
     /// Whether it had begun its answer.
     pub(super) answer_began: bool,
 }
 
+impl Victim {
+    /// Name of the target.
+    fn target(&self) -> &str {
+        target_of(&self.name)
+    }
+
+    /// Whether both are the same process, as far as can be told.
+    fn is_same(&self, other: &Self) -> bool {
+        let is_bare = |victim: &Self| victim.target().len() == victim.name.len();
+        let same_target = self.target() == other.target();
+        self.name == other.name || (same_target && (is_bare(self) || is_bare(other)))
+    }
+}
+
 /// Where a request may be dispatched.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Permission {
@@ -90,7 +105,7 @@
             return Permission::Wait;
         }
         if suspected {
-            let victims = state.victims.iter().map(|v| v.name.clone());
+            let victims = state.victims.iter().map(|v| v.target().into());
             return Permission::Alone(victims.collect());
         }
         if state.proven_harmless || state.running.len() < QUARANTINE_VICTIMS {
--- a/src/scheduler/suspect_requests/fingerprint_state.rs
+++ b/src/scheduler/suspect_requests/fingerprint_state.rs
@@ -94,7 +94,7 @@
         victim: &Victim,
     ) -> bool {
         self.forget_old_victims(now);
-        if self.victims.iter().any(|known| known.name == victim.name) {
+        if self.victims.iter().any(|known| known.is_same(victim)) {
             return false;
         }
         self.victims.push(victim.clone());
@@ -121,7 +121,7 @@
     pub(super) fn clear_domain_loss(&mut self, dead: &[Name]) {
         let few = !self.is_due() && self.victims.len() < SUSPECT_ALL_VICTIMS;
         let may_clear = few && self.quarantined_until.is_none();
-        let is_dead = |v: &Victim| dead.contains(&v.name);
+        let is_dead = |v: &Victim| dead.iter().any(|name| **name == *v.target());
         let all_early_dead = self.victims.iter().all(|v| v.answer_began || is_dead(v));
         if may_clear && all_early_dead {
             self.victims.retain(|v| !is_dead(v));
--- a/tests/scheduler/quarantine.rs
+++ b/tests/scheduler/quarantine.rs
@@ -249,6 +249,67 @@
     effects.iter().any(refused)
 }
 
+/// Guards against a request that is never held back since the targets that it ends come back under
+/// their names.
+#[test]
+fn ends_of_one_target_count_as_often_as_it_was_started() {
+    for (restarts, victims) in [(true, 3), (false, 1)] {
+        let mut scheduler = fleet_scheduler(1);
+        for n in 0..3 {
+            let started_ms = if restarts { 1_000 + n } else { 1_000 };
+            let list = vec![TargetInfo {
+                started_ms,
+                ..target("engine-0", "domain-0")
+            }];
+            let at = ms(1_000 + 1_000 * n);
+            let signal = |signal| Event::Signal {
+                target: "engine-0".into(),
+                signal,
+            };
+            scheduler.on(at, Event::Targets(list), &mut Vec::new());
+            let loaded = Event::Report {
+                target: "engine-0".into(),
+                report: report(1),
+            };
+            scheduler.on(at, loaded, &mut Vec::new());
+            scheduler.on(at, signal(Signal::Reachable), &mut Vec::new());
+            let arrives = at + ms(500);
+            let id = RequestId(n);
+            let to = dispatch_target(&mut scheduler, arrives, arrive_seven(n), n);
+            assert!(to.is_some(), "start {n}");
+            scheduler.on(
+                arrives,
+                Event::FirstToken { id, attempt: 1 },
+                &mut Vec::new(),
+            );
+            let ended = Event::AttemptEnded {
+                id,
+                attempt: 1,
+                outcome: AttemptOutcome::CutShort,
+            };
+            scheduler.on(arrives, ended, &mut Vec::new());
+            scheduler.on(arrives, signal(Signal::Unreachable), &mut Vec::new());
+            scheduler.on(arrives, Event::CallerLeft(id), &mut Vec::new());
+        }
+        let known = scheduler.suspects(ms(5_000), 1).remove(0);
+        assert_eq!(known.answering_victims.len(), victims, "{known:?}");
+    }
+}
+
+/// A peer of the build before names the target alone: its notice counts no end twice.
+#[test]
+fn end_told_without_the_start_of_its_process_counts_once() {
+    let mut scheduler = entry_scheduler(1);
+    for name in ["x@17", "x", "x@17"] {
+        let suspect = SuspectRequest::new(key(1), vec![name.into()], Duration::ZERO);
+        scheduler.on(ms(1), Event::Quarantine(suspect), &mut Vec::new());
+    }
+    assert_eq!(scheduler.suspects(ms(2), 1)[0].victims.len(), 1);
+    let again = SuspectRequest::new(key(1), vec!["x@18".into()], Duration::ZERO);
+    scheduler.on(ms(3), Event::Quarantine(again), &mut Vec::new());
+    assert!(scheduler.suspects(ms(4), 1)[0].is_quarantined());
+}
+
 /// A request with a fixed fingerprint.
 fn arrive_seven(id: u64) -> Event {
     let mut req = arrival(id, "a", &policy(PriorityClass::Patient, 60_000));
