Entries that are gone for good are removed from the platform's list

Callers would have seen context read again everywhere: leases count the listed entries, and nothing removed a replaced one; with half of the list gone, nothing is fetched or freed. The use of hubs counts them as well. Found by reading; the count existed before the leases, for the right to fetch.

The first live entry by name that is in touch with enough others removes one that was out of touch for 30 min, one in 10 s, unless it was written meanwhile. An entry that finds itself missing writes itself again. Entries go by a list for 15 min after the store's last confirmation, so that none counts by a list that still names a removed entry.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,6 +3,7 @@
 //! [`Dialect`] implements the wire formats of callers and targets, and [`crate::scheduler`]
 //! decides on admission, placement and retries.
 
+mod absent_entries;
 mod admitted_request;
 mod allowed_versions;
 mod arrival;
@@ -58,6 +59,7 @@
 mod target_table;
 mod versions;
 
+pub use absent_entries::AbsentEntries;
 pub use body::BodyReader;
 pub use brittle_targets::BrittleTargets;
 pub use builder::GatewayBuilder;
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -341,8 +341,10 @@
         control_ex.spawn(run_origins).detach();
         spawn_watchers(&control, &platform, &control_ex);
         let kind = control.decoder.kind(WatchedKind::Members);
+        let registered = control.clone();
+        let is_missing = move || registered.is_unlisted();
         control_ex
-            .spawn(keep_registered(platform, kind, self.own_vm()))
+            .spawn(keep_registered(platform, kind, self.own_vm(), is_missing))
             .detach();
         let run = mesh.clone().run(peer_listener, control_ex.clone());
         control_ex.spawn(run).detach();
--- a/src/gateway/builder/tasks.rs
+++ b/src/gateway/builder/tasks.rs
@@ -43,4 +43,5 @@
     ex.spawn(control.clone().run_scheduler()).detach();
     ex.spawn(control.clone().run_domain_scheduler()).detach();
     ex.spawn(control.clone().run_store_cleanup()).detach();
+    ex.spawn(control.clone().run_member_cleanup()).detach();
 }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -6,6 +6,7 @@
 mod freshness;
 mod hub;
 mod load_spread;
+mod members;
 mod orders;
 mod path_checks;
 pub(crate) mod peers;
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -6,8 +6,9 @@
 use crate::gateway::control::CallerLimitReport;
 use crate::gateway::control::warm_ups::WarmUpState;
 use crate::gateway::{
-    DeclaredWeights, Decoder, Evacuations, HubAggregator, HubCandidate, HubSelector, LoadTable,
-    ROUND_TRIP_INTERVAL, RegisteredTarget, TargetLoad, TargetTable, WatchedKind, WeightVersions,
+    AbsentEntries, DeclaredWeights, Decoder, Evacuations, HubAggregator, HubCandidate, HubSelector,
+    LoadTable, ROUND_TRIP_INTERVAL, RegisteredTarget, TargetLoad, TargetTable, WatchedKind,
+    WeightVersions,
 };
 use crate::name_hash::name_hash;
 use crate::peer::{JoinQuestions, PeerInfo, RoundTrip, RoundTripClock};
@@ -43,6 +44,8 @@
     pub loads: LoadTable,
     /// Agreement of the entries on stored context that none of them fetches any more.
     pub retirement: RetirementTracker,
+    /// Listed entries that are out of touch.
+    pub absent_entries: AbsentEntries,
     /// Bounds the questions to peers that are found.
     pub join_questions: JoinQuestions,
     /// How recent the messages of peers are.
@@ -98,6 +101,7 @@
             versions: WeightVersions::with_deadline(version_deadline),
             loads: LoadTable::default(),
             retirement: RetirementTracker::default(),
+            absent_entries: AbsentEntries::default(),
             join_questions: JoinQuestions::default(),
             round_trips: RoundTripClock::new(entry, fastrand::u64(..)),
             round_trip_sent_at: Timestamp::ZERO,
@@ -315,8 +319,7 @@
 
     /// Until when this entry may fetch stored context; `own` is its name.
     pub(crate) fn fetch_lease(&self, now: Timestamp, own: &str) -> FetchLease {
-        let is_listed = self.cache(WatchedKind::Members).revision() > 0;
-        let others = is_listed.then(|| self.other_entries(own));
+        let others = self.current_others(now, own);
         self.retirement.fetch_lease(now, others.as_ref())
     }
 
--- a/src/gateway/control/store_cleanup.rs
+++ b/src/gateway/control/store_cleanup.rs
@@ -49,7 +49,9 @@
         let mut state = self.state();
         // Evaluated at every entry, since it is measured for how long a majority agrees; an entry
         // that becomes the first need not measure anew.
-        let others = state.other_entries(&self.name);
+        let Some(others) = state.current_others(now, &self.name) else {
+            return RetiredVersions::default();
+        };
         let agreed = state.retirement.freeable(now, &others);
         let is_first = state.peers.iter().all(|peer| *peer > self.name);
         if is_first {
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -8,13 +8,25 @@
 /// Mean delay between two tries, and between two checks for a restore.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
+/// Checks in a row that find the entry missing after which it is written again: a watch shows late
+/// what was just written.
+const MISSING_CHECKS: u32 = 10;
+
 /// Writes the entry's own object to the platform store, and again after each restore of the store
-/// from an older copy, which may lack it. Never returns.
-pub(crate) async fn keep_registered(platform: Arc<dyn Platform>, kind: &'static str, own: Vm) {
+/// from an older copy, which may lack it, and when others have removed it. Never returns.
+pub(crate) async fn keep_registered(
+    platform: Arc<dyn Platform>,
+    kind: &'static str,
+    own: Vm,
+    is_missing: impl Fn() -> bool,
+) {
     let mut written_in = None;
+    let mut missing_checks = 0;
     loop {
         let era = platform.era();
-        if written_in != Some(era) {
+        missing_checks = if is_missing() { missing_checks + 1 } else { 0 };
+        if written_in != Some(era) || missing_checks >= MISSING_CHECKS {
+            missing_checks = 0;
             match write(&*platform, kind, &own).await {
                 Ok(()) => written_in = Some(platform.era()),
                 Err(err) => log::info!("event=register_failed error={:?}", err.to_string()),
