A suspected request runs at a target that has started anew if all others ended under it

Where all targets of a service are victims of a request, it was neither sent nor refused, and waited for its deadline, for ten minutes after the last end. It runs alone at one that has started anew now, if targets register their starts; one more end quarantines it, or a whole run clears it.

ends_of_one_target_count_as_often_as_it_was_started: with one target the fourth request was not dispatched before (a scratch test of the same steps), here the fourth end quarantines it.

--- a/src/scheduler/fleet/placement_query.rs
+++ b/src/scheduler/fleet/placement_query.rs
@@ -37,6 +37,6 @@
 pub(crate) struct Isolation<'a> {
     /// Placement hash of the fingerprint, the same at every entry.
     pub(crate) key: u64,
-    /// Targets that died while running it.
+    /// Processes of targets that died while running it.
     pub(crate) victims: &'a [Name],
 }
--- a/src/scheduler/fleet/selection.rs
+++ b/src/scheduler/fleet/selection.rs
@@ -2,10 +2,11 @@
 
 use crate::prelude::*;
 use crate::residency::AllowedDomains;
-use crate::scheduler::Placement;
+use crate::scheduler::event::target_of;
 use crate::scheduler::fleet::{
     Fleet, FreeSet, Isolation, PlacementQuery, Pool, PoolIx, Target, TargetIx, WeightsGroup,
 };
+use crate::scheduler::{Placement, TargetInfo};
 
 /// Candidates from the rendezvous order of a prefix; the first is its home, which most likely has
 /// the prefix cached.
@@ -116,7 +117,8 @@
     }
 
     /// The target at which every entry isolates a suspected request: the first in the rendezvous
-    /// order of its fingerprint that takes work and is no victim of it.
+    /// order of its fingerprint that takes work and is no victim of it, or else has started anew
+    /// since.
     fn isolation_target(
         &self,
         now: Timestamp,
@@ -125,12 +127,18 @@
         query: &PlacementQuery<'_>,
     ) -> Option<TargetIx> {
         let candidates = self.candidates(&group.all, isolation.key, query.allowed);
-        candidates.into_iter().find(|ix| {
-            self.get(*ix).is_some_and(|t| {
-                let is_victim = isolation.victims.contains(&t.info.name);
-                t.is_healthy(now) && !is_victim && t.runs_software(query.software)
-            })
-        })
+        let usable = candidates.into_iter().filter(|ix| {
+            let target = self.get(*ix);
+            target.is_some_and(|t| t.is_healthy(now) && t.runs_software(query.software))
+        });
+        let usable: SmallVec<[TargetIx; 8]> = usable.collect();
+        let first = |is_victim: &dyn Fn(&TargetInfo) -> bool| {
+            let mut usable = usable.iter().copied();
+            usable.find(|ix| self.get(*ix).is_some_and(|t| !is_victim(&t.info)))
+        };
+        let victims = isolation.victims;
+        first(&|info| victims.iter().any(|v| *target_of(v) == *info.name))
+            .or_else(|| first(&|info| victims.contains(&info.process_name())))
     }
 
     /// Whether a target has room for a request, is in a failure domain allowed to it, and runs the
--- a/src/scheduler/suspect_requests.rs
+++ b/src/scheduler/suspect_requests.rs
@@ -54,7 +54,8 @@
     /// Nowhere until a lost exchange is resolved, notices of peers have arrived, or its current run
     /// has ended.
     Wait,
-    /// At one target, beside no other suspected request, since these targets died while running it.
+    /// At one target, beside no other suspected request, since these processes of targets died while
+    /// running it.
     Alone(SmallVec<[Name; 2]>),
     /// Nowhere; requests are refused until then.
     Quarantined(Timestamp),
@@ -105,7 +106,7 @@
             return Permission::Wait;
         }
         if suspected {
-            let victims = state.victims.iter().map(|v| v.target().into());
+            let victims = state.victims.iter().map(|v| v.name.clone());
             return Permission::Alone(victims.collect());
         }
         if state.proven_harmless || state.running.len() < QUARANTINE_VICTIMS {
--- a/tests/scheduler/quarantine.rs
+++ b/tests/scheduler/quarantine.rs
@@ -250,12 +250,12 @@
 }
 
 /// Guards against a request that is never held back since the targets that it ends come back under
-/// their names.
+/// their names, and against one that waits for its deadline since all targets are among them.
 #[test]
 fn ends_of_one_target_count_as_often_as_it_was_started() {
-    for (restarts, victims) in [(true, 3), (false, 1)] {
+    for (restarts, victims) in [(true, 4), (false, 1)] {
         let mut scheduler = fleet_scheduler(1);
-        for n in 0..3 {
+        for n in 0..4 {
             let started_ms = if restarts { 1_000 + n } else { 1_000 };
             let list = vec![TargetInfo {
                 started_ms,
@@ -293,6 +293,7 @@
         }
         let known = scheduler.suspects(ms(5_000), 1).remove(0);
         assert_eq!(known.answering_victims.len(), victims, "{known:?}");
+        assert_eq!(known.is_quarantined(), restarts);
     }
 }
 
