--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -3,6 +3,8 @@
 
 #[path = "scheduler/evacuation.rs"]
 mod evacuation;
+#[path = "scheduler/late_deaths.rs"]
+mod late_deaths;
 #[path = "scheduler/machine.rs"]
 mod machine;
 #[path = "scheduler/overload.rs"]
@@ -27,6 +29,8 @@
 mod simulation;
 #[path = "scheduler/software.rs"]
 mod software;
+#[path = "scheduler/suspect_notices.rs"]
+mod suspect_notices;
 #[path = "scheduler/test_scheduler.rs"]
 mod test_scheduler;
 #[path = "scheduler/timing.rs"]
