--- a/tests/domain_scheduler.rs
+++ b/tests/domain_scheduler.rs
@@ -10,6 +10,8 @@
 #[path = "scheduler/simulation.rs"]
 #[allow(dead_code)]
 mod simulation;
+#[path = "domain_scheduler/stray_decisions.rs"]
+mod stray_decisions;
 
 use guavahold::domain_scheduler::DomainCapacity;
 use guavahold::prelude::*;
--- a/tests/domain_scheduler/client.rs
+++ b/tests/domain_scheduler/client.rs
@@ -21,7 +21,7 @@
 
 /// Links that record the calls made on them.
 #[derive(Clone, Default)]
-struct RecordedLinks {
+pub struct RecordedLinks {
     calls: Arc<Mutex<Vec<(String, SchedulerCall)>>>,
     broken: bool,
 }
@@ -34,13 +34,13 @@
 }
 
 /// An entry that knows two hubs, of which its own scheduler is independent.
-struct Entry {
+pub struct Entry {
     client: Arc<SchedulerClient>,
     links: RecordedLinks,
 }
 
 impl Entry {
-    fn new(links: RecordedLinks) -> Self {
+    pub fn new(links: RecordedLinks) -> Self {
         let client = SchedulerClient::new(scheduler(&["own"], 8));
         client.set_links(Box::new(links.clone()));
         client.set_hubs(vec![hub("domain-0", "hub-0"), hub("domain-1", "hub-1")]);
@@ -51,12 +51,12 @@
         }
     }
 
-    fn submit(&self, arrival: Arrival) -> ScheduledRequest {
+    pub fn submit(&self, arrival: Arrival) -> ScheduledRequest {
         self.client.submit(arrival)
     }
 
     /// Hub and step of the calls so far, without arrivals.
-    fn steps(&self) -> Vec<(String, CallStep)> {
+    pub fn steps(&self) -> Vec<(String, CallStep)> {
         let calls = self.links.calls.lock().unwrap();
         let steps = calls
             .iter()
@@ -67,18 +67,18 @@
     }
 
     /// Hub that got the latest arrival.
-    fn last_hub(&self) -> String {
+    pub fn last_hub(&self) -> String {
         let calls = self.links.calls.lock().unwrap();
         let arrivals = calls.iter();
         let mut arrivals = arrivals.filter(|(_, c)| matches!(c.step, CallStep::Arrive(_)));
         arrivals.next_back().expect("an arrival").0.clone()
     }
 
-    fn reply(&self, hub: &str, id: u64, decision: Decision) {
+    pub fn reply(&self, hub: &str, id: u64, decision: Decision) {
         self.client.on_reply(hub, SchedulerReply { id, decision });
     }
 
-    fn grant(&self, hub: &str, id: u64, attempt: u32) {
+    pub fn grant(&self, hub: &str, id: u64, attempt: u32) {
         let grant = guavahold::domain_scheduler::Grant {
             attempt,
             target: "granted".into(),
@@ -102,7 +102,7 @@
     }
 }
 
-fn request(id: u64, idempotent: bool) -> Arrival {
+pub fn request(id: u64, idempotent: bool) -> Arrival {
     let mut arrival = arrival(id, "a", &policy(PriorityClass::Standard, TIMEOUT_MS));
     let mut policy = (*arrival.policy).clone();
     policy.idempotent = idempotent;
@@ -112,7 +112,7 @@
     arrival
 }
 
-fn next_effect(request: &ScheduledRequest) -> Effect {
+pub fn next_effect(request: &ScheduledRequest) -> Effect {
     let timed_out = async {
         async_io::Timer::after(WAIT_TIMEOUT).await;
         panic!("no effect in time");
@@ -120,7 +120,7 @@
     block_on(request.next_effect().or(timed_out))
 }
 
-fn dispatch_target(effect: &Effect) -> &str {
+pub fn dispatch_target(effect: &Effect) -> &str {
     match effect {
         Effect::Dispatch { target, .. } => target,
         other => panic!("expected a dispatch, got {other:?}"),
@@ -328,122 +328,3 @@
     entry.reply(&hub, 1, Decision::Refuse(refusal));
     assert!(matches!(next_effect(&request), Effect::Refuse { .. }));
 }
-
-/// Guards against a second run by a grant that belongs to a request of an earlier process of this
-/// entry with the same number.
-#[test]
-fn on_reply_second_grant_of_a_request_that_ran_is_not_carried_out() {
-    for outcome in [
-        AttemptOutcome::Lost,
-        AttemptOutcome::CutShort,
-        AttemptOutcome::PathLost,
-        AttemptOutcome::TargetError,
-    ] {
-        let entry = Entry::new(RecordedLinks::default());
-        let request = entry.submit(request(1, false));
-        let hub = entry.last_hub();
-        entry.grant(&hub, 1, 1);
-        next_effect(&request);
-        request.report_end(1, outcome.clone());
-        entry.grant(&hub, 1, 1);
-        match next_effect(&request) {
-            Effect::Refuse { refusal, .. } => {
-                assert_ne!(refusal.run(), guavahold::http::RunState::NotRun);
-            }
-            other => panic!("after {outcome:?}: expected a refusal, got {other:?}"),
-        }
-    }
-}
-
-/// Decisions that a hub takes only on requests that have no attempt running: one that arrives while an
-/// attempt runs belongs to a request of an earlier process of this entry with the same number.
-fn decisions_on_waiting_requests() -> Vec<Decision> {
-    let retry_after = ms(500);
-    vec![
-        Decision::Declined,
-        Decision::Refuse(Refusal::NoTarget { retry_after }),
-        Decision::Refuse(Refusal::Overloaded { retry_after }),
-    ]
-}
-
-/// Effect that follows within a moment, as of a request whose attempt runs.
-fn effect_soon(request: &ScheduledRequest) -> Option<Effect> {
-    let nothing = async {
-        async_io::Timer::after(Duration::from_millis(50)).await;
-        None
-    };
-    block_on(async { Some(request.next_effect().await) }.or(nothing))
-}
-
-/// Guards against a second run: a decision on another request of the same number arrives while an
-/// attempt runs, the entry's own scheduler gets the request, and sends it once a target has room.
-#[test]
-fn on_reply_decision_during_an_attempt_does_not_have_the_request_sent_again() {
-    for decision in decisions_on_waiting_requests() {
-        let entry = Entry::new(RecordedLinks::default());
-        let request = entry.submit(request(1, false));
-        let hub = entry.last_hub();
-        entry.grant(&hub, 1, 1);
-        next_effect(&request);
-        let fill = |id| {
-            let mut arrival = self::request(id, true);
-            arrival.weights = SmallVec::new();
-            let filling = entry.submit(arrival);
-            next_effect(&filling);
-            filling
-        };
-        let filling: Vec<_> = (100..108).map(fill).collect();
-        entry.reply(&hub, 1, decision.clone());
-        assert_eq!(effect_soon(&request), None, "{decision:?}");
-        request.report_end(1, AttemptOutcome::Lost);
-        drop(filling);
-        entry.reply(
-            &hub,
-            1,
-            Decision::Refuse(Refusal::Failed {
-                run: guavahold::http::RunState::Unknown,
-                retry_after: ms(500),
-            }),
-        );
-        match next_effect(&request) {
-            Effect::Refuse { refusal, .. } => {
-                let run = refusal.run();
-                assert_ne!(run, guavahold::http::RunState::NotRun, "{decision:?}");
-            }
-            other => panic!("{decision:?}: expected a refusal, got {other:?}"),
-        }
-    }
-}
-
-/// Guards against a request that nobody decides on: another request's refusal arrives during an attempt
-/// that the target refuses.
-#[test]
-fn on_reply_decision_during_an_attempt_leaves_the_request_to_its_hub() {
-    for decision in decisions_on_waiting_requests() {
-        let entry = Entry::new(RecordedLinks::default());
-        let request = entry.submit(request(1, false));
-        let hub = entry.last_hub();
-        entry.grant(&hub, 1, 1);
-        next_effect(&request);
-        entry.reply(&hub, 1, decision.clone());
-        assert_eq!(effect_soon(&request), None, "{decision:?}");
-        request.report_end(1, AttemptOutcome::Refused { retry_after: None });
-        entry.grant(&hub, 1, 2);
-        let effect = next_effect(&request);
-        assert_eq!(dispatch_target(&effect), "granted", "{decision:?}");
-    }
-}
-
-/// Guards against decisions on requests of an earlier process of an entry: hubs name a request by its
-/// entry and its number, and a new process has the name of the one before.
-#[test]
-fn next_id_of_two_processes_of_an_entry_differs() {
-    let numbers_of_process = || {
-        let scheduler = scheduler(&["own"], 8);
-        let numbers = std::iter::repeat_with(|| scheduler.next_id());
-        numbers.take(1_000).collect::<Vec<_>>()
-    };
-    let (before, after) = (numbers_of_process(), numbers_of_process());
-    let common = before.iter().filter(|id| after.contains(id)).count();
-    assert_eq!(common, 0, "{:?} and {:?}", before[0], after[0]);
-}
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -5,12 +5,12 @@
 mod checked_intake;
 #[path = "intake/crowd.rs"]
 mod crowd;
-
-use std::hint::black_box;
-use std::time::Instant;
+#[path = "intake/crowds.rs"]
+mod crowds;
+#[path = "intake/timing.rs"]
+mod timing;
 
 use checked_intake::{CheckedIntake, Stage};
-use crowd::{Crowd, Summary};
 use guavahold::intake::{
     CONNECTION_BYTES, ConnectionId, Evicted, Intake, IntakeLimits, MAX_RETRY_AFTER, MAX_WAIT,
     MIN_IDLE_TIME, Opened, PROGRESS_BYTES, Reservation, SMALL_BYTES, STALL_TIME,
@@ -347,61 +347,3 @@
         Reservation::Granted
     );
 }
-
-/// Plays random crowds, one for each seed, and sums up what happened.
-fn play(seeds: impl IntoIterator<Item = u64>) -> Summary {
-    let mut sum = Summary::default();
-    for seed in seeds {
-        println!("seed {seed}");
-        let summary = Crowd::new(seed).play();
-        sum.granted += summary.granted;
-        sum.waits += summary.waits;
-        sum.evictions += summary.evictions;
-        sum.refusals += summary.refusals;
-    }
-    sum
-}
-
-#[test]
-fn intake_keeps_its_bounds_before_random_crowds() {
-    let sum = play(1..=12);
-    println!("{sum:?}");
-    assert!(sum.granted > 10_000, "the crowds hardly send: {sum:?}");
-    assert!(sum.waits > 500, "nothing waits: {sum:?}");
-    assert!(sum.evictions > 500, "nothing is evicted: {sum:?}");
-    assert!(sum.refusals > 500, "nothing is refused: {sum:?}");
-}
-
-/// Plays 500 seeds from the one that `INTAKE_SEED` names.
-#[test]
-#[ignore = "takes minutes"]
-fn intake_keeps_its_bounds_with_many_seeds() {
-    let first = std::env::var("INTAKE_SEED").map_or(1_000, |text| text.parse().unwrap());
-    play(first..first + 500);
-}
-
-/// Prints the time of one small request beside a thousand other connections.
-#[test]
-#[ignore = "a measurement, for release builds"]
-fn intake_time_of_a_calm_request() {
-    let mut intake = Intake::new(IntakeLimits::for_machine(256_000_000, 4_096));
-    let mut ids = Vec::new();
-    for n in 0..1_000 {
-        let Opened::Admitted(id) = intake.open(ms(n)) else {
-            panic!("not admitted");
-        };
-        ids.push(id);
-    }
-    let rounds = 1_000_000_u32;
-    let start = Instant::now();
-    for n in 0..rounds {
-        let id = ids[n as usize % ids.len()];
-        let now = Duration::from_micros(2_000_000 + u64::from(n) * 50);
-        black_box(intake.reserve(now, id, 8 * KIB));
-        intake.progress(now, id, 3 * KIB);
-        black_box(intake.complete(id)).unwrap();
-        intake.release(now, id);
-        black_box(intake.ready_waiters(now));
-    }
-    println!("{:?} a request", start.elapsed() / rounds);
-}
