--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -34,6 +34,7 @@
 use crate::rollout::{RolloutEffect, RolloutSettings};
 use crate::scheduler::Effect;
 use crate::secret::Secret;
+use crate::telemetry::DEFAULT_LOG_LINES_PER_SECOND;
 
 /// Number of threads that serve callers.
 const TRAFFIC_THREADS: usize = 1;
@@ -90,6 +91,7 @@
     cpu_millis: u32,
     regions: RegionMap,
     log_sample: u32,
+    log_lines: u32,
     retry_ratio: f64,
     retry_burst: f64,
     balancer_lag: Duration,
@@ -127,6 +129,7 @@
             cpu_millis: 0,
             regions: RegionMap::default(),
             log_sample: DEFAULT_LOG_SAMPLE,
+            log_lines: DEFAULT_LOG_LINES_PER_SECOND,
             retry_ratio: 0.1,
             retry_burst: 10.0,
             balancer_lag: Duration::from_millis(2_600),
@@ -188,6 +191,14 @@
         self
     }
 
+    /// Sets how many log lines are written in a second, of which refused requests of which nothing was
+    /// sent get a part.
+    #[must_use]
+    pub fn log_lines(mut self, per_second: u32) -> Self {
+        self.log_lines = per_second;
+        self
+    }
+
     /// Sets the CPU share of this VM, in thousandths of a processor.
     #[must_use]
     pub fn cpu_millis(mut self, cpu_millis: u32) -> Self {
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -17,7 +17,6 @@
 use crate::gateway::drain::Drain;
 use crate::gateway::prompt_quarantine::PromptQuarantine;
 use crate::gateway::relays::Relays;
-use crate::gateway::request_log::UNSENT_REFUSAL_LINES;
 use crate::gateway::response_buffers::ResponseBuffers;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream_origins::StreamOrigins;
@@ -78,7 +77,7 @@
             target_observations: channels.observations,
             rollout: channels.rollout,
             log_sample: self.log_sample,
-            unsent_refusal_lines: LineBudget::new(UNSENT_REFUSAL_LINES),
+            unsent_refusal_lines: LineBudget::half_of(self.log_lines),
             origin: time_since_boot(),
         }
     }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -13,8 +13,6 @@
 
 /// Default of the setting that one in this many successful requests is logged.
 pub const DEFAULT_LOG_SAMPLE: u32 = 64;
-/// Lines in half a second about refused requests of which nothing was sent: half of the default limit.
-pub(crate) const UNSENT_REFUSAL_LINES: u32 = 200;
 
 /// Outcome of a request, for logs and metrics.
 #[derive(Clone, Copy, Debug)]
--- a/src/telemetry/line_budget.rs
+++ b/src/telemetry/line_budget.rs
@@ -6,6 +6,10 @@
 
 /// Length of the window over which lines are counted.
 const WINDOW: Duration = Duration::from_millis(500);
+/// Windows in a second.
+const WINDOWS_PER_SECOND: u32 = 2;
+/// Part of all lines, as its inverse, that one kind of event may have.
+const PART_OF_LINES: u32 = 2;
 
 #[derive(Debug, Default)]
 struct State {
@@ -24,11 +28,12 @@
 }
 
 impl LineBudget {
-    /// A budget of so many lines in each half second.
+    /// A budget of half of the lines that are written in a second, counted in each half second.
     #[must_use]
-    pub fn new(lines_per_window: u32) -> Self {
+    pub fn half_of(lines_per_second: u32) -> Self {
+        let lines_per_window = lines_per_second / PART_OF_LINES / WINDOWS_PER_SECOND;
         Self {
-            lines_per_window,
+            lines_per_window: lines_per_window.max(1),
             state: Mutex::default(),
         }
     }
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -268,7 +268,7 @@
 /// A flood gets its lines in each window, and each line that is left out is counted with a later one.
 #[test]
 fn line_budget_bounds_lines_and_counts_those_left_out() {
-    let budget = LineBudget::new(20);
+    let budget = LineBudget::half_of(80);
     let (mut permitted, mut left_out, mut told) = (Vec::new(), 0, 0);
     for n in 0..3_000_u64 {
         let now = ms(n);
