--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -193,7 +193,6 @@
     /// Updates the live peers.
     pub(crate) fn set_live_peers(&self, live: &[PeerInfo]) {
         let mut state = self.state();
-        let names_of_linked: Vec<Name> = live.iter().map(|p| p.name.clone()).collect();
         let staying = live.iter().filter(|p| !p.draining);
         let names: Vec<Name> = staying.clone().map(|p| p.name.clone()).collect();
         for lost in state.peers.iter().filter(|n| !names.contains(n)) {
@@ -203,25 +202,22 @@
         let found: Vec<Name> = found.cloned().collect();
         for found in &found {
             log::info!("event=peer_found peer={found}");
-        }
-        for found in &found {
             self.exchange_quarantines(&mut state, found);
         }
         // Entries that only this one cannot reach use their part of the retry budget as well.
         let entries = state.entry_count().max(names.len() + 1);
         let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-        let live = i64::try_from(names.len()).unwrap_or(i64::MAX);
+        let count = i64::try_from(names.len()).unwrap_or(i64::MAX);
         self.shared
             .quarantine_notices
             .retain_peers(|name| names.iter().any(|n| **n == *name));
-        self.shared.metrics.peers.set(live);
+        self.shared.metrics.peers.set(count);
         let is_live = |name: &str| *name == *self.name || names.iter().any(|n| **n == *name);
         self.domain_scheduler.retain_entries(is_live);
         self.shared.scheduler_client.retain_hubs(is_live);
         self.shared.prompt_quarantine.set_peers(names.clone());
-        state
-            .round_trips
-            .retain(|name| names_of_linked.contains(name));
+        let is_linked = |name: &Name| live.iter().any(|peer| peer.name == *name);
+        state.round_trips.retain(is_linked);
         state.peers = names;
         self.update_relays(&state, &state.decode_members());
         state.set_hub_candidates(staying.cloned().collect());
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -2,6 +2,7 @@
 
 use async_io::Timer;
 
+use crate::clock::whole_millis;
 use crate::context_store::FetchLease;
 use crate::gateway::control::{Control, State, TargetReport};
 use crate::gateway::{HUB_INTERVAL, STATUS_INTERVAL, WatchedKind};
@@ -120,8 +121,6 @@
         reports,
         needed,
     } = lease;
-    let ended_ms = until.map(|until| now.saturating_sub(until).as_millis());
-    log::info!(
-        "event=fetch_lease held={held} reports={reports} needed={needed} ended_ms={ended_ms:?}"
-    );
+    let left_ms = until.map_or(0, |until| whole_millis(until.saturating_sub(now)));
+    log::info!("event=fetch_lease held={held} reports={reports} needed={needed} left_ms={left_ms}");
 }
