--- a/src/context_store/retirement.rs
+++ b/src/context_store/retirement.rs
@@ -82,10 +82,10 @@
     blake3::hash(part.as_bytes()).as_bytes()[0].is_multiple_of(2)
 }
 
-/// What a peer had retired.
+/// What a peer has retired.
 #[derive(Clone, Copy, Debug)]
 struct Report {
-    /// Time at which the peer had retired this and no more, or a later one.
+    /// Time after which the peer made the report.
     known_at: Timestamp,
     retired: RetiredVersions,
 }
@@ -156,7 +156,8 @@
         self.recalled || now >= self.started_at + RECALL_DELAY
     }
 
-    /// Records what a peer had retired at `known_at` or later, according to a report that counts.
+    /// Records what a peer, given by its name hash, has retired, according to a report that was made
+    /// after `known_at` and counts at the peer.
     pub fn record_report(&mut self, known_at: Timestamp, peer: u32, retired: RetiredVersions) {
         let known = self.reports.get(&peer);
         if known.is_none_or(|known| known.known_at <= known_at) {
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -1,5 +1,6 @@
 //! Notices between entries about requests that end targets.
 
+use crate::clock::time_since_boot;
 use crate::entry::control::Control;
 use crate::peer::PeerMessage;
 use crate::scheduler::SuspectRequest;
@@ -33,7 +34,9 @@
     /// Tells all peers about a request suspected of crashing targets.
     pub(crate) fn broadcast_quarantine(&self, suspect: SuspectRequest) {
         let peers = self.links.live().into_iter().map(|peer| peer.name);
-        let notice = self.shared.quarantine_notices.record_sent(suspect, peers);
-        self.links.broadcast(&notice.into_message());
+        let notices = &self.shared.quarantine_notices;
+        if let Some(notice) = notices.record_sent(time_since_boot(), suspect, peers) {
+            self.links.broadcast(&notice.into_message());
+        }
     }
 }
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -72,7 +72,9 @@
             return;
         };
         let peers = mesh.live().into_iter().map(|peer| peer.name);
-        let notice = self.shared.quarantine_notices.record_sent(suspect, peers);
-        mesh.broadcast(&notice.into_message());
+        let notices = &self.shared.quarantine_notices;
+        if let Some(notice) = notices.record_sent(self.now(), suspect, peers) {
+            mesh.broadcast(&notice.into_message());
+        }
     }
 }
--- a/src/gateway/control/store_cleanup.rs
+++ b/src/gateway/control/store_cleanup.rs
@@ -47,8 +47,8 @@
     fn freeable(&self) -> RetiredVersions {
         let now = self.now();
         let mut state = self.state();
-        // Evaluated at every entry, since it is measured for how long a majority agrees; an entry
-        // that becomes the first need not measure anew.
+        // Every entry keeps track of how long a majority has agreed, so that one that becomes the
+        // first need not start over.
         let Some(others) = state.current_others(now, &self.name) else {
             return RetiredVersions::default();
         };
--- a/src/scheduler/suspect_request.rs
+++ b/src/scheduler/suspect_request.rs
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Whether all that counts against the request are targets that died while they answered, too few
+    /// for a quarantine.
+    #[must_use]
+    pub fn is_faint(&self) -> bool {
+        self.victims.is_empty() && !self.is_quarantined()
+    }
+
     /// Whether the request is quarantined.
     #[must_use]
     pub fn is_quarantined(&self) -> bool {
--- a/src/shared_scheduler/quarantine_notices.rs
+++ b/src/shared_scheduler/quarantine_notices.rs
@@ -10,6 +10,7 @@
 use crate::peer::PeerMessage;
 use crate::prelude::*;
 use crate::scheduler::SuspectRequest;
+use crate::shared_scheduler::NoticeBudget;
 
 /// Longest wait for acknowledgements, so that a peer that does not respond delays no caller further.
 const ACK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -61,6 +62,8 @@
     sent: u64,
     /// Peers that have not acknowledged a notice, by its sequence number.
     unacknowledged: BTreeMap<u64, HashSet<Name>>,
+    /// Bounds notices that are worth least.
+    faint_notices: NoticeBudget,
     /// Channels that are closed at the next change.
     waiters: Vec<async_channel::Sender<()>>,
 }
@@ -71,24 +74,30 @@
         self.expected.fetch_add(1, Ordering::AcqRel);
     }
 
-    /// Makes the next notice, which the caller sends to `peers`, and records that it was sent.
+    /// Makes the next notice, which the caller sends to `peers`, and records that it was sent. `None`
+    /// if it is not to be sent, since there are too many of its kind.
     pub fn record_sent(
         &self,
+        now: Timestamp,
         suspect: SuspectRequest,
         peers: impl IntoIterator<Item = Name>,
-    ) -> QuarantineNotice {
+    ) -> Option<QuarantineNotice> {
+        let peers: HashSet<Name> = peers.into_iter().collect();
         let mut state = self.lock();
         state.sent += 1;
+        if suspect.is_faint() && !state.faint_notices.permit(now, peers.len()) {
+            state.wake();
+            return None;
+        }
         let notice = QuarantineNotice {
             seq: state.sent,
             suspect,
         };
-        let peers: HashSet<Name> = peers.into_iter().collect();
         if !peers.is_empty() {
             state.unacknowledged.insert(notice.seq, peers);
         }
         state.wake();
-        notice
+        Some(notice)
     }
 
     /// Records that a peer has acknowledged a notice.
