--- a/src/scheduler/suspect_request.rs
+++ b/src/scheduler/suspect_request.rs
@@ -36,10 +36,9 @@
         }
     }
 
-    /// Whether all that counts against the request are targets that died while they answered, too few
-    /// for a quarantine.
+    /// Whether the request is only suspected, and all its victims died while they answered it.
     #[must_use]
-    pub fn is_faint(&self) -> bool {
+    pub fn has_only_answering_victims(&self) -> bool {
         self.victims.is_empty() && !self.is_quarantined()
     }
 
--- a/src/scheduler/suspect_requests/fingerprint_state.rs
+++ b/src/scheduler/suspect_requests/fingerprint_state.rs
@@ -103,8 +103,8 @@
         true
     }
 
-    /// Records that a run ended normally: targets died for another reason before they answered, and
-    /// one of those that had begun to.
+    /// Records that a run ended normally. That takes back all victims that had not begun an answer, and
+    /// the oldest of the others.
     pub(super) fn record_whole_run(&mut self) {
         if self.quarantined_until.is_some() {
             return;
--- a/src/shared_scheduler/quarantine_notices.rs
+++ b/src/shared_scheduler/quarantine_notices.rs
@@ -62,8 +62,8 @@
     sent: u64,
     /// Peers that have not acknowledged a notice, by its sequence number.
     unacknowledged: BTreeMap<u64, HashSet<Name>>,
-    /// Bounds notices that are worth least.
-    faint_notices: NoticeBudget,
+    /// Bounds notices about requests that have only answering victims.
+    answering_notices: NoticeBudget,
     /// Channels that are closed at the next change.
     waiters: Vec<async_channel::Sender<()>>,
 }
@@ -75,7 +75,7 @@
     }
 
     /// Makes the next notice, which the caller sends to `peers`, and records that it was sent. `None`
-    /// if it is not to be sent, since there are too many of its kind.
+    /// if the budget for such notices is spent, so that it is not sent.
     pub fn record_sent(
         &self,
         now: Timestamp,
@@ -85,7 +85,8 @@
         let peers: HashSet<Name> = peers.into_iter().collect();
         let mut state = self.lock();
         state.sent += 1;
-        if suspect.is_faint() && !state.faint_notices.permit(now, peers.len()) {
+        if suspect.has_only_answering_victims() && !state.answering_notices.permit(now, peers.len())
+        {
             state.wake();
             return None;
         }
--- a/tests/quarantine_notices.rs
+++ b/tests/quarantine_notices.rs
@@ -34,7 +34,7 @@
 
 /// Quarantines, and ends of targets before an answer, are always told.
 #[test]
-fn record_sent_leaves_out_only_faint_suspicions() {
+fn record_sent_leaves_out_only_notices_of_answering_victims() {
     let notices = QuarantineNotices::default();
     let peers = || (0..649).map(|n| Name::from(format!("entry-{n}")));
     let suspect = |victims: &[&str], answering: &[&str], ttl| SuspectRequest {
