Entries that were met but are not listed yet count among the entries

Cause: an entry that starts reads the platform's list before the others have registered. Its list named itself alone, so that half of the list was itself, and it went on fetching after the cut without hearing from anybody: event=fetch_lease held=true reports=1 needed=1, 50 ms after it had met two peers that it then lost.

Ruled out: fetches that a target received late. Times since the cut show fetches without a pause until the free (9 of 32 runs, debug builds, eight at once), and none later than 2.93 s in the others.

Now the entries that it has met count as well, until a list that was confirmed after it lost them lacks them. It keeps them over the loss, since the cut is what ends the link.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -57,6 +57,7 @@
 mod target_paths;
 mod target_stream;
 mod target_table;
+mod unlisted_entries;
 mod versions;
 
 pub use absent_entries::AbsentEntries;
@@ -85,4 +86,5 @@
 pub use run_record::{Ending, EndingOutcome, ResponseState, RunRecord};
 pub use running::Gateway;
 pub use target_table::{TargetRecord, TargetTable};
+pub use unlisted_entries::UnlistedEntries;
 pub use versions::{VersionCutoff, WeightVersions};
--- a/src/gateway/control/members.rs
+++ b/src/gateway/control/members.rs
@@ -1,5 +1,7 @@
 //! The list of entries in the platform's store: how current it is, and removal of entries that are gone.
 
+use std::collections::BTreeSet;
+
 use crate::gateway::WatchedKind;
 use crate::gateway::control::{Control, State};
 use crate::peer::PeerLinks;
@@ -12,13 +14,25 @@
 const LIST_LIFETIME: Duration = Duration::from_mins(15);
 
 impl State {
-    /// Names of the other entries in the platform's store; `None` while they are not known, or were
-    /// not confirmed for long.
-    pub(crate) fn current_others(&self, now: Timestamp, own: &str) -> Option<Vec<Name>> {
+    /// Names of the other entries in the platform's store and of those that this one has met but that
+    /// the store did not list yet; `None` while the list is not known, or was not confirmed for long.
+    pub(crate) fn current_others(&self, now: Timestamp, own: &str) -> Option<BTreeSet<Name>> {
         let view = self.view(WatchedKind::Members);
         let is_listed = view.cache.revision() > 0;
         let is_current = now < view.freshness.confirmed_at() + LIST_LIFETIME;
-        (is_listed && is_current).then(|| self.other_entries(own))
+        if !is_listed || !is_current {
+            return None;
+        }
+        let listed = view.cache.iter().map(|(name, _)| name);
+        let mut entries = self.unlisted_entries.with(listed, &self.peers);
+        entries.remove(own);
+        Some(entries)
+    }
+
+    /// Forgets the entries that were lost before the list was confirmed without them.
+    pub(crate) fn expire_unlisted_entries(&mut self) {
+        let confirmed_at = self.view(WatchedKind::Members).freshness.confirmed_at();
+        self.unlisted_entries.confirm_list(confirmed_at);
     }
 
     /// Whether the platform's store lists the entries, but not the one named.
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -195,8 +195,11 @@
         let mut state = self.state();
         let staying = live.iter().filter(|p| !p.draining);
         let names: Vec<Name> = staying.clone().map(|p| p.name.clone()).collect();
-        for lost in state.peers.iter().filter(|n| !names.contains(n)) {
+        let lost = state.peers.iter().filter(|n| !names.contains(n));
+        let lost: Vec<Name> = lost.cloned().collect();
+        for lost in lost {
             log::info!("event=peer_lost peer={lost}");
+            state.unlisted_entries.record_lost(self.now(), lost);
         }
         let found = names.iter().filter(|n| !state.peers.contains(n));
         let found: Vec<Name> = found.cloned().collect();
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -46,6 +46,7 @@
         let now = self.now();
         let mut state = self.state();
         state.retire_context(now);
+        state.expire_unlisted_entries();
         let retired = state.retirement.retired();
         let lease = state.fetch_lease(now, &self.name);
         log_fetch_lease(&mut state, now, lease);
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -7,8 +7,8 @@
 use crate::gateway::control::warm_ups::WarmUpState;
 use crate::gateway::{
     AbsentEntries, DeclaredWeights, Decoder, Evacuations, HubAggregator, HubCandidate, HubSelector,
-    LoadTable, ROUND_TRIP_INTERVAL, RegisteredTarget, TargetLoad, TargetTable, WatchedKind,
-    WeightVersions,
+    LoadTable, ROUND_TRIP_INTERVAL, RegisteredTarget, TargetLoad, TargetTable, UnlistedEntries,
+    WatchedKind, WeightVersions,
 };
 use crate::name_hash::name_hash;
 use crate::peer::{JoinQuestions, PeerInfo, RoundTrip, RoundTripClock};
@@ -46,6 +46,8 @@
     pub retirement: RetirementTracker,
     /// Listed entries that are out of touch.
     pub absent_entries: AbsentEntries,
+    /// Entries that were met but are not listed.
+    pub unlisted_entries: UnlistedEntries,
     /// Bounds the questions to peers that are found.
     pub join_questions: JoinQuestions,
     /// How recent the messages of peers are.
@@ -102,6 +104,7 @@
             loads: LoadTable::default(),
             retirement: RetirementTracker::default(),
             absent_entries: AbsentEntries::default(),
+            unlisted_entries: UnlistedEntries::default(),
             join_questions: JoinQuestions::default(),
             round_trips: RoundTripClock::new(entry, fastrand::u64(..)),
             round_trip_sent_at: Timestamp::ZERO,
