Entries fetch by a majority of the list, as they free

Cause, by reading: an entry fetched by half of the list, and half and a majority have an entry in common only while both go by the same list, or the older list has an odd number. An entry that knew one other of two went on alone by half of two, while the other and one that had just joined were the majority of three.

Now both go by a majority, so that lists may differ by one whatever their number. Price: with an even list an entry needs one more report for its lease.

Evidence: fetch_lease_and_frees_have_an_entry_in_common_although_one_has_joined fails for a list of two with half in place.

--- a/src/context_store/retirement.rs
+++ b/src/context_store/retirement.rs
@@ -4,11 +4,12 @@
 //! what it has retired, merges what they report into its own, and fetches nothing that it has
 //! retired. Nobody waits for an entry that is cut off:
 //!
-//! - An entry fetches under a lease: it knows what enough entries had retired at most
-//!   [`FETCH_LEASE`] ago.
+//! - An entry fetches under a lease: it knows what a majority had retired at most [`FETCH_LEASE`]
+//!   ago.
 //! - Context is freed once a majority has had it retired for [`FREE_DELAY`].
 //!
-//! Enough entries and a majority have one in common. So when context is freed, each entry has
+//! Two majorities have an entry in common, also if one of them goes by a list that lacks the latest
+//! entry that joined. So when context is freed, each entry has
 //! learned that it is retired, or its lease has ended, and its last fetch as well. An entry that
 //! restarts forgets what it had retired; it counts again once that cannot matter any more.
 
@@ -182,7 +183,7 @@
             let report = self.reports.get(&name_hash(name));
             known.extend(report.map(|r| r.known_at));
         }
-        let needed = listed - majority(listed) + 1;
+        let needed = majority(listed);
         known.sort_unstable_by_key(|at| Reverse(*at));
         let oldest = known.get(needed - 1).filter(|_| is_read);
         FetchLease {
--- a/tests/retirement.rs
+++ b/tests/retirement.rs
@@ -106,7 +106,7 @@
 /// Guards against an entry that has just started, knows no other entry yet and takes itself for the
 /// majority: it would fetch what the others have agreed to free.
 #[test]
-fn fetch_lease_needs_reports_of_half_of_the_listed_entries() {
+fn fetch_lease_needs_reports_of_most_listed_entries() {
     let mut tracker = recalled();
     let unread = tracker.fetch_lease(ms(0), None::<&Vec<Name>>);
     assert_eq!(unread.until, None, "the list has not been read");
@@ -122,6 +122,38 @@
         "reports of entries that are not listed"
     );
     assert!(lease(&recalled(), ms(0), &[]).until.is_some(), "alone");
+    let mut half = recalled();
+    record(&mut half, ms(1), "b", RetiredVersions::default());
+    let two_of_four = lease(&half, ms(2), &["b", "c", "d"]);
+    assert_eq!(two_of_four.until, None, "half of them");
+}
+
+/// Guards against an entry that goes by the list from before another one joined, and fetches what those
+/// free that go by the new one.
+#[test]
+fn fetch_lease_and_frees_have_an_entry_in_common_although_one_has_joined() {
+    for listed in 1..9 {
+        let fetching = lease(&recalled(), ms(0), &vec!["x"; listed - 1]).needed;
+        let freeing = (1..=listed + 1).find(|entries| frees(*entries, listed + 1));
+        let freeing = freeing.unwrap();
+        assert!(fetching + freeing > listed + 1, "{listed} listed");
+    }
+}
+
+/// Whether context is freed once `retiring` of the `listed` entries, this one included, have retired it.
+fn frees(retiring: usize, listed: usize) -> bool {
+    let others: Vec<Name> = (1..listed)
+        .map(|n| Name::from(format!("entry-{n}")))
+        .collect();
+    let mut tracker = recalled();
+    tracker.retire(RETIRED);
+    let freed = [FREE_DELAY, FREE_DELAY * 2].map(|now| {
+        for name in &others[..retiring - 1] {
+            tracker.record_report(now, name_hash(name), RETIRED);
+        }
+        tracker.freeable(now, &others)
+    });
+    freed[1] == RETIRED
 }
 
 /// Guards against an entry that goes on fetching for ever once it has heard of the others.
