Half of a longer list is enough for a lease again; frees take one entry more

Cause: the majority was meant for lists that differ by one, and short lists need it, so that a system of three frees without the third. In longer ones it costs a lease where entries are gone or restart.

Now half of a list is enough for a lease, as it was, except for up to four entries, and a free takes as many as meet each lease by a list with one entry more or less: one more than before for odd numbers from five on. A lease that is missing is paid for at once, a free that comes later is not.

Evidence: fetch_lease_and_frees_have_an_entry_in_common_although_lists_differ_by_one covers lists of 1 to 14, both ways; it fails with half for a list of two.

--- a/src/context_store/retirement.rs
+++ b/src/context_store/retirement.rs
@@ -4,14 +4,13 @@
 //! what it has retired, merges what they report into its own, and fetches nothing that it has
 //! retired. Nobody waits for an entry that is cut off:
 //!
-//! - An entry fetches under a lease: it knows what a majority had retired at most [`FETCH_LEASE`]
-//!   ago.
-//! - Context is freed once a majority has had it retired for [`FREE_DELAY`].
+//! - An entry fetches under a lease: it knows what enough entries had retired at most
+//!   [`FETCH_LEASE`] ago.
+//! - Context is freed once enough entries have had it retired for [`FREE_DELAY`].
 //!
-//! Two majorities have an entry in common, also if one of them goes by a list that lacks the latest
-//! entry that joined. So when context is freed, each entry has
-//! learned that it is retired, or its lease has ended, and its last fetch as well. An entry that
-//! restarts forgets what it had retired; it counts again once that cannot matter any more.
+//! Both have an entry in common, also if one goes by a list that lacks the latest entry that joined.
+//! So when context is freed, each entry has learned that it is retired, or its lease has ended, and
+//! its last fetch as well. An entry that restarts forgets what it had retired; it counts again once that cannot matter any more.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -26,10 +25,13 @@
 pub const FETCH_LEASE: Duration = Duration::from_secs(3);
 /// Allowance for clocks that run at different rates and for requests in transit.
 const MARGIN: Duration = Duration::from_millis(500);
-/// Time for which a majority has had context retired when it is freed.
+/// Time for which enough entries have had context retired when it is freed.
 pub const FREE_DELAY: Duration = FETCH_LEASE
     .saturating_add(FETCH_TIMEOUT)
     .saturating_add(MARGIN);
+/// Number of entries up to which a lease takes more than half of them, so that a system of three frees
+/// without the third.
+const SHORT_LIST: usize = 4;
 /// Age at which a peer's report expires: until the next one, the peer counts as having retired
 /// nothing.
 const REPORT_TTL: Duration = Duration::from_secs(3);
@@ -111,7 +113,7 @@
     retired: RetiredVersions,
     /// Last report of each peer, by the hash of its name.
     reports: HashMap<u32, Report>,
-    /// What a majority has had retired since the given time, oldest first.
+    /// What enough entries for a free have had retired since the given time, oldest first.
     agreed_since: Vec<(Timestamp, RetiredVersions)>,
 }
 
@@ -183,7 +185,7 @@
             let report = self.reports.get(&name_hash(name));
             known.extend(report.map(|r| r.known_at));
         }
-        let needed = majority(listed);
+        let needed = lease_quorum(listed);
         known.sort_unstable_by_key(|at| Reverse(*at));
         let oldest = known.get(needed - 1).filter(|_| is_read);
         FetchLease {
@@ -193,7 +195,7 @@
         }
     }
 
-    /// Returns what may be freed: what a majority has had retired for so long that fetches begun
+    /// Returns what may be freed: what enough entries have had retired for so long that fetches begun
     /// before have ended. `others` are the other entries in the platform's list. Call this
     /// regularly, since agreement is timed from the call that first finds it.
     pub fn freeable<'a>(
@@ -220,7 +222,7 @@
             .fold(RetiredVersions::default(), RetiredVersions::union)
     }
 
-    /// What a majority of the listed entries, this one included, has retired now.
+    /// What enough of the listed entries for a free, this one included, have retired now.
     fn agreed_now<'a>(
         &self,
         now: Timestamp,
@@ -235,20 +237,33 @@
         let own = Some(self.retired).filter(|_| self.counts(now));
         retired.push(own.unwrap_or_default());
         RetiredVersions {
-            all_below: retired_by_majority(retired.iter().map(|r| r.all_below)),
-            half_below: retired_by_majority(retired.iter().map(|r| r.half_below)),
+            all_below: retired_by_quorum(retired.iter().map(|r| r.all_below)),
+            half_below: retired_by_quorum(retired.iter().map(|r| r.half_below)),
         }
     }
 }
 
-/// Fewest of `entries` that are more than half.
-fn majority(entries: usize) -> usize {
-    entries / 2 + 1
+/// Entries of a list, the fetching one included, that a lease takes. Half of a longer list is enough:
+/// entries that are gone stay listed for long, and without a lease everything is read again.
+fn lease_quorum(listed: usize) -> usize {
+    if listed <= SHORT_LIST {
+        listed / 2 + 1
+    } else {
+        listed.div_ceil(2)
+    }
+}
+
+/// Entries of a list that a free takes: so many that one of them is in each quorum for a lease, also by
+/// a list with one entry more or less.
+fn free_quorum(listed: usize) -> usize {
+    let lists = listed.max(2) - 1..=listed + 1;
+    let disjoint = lists.map(|other| other.max(listed) - lease_quorum(other));
+    disjoint.max().unwrap_or_default() + 1
 }
 
-/// The highest bound that a majority has reached.
-fn retired_by_majority(bounds: impl Iterator<Item = u64>) -> u64 {
+/// The highest bound that a quorum for a free has reached.
+fn retired_by_quorum(bounds: impl Iterator<Item = u64>) -> u64 {
     let mut bounds: Vec<u64> = bounds.collect();
     bounds.sort_unstable_by_key(|bound| Reverse(*bound));
-    bounds[majority(bounds.len()) - 1]
+    bounds[free_quorum(bounds.len()) - 1]
 }
--- a/src/gateway/control/store_cleanup.rs
+++ b/src/gateway/control/store_cleanup.rs
@@ -18,7 +18,7 @@
 type FreeableParts = Vec<(SocketAddr, u64, Vec<PartKey>)>;
 
 impl Control {
-    /// Frees context that a majority of the entries has retired, if this entry is the first live one
+    /// Frees context that enough entries have retired, if this entry is the first live one
     /// by name; never returns.
     pub(crate) async fn run_store_cleanup(self: Arc<Self>) {
         loop {
@@ -47,7 +47,7 @@
     fn freeable(&self) -> RetiredVersions {
         let now = self.now();
         let mut state = self.state();
-        // Every entry keeps track of how long a majority has agreed, so that one that becomes the
+        // Every entry keeps track of how long enough entries have agreed, so that one that becomes the
         // first need not start over.
         let Some(others) = state.current_others(now, &self.name) else {
             return RetiredVersions::default();
--- a/tests/retirement.rs
+++ b/tests/retirement.rs
@@ -128,15 +128,17 @@
     assert_eq!(two_of_four.until, None, "half of them");
 }
 
-/// Guards against an entry that goes by the list from before another one joined, and fetches what those
-/// free that go by the new one.
+/// Guards against an entry that goes by the list from before another one joined or was removed, and
+/// fetches what those free that go by the new one.
 #[test]
-fn fetch_lease_and_frees_have_an_entry_in_common_although_one_has_joined() {
-    for listed in 1..9 {
-        let fetching = lease(&recalled(), ms(0), &vec!["x"; listed - 1]).needed;
-        let freeing = (1..=listed + 1).find(|entries| frees(*entries, listed + 1));
-        let freeing = freeing.unwrap();
-        assert!(fetching + freeing > listed + 1, "{listed} listed");
+fn fetch_lease_and_frees_have_an_entry_in_common_although_lists_differ_by_one() {
+    let fetching = |listed| lease(&recalled(), ms(0), &vec!["x"; listed - 1]).needed;
+    let freeing = |listed| (1..=listed).find(|n| frees(*n, listed)).unwrap();
+    for listed in 1..14 {
+        let joined = listed + 1;
+        assert!(fetching(listed) + freeing(joined) > joined, "{listed}");
+        assert!(fetching(joined) + freeing(listed) > joined, "{listed}");
+        assert!(fetching(listed) + freeing(listed) > listed, "{listed}");
     }
 }
 
