Entries that drain count for leases until they end

Cause: in a system with hubs, a hub sends no digest to an entry that drains, and an entry that drains while it is the hub goes on by itself. Neither repeats a recent reading of the others' clocks, so its reports expire 3 s after, though it is linked, its process lives for up to 8 s, and it tells what it has retired.

Now hubs send digests to entries that drain too, also to those of a failure domain in which all do, and an entry that drains tells another one as its hub. In a small system they are answered as well. No new work goes to them, as before: they stay no peers in all else.

--- a/src/gateway/control/hub.rs
+++ b/src/gateway/control/hub.rs
@@ -21,7 +21,8 @@
         for origin in std::mem::take(&mut status.stream_origins) {
             self.shared.stream_origins.announce(now, origin);
         }
-        let own = state.own_hub_candidate(&self.own_vm);
+        let draining = self.shared.drain.is_draining();
+        let own = state.own_hub_candidate(&self.own_vm, draining);
         let peers = state.hub_candidates.clone();
         let was_hub = state.hub_selector.current().is_none();
         if let Some(hub) = state.hub_selector.select(now, &own, &peers) {
@@ -45,13 +46,13 @@
             .aggregator
             .digests(now, &self.own_domain_hub(), status);
         self.shared.scheduler_client.set_hubs(all.hubs.clone());
-        let draining = self.shared.drain.is_draining();
         if self.domain_scheduler.set_serving(!draining) && !draining {
             log::info!("event=domain_scheduler_started");
             self.submit_targets(&mut state);
         }
-        let hubs = HubSelector::other_domain_hubs(&own, &peers, &active);
-        let near = peers.iter().filter(|p| p.domain == own.domain);
+        let live = peers.iter().chain(&state.draining_peers);
+        let hubs = HubSelector::other_domain_hubs(&own, live.clone(), &active);
+        let near = live.filter(|p| p.domain == own.domain);
         let near: Vec<Name> = near.map(|p| p.name.clone()).collect();
         domain.merged.round_trip = Some(state.round_trips.round_trip(now, &hubs));
         all.merged.round_trip = Some(state.round_trips.round_trip(now, &near));
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -196,7 +196,7 @@
     pub(crate) fn set_live_peers(&self, live: &[PeerInfo]) {
         let mut state = self.state();
         let staying = live.iter().filter(|p| !p.draining);
-        let names: Vec<Name> = staying.clone().map(|p| p.name.clone()).collect();
+        let names: Vec<Name> = staying.map(|p| p.name.clone()).collect();
         let lost = state.peers.iter().filter(|n| !names.contains(n));
         let lost: Vec<Name> = lost.cloned().collect();
         for lost in lost {
@@ -225,7 +225,7 @@
         state.round_trips.retain(is_linked);
         state.peers = names;
         self.update_relays(&state, &state.decode_members());
-        state.set_hub_candidates(staying.cloned().collect());
+        state.set_hub_candidates(live.to_vec());
         drop(state);
         self.shared.scheduler.submit(Event::EntryCount(entries));
     }
--- a/src/gateway/control/state.rs
+++ b/src/gateway/control/state.rs
@@ -78,6 +78,8 @@
     pub peers: Vec<Name>,
     /// The entries in `peers`, as candidates for hubs.
     pub hub_candidates: Vec<HubCandidate>,
+    /// Live entries that are draining. What they have retired counts until they end.
+    pub draining_peers: Vec<HubCandidate>,
     /// Selects the hub in a large system.
     pub hub_selector: HubSelector,
     /// Collects statuses and digests while this entry is a hub.
@@ -120,6 +122,7 @@
             warm_ups: WarmUpState::default(),
             peers: Vec::new(),
             hub_candidates: Vec::new(),
+            draining_peers: Vec::new(),
             hub_selector: HubSelector::default(),
             aggregator: HubAggregator::default(),
             loads_sent_to_hub: Vec::new(),
@@ -278,14 +281,15 @@
         self.entry_count() > MAX_ENTRIES_WITHOUT_HUBS
     }
 
-    /// Sets the live entries that are not draining.
+    /// Sets the live entries.
     pub(crate) fn set_hub_candidates(&mut self, live: Vec<PeerInfo>) {
         let peers = live.into_iter().map(|peer| HubCandidate {
             cpu_millis: self.cpu_shares.get(&peer.name).copied().unwrap_or_default(),
             name: peer.name,
             domain: peer.domain,
+            draining: peer.draining,
         });
-        self.hub_candidates = peers.collect();
+        (self.draining_peers, self.hub_candidates) = peers.partition(|peer| peer.draining);
     }
 
     /// Records the CPU shares of the entries.
@@ -298,12 +302,13 @@
     }
 
     /// This entry as a candidate for the hub.
-    pub(crate) fn own_hub_candidate(&self, own: &Vm) -> HubCandidate {
+    pub(crate) fn own_hub_candidate(&self, own: &Vm, draining: bool) -> HubCandidate {
         HubCandidate {
             name: own.name.clone(),
             domain: own.domain.clone(),
             // The value from the platform store, as peers use it, so that all select the same hub.
             cpu_millis: self.cpu_shares.get(&own.name).copied().unwrap_or_default(),
+            draining,
         }
     }
 
@@ -348,7 +353,9 @@
             return None;
         }
         self.round_trip_sent_at = Some(now);
-        Some(self.round_trips.round_trip(now, &self.peers))
+        let draining = self.draining_peers.iter().map(|peer| &peer.name);
+        let receivers = self.peers.iter().chain(draining);
+        Some(self.round_trips.round_trip(now, receivers))
     }
 
     /// Names of the other entries in the platform store.
--- a/src/gateway/hub_selector.rs
+++ b/src/gateway/hub_selector.rs
@@ -19,15 +19,18 @@
     pub domain: Name,
     /// CPU share of its VM, in thousandths of a processor; zero when unknown.
     pub cpu_millis: u32,
+    /// Whether it is shutting down.
+    pub draining: bool,
 }
 
 impl HubCandidate {
     /// Order of preference as the hub of a failure domain: the VM with the largest CPU share first,
-    /// and equal ones in an order that is the same at every entry.
-    fn rank(&self) -> (Reverse<u32>, [u8; 8], &Name) {
+    /// and equal ones in an order that is the same at every entry; one that shuts down comes last.
+    fn rank(&self) -> (bool, Reverse<u32>, [u8; 8], &Name) {
         let hash = blake3::hash(format!("{} {}", self.domain, self.name).as_bytes());
         let hash_start = hash.as_bytes().first_chunk::<8>().copied();
         (
+            self.draining,
             Reverse(self.cpu_millis),
             hash_start.unwrap_or_default(),
             &self.name,
@@ -91,12 +94,12 @@
     /// The hubs of the other failure domains: those in `active`, which sent digests recently, and
     /// for a failure domain without any, the preferred candidate.
     #[must_use]
-    pub fn other_domain_hubs(
+    pub fn other_domain_hubs<'a>(
         own: &HubCandidate,
-        peers: &[HubCandidate],
+        peers: impl IntoIterator<Item = &'a HubCandidate>,
         active: &[Name],
     ) -> Vec<Name> {
-        let far = peers.iter().filter(|p| p.domain != own.domain);
+        let far = peers.into_iter().filter(|p| p.domain != own.domain);
         let (known_hubs, others): (Vec<_>, Vec<_>) = far.partition(|p| active.contains(&p.name));
         let mut best: HashMap<&Name, &HubCandidate> = HashMap::new();
         for peer in others {
--- a/tests/hubs.rs
+++ b/tests/hubs.rs
@@ -30,6 +30,7 @@
         name: format!("entry-{n}").into(),
         domain: format!("domain-{}", n % DOMAINS).into(),
         cpu_millis: if n / DOMAINS == 3 { 500 } else { 120 },
+        draining: false,
     }
 }
 
@@ -386,3 +387,25 @@
     let read: GatewayStatus = serde_json::from_value(extended).unwrap();
     assert_eq!(read.all_revisions(), [1, 2, 3, 4, 5]);
 }
+
+/// Guards against an entry that shuts down and takes itself for the hub, so that nobody hears of it.
+#[test]
+fn hub_selector_takes_an_entry_that_drains_last() {
+    let draining = |n| HubCandidate {
+        draining: true,
+        ..peer(n)
+    };
+    let mut selector = HubSelector::default();
+    let best = peer(3 * DOMAINS);
+    let other = peer(0);
+    let selected = selector.select(Duration::ZERO, &best, std::slice::from_ref(&other));
+    assert_eq!(selected, None, "the best one is the hub");
+    let selected = selector.select(Duration::ZERO, &draining(3 * DOMAINS), &[other]);
+    assert_eq!(selected, Some(peer(0).name), "until it drains");
+    let alone = selector.select(Duration::ZERO, &draining(3 * DOMAINS), &[]);
+    assert_eq!(alone, None, "with nobody else");
+    let far = [draining(1), peer(1 + DOMAINS), draining(2)];
+    let mut hubs = HubSelector::other_domain_hubs(&peer(0), &far, &[]);
+    hubs.sort_unstable();
+    assert_eq!(hubs, [draining(2).name, peer(1 + DOMAINS).name]);
+}
--- a/tests/store_view/entry.rs
+++ b/tests/store_view/entry.rs
@@ -352,6 +352,7 @@
             name: name(index),
             domain: "z".into(),
             cpu_millis: 0,
+            draining: false,
         };
         let peers: Vec<HubCandidate> = live.iter().map(|n| candidate(*n)).collect();
         if let Some(hub) = self.selector.select(now, &candidate(self.index), &peers) {
