A peer that begins to drain is noticed at its next heartbeat

Cause: heartbeats carry that an entry drains, and the link keeps it, but a change of it alone was no change of membership, so that nobody looked.

Now it is one.

Evidence: mesh_tells_of_a_peer_that_drains waits in vain before.

--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -127,8 +127,11 @@
             } => {
                 self.record_message(now, conn);
                 if let Some(link) = self.links.get_mut(&conn) {
-                    (link.revision, link.since_ms, link.draining) = (revision, since_ms, draining);
+                    (link.revision, link.since_ms) = (revision, since_ms);
                     link.last_heartbeat_at = now;
+                    if std::mem::replace(&mut link.draining, draining) != draining {
+                        effects.push(MemberEffect::Changed);
+                    }
                 }
             }
             MemberEvent::Closed(conn) => self.remove_link(now, conn, effects),
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -24,16 +24,25 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
 #[derive(Default)]
-struct Inbox(Mutex<Vec<(Name, PeerMessage)>>);
+struct Inbox {
+    messages: Mutex<Vec<(Name, PeerMessage)>>,
+    /// Live peers at the last change.
+    live: Mutex<Vec<PeerInfo>>,
+}
 
 impl PeerEvents for Inbox {
     fn on_message(&self, from: &PeerInfo, message: PeerMessage) {
         if !matches!(message, PeerMessage::Heartbeat { .. }) {
-            self.0.lock().unwrap().push((from.name.clone(), message));
+            self.messages
+                .lock()
+                .unwrap()
+                .push((from.name.clone(), message));
         }
     }
 
-    fn on_change(&self, _: &[PeerInfo]) {}
+    fn on_change(&self, live: &[PeerInfo]) {
+        *self.live.lock().unwrap() = live.to_vec();
+    }
 }
 
 struct Node {
@@ -122,12 +131,29 @@
         wait_until("broadcast", || {
             nodes[..2]
                 .iter()
-                .all(|n| n.inbox.0.lock().unwrap().len() == 1)
+                .all(|n| n.inbox.messages.lock().unwrap().len() == 1)
         })
         .await;
     });
 }
 
+/// Guards against peers that are taken for ones that stay until some link changes, though they shut
+/// down.
+#[test]
+fn mesh_tells_of_a_peer_that_drains() {
+    with_executor(async |ex| {
+        let first = start(&ex, "a1", SECRET, Vec::new());
+        let second = start(&ex, "b1", SECRET, vec![first.addr]);
+        let told = |draining: bool| {
+            let live = first.inbox.live.lock().unwrap();
+            live.iter().any(|peer| peer.draining == draining)
+        };
+        wait_until("linked", || told(false)).await;
+        second.mesh.set_draining(true);
+        wait_until("told", || told(true)).await;
+    });
+}
+
 /// An entry must reach its seeds without the platform, and dial them again after the link was
 /// closed.
 #[test]
@@ -246,7 +272,7 @@
         frames.extend(frame(&PeerMessage::WantCatalog));
         stream.write_all(&frames).await.unwrap();
         wait_until("received", || {
-            let inbox = node.inbox.0.lock().unwrap();
+            let inbox = node.inbox.messages.lock().unwrap();
             matches!(&inbox[..], [(from, PeerMessage::WantCatalog)] if &**from == "c1")
         })
         .await;
