Control state: hubs, leases, cordons and decoding in files of their own

state.rs held five kinds of knowledge in 390 lines. Functions and constants move to where their topic is: hubs to control/hub.rs, leases for fetches to control/fetch_leases.rs, cordons and pauses to control/cordons.rs, decoding to control/decoding.rs. Nothing else changes: the lines of control and its folder, sorted, differ by imports, braces, visibility of fields and one signature's layout.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,8 +1,11 @@
 //! Control tasks of a gateway: watches of the platform store, messages to peers, and weight orders.
 
 mod caller_limits;
+mod cordons;
+mod decoding;
 mod domain_scheduling;
 mod evacuations;
+mod fetch_leases;
 mod freshness;
 mod hub;
 mod load_spread;
--- a/src/gateway/control/hub.rs
+++ b/src/gateway/control/hub.rs
@@ -4,12 +4,65 @@
 //! In each interval, an entry sends and receives one message, regardless of the number of entries.
 //! A hub does so for each entry of its failure domain and for each other failure domain.
 
-use crate::gateway::HubSelector;
+use crate::gateway::control::fetch_leases::record_retired_by_all;
 use crate::gateway::control::peers::retired_versions;
 use crate::gateway::control::{Control, State};
+use crate::gateway::{HubCandidate, HubSelector};
 use crate::peer::{GatewayDigest, Mesh, PeerInfo, PeerLinks, PeerMessage};
+use crate::platform::Vm;
 use crate::prelude::*;
 
+/// Maximum number of entries that send their status to all peers. Their load reports are recent
+/// enough that requests wait at the entries and never at targets.
+const MAX_ENTRIES_WITHOUT_HUBS: usize = 10;
+
+impl State {
+    /// Whether there are so many entries that they exchange their status through hubs.
+    pub(crate) fn uses_hubs(&self) -> bool {
+        self.entry_count() > MAX_ENTRIES_WITHOUT_HUBS
+    }
+
+    /// Sets the live entries.
+    pub(crate) fn set_hub_candidates(&mut self, live: Vec<PeerInfo>) {
+        let peers = live.into_iter().map(|peer| HubCandidate {
+            cpu_millis: self.cpu_shares.get(&peer.name).copied().unwrap_or_default(),
+            name: peer.name,
+            domain: peer.domain,
+            draining: peer.draining,
+        });
+        (self.draining_peers, self.hub_candidates) = peers.partition(|peer| peer.draining);
+    }
+
+    /// Records the CPU shares of the entries.
+    pub(crate) fn set_cpu_shares(&mut self, members: &[Vm]) {
+        let cpu_shares = members.iter().map(|vm| (vm.name.clone(), vm.cpu_millis));
+        self.cpu_shares = cpu_shares.collect();
+        for peer in &mut self.hub_candidates {
+            peer.cpu_millis = self.cpu_shares.get(&peer.name).copied().unwrap_or_default();
+        }
+    }
+
+    /// This entry as a candidate for the hub.
+    pub(crate) fn own_hub_candidate(&self, own: &Vm, draining: bool) -> HubCandidate {
+        HubCandidate {
+            name: own.name.clone(),
+            domain: own.domain.clone(),
+            // The value from the platform store, as peers use it, so that all select the same hub.
+            cpu_millis: self.cpu_shares.get(&own.name).copied().unwrap_or_default(),
+            draining,
+        }
+    }
+
+    /// Number of failure domains with live entries, including the own one.
+    pub(crate) fn domain_count(&self) -> usize {
+        let mut domains: SmallVec<[&Name; 8]> =
+            self.hub_candidates.iter().map(|c| &c.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains.len().max(1)
+    }
+}
+
 impl Control {
     /// Sends the own status to the hub; if this entry is the hub, sends digests to the other hubs
     /// and to the entries of its failure domain.
@@ -105,16 +158,3 @@
         }
     }
 }
-
-/// Records what the entries of a digest have all retired.
-fn record_retired_by_all(state: &mut State, made_after: Option<Timestamp>, digest: &GatewayDigest) {
-    let age = digest.entries_age_ms.map(Duration::from_millis);
-    let Some((made_after, age)) = made_after.zip(age) else {
-        return;
-    };
-    let retired = retired_versions(digest.retired_by_all);
-    for entry in &digest.entries {
-        let known_at = made_after.saturating_sub(age);
-        state.retirement.record_report(known_at, *entry, retired);
-    }
-}
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -2,9 +2,7 @@
 
 use async_io::Timer;
 
-use crate::clock::whole_millis;
-use crate::context_store::FetchLease;
-use crate::gateway::control::{Control, State, TargetReport};
+use crate::gateway::control::{Control, TargetReport};
 use crate::gateway::{HUB_INTERVAL, STATUS_INTERVAL, WatchedKind};
 use crate::prelude::*;
 use crate::rollout::RolloutEvent;
@@ -84,17 +82,6 @@
         }
     }
 
-    /// Bounds fetches by what this entry has retired and by its lease.
-    pub(crate) fn refresh_fetch_lease(&self, state: &mut State) {
-        let now = self.now();
-        let retired = state.retirement.retired();
-        let lease = state.fetch_lease(now, &self.name);
-        log_fetch_lease(state, now, lease);
-        self.shared
-            .store_directory()
-            .restrict_fetches(retired, lease.until.unwrap_or_default());
-    }
-
     fn submit_rollout_loads(&self, state: &mut crate::gateway::control::State) {
         let own = self.shared.scheduler.own_loads();
         let granted = self.domain_scheduler.scheduler.own_loads();
@@ -127,18 +114,3 @@
         }
     }
 }
-
-/// Logs whether stored context may be fetched, when that changes.
-fn log_fetch_lease(state: &mut State, now: Timestamp, lease: FetchLease) {
-    let held = lease.until.is_some_and(|until| now < until);
-    if std::mem::replace(&mut state.may_fetch, held) == held {
-        return;
-    }
-    let FetchLease {
-        until,
-        reports,
-        needed,
-    } = lease;
-    let left_ms = until.map_or(0, |until| whole_millis(until.saturating_sub(now)));
-    log::info!("event=fetch_lease held={held} reports={reports} needed={needed} left_ms={left_ms}");
-}
