--- a/src/context_store/retirement.rs
+++ b/src/context_store/retirement.rs
@@ -10,7 +10,8 @@
 //!
 //! Both have an entry in common, also if one goes by a list that lacks the latest entry that joined.
 //! So when context is freed, each entry has learned that it is retired, or its lease has ended, and
-//! its last fetch as well. An entry that restarts forgets what it had retired; it counts again once that cannot matter any more.
+//! its last fetch as well. An entry that restarts forgets what it had retired; it counts again once
+//! that cannot matter any more.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
