Start, end, panics and usage of a process are logged

A start that failed left its reason on standard error alone, without the address; the exit could outrun the log's writer; a panic and the use of memory, descriptors and threads left no line.

The logger starts before the settings are read. Lines with the target "process" are not limited by the rate, and the exit flushes the queue, for half a second at most. Usage is read each second and logged every ten seconds, and at once when another sixteenth of a limit beyond the half is used. Errors of listening addresses name the address and its use. What ends a process and what does not is unchanged.

--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -1,17 +1,18 @@
 //! Construction, startup and graceful shutdown of a gateway.
 
+mod listeners;
 mod parts;
 mod tasks;
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::OnceLock;
 
 use async_executor::Executor;
-use async_io::Async;
 
 use crate::context_store::ContextStoreClient;
 use crate::entry::Threads;
+use crate::gateway::builder::listeners::Listeners;
 use crate::gateway::builder::tasks::{spawn_control, spawn_watchers};
 use crate::gateway::control::{HubLinks, TargetControl};
 use crate::gateway::listener::accept;
@@ -23,7 +24,7 @@
 use crate::gateway::stream_origins::OriginCall;
 use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
 use crate::http::{Limits, Server, ServerControl};
-use crate::intake::IntakeLimits;
+use crate::intake::{DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_BYTES, IntakeLimits};
 use crate::latch::Latch;
 use crate::part_quarantine::PartNotice;
 use crate::peer::Mesh;
@@ -34,7 +35,7 @@
 use crate::rollout::{RolloutEffect, RolloutSettings};
 use crate::scheduler::Effect;
 use crate::secret::Secret;
-use crate::telemetry::DEFAULT_LOG_LINES_PER_SECOND;
+use crate::telemetry::{DEFAULT_LOG_LINES_PER_SECOND, ProcessLimits, UsageReporter};
 
 /// Number of threads that serve callers.
 const TRAFFIC_THREADS: usize = 1;
@@ -104,6 +105,7 @@
     cold_bound: Option<ColdBound>,
     evacuation_deadline: Option<Duration>,
     intake: IntakeLimits,
+    process_limits: ProcessLimits,
 }
 
 impl GatewayBuilder {
@@ -142,6 +144,10 @@
             cold_bound: None,
             evacuation_deadline: None,
             intake: IntakeLimits::default(),
+            process_limits: ProcessLimits::of_machine(
+                DEFAULT_MEMORY_BYTES,
+                DEFAULT_MAX_DESCRIPTORS,
+            ),
         }
     }
 
@@ -150,6 +156,7 @@
     #[must_use]
     pub fn machine(mut self, memory_bytes: usize, max_descriptors: usize) -> Self {
         self.intake = IntakeLimits::for_machine(memory_bytes, max_descriptors);
+        self.process_limits = ProcessLimits::of_machine(memory_bytes, max_descriptors);
         self
     }
 
@@ -280,10 +287,7 @@
         targets: Arc<dyn TargetControl>,
         stores: Arc<dyn ContextStoreClient>,
     ) -> io::Result<Gateway> {
-        let caller_listener = Async::new(TcpListener::bind(self.caller_addr)?)?;
-        let probe_listener = TcpListener::bind(self.probe_addr)?;
-        let peer_listener = TcpListener::bind(self.peer_addr)?;
-        let metrics_listener = self.metrics.map(TcpListener::bind).transpose()?;
+        let listeners = Listeners::bind(&self)?;
 
         let (effects_tx, effects) = async_channel::unbounded();
         let (observations_tx, observations) = async_channel::unbounded();
@@ -337,7 +341,7 @@
             shared: shared.clone(),
             ready_path: shared.dialect.ready_path().into(),
         });
-        for listener in std::iter::once(probe_listener).chain(metrics_listener) {
+        for listener in std::iter::once(listeners.probe).chain(listeners.metrics) {
             let limits = Limits {
                 connections: self.intake.connections.min(PROBE_LIMITS.connections),
                 ..PROBE_LIMITS
@@ -345,6 +349,10 @@
             let server = Server::new(listener, limits, probe.clone(), probe_control.clone())?;
             control_ex.spawn(server.run(control_ex.clone())).detach();
         }
+        let usage = UsageReporter::new(self.process_limits);
+        let observed = shared.clone();
+        let report_usage = usage.run(move |usage| observed.metrics.record_usage(usage));
+        control_ex.spawn(report_usage).detach();
         spawn_control(&control, &control_ex, effects, observations, rollout);
         let run_part_notices = control.clone().run_part_notices(part_notices);
         control_ex.spawn(run_part_notices).detach();
@@ -357,12 +365,12 @@
         control_ex
             .spawn(keep_registered(platform, kind, self.own_vm(), is_missing))
             .detach();
-        let run = mesh.clone().run(peer_listener, control_ex.clone());
+        let run = mesh.clone().run(listeners.peers, control_ex.clone());
         control_ex.spawn(run).detach();
         let stop_accepting = Latch::default();
         traffic_ex
             .spawn(accept(
-                caller_listener,
+                listeners.callers,
                 shared.clone(),
                 traffic_ex.clone(),
                 stop_accepting.clone(),
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -5,11 +5,15 @@
 mod log_queue;
 mod logger;
 mod metrics;
+mod panic_log;
+mod process_usage;
 mod span;
 
 pub use gateway_metrics::GatewayMetrics;
 pub use line_budget::LineBudget;
 pub use log_queue::{DEFAULT_LOG_LINES_PER_SECOND, LogQueue};
-pub use logger::{init_log, init_queued_log, log_event};
+pub use logger::{PROCESS_LOG, ProcessLog, init_log, log_event};
 pub use metrics::EntryMetrics;
+pub use panic_log::log_panics;
+pub use process_usage::{ProcessLimits, ProcessUsage, UsageReporter};
 pub use span::{Span, SpanSink, TraceContext};
--- a/src/telemetry/gateway_metrics.rs
+++ b/src/telemetry/gateway_metrics.rs
@@ -4,6 +4,8 @@
     Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
 };
 
+use crate::telemetry::ProcessUsage;
+
 use super::metrics::{counter, counters, gauge, gauges, histogram};
 
 /// Metrics of one gateway process; every label has a bounded set of values.
@@ -55,6 +57,12 @@
     pub callers_refused: IntCounterVec,
     /// Connections of callers that were evicted, by limit: `connections` or `memory`.
     pub callers_evicted: IntCounterVec,
+    /// Resident memory, in bytes.
+    pub memory_bytes: IntGauge,
+    /// Open descriptors.
+    pub descriptors: IntGauge,
+    /// Threads.
+    pub threads: IntGauge,
     /// Invariant violations; each is a bug in this program.
     pub invariants: IntCounter,
 }
@@ -113,11 +121,26 @@
                 "Callers evicted by limit",
                 "limit",
             ),
+            memory_bytes: gauge(&r, "memory_bytes", "Resident memory"),
+            descriptors: gauge(&r, "descriptors", "Open descriptors"),
+            threads: gauge(&r, "threads", "Threads"),
             invariants: counter(&r, "invariant_violations_total", "Broken invariants"),
             registry: r,
         }
     }
 
+    /// Records what the process uses; what could not be read stays as it was.
+    pub fn record_usage(&self, usage: ProcessUsage) {
+        let set = |gauge: &IntGauge, value: Option<u64>| {
+            if let Some(value) = value {
+                gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+            }
+        };
+        set(&self.memory_bytes, usage.memory_bytes);
+        set(&self.descriptors, usage.descriptors);
+        set(&self.threads, usage.threads);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> Vec<u8> {
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -2,9 +2,11 @@
 
 use std::borrow::Cow;
 use std::fmt::{Display, Write};
+use std::sync::OnceLock;
 
 use log::{Level, LevelFilter};
 
+use crate::prelude::*;
 use crate::telemetry::LogQueue;
 
 /// Sends log lines of at least `level` to standard error.
@@ -27,28 +29,63 @@
         .apply()
 }
 
-/// Sends log lines of at least `level` to standard output through a [`LogQueue`], at most
-/// `lines_per_second`; each line carries the name `vm`.
-///
-/// # Errors
-/// When a logger is already set or the writer thread cannot be started.
-pub fn init_queued_log(level: LevelFilter, vm: &str, lines_per_second: u32) -> std::io::Result<()> {
-    let queue = LogQueue::start(std::io::stdout(), lines_per_second)?;
-    let vm = vm.to_owned();
-    fern::Dispatch::new()
-        .format(move |out, message, record| {
-            let ts_ms = crate::clock::unix_ms();
-            let level = record.level().as_str().to_ascii_lowercase();
-            out.finish(format_args!(
-                "ts_ms={ts_ms} level={level} vm={vm} {message}"
-            ));
-        })
-        .level(level)
-        .chain(fern::Output::call(move |record| {
-            queue.push(format!("{}\n", record.args()));
-        }))
-        .apply()
-        .map_err(std::io::Error::other)
+/// Target of log lines on the life of the process, which the rate of lines does not limit.
+pub const PROCESS_LOG: &str = "process";
+/// Name of the VM in log lines until it is known.
+const UNKNOWN_VM: &str = "-";
+
+/// Log on standard output that a writer thread writes.
+#[derive(Clone, Debug)]
+pub struct ProcessLog {
+    queue: Arc<LogQueue>,
+    vm: Arc<OnceLock<Name>>,
+}
+
+impl ProcessLog {
+    /// Sends log lines of at least `level` to standard output through a [`LogQueue`], at most
+    /// `lines_per_second`.
+    ///
+    /// # Errors
+    /// When a logger is already set or the writer thread cannot be started.
+    pub fn start(level: LevelFilter, lines_per_second: u32) -> std::io::Result<Self> {
+        let log = Self {
+            queue: Arc::new(LogQueue::start(std::io::stdout(), lines_per_second)?),
+            vm: Arc::default(),
+        };
+        let (queue, vm) = (log.queue.clone(), log.vm.clone());
+        fern::Dispatch::new()
+            .format(move |out, message, record| {
+                let ts_ms = crate::clock::unix_ms();
+                let level = record.level().as_str().to_ascii_lowercase();
+                let vm = vm.get().map_or(UNKNOWN_VM, |name| &**name);
+                out.finish(format_args!(
+                    "ts_ms={ts_ms} level={level} vm={vm} {message}"
+                ));
+            })
+            .level(level)
+            .chain(fern::Output::call(move |record| {
+                let line = format!("{}\n", record.args());
+                if record.target() == PROCESS_LOG {
+                    queue.push_unlimited(line);
+                } else {
+                    queue.push(line);
+                }
+            }))
+            .apply()
+            .map_err(std::io::Error::other)?;
+        Ok(log)
+    }
+
+    /// Sets the name of the VM, which each line carries from then on.
+    pub fn set_vm(&self, name: impl Into<Name>) {
+        let _ = self.vm.set(name.into());
+    }
+
+    /// Waits until all lines are written, for `timeout` at most; `false` if they are not.
+    #[must_use]
+    pub fn flush(&self, timeout: Duration) -> bool {
+        self.queue.flush(timeout)
+    }
 }
 
 /// Logs one event with its fields; values are quoted and escaped if necessary.
