--- a/src/telemetry/panic_log.rs
+++ b/src/telemetry/panic_log.rs
@@ -5,18 +5,17 @@
 
 use crate::telemetry::{DEFAULT_LOG_LINES_PER_SECOND, LineBudget, PROCESS_LOG};
 
-/// Logs each panic as one event, then calls the hook that was set before.
+/// Logs each panic as one event, up to a rate; the next line tells how many were left out.
 ///
-/// Panics in a series are logged up to a rate; the next line tells how many were left out.
+/// The standard library's hook is not called: it prints a backtrace, and reading the debug
+/// information for it may need more memory than a small VM has left.
 pub fn log_panics() {
     let budget = LineBudget::half_of(DEFAULT_LOG_LINES_PER_SECOND);
     let started = Instant::now();
-    let previous = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
         if let Some(left_out) = budget.permit(started.elapsed()) {
             log_panic(info, left_out);
         }
-        previous(info);
     }));
 }
 
