Connections to servers that are not asked any more are closed

What callers saw: nothing yet. Each holds a descriptor, of 4,100, and one of the target's places if the target lives.

Cause: idle connections had no timeout, and addresses were never removed.

Now connections that were idle for a minute are closed, at the next use of the pool once that time has passed. Targets state shorter idle timeouts, so that no connection is closed that could have been used again.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use http_types::{Request, StatusCode};
 
@@ -11,6 +11,8 @@
 
 /// Maximum number of idle connections for each address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
+/// Time after its last use at which an idle connection is closed, unless another is set.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// A complete response and the header that was asked for.
 #[derive(Clone, Debug)]
@@ -23,11 +25,41 @@
     pub body: Vec<u8>,
 }
 
+/// A connection and when it was last used.
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    since: Instant,
+}
+
+/// Idle connections, and when those past their timeout were last closed.
+#[derive(Debug)]
+struct State {
+    idle: HashMap<SocketAddr, Vec<IdleConnection>>,
+    swept_at: Instant,
+}
+
+impl State {
+    /// Closes the connections to all addresses that have been idle for too long, at most once in that
+    /// time: most of them are to servers that are gone, whose addresses are never asked for again.
+    fn sweep(&mut self, idle_timeout: Duration) {
+        if self.swept_at.elapsed() < idle_timeout {
+            return;
+        }
+        self.swept_at = Instant::now();
+        self.idle.retain(|_, connections| {
+            connections.retain(|idle| idle.since.elapsed() < idle_timeout);
+            !connections.is_empty()
+        });
+    }
+}
+
 /// Idle connections by address; only those whose last response ended cleanly are reused.
 #[derive(Debug)]
 pub struct Pool {
-    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    state: Mutex<State>,
     connect_timeout: Duration,
+    idle_timeout: Duration,
 }
 
 impl Pool {
@@ -35,11 +67,28 @@
     #[must_use]
     pub fn new(connect_timeout: Duration) -> Self {
         Self {
-            idle: Mutex::default(),
+            state: Mutex::new(State {
+                idle: HashMap::new(),
+                swept_at: Instant::now(),
+            }),
             connect_timeout,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
         }
     }
 
+    /// Sets the time after its last use at which an idle connection is closed.
+    #[must_use]
+    pub fn idle_timeout(mut self, timeout: Duration) -> Self {
+        self.idle_timeout = timeout;
+        self
+    }
+
+    /// Number of idle connections.
+    #[must_use]
+    pub fn idle_count(&self) -> usize {
+        self.lock().idle.values().map(Vec::len).sum()
+    }
+
     /// Sends `req` on an idle connection, or on a new one when none is usable.
     ///
     /// # Errors
@@ -115,27 +164,34 @@
         let Some(conn) = response.into_connection() else {
             return;
         };
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.entry(addr).or_default();
+        let mut state = self.lock();
+        state.sweep(self.idle_timeout);
+        let list = state.idle.entry(addr).or_default();
         if list.len() < MAX_IDLE_PER_ADDRESS {
-            list.push(conn);
+            list.push(IdleConnection {
+                connection: conn,
+                since: Instant::now(),
+            });
         }
     }
 
     /// Drops every idle connection to `addr`.
     pub fn clear(&self, addr: SocketAddr) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&addr);
+        self.lock().idle.remove(&addr);
     }
 
     fn take(&self, addr: SocketAddr) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.get_mut(&addr)?;
-        while let Some(conn) = list.pop() {
-            if !conn.is_stale() {
-                return Some(conn);
+        let mut state = self.lock();
+        let list = state.idle.get_mut(&addr)?;
+        while let Some(idle) = list.pop() {
+            if !idle.connection.is_stale() {
+                return Some(idle.connection);
             }
         }
         None
     }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
