Contents of a context store are not copied for relays that do not exist

Each answer of a context store was copied for the peers before it was found that a small system relays nothing: 4 MB for 98,000 parts.

--- a/src/gateway/control/store_relay.rs
+++ b/src/gateway/control/store_relay.rs
@@ -31,7 +31,10 @@
     }
 
     fn relay_update(&self, store: SocketAddr, from: u64, update: &StoreUpdate) {
-        self.send_store_update(relayed_update(store, from, update));
+        // Without hubs, nobody is told: the full contents of a store are not copied in vain.
+        if self.shares_watches() {
+            self.send_store_update(relayed_update(store, from, update));
+        }
     }
 
     fn relay_unreachable(&self, store: SocketAddr) {
