Server reads a request that has arrived before it closes an idle connection

What callers of guavahold-entry saw: a connection closed without an answer when their request arrived just before the idle timeout or an eviction.

Cause: the timeout is compared with the clock when the task runs, while readiness is known only once the reactor has reported it; after a pause of the process or a busy time the clock is ahead.

Now the socket is read once, without waiting, before the connection closes; bytes that are there begin a message as usual. A stop still leaves them unread, so that the caller may send elsewhere. Both servers share the function, read_arrived.

Test: server_idle_timeout_loses_no_request_that_has_arrived failed before (no response) and passes now; with a timeout of zero the reactor always reports later.

--- a/src/gateway/request_reader/input.rs
+++ b/src/gateway/request_reader/input.rs
@@ -1,12 +1,11 @@
 //! Bytes that a caller's connection has sent.
 
-use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
 
 use async_io::Async;
 use futures_lite::AsyncReadExt;
 
-use crate::http::MessageError;
+use crate::http::{MessageError, read_arrived};
 use crate::prelude::*;
 
 /// Size of a read from a socket, in bytes.
@@ -38,19 +37,7 @@
 
     /// Appends the bytes that have arrived to `buf`; `false` when there are none yet.
     pub(super) fn fill_arrived(&mut self) -> Result<bool, MessageError> {
-        let len = self.buf.len();
-        self.buf.reserve_exact(READ_SIZE);
-        self.buf.resize(len + READ_SIZE, 0);
-        let read = self.stream.get_ref().read(&mut self.buf[len..]);
-        self.buf.truncate(len + *read.as_ref().unwrap_or(&0));
-        match read {
-            Ok(0) => Err(MessageError::CutShort),
-            Ok(_) => Ok(true),
-            Err(err) if matches!(err.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                Ok(false)
-            }
-            Err(_) => Err(MessageError::CutShort),
-        }
+        read_arrived(self.stream.get_ref(), &mut self.buf, READ_SIZE)
     }
 
     /// Appends more bytes to `buf`; returns their number, zero at the end of the stream.
--- a/src/http.rs
+++ b/src/http.rs
@@ -4,6 +4,7 @@
 //! are delimited here, so that a truncated message is an error on both sides and no pipelined
 //! request is lost (RFC 9112, sections 6 and 9.3.2).
 
+mod arrived;
 mod body_throttle;
 mod buffered;
 mod chunk;
@@ -25,6 +26,7 @@
 mod server_connection;
 mod sse;
 
+pub(crate) use arrived::read_arrived;
 pub use body_throttle::{AdmissionFuture, BodyThrottle};
 pub use buffered::poll_read_buffered;
 pub use chunk::ChunkScanner;
--- a/src/http/server_connection.rs
+++ b/src/http/server_connection.rs
@@ -18,6 +18,7 @@
 use crate::http::response_writer::ResponseWriter;
 use crate::http::{
     Handler, IncomingRequest, Limits, MessageError, Problem, RequestHead, ServerControl,
+    read_arrived,
 };
 use crate::shared_intake::IntakePermit;
 
@@ -38,6 +39,16 @@
 /// Time after the stop in which an idle connection may still receive a request already in transit.
 const STOP_GRACE: Duration = Duration::from_millis(200);
 
+/// Why a connection stops waiting for a message.
+enum Wakeup {
+    /// Bytes may have arrived.
+    Readable,
+    /// The idle timeout has passed, or others need the connection's place.
+    Idle,
+    /// The server has stopped.
+    Stopped,
+}
+
 /// Guard that counts a request as running until dropped.
 struct RunningRequest(Arc<ServerControl>);
 
@@ -162,30 +173,36 @@
     }
 
     /// Waits for the first bytes of a message; `false` when the connection ends, idles too long or
-    /// the server stops.
+    /// the server stops. Bytes that have arrived by the idle timeout or an eviction are read
+    /// nevertheless, since the reactor may report them later.
     async fn wait_for_message(&mut self) -> io::Result<bool> {
         self.buf = Vec::new();
         let readable = async {
             self.stream.readable().await?;
-            Ok::<_, io::Error>(true)
+            Ok::<_, io::Error>(Wakeup::Readable)
         };
         let idle = async {
             coarse_sleep(self.limits.idle_timeout).await;
-            Ok(false)
+            Ok(Wakeup::Idle)
         };
         let stop = async {
             self.control.stopped().await;
             Timer::after(STOP_GRACE).await;
-            Ok(false)
+            Ok(Wakeup::Stopped)
         };
         let evicted = async {
             self.permit.evicted().await;
-            Ok(false)
+            Ok(Wakeup::Idle)
         };
-        if !readable.or(idle).or(stop).or(evicted).await? {
-            return Ok(false);
-        }
-        Ok(self.fill().await.is_ok_and(|n| n > 0))
+        let arrived = match readable.or(idle).or(stop).or(evicted).await? {
+            Wakeup::Readable => self.fill().await.is_ok_and(|n| n > 0),
+            Wakeup::Idle => {
+                let stream = self.stream.get_ref();
+                read_arrived(stream, &mut self.buf, READ_BYTES).unwrap_or(false)
+            }
+            Wakeup::Stopped => false,
+        };
+        Ok(arrived)
     }
 
     /// Receives and parses a request head and removes it from `buf`.
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -46,7 +46,11 @@
 }
 
 fn start_server(limits: Limits) -> TestServer {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    serve_on(TcpListener::bind("127.0.0.1:0").unwrap(), limits)
+}
+
+/// Serves the connections of a listener, which may have arrived before.
+fn serve_on(listener: TcpListener, limits: Limits) -> TestServer {
     let addr = listener.local_addr().unwrap();
     let recorder = Arc::new(Recorder::default());
     let control = Arc::new(ServerControl::default());
@@ -149,6 +153,36 @@
     assert_eq!(statuses(&exchange_raw(server.addr, send)), [200]);
 }
 
+/// Guards against connections that are closed at their idle timeout although a request has arrived,
+/// which the reactor reports only later. With a timeout of zero it always reports it later.
+#[test]
+fn server_idle_timeout_loses_no_request_that_has_arrived() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let requests = (0..8).map(|_| {
+        let mut stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let timeout = Some(Duration::from_secs(10));
+        stream.set_read_timeout(timeout).unwrap();
+        let request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi";
+        stream.write_all(request).unwrap();
+        stream
+    });
+    let callers: Vec<TcpStream> = requests.collect();
+    let idle_timeout = Duration::ZERO;
+    let server = serve_on(
+        listener,
+        Limits {
+            idle_timeout,
+            ..Limits::default()
+        },
+    );
+    for mut stream in callers {
+        let mut response = Vec::new();
+        let _ = stream.read_to_end(&mut response);
+        assert_eq!(statuses(&String::from_utf8_lossy(&response)), [200]);
+    }
+    assert_eq!(server.recorder.0.lock().unwrap().len(), 8);
+}
+
 #[test]
 fn server_stop_completes_running_request() {
     let server = start_server(Limits::default());
