Chunk lines are read in place, and bodies of a stated length are copied whole

A body of a stated length was copied byte by byte in debug builds. Entries that read endless chunks up to their bound on a busy machine so came near the deadline of their requests (endless_bytes_in_a_plain_response_are_cut_off).

Lines that arrive whole are now parsed in the read buffer; only a line that is split between two reads is copied. Only whitespace of ASCII may follow the size, and no vertical tab (RFC 9112: space and tab).

The new test of chunk lines (limits, overflow, extensions, trailers, each split) fixes what both do.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -53,7 +53,8 @@
         match &mut self.remaining {
             Remaining::Length(left) => {
                 let take = usize::try_from(*left).map_or(raw.len(), |l| l.min(raw.len()));
-                out.extend(raw.drain(..take));
+                out.extend_from_slice(&raw[..take]);
+                raw.drain(..take);
                 *left -= take as u64;
                 self.done = *left == 0;
             }
--- a/src/http/chunk.rs
+++ b/src/http/chunk.rs
@@ -63,10 +63,7 @@
         let mut pos = 0;
         while pos < buf.len() && self.state != State::Done {
             match self.state {
-                State::Size | State::Trailer => {
-                    self.push_line_byte(buf[pos])?;
-                    pos += 1;
-                }
+                State::Size | State::Trailer => pos += self.feed_line(&buf[pos..])?,
                 State::Data(remaining) => {
                     let available = u64::try_from(buf.len() - pos).unwrap_or(u64::MAX);
                     let take = remaining.min(available);
@@ -96,41 +93,58 @@
         Ok(pos)
     }
 
-    fn push_line_byte(&mut self, byte: u8) -> Result<(), MessageError> {
-        self.trailer_bytes += usize::from(self.state == State::Trailer);
-        if self.trailer_bytes > MAX_TRAILER_BYTES {
+    /// Takes bytes up to the end of the current line; returns their number.
+    fn feed_line(&mut self, bytes: &[u8]) -> Result<usize, MessageError> {
+        let line_end = bytes.iter().position(|b| *b == b'\n');
+        let part = &bytes[..line_end.unwrap_or(bytes.len())];
+        let taken = part.len() + usize::from(line_end.is_some());
+        if self.state == State::Trailer {
+            self.trailer_bytes += taken;
+        }
+        let line_bytes = self.line.len() + part.len();
+        if line_bytes > MAX_LINE_BYTES || self.trailer_bytes > MAX_TRAILER_BYTES {
             return Err(MessageError::BadChunk);
         }
-        if byte != b'\n' {
-            if self.line.len() >= MAX_LINE_BYTES {
-                return Err(MessageError::BadChunk);
-            }
-            self.line.push(byte);
-            return Ok(());
+        if line_end.is_none() {
+            self.line.extend_from_slice(part);
+        } else if self.line.is_empty() {
+            self.state = self.state_after(part)?;
+        } else {
+            let mut line = std::mem::take(&mut self.line);
+            line.extend_from_slice(part);
+            self.state = self.state_after(&line)?;
         }
-        if self.line.pop() != Some(b'\r') {
-            return Err(MessageError::BadChunk);
+        Ok(taken)
+    }
+
+    /// State after a line, which must end with a carriage return.
+    fn state_after(&self, line: &[u8]) -> Result<State, MessageError> {
+        let line = line.strip_suffix(b"\r").ok_or(MessageError::BadChunk)?;
+        if self.state == State::Size {
+            return match chunk_size(line).ok_or(MessageError::BadChunk)? {
+                0 => Ok(State::Trailer),
+                size => Ok(State::Data(size)),
+            };
         }
-        let line = std::mem::take(&mut self.line);
-        self.state = match self.state {
-            State::Size => state_after_size(&line)?,
-            _ if line.is_empty() => State::Done,
-            other => other,
-        };
-        Ok(())
+        Ok(if line.is_empty() {
+            State::Done
+        } else {
+            State::Trailer
+        })
     }
 }
 
-fn state_after_size(line: &[u8]) -> Result<State, MessageError> {
-    let digits = line.split(|b| *b == b';').next().unwrap_or_default();
-    let digits = std::str::from_utf8(digits).map_err(|_| MessageError::BadChunk)?;
-    let digits = digits.trim_end();
-    if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
-        return Err(MessageError::BadChunk);
+/// Size that a chunk-size line states; `None` when it is malformed or too large.
+fn chunk_size(line: &[u8]) -> Option<u64> {
+    let extension = line.iter().position(|b| *b == b';');
+    let digits = line[..extension.unwrap_or(line.len())].trim_ascii_end();
+    if digits.is_empty() {
+        return None;
     }
-    match u64::from_str_radix(digits, 16) {
-        Ok(0) => Ok(State::Trailer),
-        Ok(size) => Ok(State::Data(size)),
-        Err(_) => Err(MessageError::BadChunk),
+    let mut size = 0_u64;
+    for digit in digits {
+        let digit = char::from(*digit).to_digit(16)?;
+        size = size.checked_mul(16)?.checked_add(digit.into())?;
     }
+    Some(size)
 }
--- a/tests/gateway_parts.rs
+++ b/tests/gateway_parts.rs
@@ -68,6 +68,42 @@
     assert_eq!(garbled, Err(MessageError::BadChunk));
 }
 
+/// Guards against chunk lines that are read differently when they arrive in parts.
+#[test]
+fn body_reader_reads_chunk_lines_split_at_any_byte() {
+    let long_line = format!("1;{}\r\nx\r\n0\r\n\r\n", "e".repeat(1_021));
+    let trailers = format!("1\r\nx\r\n0\r\n{}\r\n", "Y: z\r\n".repeat(1_365));
+    let accepted = [
+        "1;a=b\r\nx\r\n0\r\nY: z\r\n\r\n",
+        "001 \t\r\nx\r\n0;a\r\n\r\n",
+        &long_line,
+        &trailers,
+    ];
+    let longer_line = long_line.replacen("1;", "1;e", 1);
+    let more_trailers = trailers.replacen("Y: z", "Y: zz", 1);
+    let rejected = [
+        "\r\n",
+        ";a\r\n",
+        "+1\r\nx\r\n0\r\n\r\n",
+        "1\nx\r\n0\r\n\r\n",
+        "1\r\nxy\r\n0\r\n\r\n",
+        "1 1\r\nx\r\n0\r\n\r\n",
+        "10000000000000000\r\nx\r\n0\r\n\r\n",
+        &longer_line,
+        &more_trailers,
+    ];
+    for step in [1, 2, 3, 5, 1_000, 20_000] {
+        for raw in accepted {
+            let (body, rest) = read_body(Framing::Chunked, raw.as_bytes(), step).unwrap();
+            assert_eq!((&body[..], rest.len()), (&b"x"[..], 0), "{raw:?}");
+        }
+        for raw in rejected {
+            let read = read_body(Framing::Chunked, raw.as_bytes(), step);
+            assert_eq!(read, Err(MessageError::BadChunk), "{raw:?}");
+        }
+    }
+}
+
 #[test]
 fn event_splitter_keeps_event_bytes_for_any_chunk_size() {
     let raw = b"weight-versions: 2\nid: 6\ndata: a\ndata: b\n\nid:7\r\ndata: c\r\n\r\nid: 8\nda";
