A long response body holds up no other request of its entry

What callers saw: while a target sent a long body faster than the entry read it, no other request of the entry was read, sent or answered, since one thread serves callers and a read that finds bytes never gives it up: up to 8 MiB at once, 30 to 130 ms in tiny chunks with a release build.

Now the reader lets other tasks run after each 32 KiB. An event or a response that is shorter is not affected.

--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
 
 use crate::clock::coarse_sleep;
 use crate::gateway::caller_room::CallerRoom;
@@ -15,6 +16,9 @@
 
 /// Size of a read from a socket, in bytes.
 const READ_SIZE: usize = 8 * 1024;
+/// Bytes after which other tasks of the thread run, since reads never wait while a target sends
+/// faster than it is read.
+const YIELD_BYTES: usize = 32 * 1024;
 /// Longest time from the first byte of a head to its last.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum size of interim responses and of responses to other requests before the expected one, in
@@ -59,6 +63,8 @@
     has_unnamed: bool,
     /// Bytes received so far.
     received: usize,
+    /// Bytes received since other tasks last ran.
+    unyielded: usize,
 }
 
 impl<'a> ResponseReader<'a> {
@@ -73,6 +79,7 @@
             has_foreign: false,
             has_unnamed: false,
             received: 0,
+            unyielded: 0,
         }
     }
 
@@ -238,6 +245,10 @@
     }
 
     async fn read(&mut self) -> io::Result<usize> {
+        if self.unyielded >= YIELD_BYTES {
+            self.unyielded = 0;
+            yield_now().await;
+        }
         let len = self.raw.len();
         self.raw.resize(len + READ_SIZE, 0);
         let read = self.stream.read(&mut self.raw[len..]).await;
@@ -247,6 +258,7 @@
         }
         self.raw.truncate(len + n);
         self.received += n;
+        self.unyielded += n;
         read
     }
 }
