A response with an invalid status reaches no caller

What callers saw: a target that answered with status 000 had its answer passed on, with "HTTP/1.1 0" as status line, which is no answer. 001, 099, 600 and 999 were passed on too, and an answer behind a 101 was taken as that to the request, though no request asks for another protocol.

Cause: ResponseHead::parse took any three digits. Class: a value that the parser admits is taken as one that the protocol admits.

--- a/src/gateway/response_head.rs
+++ b/src/gateway/response_head.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 
 use crate::gateway::{Dialect, ResponseInfo};
-use crate::http::{Framing, MAX_HEADERS, MessageError};
+use crate::http::{Framing, MAX_HEADERS, MessageError, response_status};
 
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -35,11 +35,12 @@
             Ok(_) => return Err(MessageError::HeadTooLarge),
             Err(_) => return Err(MessageError::Malformed),
         };
+        let status = response_status(&res)?;
         let head = Self {
-            status: res.code.unwrap_or_default(),
+            status,
             framing: Framing::from_headers(res.headers)?,
             info: dialect.decode_response(&res),
-            lines: forwarded_lines(&res),
+            lines: forwarded_lines(status, &res),
         };
         raw.drain(..len);
         Ok(Some(head))
@@ -85,14 +86,10 @@
 }
 
 /// Encodes the status line and the headers that are forwarded.
-fn forwarded_lines(res: &httparse::Response<'_, '_>) -> Vec<u8> {
+fn forwarded_lines(status: u16, res: &httparse::Response<'_, '_>) -> Vec<u8> {
     let mut out = Vec::with_capacity(256);
     let reason = res.reason.unwrap_or_default();
-    let _ = write!(
-        out,
-        "HTTP/1.1 {} {reason}\r\n",
-        res.code.unwrap_or_default()
-    );
+    let _ = write!(out, "HTTP/1.1 {status} {reason}\r\n");
     for header in res.headers.iter() {
         if is_hop_by_hop(header.name) {
             continue;
--- a/src/http.rs
+++ b/src/http.rs
@@ -24,6 +24,7 @@
 mod server;
 mod server_connection;
 mod sse;
+mod status;
 
 pub use body_throttle::{AdmissionFuture, BodyThrottle};
 pub use buffered::poll_read_buffered;
@@ -42,3 +43,4 @@
 pub use problem::{Problem, RunState};
 pub use server::Server;
 pub use sse::{EventParser, EventSender, SseEvent, event_body};
+pub(crate) use status::response_status;
