guavahold-entry's client rejects 101, and the store's and orders' calls do

The client that serves guavahold-entry, the store, orders and context stores dropped a 101 as an interim response and took what followed as the answer.

Evidence: the case switched_protocols of client_rejects_truncated_responses failed on (body "abc").

Now it uses response_status, as the gateway does.

--- a/src/http/response_reader.rs
+++ b/src/http/response_reader.rs
@@ -12,7 +12,7 @@
 use futures_lite::ready;
 
 use crate::http::head::MAX_HEADERS;
-use crate::http::{ChunkScanner, Framing, MessageError};
+use crate::http::{ChunkScanner, Framing, MessageError, response_status};
 
 /// Longest accepted response head, in bytes; `async-h1` rejects heads of 8 KiB or more.
 const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
@@ -127,7 +127,7 @@
             Ok(_) => return Err(MessageError::HeadTooLarge),
             Err(_) => return Err(MessageError::Malformed),
         };
-        let code = res.code.unwrap_or_default();
+        let code = response_status(&res)?;
         if (100..200).contains(&code) {
             self.raw.drain(..n);
             self.interim_responses += 1;
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -213,6 +213,40 @@
     }
 }
 
+/// Answers uploads at once without a length, and resets their connections after a part.
+fn serve_early_reset() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart");
+            let _ = stream.read(&mut [0; 4096]);
+            // The bytes of the upload that were not read reset the connection.
+        }
+    });
+    addr
+}
+
+#[test]
+fn client_rejects_early_answer_that_is_reset_during_upload() {
+    let addr = serve_early_reset();
+    for _ in 0..20 {
+        let body = block_on_with_timeout(async {
+            let conn = Connection::open(addr, Duration::from_secs(5))
+                .await
+                .unwrap();
+            let mut req = get(addr);
+            req.set_method(Method::Post);
+            req.set_body("u".repeat(1024 * 1024));
+            let mut response = conn.send(req).await.ok()?;
+            response.bytes(1024).await.ok()
+        });
+        assert_eq!(body, None);
+    }
+}
+
 #[test]
 fn client_does_not_reuse_connection_with_extra_bytes() {
     let response = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n";
