An answer without a length that is reset during the upload is cut short

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the part arrived as a complete answer, and so did a stream that broke between two events.

Cause: Attempt::exchange writes and reads one socket. The kernel reports a reset to one call: if the write gets it, the next read returns 0, as at an orderly end, which is the end of a body without a length. Class: a failure that one side of a connection has learned does not reach the other side.

Ruled out: a lost error in the reader (with a reset alone it gets the error, see unframed.rs).

Now a target's connection is a DuplexStream: once a write has failed, a read of 0 is an error. A broken pipe is no such failure: the kernel reports it when the reset came after the end of the peer's stream, so a target may answer early, shut down its side and close with unread bytes.

--- a/src/gateway/control/path_checks.rs
+++ b/src/gateway/control/path_checks.rs
@@ -67,7 +67,7 @@
         let connected = if self.shared.paths.path(&target) == Path::Relayed {
             // It is known already that peers connect.
             let own = self.shared.dial(&target, address).await;
-            own.ok().map(TargetStream::Direct)
+            own.ok().map(TargetStream::from)
         } else {
             match self.shared.probe_target(&target, address).await {
                 ProbeResult::Reached(stream) => Some(stream),
--- a/src/gateway/relay_server.rs
+++ b/src/gateway/relay_server.rs
@@ -62,7 +62,7 @@
     let Ok(stream) = shared.dial(&target, address).await else {
         return false;
     };
-    let stream = TargetStream::Direct(stream);
+    let stream = TargetStream::from(stream);
     shared.connections.put(address, stream, None);
     true
 }
--- a/src/gateway/target_dialer.rs
+++ b/src/gateway/target_dialer.rs
@@ -84,7 +84,7 @@
             None
         };
         match async { Some((&mut own).await) }.or(head_start).await {
-            Some(Ok(stream)) => return Ok(TargetStream::Direct(stream)),
+            Some(Ok(stream)) => return Ok(stream.into()),
             Some(Err(own)) => {
                 let relayed = self.open_relay(target, address, relays).await;
                 return relayed.map_err(|relay| NotConnected { own, relay });
@@ -95,14 +95,14 @@
         let first = async { First::Own((&mut own).await) };
         let first = first.or(async { First::Relay((&mut relayed).await) });
         match first.await {
-            First::Own(Ok(stream)) => Ok(TargetStream::Direct(stream)),
+            First::Own(Ok(stream)) => Ok(stream.into()),
             First::Relay(Ok(stream)) => Ok(stream),
             First::Own(Err(own)) => {
                 let relayed = relayed.await;
                 relayed.map_err(|relay| NotConnected { own, relay })
             }
             First::Relay(Err(relay)) => {
-                let own = own.await.map(TargetStream::Direct);
+                let own = own.await.map(TargetStream::from);
                 own.map_err(|own| NotConnected { own, relay })
             }
         }
--- a/src/gateway/target_stream.rs
+++ b/src/gateway/target_stream.rs
@@ -4,9 +4,9 @@
 use std::net::TcpStream;
 
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use socket2::SockRef;
 
+use crate::http::DuplexStream;
 use crate::peer::RelayStream;
 use crate::prelude::*;
 use crate::residency::AllowedDomains;
@@ -14,7 +14,7 @@
 /// Connection to a target.
 pub(crate) enum TargetStream {
     /// This entry's own connection.
-    Direct(Async<TcpStream>),
+    Direct(DuplexStream),
     /// A connection that a peer relays.
     Relayed {
         /// Name of the peer.
@@ -26,6 +26,12 @@
     },
 }
 
+impl From<Async<TcpStream>> for TargetStream {
+    fn from(stream: Async<TcpStream>) -> Self {
+        Self::Direct(stream.into())
+    }
+}
+
 impl TargetStream {
     /// Name of the peer that relays the connection, if any.
     pub(crate) fn peer(&self) -> Option<&Name> {
@@ -55,10 +61,7 @@
     /// Reads bytes of the target; zero at the orderly end of its stream.
     pub(crate) async fn read(&self, buf: &mut [u8]) -> io::Result<usize> {
         match self {
-            Self::Direct(stream) => {
-                let mut stream = stream;
-                stream.read(buf).await
-            }
+            Self::Direct(stream) => stream.read(buf).await,
             Self::Relayed { stream, .. } => stream.read(buf).await,
         }
     }
@@ -66,10 +69,7 @@
     /// Sends bytes to the target.
     pub(crate) async fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
         match self {
-            Self::Direct(stream) => {
-                let mut stream = stream;
-                stream.write_all(bytes).await
-            }
+            Self::Direct(stream) => stream.write_all(bytes).await,
             Self::Relayed { stream, .. } => stream.write_all(bytes).await,
         }
     }
