A relaying peer tells a reset of the target from the end of its stream

What callers saw: the same as on direct connections, nearly always: a part of an answer without a length as a complete one, if a peer relayed it and the target reset the connection during the upload.

Cause: forward_requests got the reset, and forward_responses then read 0 and told the entry of an orderly end. Besides, a peer that had told of an orderly end closed its connection with unread bytes of the upload, which discards what its system had not sent yet of the answer.

Now the relay's connection to the target is a DuplexStream, and after an orderly end the peer reads on until the entry closes, for 3 s at most. The close message has the status 1000. One without a status comes from an earlier build, which also sends it after a reset that its writer saw, so an entry takes it as a failure: through such a peer a whole answer without a length is cut short until the peer is upgraded. Earlier builds take any close message as an end, as before; there is no new kind of message.

--- a/src/peer/relay/server.rs
+++ b/src/peer/relay/server.rs
@@ -3,17 +3,24 @@
 use std::net::TcpStream;
 
 use async_io::Async;
-use async_tungstenite::tungstenite::{Bytes, Message};
+use async_tungstenite::tungstenite::protocol::CloseFrame;
+use async_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
+use async_tungstenite::tungstenite::{Bytes, Message, Utf8Bytes};
 use async_tungstenite::{WebSocketReceiver, WebSocketSender, WebSocketStream};
 use futures_lite::future::Boxed;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, StreamExt};
+use futures_lite::{FutureExt, StreamExt};
 use socket2::SockRef;
 
-use crate::http::enable_dead_peer_detection;
+use crate::clock::coarse_sleep;
+use crate::http::{DuplexStream, enable_dead_peer_detection};
 use crate::peer::relay::RELAY_CHUNK_BYTES;
 use crate::peer::{PeerMessage, RelayFailure, encode};
 use crate::prelude::*;
 
+/// Longest time for which the peer's bytes are read after the end of the target's stream: closing a
+/// socket with unread bytes resets the connection, and the peer may lose what was sent before.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A connection to a target that is relayed to a peer.
 pub struct RelayedTarget {
     /// The connection.
@@ -50,59 +57,81 @@
         return;
     };
     let (to_peer, from_peer) = ws.split();
+    let stream = DuplexStream::from(stream);
     let requests = forward_requests(from_peer, &stream, peer, target);
-    requests.or(forward_responses(&stream, to_peer)).await;
+    let responses = async {
+        if forward_responses(&stream, to_peer).await == StreamEnd::Orderly {
+            coarse_sleep(CLOSE_TIMEOUT).await;
+        }
+    };
+    requests.or(responses).await;
     // What the peer gave up must not reach the target later, such as after a network partition.
     let _ = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
     drop(open);
 }
 
-/// Forwards the peer's bytes until it closes the connection.
+/// How the relaying of a target's stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamEnd {
+    /// At the end of the stream, of which the peer was told.
+    Orderly,
+    /// One of the connections failed.
+    Failed,
+}
+
+/// Forwards the peer's bytes until it closes the connection. What the target does not take is dropped:
+/// it may have sent a response before it closed its connection.
 async fn forward_requests(
     mut from_peer: WebSocketReceiver<Async<TcpStream>>,
-    stream: &Async<TcpStream>,
+    stream: &DuplexStream,
     peer: &Name,
     target: &Name,
 ) {
-    let mut to_target = stream;
+    let mut has_failed = false;
     while let Some(Ok(message)) = from_peer.next().await {
-        let written = match message {
-            Message::Binary(bytes) => to_target.write_all(&bytes).await,
+        match message {
+            Message::Binary(bytes) if !has_failed => {
+                has_failed = stream.write_all(&bytes).await.is_err();
+            }
             Message::Text(request) => {
                 log::info!("event=request_relayed request={request} target={target} peer={peer}");
-                Ok(())
             }
             Message::Close(_) => return,
-            _ => Ok(()),
-        };
-        if written.is_err() {
-            // The target may have sent a response before it closed the connection.
-            return std::future::pending().await;
+            _ => {}
         }
     }
 }
 
-/// Forwards the target's bytes, and the orderly end of its stream; a connection that broke ends
+/// Forwards the target's bytes, and the orderly end of its stream; a connection that failed ends
 /// without one.
 async fn forward_responses(
-    stream: &Async<TcpStream>,
+    stream: &DuplexStream,
     mut to_peer: WebSocketSender<Async<TcpStream>>,
-) {
-    let mut from_target = stream;
+) -> StreamEnd {
     let mut buf = vec![0; RELAY_CHUNK_BYTES];
     loop {
-        match from_target.read(&mut buf).await {
-            Ok(0) => {
-                let _ = to_peer.close(None).await;
-                return;
-            }
-            Ok(len) => {
-                let message = Message::Binary(Bytes::copy_from_slice(&buf[..len]));
-                if to_peer.send(message).await.is_err() {
-                    return;
-                }
-            }
-            Err(_) => return,
+        let Ok(len) = stream.read(&mut buf).await else {
+            return StreamEnd::Failed;
+        };
+        let message = if len == 0 {
+            Message::Close(Some(end_of_stream()))
+        } else {
+            Message::Binary(Bytes::copy_from_slice(&buf[..len]))
+        };
+        if to_peer.send(message).await.is_err() {
+            return StreamEnd::Failed;
         }
+        if len == 0 {
+            return StreamEnd::Orderly;
+        }
+    }
+}
+
+/// Tells a peer that the target's stream ended in order. A close message without a status comes from an
+/// earlier build, which also sends it after some failures.
+fn end_of_stream() -> CloseFrame {
+    CloseFrame {
+        code: CloseCode::Normal,
+        reason: Utf8Bytes::from_static("end of stream"),
     }
 }
--- a/src/peer/relay/stream.rs
+++ b/src/peer/relay/stream.rs
@@ -5,6 +5,7 @@
 
 use async_io::Async;
 use async_lock::Mutex;
+use async_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
 use async_tungstenite::tungstenite::{Bytes, Message};
 use async_tungstenite::{WebSocketReceiver, WebSocketSender, WebSocketStream};
 use futures_lite::StreamExt;
@@ -53,9 +54,13 @@
             match incoming.ws.next().await {
                 Some(Ok(Message::Binary(bytes))) => incoming.unread = bytes,
                 // The peer sends it only after the target's own end of stream.
-                Some(Ok(Message::Close(_))) => return Ok(0),
+                Some(Ok(Message::Close(Some(end)))) if end.code == CloseCode::Normal => {
+                    return Ok(0);
+                }
+                Some(Ok(Message::Close(_)) | Err(_)) | None => {
+                    return Err(io::ErrorKind::ConnectionReset.into());
+                }
                 Some(Ok(_)) => {}
-                Some(Err(_)) | None => return Err(io::ErrorKind::ConnectionReset.into()),
             }
         }
         let len = incoming.unread.len().min(buf.len());
