Orders to targets go on new connections, whose responses belong to them

What users saw: nothing yet; a target may send an additional response on a connection that it keeps (PROTOCOL), and neither an order nor its answer names an ID. An additional 412 was taken for the answer to the next order and gave up the lease of a holder with a valid fencing token; an additional 202 counted an order as accepted that the target had refused.

An order costs one new connection; there are few, one for each target and version. Class: a response on a kept connection that nothing assigns to its request.

The finding stays for status queries, whose next one repairs the result.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -87,6 +87,26 @@
         Ok((fetched.status, fetched.body))
     }
 
+    /// Does the same as [`Pool::fetch`] on a new connection, for responses that no ID assigns to their
+    /// request: a late response to another request may arrive on an idle connection. The connection
+    /// takes the place of all idle ones to `addr`.
+    ///
+    /// # Errors
+    /// Those of [`Pool::fetch`].
+    pub async fn fetch_on_new_connection(
+        &self,
+        addr: SocketAddr,
+        req: Request,
+        limit: usize,
+    ) -> Result<(StatusCode, Vec<u8>), ExchangeError> {
+        self.clear(addr);
+        let mut response = self.send_on_new_connection(addr, req).await?;
+        let body = response.bytes(limit).await?;
+        let status = response.res.status();
+        self.put(addr, response);
+        Ok((status, body))
+    }
+
     /// Does the same as [`Pool::fetch`] and returns the value of one response header as well.
     ///
     /// # Errors
--- a/src/order/controller.rs
+++ b/src/order/controller.rs
@@ -208,7 +208,10 @@
         let mut req = Request::new(Method::Post, url);
         req.set_body(serde_json::json!(request).to_string());
         req.insert_header("content-type", "application/json");
-        let exchange = async { self.pool.fetch(address, req, MAX_ANSWER_BYTES).await.ok() };
+        let exchange = self
+            .pool
+            .fetch_on_new_connection(address, req, MAX_ANSWER_BYTES);
+        let exchange = async { exchange.await.ok() };
         let timeout = async {
             Timer::after(ORDER_TIMEOUT).await;
             None
