--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -63,8 +63,7 @@
             .await
             .map_err(ExchangeError::Sent)?;
         let ended_cleanly = Arc::new(AtomicBool::new(false));
-        let reader =
-            ResponseReader::new(self.stream.clone(), no_body, false, ended_cleanly.clone());
+        let reader = ResponseReader::new(self.stream.clone(), no_body, ended_cleanly.clone());
         let res = async_h1::client::decode(reader)
             .await
             .map_err(response_error)?;
--- a/src/http/response_reader.rs
+++ b/src/http/response_reader.rs
@@ -27,20 +27,17 @@
     /// Body of stated length, with the bytes remaining.
     Length(u64),
     Chunked(ChunkScanner),
-    /// Body that ends with the connection.
-    UntilClose,
     Done,
 }
 
-/// Reads exactly one response; a truncated response is an error.
+/// Reads exactly one response; a truncated response is an error, and so is one whose body has neither a
+/// length nor chunks.
 #[derive(Debug)]
 pub(crate) struct ResponseReader {
     stream: Arc<Async<TcpStream>>,
     phase: Phase,
     no_body: bool,
     interim_responses: u32,
-    /// Whether a body without stated length may end with the connection.
-    until_close_allowed: bool,
     /// Bytes received and not yet delimited.
     raw: Vec<u8>,
     /// Bytes of this response for the reader, consumed up to `pos`.
@@ -55,7 +52,6 @@
     pub(crate) fn new(
         stream: Arc<Async<TcpStream>>,
         no_body: bool,
-        until_close_allowed: bool,
         ended_cleanly: Arc<AtomicBool>,
     ) -> Self {
         Self {
@@ -63,7 +59,6 @@
             phase: Phase::Head,
             no_body,
             interim_responses: 0,
-            until_close_allowed,
             raw: Vec::new(),
             ready: Vec::new(),
             pos: 0,
@@ -107,10 +102,6 @@
                     }
                     return Ok(());
                 }
-                Phase::UntilClose => {
-                    self.ready.append(&mut self.raw);
-                    return Ok(());
-                }
                 Phase::Done => return Ok(()),
             }
         }
@@ -144,23 +135,10 @@
             Framing::Length(0) => self.finish(),
             Framing::Length(len) => self.phase = Phase::Length(len),
             Framing::Chunked => self.phase = Phase::Chunked(ChunkScanner::new()),
-            Framing::Unspecified if self.until_close_allowed => self.phase = Phase::UntilClose,
             Framing::Unspecified => return Err(MessageError::BadLength),
         }
         Ok(true)
     }
-
-    /// Handles the end of the connection.
-    fn end_of_stream(&mut self) -> Result<(), MessageError> {
-        match self.phase {
-            Phase::Done => Ok(()),
-            Phase::UntilClose => {
-                self.phase = Phase::Done;
-                Ok(())
-            }
-            _ => Err(MessageError::CutShort),
-        }
-    }
 }
 
 impl AsyncRead for ResponseReader {
@@ -191,10 +169,9 @@
             };
             this.raw.truncate(len + n);
             if ready!(read)? == 0 {
-                this.end_of_stream()?;
-            } else {
-                this.advance()?;
+                return Poll::Ready(Err(MessageError::CutShort.into()));
             }
+            this.advance()?;
         }
     }
 }
