Outgoing connections hold no port that a process listens at

What callers saw: an entry did not start (EADDRINUSE, status 1) as long as a connection that another process of the same machine had opened used one of its ports, and for 60 s after. Cause: a port that connect() picks is never shared. Setting SO_REUSEADDR before connect() alone does not change that: on Linux 6.18 a later bind() fails with the connection established, in FIN_WAIT2 and in TIME_WAIT. After bind() to port 0 with SO_REUSEADDR before connect(), it succeeds in all three. Change: one function opens all outgoing connections and binds them so. If no port is free for that, the connection is opened as before. Ruled out: a process's own listeners; connect() never picks a port that is bound explicitly.

--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -13,7 +13,7 @@
 use crate::gateway::ConnectionHistory;
 use crate::gateway::target_connection::TargetConnection;
 use crate::gateway::target_stream::TargetStream;
-use crate::http::enable_dead_peer_detection;
+use crate::http::{self, enable_dead_peer_detection};
 use crate::prelude::*;
 use crate::residency::AllowedDomains;
 
@@ -171,7 +171,7 @@
 /// # Errors
 /// When the target cannot be connected to within [`CONNECT_TIMEOUT`].
 pub(crate) async fn connect(addr: SocketAddr) -> io::Result<Async<TcpStream>> {
-    let connect = Async::<TcpStream>::connect(addr);
+    let connect = http::connect(addr);
     let timeout = async {
         coarse_sleep(CONNECT_TIMEOUT).await;
         Err(io::ErrorKind::TimedOut.into())
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -11,7 +11,7 @@
 use http_types::{Method, Request, Response};
 
 use crate::http::response_reader::ResponseReader;
-use crate::http::{ExchangeError, MessageError, enable_dead_peer_detection};
+use crate::http::{ExchangeError, MessageError, connect, enable_dead_peer_detection};
 
 /// A connection that carries one exchange at a time.
 #[derive(Debug)]
@@ -25,12 +25,12 @@
     /// # Errors
     /// [`ExchangeError::Connect`] when no connection is made in time.
     pub async fn open(addr: SocketAddr, timeout: Duration) -> Result<Self, ExchangeError> {
-        let connect = Async::<TcpStream>::connect(addr);
+        let connected = connect(addr);
         let timed_out = async {
             Timer::after(timeout).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let stream = connect
+        let stream = connected
             .or(timed_out)
             .await
             .map_err(ExchangeError::Connect)?;
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -12,6 +12,7 @@
 };
 use futures_lite::{FutureExt, StreamExt};
 
+use crate::http::connect;
 use crate::peer::handshake_stream::HandshakeStream;
 use crate::peer::{
     CodecError, ConnId, MemberEvent, Mesh, PROTOCOL_VERSION, PeerMessage, decode, encode, relay,
@@ -76,7 +77,7 @@
 /// Dials an address and runs the connection until it ends.
 pub(crate) async fn dial(mesh: &Arc<Mesh>, addr: SocketAddr) {
     let handshake = async {
-        let stream = Async::<TcpStream>::connect(addr).await?;
+        let stream = connect(addr).await?;
         let _ = stream.get_ref().set_nodelay(true);
         let url = format!("ws://{addr}/peers");
         let stream = HandshakeStream::new(stream);
--- a/src/peer/relay/client.rs
+++ b/src/peer/relay/client.rs
@@ -9,7 +9,7 @@
 use futures_lite::{FutureExt, StreamExt};
 
 use crate::clock::coarse_sleep;
-use crate::http::enable_dead_peer_detection;
+use crate::http::{connect, enable_dead_peer_detection};
 use crate::peer::relay::{MAX_RELAY_MESSAGE_BYTES, RELAY_CHUNK_BYTES, RelayStream};
 use crate::peer::{Mesh, PROTOCOL_VERSION, PeerMessage, RelayError, decode, encode};
 use crate::prelude::*;
@@ -38,7 +38,7 @@
     peer: SocketAddr,
     target: &str,
 ) -> Result<RelayStream, RelayError> {
-    let stream = Async::<TcpStream>::connect(peer).await;
+    let stream = connect(peer).await;
     let stream = stream.map_err(|_| RelayError::Peer)?;
     enable_dead_peer_detection(stream.get_ref());
     let socket = stream.get_ref().try_clone().map_err(|_| RelayError::Peer)?;
