A start waits for listening addresses that are held

What callers saw: no entry at this address. If a predecessor, a connection or nothing of the machine held one of the four addresses, the process ended at once with status 1. Cause: addresses were bound once, the optional one for metrics too. Change: the addresses for callers, readiness and peers are tried every 20 ms, for the time that a predecessor may take to end plus TIME_WAIT, with a line at once and every 5 s; the last error names the address. They begin to accept only together, so that callers are refused until then and go to another entry. Other errors end the start at once. Metrics are served when their address becomes free. SIGTERM ends the wait in order; signals are handled in one place for start, run and drain. The event 'started' now means that the addresses are had.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -63,7 +63,7 @@
 pub use absent_entries::AbsentEntries;
 pub use body::BodyReader;
 pub use brittle_targets::BrittleTargets;
-pub use builder::GatewayBuilder;
+pub use builder::{GatewayBuilder, GatewayListeners};
 pub use control::{TargetControl, TargetStatus};
 pub use decoder::{DeclaredWeights, Decoder, RegisteredTarget, WatchedKind};
 pub use dialect::{
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -2,6 +2,7 @@
 
 mod listeners;
 mod parts;
+mod probes;
 mod tasks;
 
 use std::io;
@@ -12,18 +13,16 @@
 
 use crate::context_store::ContextStoreClient;
 use crate::entry::Threads;
-use crate::gateway::builder::listeners::Listeners;
+pub use crate::gateway::builder::listeners::GatewayListeners;
 use crate::gateway::builder::tasks::{spawn_control, spawn_watchers};
 use crate::gateway::control::{HubLinks, TargetControl};
 use crate::gateway::listener::accept;
 use crate::gateway::peer_handler::PeerHandler;
-use crate::gateway::probe::ProbeHandler;
 use crate::gateway::registration::keep_registered;
 use crate::gateway::request_log::DEFAULT_LOG_SAMPLE;
 use crate::gateway::shared::TargetObservation;
 use crate::gateway::stream_origins::OriginCall;
 use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
-use crate::http::{Limits, Server, ServerControl};
 use crate::intake::{DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_BYTES, IntakeLimits};
 use crate::latch::Latch;
 use crate::part_quarantine::PartNotice;
@@ -50,15 +49,6 @@
     (Duration::from_millis(2_400), Duration::from_millis(7_500));
 /// Maximum number of peers' connections in their handshake.
 const MAX_HANDSHAKES: usize = 256;
-/// Limits on readiness checks and on scrapes of metrics, which have no bodies.
-const PROBE_LIMITS: Limits = Limits {
-    head_bytes: 8 * 1024 - 1,
-    body_bytes: 1024,
-    message_timeout: Duration::from_secs(2),
-    idle_timeout: Duration::from_mins(2),
-    connections: 128,
-    request_bytes: 2 * 1024 * 1024,
-};
 /// Maximum number of entries for [`HEARTBEAT_TIMING`].
 const MAX_ENTRIES_SHORT_HEARTBEAT: u32 = 24;
 
@@ -275,20 +265,19 @@
         self
     }
 
-    /// Binds all addresses and starts the gateway.
+    /// Starts the gateway. The address for metrics may be held: it is bound when it becomes free.
     ///
     /// # Errors
-    /// When an address cannot be bound or a thread cannot be started.
+    /// When a thread cannot be started.
     pub fn start(
         self,
+        listeners: GatewayListeners,
         dialect: Arc<dyn Dialect>,
         decoder: Arc<dyn Decoder>,
         platform: Arc<dyn Platform>,
         targets: Arc<dyn TargetControl>,
         stores: Arc<dyn ContextStoreClient>,
     ) -> io::Result<Gateway> {
-        let listeners = Listeners::bind(&self)?;
-
         let (effects_tx, effects) = async_channel::unbounded();
         let (observations_tx, observations) = async_channel::unbounded();
         let (rollout_tx, rollout) = async_channel::unbounded();
@@ -336,19 +325,7 @@
         let run_decisions = control.clone().run_decisions(decisions);
         control_ex.spawn(run_decisions).detach();
 
-        let probe_control = Arc::new(ServerControl::default());
-        let probe = Arc::new(ProbeHandler {
-            shared: shared.clone(),
-            ready_path: shared.dialect.ready_path().into(),
-        });
-        for listener in std::iter::once(listeners.probe).chain(listeners.metrics) {
-            let limits = Limits {
-                connections: self.intake.connections.min(PROBE_LIMITS.connections),
-                ..PROBE_LIMITS
-            };
-            let server = Server::new(listener, limits, probe.clone(), probe_control.clone())?;
-            control_ex.spawn(server.run(control_ex.clone())).detach();
-        }
+        self.serve_probes(listeners.probe, &shared, &control_ex)?;
         let usage = UsageReporter::new(self.process_limits);
         let observed = shared.clone();
         let report_usage = usage.run(move |usage| observed.metrics.record_usage(usage));
--- a/src/gateway/builder/listeners.rs
+++ b/src/gateway/builder/listeners.rs
@@ -1,43 +1,42 @@
 //! Listening sockets of a gateway.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 
 use async_io::Async;
 
 use crate::gateway::GatewayBuilder;
+use crate::listen::{ListenAddress, TIME_WAIT, listen_at_all};
 
-/// Listening sockets of a gateway.
-pub(super) struct Listeners {
+/// Listening sockets that a gateway needs.
+pub struct GatewayListeners {
     /// For callers.
-    pub callers: Async<TcpListener>,
+    pub(super) callers: Async<TcpListener>,
     /// For the load balancer's readiness checks.
-    pub probe: TcpListener,
+    pub(super) probe: TcpListener,
     /// For peers.
-    pub peers: TcpListener,
-    /// For metrics, on an address of their own.
-    pub metrics: Option<TcpListener>,
+    pub(super) peers: TcpListener,
 }
 
-impl Listeners {
-    /// Binds the addresses of a gateway.
+impl GatewayBuilder {
+    /// Listens at the addresses for callers, readiness checks and peers. Waits while one of them is
+    /// held, at most for the time that a predecessor may take to end and its connections to expire.
     ///
     /// # Errors
-    /// When an address cannot be bound.
-    pub(super) fn bind(cfg: &GatewayBuilder) -> io::Result<Self> {
-        Ok(Self {
-            callers: Async::new(listen(cfg.caller_addr, "callers")?)?,
-            probe: listen(cfg.probe_addr, "readiness")?,
-            peers: listen(cfg.peer_addr, "peers")?,
-            metrics: cfg.metrics.map(|a| listen(a, "metrics")).transpose()?,
+    /// When an address cannot be had; the error names it.
+    pub async fn listen(&self) -> io::Result<GatewayListeners> {
+        let addresses = [
+            ("callers", self.caller_addr),
+            ("readiness", self.probe_addr),
+            ("peers", self.peer_addr),
+        ];
+        let addresses = addresses.map(|(role, addr)| ListenAddress { role, addr });
+        let timeout = self.shutdown_timeout + TIME_WAIT;
+        let [callers, probe, peers] = listen_at_all(addresses, timeout).await?;
+        Ok(GatewayListeners {
+            callers: Async::new(callers)?,
+            probe,
+            peers,
         })
     }
 }
-
-/// Binds a listening address; the error names the address and what it is for.
-fn listen(addr: SocketAddr, role: &str) -> io::Result<TcpListener> {
-    TcpListener::bind(addr).map_err(|err| {
-        let reason = format!("cannot listen on {addr} for {role}: {err}");
-        io::Error::new(err.kind(), reason)
-    })
-}
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -4,6 +4,7 @@
 
 use async_executor::Executor;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use futures_lite::future::zip;
 
 use crate::entry::Threads;
@@ -12,6 +13,7 @@
 use crate::latch::Latch;
 use crate::peer::Mesh;
 use crate::prelude::*;
+use crate::signals::ProcessSignals;
 
 /// Interval at which a shutdown checks whether all connections have closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -31,13 +33,13 @@
 }
 
 impl Gateway {
-    /// Runs the control tasks on the calling thread until `stop` completes, then shuts down
-    /// gracefully.
-    pub fn run(self, stop: impl Future<Output = ()>) {
+    /// Runs the control tasks on the calling thread until a signal asks the process to end, then
+    /// shuts down gracefully.
+    pub fn run(self, signals: &mut ProcessSignals) {
         let control = self.control_executor.clone();
         async_io::block_on(control.run(async {
-            stop.await;
-            self.shut_down().await;
+            signals.stop_requested().await;
+            self.shut_down().or(signals.log_all()).await;
         }));
         self.traffic_threads.stop();
     }
