A start with too few descriptors says so, and raises a soft limit

What callers saw: with 16 open files or less, no entry, or one that accepted no connection for as long as it lived; an engineer saw 'Too many open files' on standard error or accept_failed. Change: the first statement of the process raises the soft limit of descriptors to the 64 that it needs, and after the settings to limits.max-fds, as far as the hard limit allows. Below 64 the start ends with a line that names the limit. Where the hard limit is below limits.max-fds, a warning says so and callers' connections are bounded by it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod claim;
 pub mod clock;
 pub mod context_store;
+pub mod descriptors;
 pub mod domain_scheduler;
 pub mod entry;
 pub mod gateway;
