Supervisor that starts long-lived tasks again

The executor drops a task that panics and goes on with the others, so that a process lives on without the task's work and nothing but the line of the panic tells of it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,5 +54,6 @@
 pub mod shared_scheduler;
 pub mod store_view;
 pub mod stream_origin;
+pub mod supervisor;
 pub mod target;
 pub mod telemetry;
--- /dev/null
+++ b/src/supervisor/task.rs
@@ -0,0 +1,44 @@
+//! What a supervisor does with one long-lived task.
+
+/// A long-lived task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SupervisedTask {
+    /// Name in log lines and metrics.
+    pub name: &'static str,
+    /// Whether the process ends when the task keeps ending.
+    pub is_required: bool,
+    /// Whether its return is its regular end.
+    pub may_return: bool,
+}
+
+impl SupervisedTask {
+    /// A task that is started again for as long as the process lives. For tasks that act on what comes
+    /// from outside: a process that starts anew would meet the same input and know less.
+    #[must_use]
+    pub fn retried(name: &'static str) -> Self {
+        Self {
+            name,
+            is_required: false,
+            may_return: false,
+        }
+    }
+
+    /// A task without which callers are not served. If it keeps ending, the cause is likely in the
+    /// state of the process, which a new process does not have.
+    #[must_use]
+    pub fn required(name: &'static str) -> Self {
+        Self {
+            is_required: true,
+            ..Self::retried(name)
+        }
+    }
+
+    /// The same task, which is over when it returns.
+    #[must_use]
+    pub fn may_return(self) -> Self {
+        Self {
+            may_return: true,
+            ..self
+        }
+    }
+}
--- a/src/telemetry/gateway_metrics.rs
+++ b/src/telemetry/gateway_metrics.rs
@@ -63,6 +63,8 @@
     pub descriptors: IntGauge,
     /// Threads.
     pub threads: IntGauge,
+    /// Panics by task; each is a bug in this program.
+    pub panics: IntCounterVec,
     /// Invariant violations; each is a bug in this program.
     pub invariants: IntCounter,
 }
@@ -124,6 +126,7 @@
             memory_bytes: gauge(&r, "memory_bytes", "Resident memory"),
             descriptors: gauge(&r, "descriptors", "Open descriptors"),
             threads: gauge(&r, "threads", "Threads"),
+            panics: counters(&r, "panics_total", "Panics by task", "task"),
             invariants: counter(&r, "invariant_violations_total", "Broken invariants"),
             registry: r,
         }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -29,6 +29,8 @@
     pub peers: IntGauge,
     /// Faults of connections to peers by kind.
     pub faults: IntCounterVec,
+    /// Panics by task; each is a bug in this program.
+    pub panics: IntCounterVec,
     /// Invariant violations; each is a bug in this program.
     pub invariants: IntCounter,
     /// Prompt tokens by origin: `cached` at the engine, `imported` into its cache or `computed`.
@@ -57,6 +59,7 @@
             revision: gauge(&registry, "catalog_revision", "Catalog revision in force"),
             peers: gauge(&registry, "peers", "Peers connected"),
             faults: counters(&registry, "faults_total", "Faults by kind", "kind"),
+            panics: counters(&registry, "panics_total", "Panics by task", "task"),
             invariants: counter(&registry, "invariant_violations_total", "Broken invariants"),
             tokens: counters(&registry, "prompt_tokens_total", "Prompt tokens", "origin"),
             registry,
