--- a/src/lease/client.rs
+++ b/src/lease/client.rs
@@ -1,5 +1,6 @@
 //! Acquires and renews a lease on the platform.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_io::Timer;
@@ -107,7 +108,9 @@
             let Some(effect) = effects.pop() else {
                 return;
             };
-            event = self.execute(effect).await;
+            // A call that panics may have taken effect, as one without an answer.
+            let executed = AssertUnwindSafe(self.execute(effect)).catch_unwind();
+            event = executed.await.unwrap_or(LeaseEvent::Unanswered);
         }
     }
 
