A waker that panics does not end the coarse clock

Its thread ended with the panic, and no timeout of the process expired any more: no deadline of a request, no idle timeout, no report of usage. The new test waited for 20 s in vain before. Timers of async-io contain such panics themselves.

--- a/src/clock/coarse.rs
+++ b/src/clock/coarse.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
@@ -56,7 +57,10 @@
             let later = wakers.split_off(&(Instant::now(), u64::MAX));
             std::mem::replace(&mut *wakers, later)
         };
-        expired.into_values().for_each(Waker::wake);
+        for waker in expired.into_values() {
+            // A waker that panics must not end the timeouts of all others.
+            let _ = catch_unwind(AssertUnwindSafe(|| waker.wake()));
+        }
     }
 }
 
