The log's writer goes on after its output panicked

The writer thread ended with the panic and all later lines of the process were lost, those of its end included. A panic costs the line that was being written now. The new test failed before (its flush found no writer).

--- a/src/telemetry/log_queue.rs
+++ b/src/telemetry/log_queue.rs
@@ -1,6 +1,7 @@
 //! Bounded, rate-limited queue of log lines.
 
 use std::io::Write;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::Instant;
@@ -47,14 +48,17 @@
     pub fn start(out: impl Write + Send + 'static, lines_per_second: u32) -> std::io::Result<Self> {
         let (tx, rx) = sync_channel(QUEUE_CAPACITY_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
-        let writer = Writer {
+        let mut writer = Writer {
             out,
             rx,
             lines_per_window: lines_per_second.div_ceil(WINDOWS_PER_SECOND),
             dropped: dropped.clone(),
         };
         let builder = std::thread::Builder::new().name("log".into());
-        builder.spawn(move || writer.run())?;
+        builder.spawn(move || {
+            // A panic costs the line that was being written.
+            while catch_unwind(AssertUnwindSafe(|| writer.run())).is_err() {}
+        })?;
         Ok(Self { tx, dropped })
     }
 
@@ -102,7 +106,7 @@
 }
 
 impl<W: Write> Writer<W> {
-    fn run(mut self) {
+    fn run(&mut self) {
         let mut window_start = Instant::now();
         let mut lines = 0;
         while let Ok(queued) = self.rx.recv() {
--- a/tests/process_log.rs
+++ b/tests/process_log.rs
@@ -112,3 +112,29 @@
     let due = (0..20).filter(|_| is_due(20, 10)).count();
     assert_eq!(due, 2, "at intervals without a rise");
 }
+
+/// An output whose first write panics.
+struct PanickingOutput(SharedBuffer, bool);
+
+impl Write for PanickingOutput {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        assert!(std::mem::replace(&mut self.1, true), "planned panic");
+        self.0.write(buf)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a process that logs nothing more after its writer thread panicked.
+#[test]
+fn log_queue_writes_on_after_its_output_panicked() {
+    let out = SharedBuffer::default();
+    let queue = LogQueue::start(PanickingOutput(out.clone(), false), 100).unwrap();
+    queue.push("event=lost\n".to_owned());
+    queue.push("event=next\n".to_owned());
+    queue.push_unlimited("event=stopped\n".to_owned());
+    assert!(queue.flush(FLUSH_TIMEOUT));
+    assert!(out.text().ends_with("event=next\nevent=stopped\n"));
+}
