Tasks of gateway and entry that panic are started again

Requests whose task panicked gave back their slots, memory and drain counts, and bookings ran at most once, before as now.

All long-lived tasks run under the supervisor now, on both threads and in guavahold-entry; watchers begin with a fresh listing, tasks on channels get their receiver again, listeners are shared with the next run. An object that always makes the decoder panic is unreadable like any other. A panic on the main thread, or a required task that keeps ending, ends the process by a drain, with a line that names the task and a status that is not zero. A peer connection that panics is removed at once instead of after the peer timeout, and an address whose dialling panicked is dialled again. The order controller's lease runs within its task, so that a new run starts no second one.

--- a/rig/src/stand_in.rs
+++ b/rig/src/stand_in.rs
@@ -115,9 +115,9 @@
         let crashed = async {
             let _ = crash_rx.recv().await;
         };
-        let serving = request_server
+        let serving = Arc::new(request_server)
             .run(ex.clone())
-            .or(admin_server.run(ex.clone()))
+            .or(Arc::new(admin_server).run(ex.clone()))
             .or(crashed);
         ex.run(serving).await;
         Ok(())
--- a/src/bin/guavahold-entry.rs
+++ b/src/bin/guavahold-entry.rs
@@ -4,10 +4,11 @@
 
 use async_signal::{Signal, Signals};
 use eyre::WrapErr;
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
 use guavahold::entry::Entry;
 use guavahold::settings::{Document, ENTRY_EXAMPLE, EntrySettings};
-use guavahold::telemetry::init_log;
+use guavahold::supervisor::TaskFailed;
+use guavahold::telemetry::{init_log, log_panics};
 
 /// Exit status if the settings have findings.
 const EXIT_FINDINGS: u8 = 2;
@@ -57,6 +58,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     init_log(cfg.log_level)?;
+    log_panics();
     let entry = Entry::bind(cfg)?;
     let addresses = entry.addresses();
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
@@ -65,10 +67,19 @@
         "ready callers={} peers={} admin={}",
         addresses.callers, addresses.peers, addresses.admin
     );
-    async_io::block_on(async {
-        signals.next().await;
+    let failed = async_io::block_on(async {
+        let stopped = async {
+            signals.next().await;
+            None
+        };
+        let failed = async { Some(running.task_failed().await) };
+        let failed = stopped.or(failed).await;
+        if let Some(TaskFailed { task }) = failed {
+            log::error!("event=task_failed task={task}");
+        }
         running.drain().await;
+        failed
     });
     running.stop();
-    Ok(ExitCode::SUCCESS)
+    failed.map_or(Ok(ExitCode::SUCCESS), |failed| Err(failed.into()))
 }
--- a/src/entry/builder.rs
+++ b/src/entry/builder.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use async_executor::Executor;
+use async_io::Async;
 use eyre::WrapErr;
 
 use crate::caller::{CallerHandler, Shared};
@@ -26,6 +27,7 @@
 use crate::secret::Secret;
 use crate::settings::EntrySettings;
 use crate::shared_scheduler::{QuarantineNotices, SharedScheduler};
+use crate::supervisor::{SupervisedTask, Supervisor, TaskFailure};
 use crate::telemetry::{EntryMetrics, SpanSink};
 
 /// Limits on the messages of operators.
@@ -124,7 +126,11 @@
             Arc::new(CallerHandler(tasks.control.shared.clone())),
             callers.clone(),
         )?;
-        traffic_ex.spawn(server.run(traffic_ex.clone())).detach();
+        let failure = Arc::new(TaskFailure::default());
+        let panics = tasks.control.shared.metrics.panics.clone();
+        let supervise = |ex| Supervisor::new(ex, panics.clone(), failure.clone());
+        let (traffic, supervisor) = (supervise(traffic_ex.clone()), supervise(control_ex.clone()));
+        keep_server(&traffic, "caller_listener", server);
         let admin = AdminHandler {
             name: self.cfg.name.clone(),
             domain: self.cfg.domain.clone(),
@@ -138,8 +144,8 @@
         };
         let admin_control = Arc::new(ServerControl::default());
         let admin = Server::new(self.admin, ADMIN_LIMITS, Arc::new(admin), admin_control)?;
-        control_ex.spawn(admin.run(control_ex.clone())).detach();
-        tasks.spawn(self.peers, &control_ex);
+        keep_server(&supervisor, "admin_listener", admin);
+        tasks.spawn(Arc::new(Async::new(self.peers)?), &supervisor);
         let (mesh, claims) = (tasks.mesh.clone(), tasks.claims.clone());
         Ok(RunningEntry {
             addresses,
@@ -148,6 +154,7 @@
             callers,
             balancer_lag: self.cfg.balancer_lag,
             order_controller: tasks.control.order_controller.clone(),
+            failure,
             set_draining: Box::new(move || {
                 claims.drain();
                 mesh.set_draining(true);
@@ -255,38 +262,64 @@
     }
 }
 
+/// Accepts connections until the server is stopped.
+fn keep_server(supervisor: &Supervisor, name: &'static str, server: Server) {
+    let (server, connections) = (Arc::new(server), supervisor.clone());
+    let task = SupervisedTask::required(name).may_return();
+    supervisor.keep(task, move || server.clone().run(connections.clone()));
+}
+
 impl ControlTasks {
-    /// Spawns all tasks of the control thread on its executor.
-    fn spawn(&self, peers: TcpListener, ex: &Arc<Executor<'static>>) {
-        let control = &self.control;
-        let (vm_control, mesh) = (control.clone(), self.mesh.clone());
-        let vms = VmListWatcher::new(
-            self.platform.clone(),
-            self.peer_vm_lists.clone(),
-            move |vms| {
-                vm_control.set_vms(vms);
+    /// Keeps all tasks of the control thread running.
+    fn spawn(&self, peers: Arc<Async<TcpListener>>, supervisor: &Supervisor) {
+        let required = SupervisedTask::required;
+        let retried = SupervisedTask::retried;
+        let (mesh, connections) = (self.mesh.clone(), supervisor.clone());
+        supervisor.keep(required("peer_listener"), move || {
+            mesh.clone().run(peers.clone(), connections.clone())
+        });
+        let (platform, lists) = (self.platform.clone(), self.peer_vm_lists.clone());
+        let (control, mesh) = (self.control.clone(), self.mesh.clone());
+        supervisor.keep(retried("watch_vms"), move || {
+            let (control, mesh) = (control.clone(), mesh.clone());
+            let watcher = VmListWatcher::new(platform.clone(), lists.clone(), move |vms| {
+                control.set_vms(vms);
                 let list: Vec<Vm> = vms.values().cloned().collect();
                 mesh.set_peers(&list);
-            },
-        );
-        let mesh = self.mesh.clone().run(peers, ex.clone());
-        ex.spawn(async move {
-            if let Err(err) = mesh.await {
-                log::error!("event=peers_failed error={:?}", err.to_string());
-            }
-        })
-        .detach();
-        ex.spawn(vms.run()).detach();
+            });
+            watcher.run()
+        });
         let claims = self.claims.clone();
-        ex.spawn(async move { claims.run_garbage_collection().await })
-            .detach();
-        ex.spawn(self.sync.clone().run(ex.clone())).detach();
-        ex.spawn(control.clone().run_probes()).detach();
-        ex.spawn(control.clone().run_orders()).detach();
-        ex.spawn(control.clone().run_ticks()).detach();
-        ex.spawn(control.clone().run_catalog(self.cell.clone()))
-            .detach();
-        ex.spawn(control.clone().run_effects(self.effects.clone()))
-            .detach();
+        supervisor.keep(retried("claim_collection"), move || {
+            let claims = claims.clone();
+            async move { claims.run_garbage_collection().await }
+        });
+        let (sync, ex) = (self.sync.clone(), supervisor.executor().clone());
+        supervisor.keep(retried("catalog_sync"), move || {
+            sync.clone().run(ex.clone())
+        });
+        self.keep(supervisor, required("scheduler"), Control::run_ticks);
+        self.keep(supervisor, required("probes"), Control::run_probes);
+        self.keep(supervisor, retried("orders"), Control::run_orders);
+        let cell = self.cell.clone();
+        self.keep(supervisor, retried("catalog"), move |control| {
+            control.run_catalog(cell.clone())
+        });
+        let effects = self.effects.clone();
+        self.keep(supervisor, retried("effects"), move |control| {
+            control.run_effects(effects.clone())
+        });
+    }
+
+    fn keep<F>(
+        &self,
+        supervisor: &Supervisor,
+        task: SupervisedTask,
+        run: impl Fn(Arc<Control>) -> F + Send + 'static,
+    ) where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let control = self.control.clone();
+        supervisor.keep(task, move || run(control.clone()));
     }
 }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -268,7 +268,7 @@
 
     /// Ticks the scheduler and updates its metrics; never returns.
     pub(crate) async fn run_ticks(self: Arc<Self>) {
-        let mut counted = 0;
+        let mut counted = self.shared.scheduler.broken_invariants();
         loop {
             let pause = self
                 .shared
--- a/src/entry/running_entry.rs
+++ b/src/entry/running_entry.rs
@@ -13,6 +13,7 @@
 use crate::order::OrderController;
 use crate::prelude::*;
 use crate::scheduler::Event;
+use crate::supervisor::{TaskFailed, TaskFailure};
 use crate::telemetry::log_event;
 
 /// Interval at which a drain checks whether all requests and claims have ended.
@@ -30,6 +31,7 @@
     /// Stops this entry from owning claim shards and reports to peers that it is draining.
     pub(crate) set_draining: Box<dyn Fn() + Send + Sync>,
     pub(crate) order_controller: Arc<OrderController>,
+    pub(crate) failure: Arc<TaskFailure>,
     pub(crate) traffic: Threads,
     pub(crate) control: Threads,
 }
@@ -47,6 +49,16 @@
         &self.shared
     }
 
+    /// Completes once a task has failed that the entry cannot do without; it is to be drained then.
+    pub async fn task_failed(&self) -> TaskFailed {
+        loop {
+            self.failure.wait().await;
+            if let Some(failed) = self.failure.failed() {
+                return failed;
+            }
+        }
+    }
+
     /// Drains gracefully: turns readiness off, accepts connections for as long as the balancer may
     /// take to notice (`balancer_lag`), then waits until all responses are sent and, at most for
     /// half a minute, until the outcomes of claims are stored. The lease of orders is given back last.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,6 +15,7 @@
 mod caller_response;
 mod caller_room;
 mod connection_pool;
+mod contained_decoder;
 mod control;
 mod decoder;
 mod dialect;
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -13,16 +13,18 @@
 use crate::context_store::ContextStoreClient;
 use crate::entry::Threads;
 use crate::gateway::builder::listeners::Listeners;
-use crate::gateway::builder::tasks::{spawn_control, spawn_watchers};
+use crate::gateway::builder::tasks::{
+    ControlReceivers, spawn_periodic, spawn_receivers, spawn_store_tasks, spawn_usage_reports,
+};
+use crate::gateway::contained_decoder::ContainedDecoder;
 use crate::gateway::control::{HubLinks, TargetControl};
 use crate::gateway::listener::accept;
 use crate::gateway::peer_handler::PeerHandler;
 use crate::gateway::probe::ProbeHandler;
-use crate::gateway::registration::keep_registered;
 use crate::gateway::request_log::DEFAULT_LOG_SAMPLE;
 use crate::gateway::shared::TargetObservation;
 use crate::gateway::stream_origins::OriginCall;
-use crate::gateway::{Decoder, Dialect, Gateway, WatchedKind};
+use crate::gateway::{Decoder, Dialect, Gateway};
 use crate::http::{Limits, Server, ServerControl};
 use crate::intake::{DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_BYTES, IntakeLimits};
 use crate::latch::Latch;
@@ -35,7 +37,8 @@
 use crate::rollout::{RolloutEffect, RolloutSettings};
 use crate::scheduler::Effect;
 use crate::secret::Secret;
-use crate::telemetry::{DEFAULT_LOG_LINES_PER_SECOND, ProcessLimits, UsageReporter};
+use crate::supervisor::{SupervisedTask, Supervisor, TaskFailure};
+use crate::telemetry::{DEFAULT_LOG_LINES_PER_SECOND, ProcessLimits};
 
 /// Number of threads that serve callers.
 const TRAFFIC_THREADS: usize = 1;
@@ -307,12 +310,18 @@
         let domain_scheduler = self.build_domain_scheduler(&shared, effects_tx, decisions_tx);
         let (traffic_ex, control_ex) = (Arc::new(Executor::new()), Arc::new(Executor::new()));
         let clients = Clients {
-            decoder,
-            platform: platform.clone(),
+            decoder: Arc::new(ContainedDecoder(decoder)),
+            platform,
             targets,
             stores,
         };
-        let control = self.build_control(&shared, clients, domain_scheduler, &control_ex);
+        let failure = Arc::new(TaskFailure::default());
+        let supervise = |ex: &Arc<Executor<'static>>| {
+            let panics = shared.metrics.panics.clone();
+            Supervisor::new(ex.clone(), panics, failure.clone())
+        };
+        let (traffic, supervisor) = (supervise(&traffic_ex), supervise(&control_ex));
+        let control = self.build_control(&shared, clients, domain_scheduler, supervisor.clone());
         let control = Arc::new(control);
         let peer_handler = Arc::new(PeerHandler(OnceLock::new()));
         let _ = peer_handler.0.set(Arc::downgrade(&control));
@@ -333,9 +342,6 @@
         mesh.serve_relays(control.clone());
         let links = HubLinks(Arc::downgrade(&control));
         shared.scheduler_client.set_links(Box::new(links));
-        let run_decisions = control.clone().run_decisions(decisions);
-        control_ex.spawn(run_decisions).detach();
-
         let probe_control = Arc::new(ServerControl::default());
         let probe = Arc::new(ProbeHandler {
             shared: shared.clone(),
@@ -347,35 +353,41 @@
                 ..PROBE_LIMITS
             };
             let server = Server::new(listener, limits, probe.clone(), probe_control.clone())?;
-            control_ex.spawn(server.run(control_ex.clone())).detach();
+            let (server, connections) = (Arc::new(server), supervisor.clone());
+            supervisor.keep(SupervisedTask::required("probe_listener"), move || {
+                server.clone().run(connections.clone())
+            });
         }
-        let usage = UsageReporter::new(self.process_limits);
-        let observed = shared.clone();
-        let report_usage = usage.run(move |usage| observed.metrics.record_usage(usage));
-        control_ex.spawn(report_usage).detach();
-        spawn_control(&control, &control_ex, effects, observations, rollout);
-        let run_part_notices = control.clone().run_part_notices(part_notices);
-        control_ex.spawn(run_part_notices).detach();
-        let run_origins = control.clone().run_stream_origins(origin_calls);
-        control_ex.spawn(run_origins).detach();
-        spawn_watchers(&control, &platform, &control_ex);
-        let kind = control.decoder.kind(WatchedKind::Members);
-        let registered = control.clone();
-        let is_missing = move || registered.is_unlisted();
-        control_ex
-            .spawn(keep_registered(platform, kind, self.own_vm(), is_missing))
-            .detach();
-        let run = mesh.clone().run(listeners.peers, control_ex.clone());
-        control_ex.spawn(run).detach();
+        spawn_usage_reports(&control, self.process_limits);
+        spawn_periodic(&control);
+        let receivers = ControlReceivers {
+            effects,
+            decisions,
+            observations,
+            rollout,
+            origins: origin_calls,
+            part_notices,
+        };
+        spawn_receivers(&control, receivers);
+        spawn_store_tasks(&control);
+        let (links, connections) = (mesh.clone(), supervisor.clone());
+        supervisor.keep(SupervisedTask::required("peer_listener"), move || {
+            links
+                .clone()
+                .run(listeners.peers.clone(), connections.clone())
+        });
         let stop_accepting = Latch::default();
-        traffic_ex
-            .spawn(accept(
-                listeners.callers,
-                shared.clone(),
-                traffic_ex.clone(),
-                stop_accepting.clone(),
-            ))
-            .detach();
+        let (accepting, stop) = (shared.clone(), stop_accepting.clone());
+        let (callers, connections) = (listeners.callers, traffic.clone());
+        let task = SupervisedTask::required("caller_listener").may_return();
+        traffic.keep(task, move || {
+            accept(
+                callers.clone(),
+                accepting.clone(),
+                connections.clone(),
+                stop.clone(),
+            )
+        });
         Ok(Gateway {
             shared,
             control,
@@ -385,6 +397,7 @@
             shutdown_timeout: self.shutdown_timeout,
             traffic_threads: Threads::start("traffic", TRAFFIC_THREADS, &traffic_ex)?,
             control_executor: control_ex,
+            failure,
         })
     }
 
--- a/src/gateway/builder/listeners.rs
+++ b/src/gateway/builder/listeners.rs
@@ -6,15 +6,16 @@
 use async_io::Async;
 
 use crate::gateway::GatewayBuilder;
+use crate::prelude::*;
 
 /// Listening sockets of a gateway.
 pub(super) struct Listeners {
     /// For callers.
-    pub callers: Async<TcpListener>,
+    pub callers: Arc<Async<TcpListener>>,
     /// For the load balancer's readiness checks.
     pub probe: TcpListener,
     /// For peers.
-    pub peers: TcpListener,
+    pub peers: Arc<Async<TcpListener>>,
     /// For metrics, on an address of their own.
     pub metrics: Option<TcpListener>,
 }
@@ -26,9 +27,9 @@
     /// When an address cannot be bound.
     pub(super) fn bind(cfg: &GatewayBuilder) -> io::Result<Self> {
         Ok(Self {
-            callers: Async::new(listen(cfg.caller_addr, "callers")?)?,
+            callers: Arc::new(Async::new(listen(cfg.caller_addr, "callers")?)?),
             probe: listen(cfg.probe_addr, "readiness")?,
-            peers: listen(cfg.peer_addr, "peers")?,
+            peers: Arc::new(Async::new(listen(cfg.peer_addr, "peers")?)?),
             metrics: cfg.metrics.map(|a| listen(a, "metrics")).transpose()?,
         })
     }
--- a/src/gateway/builder/parts.rs
+++ b/src/gateway/builder/parts.rs
@@ -3,7 +3,6 @@
 use std::sync::{Mutex, OnceLock};
 
 use arc_swap::ArcSwapOption;
-use async_executor::Executor;
 
 use crate::clock::time_since_boot;
 use crate::domain_scheduler::{DomainScheduler, SchedulerClient};
@@ -27,6 +26,7 @@
 use crate::shared_intake::SharedIntake;
 use crate::shared_scheduler::{QuarantineNotices, SharedScheduler};
 use crate::store_view::batch_pause;
+use crate::supervisor::Supervisor;
 use crate::telemetry::{GatewayMetrics, LineBudget};
 
 /// Share of the saved-up retries that the schedulers of the failure domains use. Entries that
@@ -116,7 +116,7 @@
         shared: &Arc<Shared>,
         clients: Clients,
         domain_scheduler: DomainScheduler,
-        executor: &Arc<Executor<'static>>,
+        supervisor: Supervisor,
     ) -> Control {
         let cfg = LeaseSettings {
             holder: format!("{}.{:x}", self.name, fastrand::u64(..)).into(),
@@ -140,7 +140,7 @@
             target_heartbeat: self.target_heartbeat,
             registration_lifetime: self.target_heartbeat * LIFETIME_HEARTBEATS,
             mesh: OnceLock::default(),
-            executor: executor.clone(),
+            supervisor,
             cold_bound: self.cold_bound,
             estimated_entries: self.entries,
             state: Mutex::new(State::new(
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -28,7 +28,6 @@
 
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
-use async_executor::Executor;
 use async_io::Timer;
 
 use crate::context_store::ContextStoreClient;
@@ -42,6 +41,7 @@
 use crate::rate_limit::ColdBound;
 use crate::scheduler::{Effect, Event, Signal};
 use crate::store_view::{ConfirmedBy, StoreOutage};
+use crate::supervisor::Supervisor;
 
 use caller_limits::CallerLimitReport;
 pub(crate) use domain_scheduling::HubLinks;
@@ -83,8 +83,8 @@
     pub lease: LeaseClient,
     /// Connections to peers.
     pub mesh: OnceLock<Arc<Mesh>>,
-    /// Executor of the control thread, on which further control tasks are spawned.
-    pub executor: Arc<Executor<'static>>,
+    /// Supervisor of the control thread's tasks.
+    pub supervisor: Supervisor,
     /// Time after a disruption of the platform store within which its changes must be known.
     pub recovery_deadline: Duration,
     /// Time within which an evacuation must take effect; `None` where there are none, so that they
@@ -314,7 +314,7 @@
             match effect {
                 Effect::Probe { target, address } => {
                     let probe = self.clone().probe(target, address);
-                    self.executor.spawn(probe).detach();
+                    self.supervisor.spawn("probe", probe);
                 }
                 Effect::Quarantine(suspect) => self.broadcast_quarantine(suspect),
                 _ => {}
--- a/src/gateway/control/domain_scheduling.rs
+++ b/src/gateway/control/domain_scheduling.rs
@@ -75,7 +75,7 @@
     /// Ticks the domain's scheduler while it is in use; never returns.
     pub(crate) async fn run_domain_scheduler(self: Arc<Self>) {
         let server = &self.domain_scheduler;
-        let mut counted = 0;
+        let mut counted = server.scheduler.broken_invariants();
         loop {
             if !server.is_active() {
                 Timer::after(IDLE_INTERVAL).await;
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -56,11 +56,12 @@
         while let Ok(effect) = effects.recv().await {
             match effect {
                 RolloutEffect::Order(order) => {
-                    self.executor.spawn(self.clone().send_order(order)).detach();
+                    let send = self.clone().send_order(order);
+                    self.supervisor.spawn("order", send);
                 }
                 RolloutEffect::QueryStatus { target, address } => {
                     let query = self.clone().query_status(target, address);
-                    self.executor.spawn(query).detach();
+                    self.supervisor.spawn("status_query", query);
                 }
                 RolloutEffect::Raise { fencing } => self.lease.raise_fencing_floor(fencing),
             }
--- a/src/gateway/control/path_checks.rs
+++ b/src/gateway/control/path_checks.rs
@@ -58,7 +58,7 @@
                     continue;
                 };
                 let check = self.clone().check_path(target, address);
-                self.executor.spawn(check).detach();
+                self.supervisor.spawn("path_check", check);
             }
         }
     }
--- a/src/gateway/control/periodic.rs
+++ b/src/gateway/control/periodic.rs
@@ -94,7 +94,7 @@
 
     /// Ticks the scheduler and updates its metrics; never returns.
     pub(crate) async fn run_scheduler(self: Arc<Self>) {
-        let mut counted = 0;
+        let mut counted = self.shared.scheduler.broken_invariants();
         loop {
             let pause = self
                 .shared
--- a/src/gateway/control/routes.rs
+++ b/src/gateway/control/routes.rs
@@ -7,6 +7,7 @@
 use crate::gateway::control::{Control, State};
 use crate::prelude::*;
 use crate::route::RouteTable;
+use crate::supervisor::SupervisedTask;
 
 impl Control {
     /// Applies the newest configuration; one that is not newer than the current one is ignored.
@@ -65,15 +66,19 @@
             })
             .collect();
         for store in self.shared.store_directory().set_stores(&stores) {
-            let watcher = StoreWatcher {
-                store,
-                stores: self.stores.clone(),
-                directory: self.shared.store_directory.clone(),
-                origin: self.shared.origin,
-                fetch_clock: self.shared.fetch_clock.clone(),
-                relay: self.clone(),
-            };
-            self.executor.spawn(watcher.run()).detach();
+            let control = self.clone();
+            let task = SupervisedTask::retried("context_store_watch").may_return();
+            self.supervisor.keep(task, move || {
+                let watcher = StoreWatcher {
+                    store,
+                    stores: control.stores.clone(),
+                    directory: control.shared.store_directory.clone(),
+                    origin: control.shared.origin,
+                    fetch_clock: control.shared.fetch_clock.clone(),
+                    relay: control.clone(),
+                };
+                watcher.run()
+            });
         }
     }
 }
--- a/src/gateway/kind_watcher/catch_up.rs
+++ b/src/gateway/kind_watcher/catch_up.rs
@@ -34,7 +34,7 @@
             let called_at = self.control.now();
             let answer = self.call(from.clone());
             let tx = tx.clone();
-            calls.push_back(self.control.executor.spawn(async move {
+            calls.push_back(self.control.supervisor.executor().spawn(async move {
                 let _ = tx.send(answer.await).await;
             }));
             if calls.len() > MAX_CALLS {
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,8 +1,8 @@
 //! Accepts and serves callers' connections.
 
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::panic::{AssertUnwindSafe, resume_unwind};
 
-use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -16,6 +16,7 @@
 use crate::http::enable_dead_peer_detection;
 use crate::latch::Latch;
 use crate::prelude::*;
+use crate::supervisor::Supervisor;
 
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -33,9 +34,9 @@
 
 /// Accepts connections until `stop` is set.
 pub(crate) async fn accept(
-    listener: Async<TcpListener>,
+    listener: Arc<Async<TcpListener>>,
     shared: Arc<Shared>,
-    ex: Arc<Executor<'static>>,
+    supervisor: Supervisor,
     stop: Latch,
 ) {
     loop {
@@ -46,7 +47,7 @@
         };
         match accepted.or(stopped).await {
             None => break,
-            Some(Ok((stream, _))) => spawn(stream, &shared, &ex),
+            Some(Ok((stream, _))) => spawn(stream, &shared, &supervisor),
             Some(Err(err)) => {
                 log::warn!("event=accept_failed error={:?}", err.to_string());
                 Timer::after(ACCEPT_RETRY_DELAY).await;
@@ -56,20 +57,22 @@
     // Closing the listener would reset connections that are established but not accepted yet.
     while let Ok((stream, _)) = listener.get_ref().accept() {
         if let Ok(stream) = Async::new(stream) {
-            spawn(stream, &shared, &ex);
+            spawn(stream, &shared, &supervisor);
         }
     }
 }
 
 /// Serves a connection if there is a place for it; otherwise it is closed.
-fn spawn(stream: Async<TcpStream>, shared: &Arc<Shared>, ex: &Executor<'static>) {
+fn spawn(stream: Async<TcpStream>, shared: &Arc<Shared>, supervisor: &Supervisor) {
     let Some(permit) = shared.intake.open() else {
         return;
     };
     let room = Arc::new(CallerRoom::new(permit));
     enable_dead_peer_detection(stream.get_ref());
-    ex.spawn(serve_connection(stream, room, shared.clone()))
-        .detach();
+    supervisor.spawn(
+        "caller_connection",
+        serve_connection(stream, room, shared.clone()),
+    );
 }
 
 async fn serve_connection(stream: Async<TcpStream>, room: Arc<CallerRoom>, shared: Arc<Shared>) {
@@ -82,7 +85,15 @@
         }
         let running = shared.drain.count_request();
         let keep = match reader.receive(&shared).await {
-            Ok(received) => serve(&shared, received, &stream, &room, &mut reader).await,
+            Ok(received) => {
+                let id = received.head.id.clone();
+                let served = serve(&shared, received, &stream, &room, &mut reader);
+                let served = AssertUnwindSafe(served).catch_unwind().await;
+                served.unwrap_or_else(|panic| {
+                    log::error!("event=request_panicked request={id}");
+                    resume_unwind(panic)
+                })
+            }
             Err(ReceiveError::ConnectionClosed) => return,
             Err(ReceiveError::Rejected(local_response)) => {
                 reader.finish_request(false);
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -1,9 +1,11 @@
 //! A running gateway and its graceful shutdown.
 
+use std::panic::AssertUnwindSafe;
 use std::time::Instant;
 
 use async_executor::Executor;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use futures_lite::future::zip;
 
 use crate::entry::Threads;
@@ -12,12 +14,19 @@
 use crate::latch::Latch;
 use crate::peer::Mesh;
 use crate::prelude::*;
+use crate::supervisor::{TaskFailed, TaskFailure};
+use crate::telemetry::PROCESS_LOG;
 
 /// Interval at which a shutdown checks whether all connections have closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay between the end of the last request and the exit, in which its response is sent.
 const FINAL_RESPONSE_DELAY: Duration = Duration::from_millis(100);
 
+/// Name of the future that tells when to stop.
+const STOP_TASK: &str = "stop_signals";
+/// Name of the shutdown.
+const SHUTDOWN_TASK: &str = "shutdown";
+
 /// A running gateway.
 pub struct Gateway {
     pub(crate) shared: Arc<Shared>,
@@ -28,18 +37,44 @@
     pub(crate) shutdown_timeout: Duration,
     pub(crate) traffic_threads: Threads,
     pub(crate) control_executor: Arc<Executor<'static>>,
+    pub(crate) failure: Arc<TaskFailure>,
 }
 
 impl Gateway {
-    /// Runs the control tasks on the calling thread until `stop` completes, then shuts down
-    /// gracefully.
-    pub fn run(self, stop: impl Future<Output = ()>) {
+    /// Runs the control tasks on the calling thread until `stop` completes or a task fails that the
+    /// gateway cannot do without, then shuts down gracefully.
+    ///
+    /// # Errors
+    /// When the gateway ends because of a task.
+    pub fn run(self, stop: impl Future<Output = ()>) -> Result<(), TaskFailed> {
         let control = self.control_executor.clone();
-        async_io::block_on(control.run(async {
-            stop.await;
-            self.shut_down().await;
+        let result = async_io::block_on(control.run(async {
+            let stopped = self.run_task(STOP_TASK, stop);
+            let failed = async {
+                self.failure.wait().await;
+                self.failure.failed().map_or(Ok(()), Err)
+            };
+            let result = stopped.or(failed).await;
+            if let Err(TaskFailed { task }) = result {
+                log::error!(target: PROCESS_LOG, "event=task_failed task={task}");
+            }
+            result.and(self.run_task(SHUTDOWN_TASK, self.shut_down()).await)
         }));
         self.traffic_threads.stop();
+        result
+    }
+
+    /// Runs a future of the main thread, which is not started again when it panics.
+    async fn run_task(
+        &self,
+        task: &'static str,
+        run: impl Future<Output = ()>,
+    ) -> Result<(), TaskFailed> {
+        let result = AssertUnwindSafe(run).catch_unwind().await;
+        result.map_err(|_| {
+            self.shared.metrics.panics.with_label_values(&[task]).inc();
+            TaskFailed { task }
+        })
     }
 
     /// Fails readiness checks at once, accepts connections until the load balancer has noticed, and
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_executor::Executor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use socket2::SockRef;
@@ -13,6 +12,7 @@
 use crate::http::server_connection::ServerConnection;
 use crate::http::{Handler, Limits, ServerControl};
 use crate::shared_intake::SharedIntake;
+use crate::supervisor::Supervisor;
 
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -58,7 +58,8 @@
     }
 
     /// Accepts until [`ServerControl::stop`] is called.
-    pub async fn run(self, ex: Arc<Executor<'static>>) {
+    pub async fn run(self: Arc<Self>, supervisor: impl Into<Supervisor>) {
+        let supervisor = supervisor.into();
         loop {
             let accept = async { Some(self.listener.accept().await) };
             let stop = async {
@@ -66,8 +67,8 @@
                 None
             };
             match accept.or(stop).await {
-                None => return self.accept_backlog(&ex),
-                Some(Ok((stream, peer))) => self.spawn(stream, peer, &ex),
+                None => return self.accept_backlog(&supervisor),
+                Some(Ok((stream, peer))) => self.spawn(stream, peer, &supervisor),
                 Some(Err(err)) => {
                     log::warn!("event=accept_failed error={:?}", err.to_string());
                     Timer::after(ACCEPT_RETRY_DELAY).await;
@@ -77,15 +78,15 @@
     }
 
     /// Accepts the connections still in the backlog, as closing the listener would reset them.
-    fn accept_backlog(&self, ex: &Executor<'static>) {
+    fn accept_backlog(&self, supervisor: &Supervisor) {
         while let Ok((stream, peer)) = self.listener.get_ref().accept() {
             if let Ok(stream) = Async::new(stream) {
-                self.spawn(stream, peer, ex);
+                self.spawn(stream, peer, supervisor);
             }
         }
     }
 
-    fn spawn(&self, stream: Async<TcpStream>, peer: SocketAddr, ex: &Executor<'static>) {
+    fn spawn(&self, stream: Async<TcpStream>, peer: SocketAddr, supervisor: &Supervisor) {
         let Some(permit) = self.intake.open() else {
             return;
         };
@@ -101,6 +102,6 @@
             self.handler.clone(),
             self.control.clone(),
         );
-        ex.spawn(connection.run()).detach();
+        supervisor.spawn("http_connection", connection.run());
     }
 }
--- a/src/order/controller.rs
+++ b/src/order/controller.rs
@@ -101,7 +101,11 @@
 
     /// Competes for the lease and sends orders; never returns.
     pub async fn run(&self) {
-        self.0.executor.spawn(self.0.clone().run_lease()).detach();
+        let lease = self.0.clone().run_lease();
+        lease.or(self.submit_changes()).await;
+    }
+
+    async fn submit_changes(&self) {
         loop {
             self.0.submit(OrderEvent::Catalog(self.0.cell.current()));
             self.0.submit(OrderEvent::Lease(self.0.lease.held()));
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -1,6 +1,7 @@
 //! WebSocket connection to one peer: handshake, sending and receiving.
 
 use std::net::{SocketAddr, TcpStream};
+use std::panic::{AssertUnwindSafe, resume_unwind};
 
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -188,8 +189,10 @@
     let stopped = async {
         let _ = outgoing.stop.recv().await;
     };
-    stopped.or(read).or(write).await;
+    let ended = AssertUnwindSafe(stopped.or(read).or(write)).catch_unwind();
+    let ended = ended.await;
     mesh.remove_connection(conn);
+    ended.unwrap_or_else(|panic| resume_unwind(panic));
 }
 
 /// Sends queued messages and heartbeats until the queue is closed or the connection fails.
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -7,11 +7,11 @@
 
 use std::collections::HashMap;
 use std::net::{TcpListener, TcpStream};
+use std::panic::{AssertUnwindSafe, resume_unwind};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
-use async_executor::Executor;
 use async_io::{Async, Timer};
 use async_tungstenite::tungstenite::Bytes;
 use futures_lite::FutureExt;
@@ -30,6 +30,7 @@
 use crate::prelude::*;
 use crate::secret::Secret;
 use crate::shared_intake::SharedIntake;
+use crate::supervisor::Supervisor;
 use crate::telemetry::{EntryMetrics, log_event};
 
 /// Interval at which timeouts and due dials are checked.
@@ -60,7 +61,7 @@
     handshakes: Arc<SharedIntake>,
     metrics: Option<Arc<EntryMetrics>>,
     counters: LinkCounters,
-    executor: OnceLock<Arc<Executor<'static>>>,
+    supervisor: OnceLock<Supervisor>,
 }
 
 struct State {
@@ -124,7 +125,7 @@
             }),
             metrics: cfg.metrics,
             counters: LinkCounters::default(),
-            executor: OnceLock::new(),
+            supervisor: OnceLock::new(),
         })
     }
 
@@ -177,21 +178,16 @@
     }
 
     /// Accepts and dials connections and checks timeouts until the future is dropped; the
-    /// connections run as tasks of the executor and end with it.
-    ///
-    /// # Errors
-    /// When the listener cannot be registered with the reactor.
+    /// connections run as tasks of the supervisor's executor and end with it.
     pub async fn run(
         self: Arc<Self>,
-        listener: TcpListener,
-        executor: Arc<Executor<'static>>,
-    ) -> std::io::Result<()> {
-        let listener = Async::new(listener)?;
-        let _ = self.executor.set(executor);
+        listener: Arc<Async<TcpListener>>,
+        supervisor: impl Into<Supervisor>,
+    ) {
+        let _ = self.supervisor.set(supervisor.into());
         self.accept_connections(&listener)
             .or(self.run_ticks())
             .await;
-        Ok(())
     }
 
     async fn accept_connections(self: &Arc<Self>, listener: &Async<TcpListener>) {
@@ -221,8 +217,8 @@
     }
 
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        if let Some(executor) = self.executor.get() {
-            executor.spawn(task).detach();
+        if let Some(supervisor) = self.supervisor.get() {
+            supervisor.spawn("peer_connection", task);
         }
     }
 
@@ -244,7 +240,15 @@
             match effect {
                 MemberEffect::Dial(addr) => {
                     let this = self.clone();
-                    self.spawn(async move { connection::dial(&this, addr).await });
+                    self.spawn(async move {
+                        let dialled =
+                            AssertUnwindSafe(connection::dial(&this, addr)).catch_unwind();
+                        if let Err(panic) = dialled.await {
+                            // Otherwise the address would count as being dialled for ever.
+                            this.handle_event(MemberEvent::DialFailed(addr));
+                            resume_unwind(panic);
+                        }
+                    });
                 }
                 MemberEffect::Close { conn, reason } => self.close(&mut state, conn, reason),
                 MemberEffect::Changed => changed = true,
--- a/tests/catalog_sync.rs
+++ b/tests/catalog_sync.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use async_executor::Executor;
-use async_io::{Timer, block_on};
+use async_io::{Async, Timer, block_on};
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
 use guavahold::catalog::{CatalogCell, CatalogSync};
@@ -116,8 +116,8 @@
         sync.set_links(mesh.clone());
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
-        let run = mesh.clone().run(listener, ex.clone());
-        ex.spawn(async move { run.await.unwrap() }).detach();
+        let listener = Arc::new(Async::new(listener).unwrap());
+        ex.spawn(mesh.clone().run(listener, ex.clone())).detach();
         ex.spawn(sync.clone().run(ex.clone())).detach();
         Self {
             name: name.into(),
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -52,7 +52,7 @@
     let control = Arc::new(ServerControl::default());
     let server = Server::new(listener, limits, recorder.clone(), control.clone()).unwrap();
     let ex = Arc::new(Executor::new());
-    ex.spawn(server.run(ex.clone())).detach();
+    ex.spawn(Arc::new(server).run(ex.clone())).detach();
     std::thread::spawn(move || async_io::block_on(ex.run(std::future::pending::<()>())));
     TestServer {
         addr,
--- a/tests/order_controller.rs
+++ b/tests/order_controller.rs
@@ -56,7 +56,7 @@
     let address = listener.local_addr().unwrap();
     let control = Arc::new(ServerControl::default());
     let server = Server::new(listener, Limits::default(), engine.clone(), control).unwrap();
-    ex.spawn(server.run(ex.clone())).detach();
+    ex.spawn(Arc::new(server).run(ex.clone())).detach();
     (address, engine)
 }
 
--- a/tests/peer_measure.rs
+++ b/tests/peer_measure.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use async_executor::Executor;
-use async_io::{Timer, block_on};
+use async_io::{Async, Timer, block_on};
 use guavahold::catalog::{Catalog, CatalogHead, Customer, Policy, ReleaseNote, TokenHash};
 use guavahold::peer::{Mesh, PeerEvents, PeerInfo, PeerLinks, PeerMessage, decode, encode};
 use guavahold::platform::{Role, Vm, VmPhase};
@@ -133,8 +133,8 @@
     let secret = Secret::new(b"a secret of at least thirty-two bytes");
     let mesh = Mesh::builder(name, "a", secret).build(Arc::new(IgnoreEvents));
     mesh.set_status(76_000, 1_000, false);
-    let run = mesh.clone().run(listener, ex.clone());
-    ex.spawn(async move { run.await.unwrap() }).detach();
+    let listener = Arc::new(Async::new(listener).unwrap());
+    ex.spawn(mesh.clone().run(listener, ex.clone())).detach();
     (mesh, vm)
 }
 
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -59,8 +59,8 @@
         .timing(HEARTBEAT, TIMEOUT)
         .seeds(seeds)
         .build(inbox.clone());
-    let run = mesh.clone().run(listener, ex.clone());
-    ex.spawn(async move { run.await.unwrap() }).detach();
+    let listener = Arc::new(Async::new(listener).unwrap());
+    ex.spawn(mesh.clone().run(listener, ex.clone())).detach();
     Node { mesh, inbox, addr }
 }
 
@@ -246,8 +246,8 @@
         let mesh = Mesh::builder("a1", "a", Secret::new(SECRET))
             .timing(HEARTBEAT, 10 * WAIT_LIMIT)
             .build(Arc::new(Inbox::default()));
-        let run = mesh.clone().run(listener, ex.clone());
-        ex.spawn(async move { run.await.unwrap() }).detach();
+        let listener = Arc::new(Async::new(listener).unwrap());
+        ex.spawn(mesh.clone().run(listener, ex.clone())).detach();
         let mut stream = upgraded(addr).await;
         stream.write_all(&frame_header(5 * 1024)).await.unwrap();
         let closed = async {
