The writer of a claim shard goes on after a panic

A shard's queue is marked as being committed until its writer has emptied it. A panic of a commit (played: the platform's client panics at a write) ended the writer and left the mark, so that no claim of the shard was ever decided again: the new test had no verdict after 20 s before. The claims of the batch are unresolved now, as those of an unanswered write, so that none of them runs, and the writer goes on with the next batch.

--- a/src/claim/commit.rs
+++ b/src/claim/commit.rs
@@ -1,6 +1,9 @@
 //! Commits the queued operations of a shard in batches, each with one conditional write.
 
+use std::panic::AssertUnwindSafe;
+
 use async_io::Timer;
+use futures_lite::FutureExt;
 
 use crate::claim::cached_object::CachedObject;
 use crate::claim::counters::count;
@@ -83,7 +86,11 @@
                 queue.ops.record_write_start(self.now());
                 batch
             };
-            self.commit_batch(writer, batch).await;
+            // A panic leaves the claims of its batch unresolved; others wait for this writer.
+            let commit = AssertUnwindSafe(self.commit_batch(writer, batch));
+            if commit.catch_unwind().await.is_err() {
+                log::error!("event=claim_commit_panicked shard={shard}");
+            }
             writer.queue().ops.record_write_end(self.now());
         }
     }
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use async_executor::Executor;
-use futures_lite::future::block_on;
+use async_io::{Timer, block_on};
+use futures_lite::FutureExt;
 use guavahold::claim::{ClaimOutcome, ClaimTable, ClaimVerdict, Claims};
 use guavahold::prelude::*;
 use support::{Fault, MemoryPlatform, NoPeers, claim_request};
@@ -59,3 +60,35 @@
     let verdict = block_on(executor.run(table.claim(claim_request(Duration::ZERO))));
     assert!(matches!(verdict, Ok(ClaimVerdict::Granted(_))));
 }
+
+/// Time limit for the verdict on a claim.
+const VERDICT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Guards against a shard of claims that nobody writes any more after its writer panicked.
+#[test]
+fn claim_is_granted_after_the_write_of_another_panicked() {
+    let platform = MemoryPlatform::new();
+    let executor = Arc::new(Executor::new());
+    let table = ClaimTable::new(
+        Arc::new(platform.clone()),
+        "one".into(),
+        1,
+        Arc::new(NoPeers),
+        executor.clone(),
+    );
+    platform.fail_writes([Some(Fault::Panic)]);
+    let verdicts = async {
+        let first = table.claim(claim_request(Duration::ZERO)).await;
+        (first, table.claim(claim_request(Duration::ZERO)).await)
+    };
+    let verdicts = async { Some(verdicts.await) };
+    let timeout = async {
+        Timer::after(VERDICT_TIMEOUT).await;
+        None
+    };
+    let verdicts = block_on(executor.run(verdicts.or(timeout)));
+    let (first, second) = verdicts.expect("no verdict");
+    // Whether the first one was written is unknown, so it must not run.
+    assert!(first.is_err());
+    assert!(matches!(second, Ok(ClaimVerdict::Granted(_))));
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -24,6 +24,8 @@
     RequestLost,
     /// The response is lost; a write takes effect with [`MemoryPlatform::apply_delayed_writes`].
     EffectDelayed,
+    /// The call panics.
+    Panic,
 }
 
 /// Number of calls so far, including failed ones.
@@ -123,6 +125,7 @@
         match fault {
             Some(Fault::Down) => return Err(PlatformError::Unreachable("down".into())),
             Some(Fault::Slow(delay)) => drop(async_io::Timer::after(delay).await),
+            Some(Fault::Panic) => panic!("planned panic in a read"),
             Some(_) => return Err(PlatformError::Unanswered("lost".into())),
             None => {}
         }
@@ -141,6 +144,7 @@
             Some(Fault::Down) => return Err(PlatformError::Unreachable("down".into())),
             Some(Fault::Slow(delay)) => drop(async_io::Timer::after(delay).await),
             Some(Fault::RequestLost) => return lost,
+            Some(Fault::Panic) => panic!("planned panic in a write"),
             Some(Fault::EffectDelayed) => {
                 self.state().delayed_writes.push(write);
                 return lost;
