Panics at peers' messages and in the catalog's watch are played

Both heal without a change: the socket of the connection closes with its task, so that the peer dials again and its new link replaces the old one, and the replica asks again after its timeouts.

--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -1,7 +1,6 @@
 //! WebSocket connection to one peer: handshake, sending and receiving.
 
 use std::net::{SocketAddr, TcpStream};
-use std::panic::{AssertUnwindSafe, resume_unwind};
 
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -189,10 +188,8 @@
     let stopped = async {
         let _ = outgoing.stop.recv().await;
     };
-    let ended = AssertUnwindSafe(stopped.or(read).or(write)).catch_unwind();
-    let ended = ended.await;
+    stopped.or(read).or(write).await;
     mesh.remove_connection(conn);
-    ended.unwrap_or_else(|panic| resume_unwind(panic));
 }
 
 /// Sends queued messages and heartbeats until the queue is closed or the connection fails.
--- a/tests/catalog_sync.rs
+++ b/tests/catalog_sync.rs
@@ -300,3 +300,18 @@
         });
     }
 }
+
+/// Guards against an entry that waits for ever for the result of a call that panicked.
+#[test]
+fn sync_note_comes_into_force_after_platform_calls_panicked() {
+    with_executor(async |ex| {
+        let platform = MemoryPlatform::new();
+        platform.set_fault(Some(Fault::Panic));
+        let entry = Entry::start(&ex, &platform, "a1", Vec::new());
+        wait_until("called", || platform.calls().reads > 0).await;
+        platform.set_fault(None);
+        wait_until("ready", || entry.sync.ready()).await;
+        accept_note(&platform, 0).await;
+        wait_until("in force", || entry.revision() == 1).await;
+    });
+}
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -1,6 +1,7 @@
 //! Links between entries over loopback sockets.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -28,11 +29,15 @@
     messages: Mutex<Vec<(Name, PeerMessage)>>,
     /// Live peers at the last change.
     live: Mutex<Vec<PeerInfo>>,
+    /// Whether the next message that is no heartbeat makes the handler panic.
+    panics_next: AtomicBool,
 }
 
 impl PeerEvents for Inbox {
     fn on_message(&self, from: &PeerInfo, message: PeerMessage) {
         if !matches!(message, PeerMessage::Heartbeat { .. }) {
+            let panics = self.panics_next.swap(false, Ordering::Relaxed);
+            assert!(!panics, "planned panic at a message");
             self.messages
                 .lock()
                 .unwrap()
@@ -52,11 +57,21 @@
 }
 
 fn start(ex: &Arc<Executor<'static>>, name: &str, secret: &[u8], seeds: Vec<SocketAddr>) -> Node {
+    start_with_timeout(ex, name, secret, seeds, TIMEOUT)
+}
+
+fn start_with_timeout(
+    ex: &Arc<Executor<'static>>,
+    name: &str,
+    secret: &[u8],
+    seeds: Vec<SocketAddr>,
+    timeout: Duration,
+) -> Node {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     let inbox = Arc::new(Inbox::default());
     let mesh = Mesh::builder(name, &name[..1], Secret::new(secret))
-        .timing(HEARTBEAT, TIMEOUT)
+        .timing(HEARTBEAT, timeout)
         .seeds(seeds)
         .build(inbox.clone());
     let listener = Arc::new(Async::new(listener).unwrap());
@@ -173,6 +188,26 @@
     });
 }
 
+/// Guards against a peer that counts as linked, but hears nothing, until its timeout has passed
+/// because the handling of one of its messages panicked.
+#[test]
+fn mesh_links_a_peer_again_at_once_after_its_message_panicked() {
+    with_executor(async |ex| {
+        let long = 10 * WAIT_LIMIT;
+        let first = start_with_timeout(&ex, "a1", SECRET, Vec::new(), long);
+        let second = start_with_timeout(&ex, "b1", SECRET, vec![first.addr], long);
+        let linked = || names(&first) == ["b1"] && names(&second) == ["a1"];
+        wait_until("linked", linked).await;
+        first.inbox.panics_next.store(true, Ordering::Relaxed);
+        wait_until("delivered", || {
+            second.mesh.broadcast(&PeerMessage::WantCatalog);
+            !first.inbox.messages.lock().unwrap().is_empty()
+        })
+        .await;
+        assert!(linked());
+    });
+}
+
 #[test]
 fn mesh_wrong_secret_is_refused() {
     with_executor(async |ex| {
