--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -12,20 +12,19 @@
 
 use crate::context_store::ContextStoreClient;
 use crate::entry::Threads;
-use crate::gateway::builder::listeners::Listeners;
+use crate::gateway::builder::listeners::{
+    Listeners, spawn_caller_listener, spawn_peer_listener, spawn_probe_server,
+};
 use crate::gateway::builder::tasks::{
     ControlReceivers, spawn_periodic, spawn_receivers, spawn_store_tasks, spawn_usage_reports,
 };
 use crate::gateway::contained_decoder::ContainedDecoder;
 use crate::gateway::control::{HubLinks, TargetControl};
-use crate::gateway::listener::accept;
 use crate::gateway::peer_handler::PeerHandler;
-use crate::gateway::probe::ProbeHandler;
 use crate::gateway::request_log::DEFAULT_LOG_SAMPLE;
 use crate::gateway::shared::TargetObservation;
 use crate::gateway::stream_origins::OriginCall;
 use crate::gateway::{Decoder, Dialect, Gateway};
-use crate::http::{Limits, Server, ServerControl};
 use crate::intake::{DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_BYTES, IntakeLimits};
 use crate::latch::Latch;
 use crate::part_quarantine::PartNotice;
@@ -37,7 +36,7 @@
 use crate::rollout::{RolloutEffect, RolloutSettings};
 use crate::scheduler::Effect;
 use crate::secret::Secret;
-use crate::supervisor::{SupervisedTask, Supervisor, TaskFailure};
+use crate::supervisor::{Supervisor, TaskFailure};
 use crate::telemetry::{DEFAULT_LOG_LINES_PER_SECOND, ProcessLimits};
 
 /// Number of threads that serve callers.
@@ -53,15 +52,6 @@
     (Duration::from_millis(2_400), Duration::from_millis(7_500));
 /// Maximum number of peers' connections in their handshake.
 const MAX_HANDSHAKES: usize = 256;
-/// Limits on readiness checks and on scrapes of metrics, which have no bodies.
-const PROBE_LIMITS: Limits = Limits {
-    head_bytes: 8 * 1024 - 1,
-    body_bytes: 1024,
-    message_timeout: Duration::from_secs(2),
-    idle_timeout: Duration::from_mins(2),
-    connections: 128,
-    request_bytes: 2 * 1024 * 1024,
-};
 /// Maximum number of entries for [`HEARTBEAT_TIMING`].
 const MAX_ENTRIES_SHORT_HEARTBEAT: u32 = 24;
 
@@ -342,21 +332,8 @@
         mesh.serve_relays(control.clone());
         let links = HubLinks(Arc::downgrade(&control));
         shared.scheduler_client.set_links(Box::new(links));
-        let probe_control = Arc::new(ServerControl::default());
-        let probe = Arc::new(ProbeHandler {
-            shared: shared.clone(),
-            ready_path: shared.dialect.ready_path().into(),
-        });
         for listener in std::iter::once(listeners.probe).chain(listeners.metrics) {
-            let limits = Limits {
-                connections: self.intake.connections.min(PROBE_LIMITS.connections),
-                ..PROBE_LIMITS
-            };
-            let server = Server::new(listener, limits, probe.clone(), probe_control.clone())?;
-            let (server, connections) = (Arc::new(server), supervisor.clone());
-            supervisor.keep(SupervisedTask::required("probe_listener"), move || {
-                server.clone().run(connections.clone())
-            });
+            spawn_probe_server(listener, &self, &shared, &supervisor)?;
         }
         spawn_usage_reports(&control, self.process_limits);
         spawn_periodic(&control);
@@ -370,24 +347,9 @@
         };
         spawn_receivers(&control, receivers);
         spawn_store_tasks(&control);
-        let (links, connections) = (mesh.clone(), supervisor.clone());
-        supervisor.keep(SupervisedTask::required("peer_listener"), move || {
-            links
-                .clone()
-                .run(listeners.peers.clone(), connections.clone())
-        });
+        spawn_peer_listener(listeners.peers, &mesh, &supervisor);
         let stop_accepting = Latch::default();
-        let (accepting, stop) = (shared.clone(), stop_accepting.clone());
-        let (callers, connections) = (listeners.callers, traffic.clone());
-        let task = SupervisedTask::required("caller_listener").may_return();
-        traffic.keep(task, move || {
-            accept(
-                callers.clone(),
-                accepting.clone(),
-                connections.clone(),
-                stop.clone(),
-            )
-        });
+        spawn_caller_listener(listeners.callers, &shared, &traffic, &stop_accepting);
         Ok(Gateway {
             shared,
             control,
