An abort by a second panic leaves the lines of both

A panic while another one unwinds, or in the drop of a future that the executor drops, aborts the process at once, before the log's writer has written the lines of the panics: an end without any line.

--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -4,7 +4,7 @@
 use std::fmt::{Display, Write};
 use std::sync::OnceLock;
 
-use log::{Level, LevelFilter};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 
 use crate::prelude::*;
 use crate::telemetry::LogQueue;
@@ -34,6 +34,9 @@
 /// Name of the VM in log lines until it is known.
 const UNKNOWN_VM: &str = "-";
 
+/// Longest time for which a flush of the logger blocks its caller.
+const LOGGER_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Log on standard output that a writer thread writes.
 #[derive(Clone, Debug)]
 pub struct ProcessLog {
@@ -53,7 +56,7 @@
             vm: Arc::default(),
         };
         let (queue, vm) = (log.queue.clone(), log.vm.clone());
-        fern::Dispatch::new()
+        let (level, logger) = fern::Dispatch::new()
             .format(move |out, message, record| {
                 let ts_ms = crate::clock::unix_ms();
                 let level = record.level().as_str().to_ascii_lowercase();
@@ -71,8 +74,13 @@
                     queue.push(line);
                 }
             }))
-            .apply()
-            .map_err(std::io::Error::other)?;
+            .into_log();
+        let logger = QueueLogger {
+            logger,
+            queue: log.queue.clone(),
+        };
+        log::set_boxed_logger(Box::new(logger)).map_err(std::io::Error::other)?;
+        log::set_max_level(level);
         Ok(log)
     }
 
@@ -88,6 +96,26 @@
     }
 }
 
+/// Logger whose flush waits for the writer of its queue.
+struct QueueLogger {
+    logger: Box<dyn Log>,
+    queue: Arc<LogQueue>,
+}
+
+impl Log for QueueLogger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.logger.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        self.logger.log(record);
+    }
+
+    fn flush(&self) {
+        let _ = self.queue.flush(LOGGER_FLUSH_TIMEOUT);
+    }
+}
+
 /// Logs one event with its fields; values are quoted and escaped if necessary.
 pub fn log_event(level: Level, name: &str, fields: &[(&str, &dyn Display)]) {
     if level > log::max_level() {
