--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -87,12 +87,13 @@
         let keep = match reader.receive(&shared).await {
             Ok(received) => {
                 let id = received.head.id.clone();
-                let served = serve(&shared, received, &stream, &room, &mut reader);
-                let served = AssertUnwindSafe(served).catch_unwind().await;
-                served.unwrap_or_else(|panic| {
-                    log::error!("event=request_panicked request={id}");
-                    resume_unwind(panic)
-                })
+                AssertUnwindSafe(serve(&shared, received, &stream, &room, &mut reader))
+                    .catch_unwind()
+                    .await
+                    .unwrap_or_else(|panic| {
+                        log::error!("event=request_panicked request={id}");
+                        resume_unwind(panic)
+                    })
             }
             Err(ReceiveError::ConnectionClosed) => return,
             Err(ReceiveError::Rejected(local_response)) => {
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -18,6 +18,7 @@
 use async_executor::Executor;
 use async_io::Timer;
 use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
 use prometheus::IntCounterVec;
 
 use crate::clock::whole_millis;
@@ -77,6 +78,8 @@
     /// Runs a future once; a panic ends it alone.
     pub fn spawn(&self, name: &'static str, run: impl Future<Output = ()> + Send + 'static) {
         let runner = self.runner.clone();
+        // On the heap at once, since each step of a future holds its own copy of what it awaits.
+        let run = run.boxed();
         let contained = async move {
             if runner.run_once(name, run).await == RunEnd::Panicked {
                 log::error!("event=task_panicked task={name} restarts=-");
@@ -104,7 +107,7 @@
             let started = Instant::now();
             // A panic of `start` itself counts like one of the future.
             let end = match catch_unwind(AssertUnwindSafe(&start)) {
-                Ok(run) => self.run_once(task.name, run).await,
+                Ok(run) => self.run_once(task.name, run.boxed()).await,
                 Err(_) => self.count_panic(task.name),
             };
             if end == RunEnd::Returned && task.may_return {
@@ -119,13 +122,8 @@
         }
     }
 
-    async fn run_once(
-        &self,
-        name: &'static str,
-        run: impl Future<Output = ()> + Send + 'static,
-    ) -> RunEnd {
-        let mut run = AssertUnwindSafe(run).catch_unwind().boxed();
-        let result = (&mut run).await;
+    async fn run_once(&self, name: &'static str, mut run: Boxed<()>) -> RunEnd {
+        let result = AssertUnwindSafe(&mut run).catch_unwind().await;
         // What the future still holds may panic when it is dropped.
         let dropped = catch_unwind(AssertUnwindSafe(|| drop(run)));
         if result.is_ok() && dropped.is_ok() {
