--- a/src/gateway/builder/probes.rs
+++ b/src/gateway/builder/probes.rs
@@ -3,14 +3,13 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
-use async_executor::Executor;
-
 use crate::gateway::GatewayBuilder;
 use crate::gateway::probe::ProbeHandler;
 use crate::gateway::shared::Shared;
-use crate::http::{Limits, Server, ServerControl};
+use crate::http::{Limits, Server};
 use crate::listen::{ListenAddress, listen_when_free};
 use crate::prelude::*;
+use crate::supervisor::{SupervisedTask, Supervisor};
 
 /// Limits on readiness checks and on scrapes of metrics, which have no bodies.
 const PROBE_LIMITS: Limits = Limits {
@@ -24,11 +23,14 @@
 
 impl GatewayBuilder {
     /// Serves readiness checks, and metrics as soon as their own address is free.
-    pub(super) fn serve_probes(
+    ///
+    /// # Errors
+    /// When the listener cannot be registered with the reactor.
+    pub(super) fn spawn_probe_servers(
         &self,
         listener: TcpListener,
         shared: &Arc<Shared>,
-        ex: &Arc<Executor<'static>>,
+        supervisor: &Supervisor,
     ) -> io::Result<()> {
         let limits = Limits {
             connections: self.intake.connections.min(PROBE_LIMITS.connections),
@@ -38,12 +40,16 @@
             shared: shared.clone(),
             ready_path: shared.dialect.ready_path().into(),
         });
-        let control = Arc::new(ServerControl::default());
-        let server = Server::new(listener, limits.clone(), handler.clone(), control)?;
-        ex.spawn(server.run(ex.clone())).detach();
+        let server = Server::new(listener, limits.clone(), handler.clone(), Arc::default())?;
+        let (server, connections) = (Arc::new(server), supervisor.clone());
+        supervisor.keep(SupervisedTask::required("probe_listener"), move || {
+            server.clone().run(connections.clone())
+        });
         if let Some(addr) = self.metrics {
-            let serve = serve_metrics(addr, limits, handler, ex.clone());
-            ex.spawn(serve).detach();
+            let connections = supervisor.clone();
+            supervisor.keep(SupervisedTask::retried("metrics_listener"), move || {
+                serve_metrics(addr, limits.clone(), handler.clone(), connections.clone())
+            });
         }
         Ok(())
     }
@@ -54,12 +60,12 @@
     addr: SocketAddr,
     limits: Limits,
     handler: Arc<ProbeHandler>,
-    ex: Arc<Executor<'static>>,
+    supervisor: Supervisor,
 ) {
     let role = "metrics";
     let listener = listen_when_free(ListenAddress { role, addr }).await;
     match Server::new(listener, limits, handler, Arc::default()) {
-        Ok(server) => server.run(ex).await,
+        Ok(server) => Arc::new(server).run(supervisor).await,
         Err(err) => log::warn!("event=metrics_failed error={:?}", err.to_string()),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,5 +57,6 @@
 pub mod signals;
 pub mod store_view;
 pub mod stream_origin;
+pub mod supervisor;
 pub mod target;
 pub mod telemetry;
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use async_signal::{Signal, Signals};
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::{FutureExt, Stream, StreamExt, stream};
 
 use crate::prelude::*;
 use crate::telemetry::PROCESS_LOG;
@@ -66,11 +66,12 @@
         }
     }
 
-    /// Logs all signals; never completes.
-    pub async fn log_all(&mut self) {
-        loop {
-            self.stop_requested().await;
-        }
+    /// An item each time that the process is asked to end; logs all signals.
+    pub fn stop_requests(&mut self) -> impl Stream<Item = ()> {
+        stream::unfold(self, |this| async {
+            this.stop_requested().await;
+            Some(((), this))
+        })
     }
 
     /// Completes with the result of `f`, or with `None` as soon as the process is asked to end.
--- a/tests/catalog_sync.rs
+++ b/tests/catalog_sync.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use async_executor::Executor;
-use async_io::{Timer, block_on};
+use async_io::{Async, Timer, block_on};
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
 use guavahold::catalog::{CatalogCell, CatalogSync};
@@ -116,8 +116,8 @@
         sync.set_links(mesh.clone());
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
-        let run = mesh.clone().run(listener, ex.clone());
-        ex.spawn(async move { run.await.unwrap() }).detach();
+        let listener = Arc::new(Async::new(listener).unwrap());
+        ex.spawn(mesh.clone().run(listener, ex.clone())).detach();
         ex.spawn(sync.clone().run(ex.clone())).detach();
         Self {
             name: name.into(),
@@ -300,3 +300,18 @@
         });
     }
 }
+
+/// Guards against an entry that waits for ever for the result of a call that panicked.
+#[test]
+fn sync_note_comes_into_force_after_platform_calls_panicked() {
+    with_executor(async |ex| {
+        let platform = MemoryPlatform::new();
+        platform.set_fault(Some(Fault::Panic));
+        let entry = Entry::start(&ex, &platform, "a1", Vec::new());
+        wait_until("called", || platform.calls().reads > 0).await;
+        platform.set_fault(None);
+        wait_until("ready", || entry.sync.ready()).await;
+        accept_note(&platform, 0).await;
+        wait_until("in force", || entry.revision() == 1).await;
+    });
+}
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -56,7 +56,7 @@
     let control = Arc::new(ServerControl::default());
     let server = Server::new(listener, limits, recorder.clone(), control.clone()).unwrap();
     let ex = Arc::new(Executor::new());
-    ex.spawn(server.run(ex.clone())).detach();
+    ex.spawn(Arc::new(server).run(ex.clone())).detach();
     std::thread::spawn(move || async_io::block_on(ex.run(std::future::pending::<()>())));
     TestServer {
         addr,
