An entry that the system refuses a thread ends with a line

What callers saw: an entry that listened, neither served nor ended, as long as it lived. With an address space of 23.8 to 25.4 MB the thread of the coarse clock was refused: every task that slept panicked on the main thread, and the process stayed (5 of 5 with 400 KB between them). Below, the reactor's thread was refused before there was a log: no line on standard output (17.0 to 18.6 MB), and a refused traffic thread was reported without its name. Open: at 19.0 MB an allocation fails and the standard library ends the process with a line of its own on standard error.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-pub use coarse::{CoarseSleep, coarse_sleep};
+pub use coarse::{CoarseSleep, coarse_sleep, start_coarse_clock};
 
 /// Time since the VM booted, including time suspended (`CLOCK_BOOTTIME`).
 #[must_use]
--- a/src/clock/coarse.rs
+++ b/src/clock/coarse.rs
@@ -6,8 +6,9 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
@@ -22,28 +23,45 @@
 struct PendingSleeps {
     wakers: Mutex<BTreeMap<Key, Waker>>,
     next_id: AtomicU64,
+    /// Whether the thread is started.
+    running: AtomicBool,
 }
 
 impl PendingSleeps {
     /// Returns the map of this process and starts its thread on first use.
     fn get() -> &'static Self {
+        let started = start_coarse_clock();
+        assert!(
+            started.is_ok(),
+            "the thread of the coarse clock cannot be started"
+        );
+        Self::of_process()
+    }
+
+    fn of_process() -> &'static Self {
         static PENDING: OnceLock<PendingSleeps> = OnceLock::new();
-        static THREAD: OnceLock<()> = OnceLock::new();
-        let pending = PENDING.get_or_init(Self::default);
-        THREAD.get_or_init(|| {
-            let builder = std::thread::Builder::new().name("coarse-clock".into());
-            let started = builder.spawn(|| {
-                loop {
-                    std::thread::sleep(WAKE_INTERVAL);
-                    pending.wake_expired();
-                }
-            });
-            assert!(
-                started.is_ok(),
-                "the thread of the coarse clock cannot be started"
-            );
-        });
-        pending
+        PENDING.get_or_init(Self::default)
+    }
+
+    /// Starts the thread unless it runs.
+    fn start(&'static self) -> io::Result<()> {
+        if self.running.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        // The lock keeps two callers from starting a thread each.
+        let _wakers = self.lock();
+        if self.running.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        let builder = std::thread::Builder::new().name("coarse-clock".into());
+        builder.spawn(|| {
+            loop {
+                std::thread::sleep(WAKE_INTERVAL);
+                self.wake_expired();
+            }
+        })?;
+        self.running.store(true, Ordering::Release);
+        Ok(())
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Key, Waker>> {
@@ -60,6 +78,18 @@
     }
 }
 
+/// Starts the thread that ends sleeps. A program calls it before its first sleep, which panics where
+/// the system refuses the thread.
+///
+/// # Errors
+/// When the system refuses the thread.
+pub fn start_coarse_clock() -> io::Result<()> {
+    PendingSleeps::of_process().start().map_err(|err| {
+        let reason = format!("cannot start thread coarse-clock: {err}");
+        io::Error::new(err.kind(), reason)
+    })
+}
+
 /// Completes once `time` has passed, up to 20 ms late; `time` is capped at a year, so that the
 /// deadline does not overflow.
 #[must_use]
@@ -103,7 +133,7 @@
 impl Drop for CoarseSleep {
     fn drop(&mut self) {
         if let Some(key) = self.key {
-            PendingSleeps::get().lock().remove(&key);
+            PendingSleeps::of_process().lock().remove(&key);
         }
     }
 }
--- a/src/entry/threads.rs
+++ b/src/entry/threads.rs
@@ -24,8 +24,13 @@
             let run = move || {
                 let _ = async_io::block_on(ex.run(stopped.recv()));
             };
-            let builder = std::thread::Builder::new().name(format!("{name}-{n}"));
-            handles.push(builder.spawn(run)?);
+            let name = format!("{name}-{n}");
+            let builder = std::thread::Builder::new().name(name.clone());
+            let handle = builder.spawn(run).map_err(|err| {
+                let reason = format!("cannot start thread {name}: {err}");
+                io::Error::new(err.kind(), reason)
+            })?;
+            handles.push(handle);
         }
         Ok(Self { stop, handles })
     }
--- a/src/gateway/builder.rs
+++ b/src/gateway/builder.rs
@@ -11,6 +11,7 @@
 
 use async_executor::Executor;
 
+use crate::clock::start_coarse_clock;
 use crate::context_store::ContextStoreClient;
 use crate::entry::Threads;
 pub use crate::gateway::builder::listeners::GatewayListeners;
@@ -278,6 +279,7 @@
         targets: Arc<dyn TargetControl>,
         stores: Arc<dyn ContextStoreClient>,
     ) -> io::Result<Gateway> {
+        start_coarse_clock()?;
         let (effects_tx, effects) = async_channel::unbounded();
         let (observations_tx, observations) = async_channel::unbounded();
         let (rollout_tx, rollout) = async_channel::unbounded();
--- a/src/telemetry/panic_log.rs
+++ b/src/telemetry/panic_log.rs
@@ -1,8 +1,11 @@
 //! Log lines of panics.
 
+use std::io::{self, Write};
 use std::panic::PanicHookInfo;
 use std::time::Instant;
 
+use log::LevelFilter;
+
 use crate::telemetry::{DEFAULT_LOG_LINES_PER_SECOND, LineBudget, PROCESS_LOG};
 
 /// Logs each panic as one event, up to a rate; the next line tells how many were left out.
@@ -23,10 +26,15 @@
     let thread = std::thread::current();
     let location = info.location();
     let message = info.payload_as_str().unwrap_or("-");
-    log::error!(
-        target: PROCESS_LOG,
+    let line = format!(
         "event=panicked thread={} location={} message={message:?} left_out={left_out}",
         thread.name().unwrap_or("-"),
         location.map_or_else(|| "-".to_owned(), ToString::to_string),
     );
+    if log::max_level() == LevelFilter::Off {
+        // There is no log yet.
+        let _ = writeln!(io::stdout(), "level=error vm=- {line}");
+    } else {
+        log::error!(target: PROCESS_LOG, "{line}");
+    }
 }
