guavahold-entry waits for its addresses and outlives signals like guavahold-node

What callers saw: the same faults in the other program. A held address ended it at once, SIGHUP and other signals ended it at any time, and a failed start left no structured line. Change: it uses the same signals, descriptor limit, panic lines and wait for its addresses (a minute and a half, since its drain may take half a minute for claims). Errors of the start are one line event=start_failed on standard error.

--- a/rig/src/local_system.rs
+++ b/rig/src/local_system.rs
@@ -134,7 +134,7 @@
             .traffic_threads(threads)
             .balancer_lag(Duration::ZERO)
             .build();
-        let entry = Entry::bind(cfg)?;
+        let entry = async_io::block_on(Entry::bind(cfg))?;
         let addresses = entry.addresses();
         let vm = vm(name, Role::Entry, domain, addresses.peers, "");
         async_io::block_on(self.client().create(vm_object(&vm)))?;
--- a/rig/src/process.rs
+++ b/rig/src/process.rs
@@ -108,7 +108,8 @@
         self.child.try_wait().ok().flatten()
     }
 
-    fn signal(&self, signal: Signal) {
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
         if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
             let _ = kill_process(pid, signal);
         }
--- a/src/bin/guavahold-entry.rs
+++ b/src/bin/guavahold-entry.rs
@@ -1,13 +1,15 @@
 //! `guavahold-entry`: the entry process, which serves callers on an entry VM.
 
+use std::io::{self, Write};
 use std::process::ExitCode;
 
-use async_signal::{Signal, Signals};
 use eyre::WrapErr;
-use futures_lite::StreamExt;
+use futures_lite::FutureExt;
+use guavahold::descriptors::{MIN_DESCRIPTORS, raise_descriptor_limit};
 use guavahold::entry::Entry;
 use guavahold::settings::{Document, ENTRY_EXAMPLE, EntrySettings};
-use guavahold::telemetry::init_log;
+use guavahold::signals::ProcessSignals;
+use guavahold::telemetry::{init_log, log_panics};
 
 /// Exit status if the settings have findings.
 const EXIT_FINDINGS: u8 = 2;
@@ -28,21 +30,31 @@
 }
 
 fn main() -> ExitCode {
+    log_panics();
+    // Without a handler, a reload signal during the start ends the process. Handlers need descriptors.
+    let signals = raise_descriptor_limit(MIN_DESCRIPTORS).and_then(|_| ProcessSignals::install());
     let flags = flags::GuavaholdEntry::from_env_or_exit();
     if flags.print_defaults {
         print!("{ENTRY_EXAMPLE}");
         return ExitCode::SUCCESS;
     }
-    match run(&flags) {
+    match run(&flags, signals) {
         Ok(code) => code,
         Err(err) => {
-            eprintln!("guavahold-entry: {err:#}");
+            let reason = format!("{err:#}");
+            let _ = writeln!(
+                io::stderr(),
+                "level=error event=start_failed error={reason:?}"
+            );
             ExitCode::FAILURE
         }
     }
 }
 
-fn run(flags: &flags::GuavaholdEntry) -> eyre::Result<ExitCode> {
+fn run(
+    flags: &flags::GuavaholdEntry,
+    signals: io::Result<ProcessSignals>,
+) -> eyre::Result<ExitCode> {
     let path = flags.settings.as_deref();
     let path = path.ok_or_else(|| eyre::eyre!("--settings is required"))?;
     let doc = Document::open(path).wrap_err_with(|| format!("cannot read {path}"))?;
@@ -57,17 +69,28 @@
         return Ok(ExitCode::SUCCESS);
     }
     init_log(cfg.log_level)?;
-    let entry = Entry::bind(cfg)?;
+    serve(cfg, signals?)
+}
+
+/// Serves until a signal ends the process.
+fn serve(cfg: EntrySettings, mut signals: ProcessSignals) -> eyre::Result<ExitCode> {
+    let bound = async_io::block_on(signals.unless_stopped(Entry::bind(cfg)));
+    let Some(entry) = bound else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    let entry = entry?;
     let addresses = entry.addresses();
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let running = entry.start()?;
-    println!(
+    let _ = writeln!(
+        io::stdout(),
         "ready callers={} peers={} admin={}",
-        addresses.callers, addresses.peers, addresses.admin
+        addresses.callers,
+        addresses.peers,
+        addresses.admin
     );
     async_io::block_on(async {
-        signals.next().await;
-        running.drain().await;
+        signals.stop_requested().await;
+        running.drain().or(signals.log_all()).await;
     });
     running.stop();
     Ok(ExitCode::SUCCESS)
--- a/src/entry/builder.rs
+++ b/src/entry/builder.rs
@@ -10,6 +10,7 @@
 use crate::caller::{CallerHandler, Shared};
 use crate::catalog::{CatalogCell, CatalogSync};
 use crate::claim::ClaimTable;
+use crate::clock::start_coarse_clock;
 use crate::entry::admin::AdminHandler;
 use crate::entry::control::Control;
 use crate::entry::peer_handler::PeerHandler;
@@ -18,6 +19,7 @@
 use crate::entry::vm_list_watcher::VmListWatcher;
 use crate::entry::{ProbeAssignment, RunningEntry};
 use crate::http::{Limits, Pool, Server, ServerControl};
+use crate::listen::{ListenAddress, TIME_WAIT, listen_at_all};
 use crate::order::OrderController;
 use crate::peer::Mesh;
 use crate::platform::{Platform, RemotePlatform, Vm};
@@ -37,6 +39,9 @@
     connections: 32,
     request_bytes: 2 * 1024 * 1024,
 };
+/// Longest wait for listening addresses: a predecessor's drain, which claims may prolong by half a
+/// minute, and the time for which its closed connections hold them.
+const LISTEN_TIMEOUT: Duration = TIME_WAIT.saturating_add(Duration::from_secs(30));
 /// Maximum number of peers' connections in their handshake.
 const MAX_HANDSHAKES: usize = 256;
 
@@ -73,22 +78,27 @@
 }
 
 impl Entry {
-    /// Reads the shared secret and binds all addresses.
+    /// Reads the shared secret and listens at all addresses. Waits while one of them is held, at most
+    /// for [`LISTEN_TIMEOUT`].
     ///
     /// # Errors
-    /// When the secret file is unreadable or invalid, or an address cannot be bound.
-    pub fn bind(cfg: EntrySettings) -> eyre::Result<Self> {
+    /// When the secret file is unreadable or invalid, or an address cannot be had.
+    pub async fn bind(cfg: EntrySettings) -> eyre::Result<Self> {
         let secret = Secret::open(&cfg.secret_file)
             .wrap_err_with(|| format!("cannot use the secret file {}", cfg.secret_file))?;
-        let bind = |addr: SocketAddr| {
-            TcpListener::bind(addr).wrap_err_with(|| format!("cannot listen on {addr}"))
-        };
+        let addresses = [
+            ("callers", cfg.caller_address),
+            ("peers", cfg.peer_address),
+            ("admin", cfg.admin_address),
+        ];
+        let addresses = addresses.map(|(role, addr)| ListenAddress { role, addr });
+        let [callers, peers, admin] = listen_at_all(addresses, LISTEN_TIMEOUT).await?;
         Ok(Self {
-            callers: bind(cfg.caller_address)?,
-            peers: bind(cfg.peer_address)?,
-            admin: bind(cfg.admin_address)?,
-            secret,
             cfg,
+            secret,
+            callers,
+            peers,
+            admin,
         })
     }
 
@@ -112,6 +122,7 @@
     /// # Errors
     /// When a thread or a server cannot be started or the span file cannot be opened.
     pub fn start(self) -> eyre::Result<RunningEntry> {
+        start_coarse_clock()?;
         let addresses = self.addresses();
         let traffic_ex = Arc::new(Executor::new());
         let control_ex = Arc::new(Executor::new());
