SIGHUP is handled before the reactor starts

What callers saw: an entry that SIGHUP ended in its first milliseconds. Cause: the program is loaded (nothing of ours runs), and then the stream of signals first starts the reactor and its thread: all handlers were in place 0.5 to 2.3 ms after main began (six starts, debug build, busy machine). Most of the window is loading, which no code of ours can shorten from inside; no test, since the result is a share.

--- a/src/signals.rs
+++ b/src/signals.rs
@@ -1,10 +1,12 @@
 //! Signals that this process handles.
 
 use std::io;
+use std::sync::atomic::AtomicBool;
 use std::time::Instant;
 
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
+use signal_hook::consts::SIGHUP;
 
 use crate::prelude::*;
 use crate::telemetry::PROCESS_LOG;
@@ -95,7 +97,9 @@
 }
 
 fn handlers() -> io::Result<Signals> {
-    // A reload may come as soon as the process exists.
+    // A reload may come as soon as the process exists, and a stream of signals first starts the
+    // reactor's thread.
+    signal_hook::flag::register(SIGHUP, Arc::new(AtomicBool::new(false)))?;
     let mut signals = Signals::new([Signal::Hup])?;
     signals.add_signals(STOP_SIGNALS)?;
     signals.add_signals(IGNORED_SIGNALS)?;
