The parts of a context store are kept by scope

Each part carried its scope in its key, and the table of parts kept its size when all parts of a weight version were freed.

Now the parts of a scope lie in a table of their own, which is given up with the last of them. Ruled out: keeping the scope once for parts that follow each other in an answer alone, since parts that peers relay still had a copy each.

Tests context_store and retirement pass.

--- a/src/context_store/directory.rs
+++ b/src/context_store/directory.rs
@@ -1,10 +1,12 @@
 //! Directory of the parts that context stores hold.
 
+mod held_parts;
 mod transfers;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
+use crate::context_store::directory::held_parts::HeldParts;
 use crate::context_store::{FETCH_TIMEOUT, PartKey, RetiredVersions, StoreChange, StoreUpdate};
 use crate::prelude::*;
 use crate::residency::AllowedDomains;
@@ -46,8 +48,7 @@
     /// Sequence number of the next change.
     next_seq: u64,
     used_tokens: u32,
-    /// Tokens stored, by part.
-    parts: HashMap<PartKey, u32>,
+    parts: HeldParts,
     /// Time of the last answer; `None` while the contents are unknown or possibly outdated.
     answered_at: Option<Timestamp>,
 }
@@ -91,13 +92,10 @@
     }
 
     fn apply(&mut self, change: StoreChange) {
-        let old = if change.tokens == 0 {
-            self.parts.remove(&change.part)
-        } else {
-            self.parts.insert(change.part, change.tokens)
-        };
-        self.used_tokens = self.used_tokens.saturating_sub(old.unwrap_or_default());
-        self.used_tokens = self.used_tokens.saturating_add(change.tokens);
+        let tokens = change.tokens;
+        let old = self.parts.apply(change).unwrap_or_default();
+        self.used_tokens = self.used_tokens.saturating_sub(old);
+        self.used_tokens = self.used_tokens.saturating_add(tokens);
     }
 }
 
@@ -173,7 +171,7 @@
                     saves_from: Timestamp::ZERO,
                     next_seq: 0,
                     used_tokens: 0,
-                    parts: HashMap::new(),
+                    parts: HeldParts::default(),
                     answered_at: None,
                 }
             });
@@ -280,9 +278,12 @@
             next_seq: store.next_seq,
             gap: false,
             changes: parts
-                .map(|(part, tokens)| StoreChange {
-                    part: part.clone(),
-                    tokens: *tokens,
+                .map(|(scope, id, tokens)| StoreChange {
+                    part: PartKey {
+                        scope: scope.clone(),
+                        id: id.clone(),
+                    },
+                    tokens,
                 })
                 .collect(),
             clock_ms: None,
@@ -304,13 +305,20 @@
         now: Timestamp,
         freeable: RetiredVersions,
     ) -> Vec<(SocketAddr, u64, Vec<PartKey>)> {
-        let is_freeable = |part: &PartKey| {
-            scope_version(&part.scope).is_some_and(|version| freeable.covers(version, &part.id))
+        let is_freeable = |scope: &str, id: &str| {
+            scope_version(scope).is_some_and(|version| freeable.covers(version, id))
         };
         let stores = self.stores.iter().filter(|(_, s)| s.is_fresh(now));
         let parts_by_store = stores.map(|(addr, store)| {
-            let parts = store.parts.keys().filter(|p| is_freeable(p));
-            (*addr, store.epoch, parts.cloned().collect::<Vec<_>>())
+            let parts = store.parts.iter();
+            let parts = parts.filter(|(scope, id, _)| is_freeable(scope, id));
+            let parts: Vec<PartKey> = parts
+                .map(|(scope, id, _)| PartKey {
+                    scope: scope.clone(),
+                    id: id.clone(),
+                })
+                .collect();
+            (*addr, store.epoch, parts)
         });
         parts_by_store
             .filter(|(_, _, parts)| !parts.is_empty())
--- a/src/context_store/directory/transfers.rs
+++ b/src/context_store/directory/transfers.rs
@@ -76,7 +76,7 @@
             .stores
             .iter()
             .filter(|(_, s)| s.is_usable(now, allowed));
-        let mut holders = usable.filter(|(_, s)| s.parts.contains_key(part));
+        let mut holders = usable.filter(|(_, s)| s.parts.contains(part));
         holders.next().map(|(addr, _)| *addr)
     }
 
