Large messages between entries are sent in small frames

A killed entry cuts all of its callers off.

Cause: a full list of a store's parts is one message of 1.6 to 3.1 MB. It was sent as one frame, and each connection keeps buffers of its largest frame at both ends.

Evidence: the heap of that process held one or two buffers of 1.56 to 3.11 MB for each link, which begin with the header of a WebSocket frame, and a message of 8.2 MB; hubs were larger than others (58 to 90 MB against 43 to 48).

Now messages above 64 KiB are sent in several frames of one message, which each receiver of WebSocket puts together, earlier builds included.

Test: mesh_large_message_is_sent_in_small_frames failed before (a receiver of frames up to 64 KiB refuses the message); peer_mesh and peer_compatibility pass.

--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -4,6 +4,8 @@
 
 use async_channel::Receiver;
 use async_io::{Async, Timer};
+use async_tungstenite::tungstenite::protocol::frame::Frame;
+use async_tungstenite::tungstenite::protocol::frame::coding::{Data, OpCode};
 use async_tungstenite::tungstenite::protocol::{Role, WebSocketConfig};
 use async_tungstenite::tungstenite::{Bytes, Error as WsError, Message};
 use async_tungstenite::{
@@ -26,6 +28,10 @@
 /// Read buffer of a connection, in bytes.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
+/// Largest frame that is sent, in bytes; a larger message is sent in several frames. Each connection
+/// keeps buffers of the size of its largest frame at both ends.
+const MAX_FRAME_BYTES: usize = 64 * 1024;
+
 /// Most kinds of messages that are logged as not understood for each connection.
 const MAX_LOGGED_KINDS: usize = 8;
 
@@ -209,12 +215,31 @@
             return;
         };
         mesh.link_counters().count_sent(frame.len());
-        if ws.send(Message::Binary(frame)).await.is_err() {
+        if send_message(&mut ws, frame).await.is_err() {
             return;
         }
     }
 }
 
+/// Sends a message, in several frames if it is large.
+async fn send_message(
+    ws: &mut WebSocketSender<Async<TcpStream>>,
+    mut message: Bytes,
+) -> Result<(), WsError> {
+    if message.len() <= MAX_FRAME_BYTES {
+        return ws.send(Message::Binary(message)).await;
+    }
+    let mut kind = Data::Binary;
+    while !message.is_empty() {
+        let payload = message.split_to(message.len().min(MAX_FRAME_BYTES));
+        let is_last = message.is_empty();
+        let frame = Frame::message(payload, OpCode::Data(kind), is_last);
+        ws.send(Message::Frame(frame)).await?;
+        kind = Data::Continue;
+    }
+    Ok(())
+}
+
 /// Receives messages until the connection fails or a frame is malformed. Messages that are not
 /// understood are counted and dropped; each kind is logged once for the connection.
 async fn read(
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -7,12 +7,13 @@
 use async_executor::Executor;
 use async_io::{Async, Timer, block_on};
 use async_tungstenite::tungstenite::Message;
+use async_tungstenite::tungstenite::protocol::WebSocketConfig;
 use futures_lite::future::Boxed;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, StreamExt};
 use guavahold::claim::{ClaimError, ClaimKey, ClaimRequest, ClaimVerdict};
 use guavahold::peer::{
-    ClaimServer, Mesh, PROTOCOL_VERSION, PeerEvents, PeerInfo, PeerLinks, PeerMessage, decode,
-    encode,
+    ClaimServer, Mesh, PROTOCOL_VERSION, PeerEvents, PeerInfo, PeerLinks, PeerMessage,
+    RelayedStoreUpdate, decode, encode,
 };
 use guavahold::platform::{Role, Vm, VmPhase};
 use guavahold::prelude::Name;
@@ -21,6 +22,8 @@
 const SECRET: &[u8] = b"a secret of at least thirty-two bytes";
 const HEARTBEAT: Duration = Duration::from_millis(50);
 const TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest frame that a peer of a test receives.
+const MAX_FRAME_BYTES: usize = 64 * 1024;
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
 #[derive(Default)]
@@ -206,7 +209,9 @@
 ) -> async_tungstenite::WebSocketStream<Async<std::net::TcpStream>> {
     let stream = Async::<std::net::TcpStream>::connect(addr).await.unwrap();
     let url = format!("ws://{addr}/peers");
-    let (mut ws, _) = async_tungstenite::client_async(url, stream).await.unwrap();
+    let config = WebSocketConfig::default().max_frame_size(Some(MAX_FRAME_BYTES));
+    let connected = async_tungstenite::client_async_with_config(url, stream, Some(config)).await;
+    let (mut ws, _) = connected.unwrap();
     ws.send(Message::Binary(encode(&hello(name)).into()))
         .await
         .unwrap();
@@ -404,3 +409,49 @@
         assert_eq!(pending.await, None);
     });
 }
+
+/// A message of some hundred kilobytes.
+fn large_message() -> PeerMessage {
+    let parts = (0..20_000).map(|n| ("1".into(), format!("{n:08x}").into(), 700));
+    PeerMessage::StoreUpdate(RelayedStoreUpdate {
+        store: "127.0.0.1:1".parse().unwrap(),
+        epoch: 7,
+        from: 0,
+        next: 20_000,
+        changes: parts.collect(),
+        clock_ms: None,
+        full_requested: false,
+        store_unreachable: false,
+    })
+}
+
+/// Guards against buffers of the size of the largest message that each link ever carried: they are
+/// kept as long as the link.
+#[test]
+fn mesh_large_message_is_sent_in_small_frames() {
+    with_executor(async |ex| {
+        let first = start(&ex, "a1", SECRET, Vec::new());
+        let second = start(&ex, "a2", SECRET, vec![first.addr]);
+        let mut raw = raw_peer("c1", first.addr).await;
+        wait_until("linked", || names(&first) == ["a2", "c1"]).await;
+        first.mesh.broadcast(&large_message());
+        let received = loop {
+            let Some(Ok(Message::Binary(message))) = raw.next().await else {
+                panic!("a frame is too large");
+            };
+            match decode(&message).unwrap() {
+                PeerMessage::Hello { .. } | PeerMessage::Heartbeat { .. } => {}
+                other => break other,
+            }
+        };
+        assert_eq!(received, large_message());
+        second.mesh.broadcast(&large_message());
+        for node in [&first, &second] {
+            wait_until("received", || {
+                let inbox = node.inbox.messages.lock().unwrap();
+                inbox.iter().any(|(_, message)| *message == large_message())
+            })
+            .await;
+        }
+    });
+}
