Only listeners end the process when they keep panicking

An object that makes one of them panic is listed by all entries, so that all would drain and end, and meet it again: the fault that the supervisor is to prevent. They are started again without end now, and counted; listeners stay required.

--- a/src/entry/builder.rs
+++ b/src/entry/builder.rs
@@ -309,8 +309,8 @@
         supervisor.keep(retried("catalog_sync"), move || {
             sync.clone().run(ex.clone())
         });
-        self.keep(supervisor, required("scheduler"), Control::run_ticks);
-        self.keep(supervisor, required("probes"), Control::run_probes);
+        self.keep(supervisor, retried("scheduler"), Control::run_ticks);
+        self.keep(supervisor, retried("probes"), Control::run_probes);
         self.keep(supervisor, retried("orders"), Control::run_orders);
         let cell = self.cell.clone();
         self.keep(supervisor, retried("catalog"), move |control| {
--- a/src/gateway/builder/tasks.rs
+++ b/src/gateway/builder/tasks.rs
@@ -78,16 +78,15 @@
 
 /// Runs what the control decides from time to time.
 pub(super) fn spawn_periodic(control: &Arc<Control>) {
-    let required = SupervisedTask::required;
-    keep(control, required("status"), Control::run_periodic);
-    keep(control, required("scheduler"), Control::run_scheduler);
+    let retried = SupervisedTask::retried;
+    keep(control, retried("status"), Control::run_periodic);
+    keep(control, retried("scheduler"), Control::run_scheduler);
     keep(
         control,
-        required("domain_scheduler"),
+        retried("domain_scheduler"),
         Control::run_domain_scheduler,
     );
-    keep(control, required("path_checks"), Control::run_path_checks);
-    let retried = SupervisedTask::retried;
+    keep(control, retried("path_checks"), Control::run_path_checks);
     keep(control, retried("lease"), Control::run_lease);
     keep(
         control,
--- a/src/supervisor/task.rs
+++ b/src/supervisor/task.rs
@@ -23,8 +23,8 @@
         }
     }
 
-    /// A task without which callers are not served. If it keeps ending, the cause is likely in the
-    /// state of the process, which a new process does not have.
+    /// A task without which no connection is accepted. It sees nothing of what comes over the
+    /// connections, so that if it keeps ending, the cause is in the process, and a new one is of use.
     #[must_use]
     pub fn required(name: &'static str) -> Self {
         Self {
