--- a/src/shared_scheduler/handle.rs
+++ b/src/shared_scheduler/handle.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -219,7 +220,17 @@
             handles,
             effects,
         } = &mut *state;
-        scheduler.on(now, event, effects);
+        let decided = catch_unwind(AssertUnwindSafe(|| scheduler.on(now, event, effects)));
+        if let Err(panic) = decided {
+            effects.clear();
+            drop(state);
+            // A handle that is dropped while a panic unwinds submits an event too; a second panic would
+            // end the process.
+            if !std::thread::panicking() {
+                resume_unwind(panic);
+            }
+            return 0;
+        }
         // Quarantine notices go first: a request that ends waits until peers have acknowledged the
         // notices that were issued before its own effect.
         let (notices, others): (Vec<_>, Vec<_>) = effects
