--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -1,7 +1,8 @@
 //! Loggers that write each event as one line of `key=value` fields.
 
 use std::borrow::Cow;
-use std::fmt::{Display, Write};
+use std::fmt::{Display, Write as _};
+use std::io::Write as _;
 use std::sync::OnceLock;
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
@@ -25,7 +26,10 @@
             out.finish(format_args!("ts_ms={ts_ms} level={level} {message}"));
         })
         .level(level)
-        .chain(std::io::stderr())
+        // A closed or full output is no reason to panic.
+        .chain(fern::Output::call(|record| {
+            let _ = writeln!(std::io::stderr(), "{}", record.args());
+        }))
         .apply()
 }
 
