--- a/src/order/controller.rs
+++ b/src/order/controller.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_executor::Executor;
@@ -107,8 +108,11 @@
 
     async fn submit_changes(&self) {
         loop {
-            self.0.submit(OrderEvent::Catalog(self.0.cell.current()));
-            self.0.submit(OrderEvent::Lease(self.0.lease.held()));
+            // A panic must not drop a lease call that is in flight, whose end would never be known.
+            let _ = catch_unwind(AssertUnwindSafe(|| {
+                self.0.submit(OrderEvent::Catalog(self.0.cell.current()));
+                self.0.submit(OrderEvent::Lease(self.0.lease.held()));
+            }));
             Timer::after(STEP_INTERVAL).await;
         }
     }
