--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -148,10 +148,10 @@
         req: Request,
         limit: usize,
     ) -> Result<(StatusCode, Vec<u8>), ExchangeError> {
-        self.clear(addr);
         let mut response = self.send_on_new_connection(addr, req).await?;
         let body = response.bytes(limit).await?;
         let status = response.res.status();
+        self.clear(addr);
         self.put(addr, response);
         Ok((status, body))
     }
