--- a/src/entry/threads.rs
+++ b/src/entry/threads.rs
@@ -2,10 +2,17 @@
 
 use std::io;
 use std::thread::JoinHandle;
+use std::time::Instant;
 
 use async_executor::Executor;
 
 use crate::prelude::*;
+use crate::telemetry::PROCESS_LOG;
+
+/// Longest wait for a thread to end.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(200);
+/// Interval at which threads are checked meanwhile.
+const JOIN_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Threads of one executor.
 #[derive(Debug)]
@@ -35,11 +42,17 @@
         Ok(Self { stop, handles })
     }
 
-    /// Stops and joins the threads; tasks left on the executor are not polled again.
+    /// Stops the threads and waits for them, at most for [`JOIN_TIMEOUT`]; tasks left on the executor
+    /// are not polled again. A thread that a task blocks must not keep the process from ending.
     pub(crate) fn stop(self) {
         self.stop.close();
-        for handle in self.handles {
-            let _ = handle.join();
+        let stopped = Instant::now();
+        while self.handles.iter().any(|handle| !handle.is_finished()) {
+            if stopped.elapsed() >= JOIN_TIMEOUT {
+                log::warn!(target: PROCESS_LOG, "event=thread_blocked");
+                return;
+            }
+            std::thread::sleep(JOIN_POLL_INTERVAL);
         }
     }
 }
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -94,6 +94,7 @@
     async fn shut_down(&self) {
         let started = Instant::now();
         log::info!(
+            target: PROCESS_LOG,
             "event=drain_started requests={}",
             self.shared.drain.open_requests()
         );
@@ -110,6 +111,7 @@
         zip(last_response, self.control.release_lease()).await;
         self.mesh.leave();
         log::info!(
+            target: PROCESS_LOG,
             "event=drain_ended requests_left={} took_ms={}",
             self.shared.drain.open_requests(),
             started.elapsed().as_millis()
