--- a/src/settings/settings_file.rs
+++ b/src/settings/settings_file.rs
@@ -12,7 +12,7 @@
 /// Time for which a file has to stay the same until it is used.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
 /// The same for a file without a line end after its last line, which may be cut off.
-const OPEN_END_SETTLE_TIME: Duration = Duration::from_millis(100);
+const OPEN_END_SETTLE_TIME: Duration = Duration::from_millis(250);
 /// Longest wait for a file that is missing or incomplete.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval of log lines during that wait.
