--- a/src/descriptors.rs
+++ b/src/descriptors.rs
@@ -6,7 +6,7 @@
 
 /// Least number of descriptors with which a process starts: about two dozen are in use before the
 /// first caller, and each request takes up to two.
-pub const MIN_DESCRIPTORS: u64 = 64;
+pub const MIN_DESCRIPTORS: u64 = 32;
 
 /// Raises the soft limit of descriptors to `wanted`, or to the hard limit if that is lower, and
 /// returns the limit in force. A soft limit that is higher stays.
--- a/src/http/connect.rs
+++ b/src/http/connect.rs
@@ -18,7 +18,7 @@
 pub async fn connect(addr: SocketAddr) -> io::Result<Async<TcpStream>> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
-    // Without a free port, the connection may still share one with connections to other addresses.
+    // Without a free port, `connect` is left to find one.
     let _ = socket.bind(&any_port(addr).into());
     socket.set_nonblocking(true)?;
     match socket.connect(&addr.into()) {
