Test of idle connections keeps apart what stays and what is closed

That connections in use stay is asserted on a pool with the default timeout now, that the others are closed on the one with 300 ms; both counts are exact as before.

--- a/tests/http.rs
+++ b/tests/http.rs
@@ -315,14 +315,16 @@
 fn pool_closes_connections_to_servers_that_are_not_asked_any_more() {
     const SERVERS: usize = 40;
     const IDLE_TIMEOUT: Duration = Duration::from_millis(300);
+    let keeping = Pool::new(Duration::from_secs(5));
     let pool = Pool::new(Duration::from_secs(5)).idle_timeout(IDLE_TIMEOUT);
     block_on_with_timeout(async {
         let staying = start_server(Limits::default()).addr;
         for _ in 0..SERVERS {
             let addr = start_server(Limits::default()).addr;
+            keeping.fetch(addr, get(addr), 1024).await.unwrap();
             pool.fetch(addr, get(addr), 1024).await.unwrap();
         }
-        assert_eq!(pool.idle_count(), SERVERS);
+        assert_eq!(keeping.idle_count(), SERVERS);
         for _ in 0..4 {
             async_io::Timer::after(IDLE_TIMEOUT / 2).await;
             pool.fetch(staying, get(staying), 1024).await.unwrap();
