--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -104,7 +104,17 @@
 
     async fn list(&self) -> StepResult {
         let kind = self.control.decoder.kind(self.watched);
-        let listing = self.platform.list(kind).await.map_err(|err| (None, err))?;
+        let began_at = self.control.now();
+        let listed = self.platform.list(kind).await;
+        let kind = self.watched.as_str();
+        let took_ms = self.control.now().saturating_sub(began_at).as_millis();
+        let listing = listed.map_err(|err| {
+            let error = err.to_string();
+            log::warn!("event=listing_failed kind={kind} took_ms={took_ms} error={error:?}");
+            (None, err)
+        })?;
+        let objects = listing.items.len();
+        log::info!("event=listed kind={kind} objects={objects} took_ms={took_ms}");
         let version = listing.version.clone();
         self.control.apply_listing(self.watched, listing);
         Ok(Step::Watch(version))
