Names are encoded in the paths and queries of store calls

The name after which the next page is asked for went into the query as text: a URL ends at #, so that after=a01#cdf90d asked for the page after a01, which begins with a01#cdf90d again. & and + cut or change a name in the same way, and %41 in a name is decoded into another name.

--- a/rig/src/platform.rs
+++ b/rig/src/platform.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use guavahold::http::{IncomingRequest, ResponseFuture};
 use http_types::{Method, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use serde_json::Value;
 
 use crate::body::channel_body;
@@ -122,10 +123,10 @@
         };
         let query: BTreeMap<String, String> = url.query_pairs().into_owned().collect();
         let version = query.get("resourceVersion").map(String::as_str);
-        let (kind, name) = match path.split_once('/') {
-            Some((kind, name)) => (kind, Some(name)),
-            None => (path, None),
-        };
+        let mut segments = path.split('/').map(decode_segment);
+        let kind = segments.next().unwrap_or_default();
+        let name = segments.next();
+        let (kind, name) = (kind.as_str(), name.as_deref());
         if request.body.len() > MAX_BODY_BYTES {
             return response::message(StatusCode::PayloadTooLarge, "value over a megabyte");
         }
@@ -154,6 +155,10 @@
     }
 }
 
+fn decode_segment(segment: &str) -> String {
+    percent_decode_str(segment).decode_utf8_lossy().into_owned()
+}
+
 fn verb(method: Method, name: Option<&str>, watch: bool) -> &'static str {
     match (method, name) {
         (Method::Get, None) if watch => "watch",
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -2,6 +2,7 @@
 
 mod error;
 mod object;
+mod object_path;
 mod remote;
 mod revision;
 mod vm;
@@ -14,6 +15,7 @@
 
 pub use error::PlatformError;
 pub use object::{Listing, Object, Version, WatchEvent};
+pub use object_path::ObjectPath;
 pub use remote::RemotePlatform;
 pub use revision::StoreRevision;
 pub use vm::{Role, Vm, VmPhase};
--- a/src/platform/remote.rs
+++ b/src/platform/remote.rs
@@ -9,15 +9,18 @@
 use async_io::Timer;
 use futures_lite::future::Boxed;
 use futures_lite::{FutureExt, stream};
-use http_types::{Method, Request, StatusCode, Url};
+use http_types::{Method, Request, StatusCode};
 use serde_json::Value;
 
 use crate::http::{ClientResponse, Connection, ExchangeError, Pool};
 use crate::platform::{
-    Listing, Object, Platform, PlatformError, Version, WatchEvent, WatchStream, WatchTiming,
+    Listing, Object, ObjectPath, Platform, PlatformError, Version, WatchEvent, WatchStream,
+    WatchTiming,
 };
 use crate::prelude::*;
 
+/// Root of the object API.
+const OBJECTS_ROOT: &str = "/apis/guavahold.dev/v1/";
 /// Longest accepted response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 /// Longest accepted line of a watch, in bytes.
@@ -64,25 +67,14 @@
         self.current.fetch_add(1, Ordering::Relaxed);
     }
 
-    fn request(&self, method: Method, path: &str, body: Option<&Value>) -> Request {
-        let text = format!("http://{}/apis/guavahold.dev/v1/{path}", self.address());
-        let url = Url::parse(&text).unwrap_or_else(|_| unreachable!("names need no escaping"));
-        let mut req = Request::new(method, url);
-        if let Some(body) = body {
-            req.set_body(body.to_string());
-            req.insert_header("content-type", "application/json");
-        }
-        req
-    }
-
     async fn call(
         &self,
         method: Method,
-        path: &str,
+        path: &ObjectPath,
         body: Option<&Value>,
     ) -> Result<(StatusCode, Value), PlatformError> {
         let addr = self.address();
-        let req = self.request(method, path, body);
+        let req = request(addr, method, path, body)?;
         let exchange = async {
             let response = self.pool.fetch(addr, req, MAX_RESPONSE_BYTES).await;
             response.map_err(|err| platform_error(&err))
@@ -100,9 +92,9 @@
         Ok((status, json))
     }
 
-    async fn open_watch(&self, path: &str) -> Result<ClientResponse, PlatformError> {
+    async fn open_watch(&self, path: &ObjectPath) -> Result<ClientResponse, PlatformError> {
         let addr = self.address();
-        let req = self.request(Method::Get, path, None);
+        let req = request(addr, Method::Get, path, None)?;
         let exchange = async {
             let conn = Connection::open(addr, self.timeout).await?;
             conn.send(req).await
@@ -120,6 +112,20 @@
     }
 }
 
+fn request(
+    addr: SocketAddr,
+    method: Method,
+    path: &ObjectPath,
+    body: Option<&Value>,
+) -> Result<Request, PlatformError> {
+    let mut req = Request::new(method, path.to_url(addr, OBJECTS_ROOT)?);
+    if let Some(body) = body {
+        req.set_body(body.to_string());
+        req.insert_header("content-type", "application/json");
+    }
+    Ok(req)
+}
+
 fn platform_error(err: &ExchangeError) -> PlatformError {
     if err.may_have_been_sent() {
         PlatformError::Unanswered(err.to_string())
@@ -154,7 +160,7 @@
     fn get(&self, kind: &str, name: &str) -> Boxed<Result<Option<Object>, PlatformError>> {
         let (this, kind, name) = (self.0.clone(), Name::from(kind), Name::from(name));
         Box::pin(async move {
-            let path = format!("{kind}/{name}");
+            let path = ObjectPath::of_object(&kind, &name)?;
             match this.call(Method::Get, &path, None).await {
                 Ok((_, json)) => decode(&kind, &json).map(Some),
                 Err(PlatformError::NotFound) => Ok(None),
@@ -166,7 +172,8 @@
     fn list(&self, kind: &str) -> Boxed<Result<Listing, PlatformError>> {
         let (this, kind) = (self.0.clone(), Name::from(kind));
         Box::pin(async move {
-            let (_, json) = this.call(Method::Get, &kind, None).await?;
+            let path = ObjectPath::of_kind(&kind)?;
+            let (_, json) = this.call(Method::Get, &path, None).await?;
             let version = json["metadata"]["resourceVersion"].as_str();
             let items = json["items"].as_array().map(Vec::as_slice);
             let items = items.unwrap_or_default().iter();
@@ -181,7 +188,8 @@
         let this = self.0.clone();
         Box::pin(async move {
             let json = object.to_json();
-            let (_, json) = this.call(Method::Post, &object.kind, Some(&json)).await?;
+            let path = ObjectPath::of_kind(&object.kind)?;
+            let (_, json) = this.call(Method::Post, &path, Some(&json)).await?;
             decode(&object.kind, &json)
         })
     }
@@ -189,7 +197,7 @@
     fn update(&self, object: Object) -> Boxed<Result<Object, PlatformError>> {
         let this = self.0.clone();
         Box::pin(async move {
-            let path = format!("{}/{}", object.kind, object.name);
+            let path = ObjectPath::of_object(&object.kind, &object.name)?;
             let json = object.to_json();
             let (_, json) = this.call(Method::Put, &path, Some(&json)).await?;
             decode(&object.kind, &json)
@@ -198,8 +206,9 @@
 
     fn delete(&self, kind: &str, name: &str, version: Version) -> Boxed<Result<(), PlatformError>> {
         let this = self.0.clone();
-        let path = format!("{kind}/{name}?resourceVersion={}", version.0);
-        Box::pin(async move { this.call(Method::Delete, &path, None).await.map(|_| ()) })
+        let path = ObjectPath::of_object(kind, name);
+        let path = path.map(|path| path.with("resourceVersion", version.0));
+        Box::pin(async move { this.call(Method::Delete, &path?, None).await.map(|_| ()) })
     }
 
     fn watch(
@@ -210,12 +219,15 @@
         timing: WatchTiming,
     ) -> Boxed<Result<WatchStream, PlatformError>> {
         let (this, kind) = (self.0.clone(), Name::from(kind));
-        let mut path = format!("{kind}?watch=true&resourceVersion={}", from.0);
-        if let Some(name) = name {
-            path.extend(["&name=", name]);
-        }
+        let path = ObjectPath::of_kind(&kind).map(|path| {
+            let path = path.with("watch", true).with("resourceVersion", from.0);
+            match name {
+                Some(name) => path.with("name", name),
+                None => path,
+            }
+        });
         Box::pin(async move {
-            let response = this.open_watch(&path).await?;
+            let response = this.open_watch(&path?).await?;
             let reader = WatchReader {
                 response,
                 kind,
