A listing ends when its pages do not advance, and within bounds

A page whose last object had no name was taken for the last page, and what was not read for gone. PagedListing, a state machine without a network, asks for a page only after a name that no page followed before, and stops at 1,000 pages, 8 MiB of kept fields or 15 s, which is less than the history of a watch. The order of names is not used: the pages state none.

--- a/src/platform/paged_listing.rs
+++ b/src/platform/paged_listing.rs
@@ -1,7 +1,7 @@
 //! A listing that is read page by page from a store that decides when it ends: a state machine
 //! without input or output.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use crate::platform::{Listing, Object, UnreadableObjects, Version};
@@ -78,6 +78,8 @@
     began_at: Timestamp,
     pages: u32,
     bytes: usize,
+    /// Names after which pages were asked for.
+    followed: BTreeSet<Name>,
 }
 
 impl PagedListing {
@@ -91,6 +93,7 @@
             began_at,
             pages: 0,
             bytes: 0,
+            followed: BTreeSet::new(),
         }
     }
 
@@ -114,7 +117,20 @@
         if !page.has_more {
             return Ok(NextPage::None);
         }
-        Ok(page.last_name.map_or(NextPage::None, NextPage::After))
+        if self.pages >= MAX_PAGES {
+            return Err(ListingStop::TooManyPages);
+        }
+        if self.bytes > MAX_BYTES {
+            return Err(ListingStop::TooLarge);
+        }
+        if now.saturating_sub(self.began_at) >= MAX_TIME {
+            return Err(ListingStop::TooSlow);
+        }
+        let name = page.last_name.ok_or(ListingStop::NoProgress)?;
+        if !self.followed.insert(name.clone()) {
+            return Err(ListingStop::NoProgress);
+        }
+        Ok(NextPage::After(name))
     }
 
     /// The listing, with the reason if it ended before the last object.
