Changes after a listing that broke off are applied

Until the next listing the changes since the first page of the one that broke off are read every 600 ms. They do not make the cache complete: its revision stays, so that peers take nothing for gone that this entry has not read. The pause after a call that would fail again in the same way is decided in one place (PlatformError::would_recur).

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -183,7 +183,9 @@
     /// Applies a watch event from the platform store.
     pub(crate) fn apply_event(self: &Arc<Self>, watched: WatchedKind, event: WatchEvent) {
         let mut state = self.state();
-        self.record_store_success(&mut state, watched);
+        if !state.cache(watched).is_incomplete() {
+            self.record_store_success(&mut state, watched);
+        }
         if let WatchEvent::Unreadable(unreadable) = &event {
             self.report_unreadable(&mut state, watched, unreadable);
         }
--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -5,6 +5,7 @@
 mod hub_confirmed;
 
 use async_io::Timer;
+use catch_up::needs_listing;
 use failures::Failures;
 use hub_confirmed::WatchStep;
 
@@ -22,6 +23,9 @@
 /// them: an entry that starts connects to the others by itself.
 const MEMBERS_BATCH_PAUSE: Duration = Duration::from_millis(3_500);
 
+/// Interval at which changes are read while a listing does not come to its end.
+const CHANGES_INTERVAL: Duration = Duration::from_millis(600);
+
 /// What a watcher does next.
 enum Step {
     /// Reads all objects.
@@ -41,7 +45,8 @@
     }
 }
 
-/// The next step, or the version that was reached before a call failed.
+/// The next step, or the version that was reached before a call failed; that of a listing which broke
+/// off is its own.
 type StepResult = Result<Step, (Option<Version>, PlatformError)>;
 
 /// Keeps the control's cache of one kind up to date.
@@ -60,6 +65,8 @@
     pub(crate) async fn run(self) {
         let mut step = Step::List;
         let mut failures = Failures::default();
+        // Version up to which changes were applied after a listing that broke off.
+        let mut incomplete = None;
         loop {
             let result = match &step {
                 Step::List => self.list(&mut failures).await,
@@ -72,34 +79,51 @@
             let (reached, err) = match result {
                 Ok(next) => {
                     failures.record_success(&step);
+                    incomplete = None;
                     step = next;
                     continue;
                 }
                 Err(failure) => failure,
             };
+            if err == PlatformError::Expired {
+                log::info!("event=watch_expired kind={}", self.watched.as_str());
+            } else {
+                self.record_failure(self.control.now(), &err);
+            }
+            if let Step::List = step {
+                incomplete = incomplete.or(reached);
+                let wait = failures.record_failure(&err);
+                self.wait_to_list(wait, &mut incomplete).await;
+                continue;
+            }
             if reached.is_some() {
                 failures.record_progress();
             }
-            let next = match &err {
-                PlatformError::Expired => {
-                    log::info!("event=watch_expired kind={}", self.watched.as_str());
-                    Step::List
-                }
-                PlatformError::Unreadable(_) | PlatformError::Rejected(_) => {
-                    self.record_failure(self.control.now(), &err);
-                    Step::List
-                }
-                _ => {
-                    self.record_failure(self.control.now(), &err);
-                    let version = reached.or(step.into_version());
-                    version.map_or(Step::List, Step::CatchUp)
-                }
+            let version = reached.or(step.into_version());
+            step = match version {
+                Some(version) if !needs_listing(&err) => Step::CatchUp(version),
+                _ => Step::List,
             };
-            step = next;
             back_off(failures.record_failure(&err)).await;
         }
     }
 
+    /// Waits before the next listing. If the last one broke off, applies the changes after it
+    /// meanwhile, which no listing may ever reach.
+    async fn wait_to_list(&self, longest: Duration, incomplete: &mut Option<Version>) {
+        let due_at = self.control.now() + random_wait(longest);
+        loop {
+            let left = due_at.saturating_sub(self.control.now());
+            Timer::after(left.min(CHANGES_INTERVAL)).await;
+            if let Some(from) = incomplete.take() {
+                *incomplete = self.apply_changes(from).await;
+            }
+            if self.control.now() >= due_at {
+                return;
+            }
+        }
+    }
+
     /// Pause after each batch of changes in a large system, in which changes accumulate for the next
     /// batch: each call to the platform has a price.
     fn batch_pause(&self) -> Duration {
@@ -145,8 +169,9 @@
                  took_ms={took_ms} reason={stop:?}"
             );
         }
+        let version = listing.version.clone();
         self.control.apply_incomplete_listing(self.watched, listing);
-        Err((None, err))
+        Err((Some(version), err))
     }
 
     /// Times of the watch. A call that the store took and never answers must not hide a change for
@@ -211,5 +236,9 @@
 
 /// Waits with a random delay below a bound.
 async fn back_off(longest: Duration) {
-    Timer::after(longest.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+    Timer::after(random_wait(longest)).await;
+}
+
+fn random_wait(longest: Duration) -> Duration {
+    longest.mul_f64(0.5 + fastrand::f64() / 2.0)
 }
--- a/src/gateway/kind_watcher/catch_up.rs
+++ b/src/gateway/kind_watcher/catch_up.rs
@@ -22,6 +22,11 @@
 /// The answer to a call: changes, of which the last is a bookmark.
 type Answer = Result<Vec<WatchEvent>, PlatformError>;
 
+/// Whether changes cannot be read after the version of a call that failed.
+pub(super) fn needs_listing(err: &PlatformError) -> bool {
+    *err == PlatformError::Expired || err.would_recur()
+}
+
 impl KindWatcher {
     /// Applies the changes after a version that the store has now, and returns the version reached.
     /// Calls until an answer comes, or until the store no longer has those changes or they cannot be
@@ -48,11 +53,7 @@
             };
             match next.or(interval).await {
                 Some(Ok(events)) => return Ok(self.apply_all(from, events)),
-                Some(Err(
-                    err @ (PlatformError::Expired
-                    | PlatformError::Unreadable(_)
-                    | PlatformError::Rejected(_)),
-                )) => return Err(err),
+                Some(Err(err)) if needs_listing(&err) => return Err(err),
                 Some(Err(err)) => {
                     self.record_failure(self.control.now(), &err);
                     failures += 1;
@@ -66,6 +67,16 @@
         }
     }
 
+    /// Applies the changes after a version that the store has now and returns the version reached;
+    /// `None` if the store no longer has them or they cannot be read.
+    pub(super) async fn apply_changes(&self, from: Version) -> Option<Version> {
+        match self.call(from.clone()).await {
+            Ok(events) => Some(self.apply_all(&from, events)),
+            Err(err) if needs_listing(&err) => None,
+            Err(_) => Some(from),
+        }
+    }
+
     /// Reads the changes after a version, up to a bookmark.
     fn call(&self, from: Version) -> impl Future<Output = Answer> + use<> {
         let platform = self.platform.clone();
--- a/src/gateway/kind_watcher/failures.rs
+++ b/src/gateway/kind_watcher/failures.rs
@@ -10,9 +10,9 @@
 pub(super) struct Failures {
     /// Calls since one that succeeded.
     calls: u32,
-    /// Responses that could not be read, since changes were read. A listing that succeeds between
-    /// them does not count, as the changes after it may be unreadable again.
-    unreadable: u32,
+    /// Calls that would fail again in the same way, since changes were read. A listing that succeeds
+    /// between them does not count, as the changes after it may be unreadable again.
+    recurring: u32,
     /// The failure of the last listing.
     last: Option<PlatformError>,
 }
@@ -23,25 +23,21 @@
         self.calls = 0;
         match step {
             Step::List => self.last = None,
-            Step::Watch(_) | Step::CatchUp(_) => self.unreadable = 0,
+            Step::Watch(_) | Step::CatchUp(_) => self.recurring = 0,
         }
     }
 
     /// Records that changes were read before a call failed.
     pub(super) fn record_progress(&mut self) {
         self.calls = 0;
-        self.unreadable = 0;
+        self.recurring = 0;
     }
 
     /// Records a failed step and returns the longest wait before the next one.
     pub(super) fn record_failure(&mut self, err: &PlatformError) -> Duration {
-        let is_unreadable = matches!(
-            err,
-            PlatformError::Unreadable(_) | PlatformError::Rejected(_)
-        );
-        if is_unreadable {
-            self.unreadable += 1;
-            return listing_back_off_time(self.unreadable - 1);
+        if err.would_recur() {
+            self.recurring += 1;
+            return listing_back_off_time(self.recurring - 1);
         }
         self.calls += 1;
         back_off_time(self.calls - 1)
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -23,6 +23,12 @@
 }
 
 impl PlatformError {
+    /// Whether the same call would likely fail in the same way.
+    #[must_use]
+    pub fn would_recur(&self) -> bool {
+        matches!(self, Self::Rejected(_) | Self::Unreadable(_))
+    }
+
     /// Returns whether a write that failed with this error may have taken effect.
     #[must_use]
     pub fn may_have_written(&self) -> bool {
--- a/src/store_view/object_cache.rs
+++ b/src/store_view/object_cache.rs
@@ -25,6 +25,9 @@
     /// encoded in the same way.
     last_change: u64,
     objects: BTreeMap<Name, Arc<Value>>,
+    /// Whether the last listing broke off. What is applied after it does not make the cache complete,
+    /// so that it does not raise the revision.
+    is_incomplete: bool,
     /// Objects that a restored store lacks, and until when they are kept for their writers to write
     /// them again.
     unconfirmed: BTreeMap<Name, Timestamp>,
@@ -48,6 +51,12 @@
         self.last_change
     }
 
+    /// Whether the last listing broke off before the last object.
+    #[must_use]
+    pub fn is_incomplete(&self) -> bool {
+        self.is_incomplete
+    }
+
     /// The objects, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = (&Name, &Arc<Value>)> {
         self.objects.iter()
@@ -80,6 +89,10 @@
         self.revision = self.revision.max(revision_of(&listing.version));
         let changes = listing.items.iter().map(|o| revision_of(&o.version));
         self.last_change = self.last_change.max(changes.max().unwrap_or_default());
+        if std::mem::take(&mut self.is_incomplete) {
+            // Deletions since the last complete listing may have come at any time.
+            self.last_change = self.revision;
+        }
         let items = listing.items.into_iter();
         self.objects = items.map(|o| (o.name, Arc::new(o.spec))).collect();
         self.unconfirmed.clear();
@@ -92,6 +105,7 @@
         if self.is_outdated(&listing) {
             return false;
         }
+        self.is_incomplete = true;
         let changed = listing.items.into_iter().map(|object| self.put(object));
         changed.fold(false, |any, changed| any | changed)
     }
@@ -181,7 +195,9 @@
                 self.objects.remove(&object.name).is_some()
             }
             WatchEvent::Bookmark(version) => {
-                self.revision = self.revision.max(revision_of(&version));
+                if !self.is_incomplete {
+                    self.revision = self.revision.max(revision_of(&version));
+                }
                 false
             }
             WatchEvent::Unreadable(_) => false,
@@ -189,6 +205,9 @@
     }
 
     fn record_change(&mut self, object: &Object) {
+        if self.is_incomplete {
+            return;
+        }
         let revision = revision_of(&object.version);
         self.revision = self.revision.max(revision);
         self.last_change = self.last_change.max(revision);
@@ -234,6 +253,7 @@
         let objects = objects.into_iter().map(read).collect();
         let known = std::mem::replace(&mut self.objects, objects);
         let unconfirmed = std::mem::take(&mut self.unconfirmed);
+        self.is_incomplete = false;
         self.revision = revision;
         // The peer does not say when the newest change was.
         self.last_change = self.last_change.max(revision);
