A listing that broke off does not replace newer objects

By review and a run on the cache: a listing that broke off did not raise the revision, so that objects of a peer, or a late listing, that were older than it were adopted over it, and one of a restored store took back a newer configuration. The cache keeps the version of the last listing that broke off; an older one is ignored, as is one of a restored store, and a peer's older objects only add what was not listed.

--- a/src/store_view/object_cache.rs
+++ b/src/store_view/object_cache.rs
@@ -28,6 +28,9 @@
     /// Whether the last listing broke off. What is applied after it does not make the cache complete,
     /// so that it does not raise the revision.
     is_incomplete: bool,
+    /// Version of the last listing that broke off, in the encoding of `revision`. Objects that were
+    /// known before may be newer than `revision`.
+    incomplete_at: u64,
     /// Objects that a restored store lacks, and until when they are kept for their writers to write
     /// them again.
     unconfirmed: BTreeMap<Name, Timestamp>,
@@ -99,13 +102,16 @@
         self.told_after_restore.clear();
     }
 
-    /// Adds the objects of a listing that ended before the last one, unless it is outdated. Nothing
-    /// follows from what it lacks. Returns whether an object changed.
+    /// Adds the objects of a listing that ended before the last one. Nothing follows from what it
+    /// lacks. One that is outdated is ignored, as is one of a store that was restored from an older
+    /// copy, whose objects may be older than the known ones. Returns whether an object changed.
     pub fn add_listed(&mut self, listing: Listing) -> bool {
-        if self.is_outdated(&listing) {
+        let version = revision_of(&listing.version);
+        if self.is_restored_by(&listing) || version < self.revision.max(self.incomplete_at) {
             return false;
         }
         self.is_incomplete = true;
+        self.incomplete_at = version;
         let changed = listing.items.into_iter().map(|object| self.put(object));
         changed.fold(false, |any, changed| any | changed)
     }
@@ -252,6 +258,12 @@
         };
         let objects = objects.into_iter().map(read).collect();
         let known = std::mem::replace(&mut self.objects, objects);
+        if revision < self.incomplete_at {
+            // What was listed since is newer.
+            self.objects.extend(known);
+            self.revision = revision;
+            return true;
+        }
         let unconfirmed = std::mem::take(&mut self.unconfirmed);
         self.is_incomplete = false;
         self.revision = revision;
