An answer that cannot be read is no outage of the store

Callers' requests went to a target 2.03 s after its registration had been deleted: after an answer that cannot be read, the next listing kept missing targets for two seconds, as after an outage in which their registrations may have expired. A store that answers takes the heartbeats of targets as well, so that no registration expires. Failures now say whether the store answered (PlatformError::is_answer), and only an outage without answers lets missing targets be kept. unreadable_changes_do_not_keep_a_target_in_use_that_is_gone failed before (missing_targets_kept).

--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -29,6 +29,12 @@
         matches!(self, Self::Rejected(_) | Self::Unreadable(_))
     }
 
+    /// Whether the store took the call and answered it.
+    #[must_use]
+    pub fn is_answer(&self) -> bool {
+        !matches!(self, Self::Unreachable(_) | Self::Unanswered(_))
+    }
+
     /// Returns whether a write that failed with this error may have taken effect.
     #[must_use]
     pub fn may_have_written(&self) -> bool {
--- a/src/store_view/kind_view.rs
+++ b/src/store_view/kind_view.rs
@@ -31,7 +31,7 @@
         Self {
             cache: ObjectCache::default(),
             freshness: KindFreshness::default(),
-            outage: Some(StoreOutage::default()),
+            outage: Some(StoreOutage::since_start()),
             requested_at: None,
         }
     }
@@ -59,12 +59,13 @@
         err: &PlatformError,
     ) -> bool {
         if let Some(outage) = &mut self.outage {
-            outage.record_failure(failed_at);
+            outage.record_failure(failed_at, err);
             return false;
         }
         let confirmed_at = self.freshness.confirmed_at();
         let accepted_at = match err {
             PlatformError::Unanswered(_) => confirmed_at,
+            _ if err.is_answer() => now,
             // A store that turns calls away may still answer those that wait.
             _ => confirmed_at.saturating_sub(longest_wait),
         };
--- a/src/store_view/store_outage.rs
+++ b/src/store_view/store_outage.rs
@@ -13,7 +13,7 @@
 const RECOVERY_RESERVE: Duration = Duration::from_millis(200);
 
 /// An outage of the platform store for one kind of objects.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreOutage {
     /// When the first call failed; zero from the start of the process.
     pub noticed_at: Timestamp,
@@ -21,9 +21,23 @@
     away_since: Timestamp,
     /// Latest time at which the store is known not to have answered.
     failed_at: Timestamp,
+    /// Whether the store may have taken no calls, of targets either. One whose answers cannot be read
+    /// takes them.
+    may_be_away: bool,
 }
 
 impl StoreOutage {
+    /// The state of a process that starts: the store may have been away for any time.
+    #[must_use]
+    pub fn since_start() -> Self {
+        Self {
+            noticed_at: Timestamp::ZERO,
+            away_since: Timestamp::ZERO,
+            failed_at: Timestamp::ZERO,
+            may_be_away: true,
+        }
+    }
+
     /// The outage that a failed call reveals; the store took calls until `accepted_at` at least.
     #[must_use]
     pub fn new(now: Timestamp, accepted_at: Timestamp, err: &PlatformError) -> Self {
@@ -36,11 +50,19 @@
             noticed_at: now,
             away_since: accepted_at,
             failed_at,
+            may_be_away: !err.is_answer(),
         }
     }
 
     /// Records a further call that failed; the store had not answered by `failed_at`.
-    pub fn record_failure(&mut self, failed_at: Timestamp) {
+    pub fn record_failure(&mut self, failed_at: Timestamp, err: &PlatformError) {
+        if err.is_answer() {
+            return;
+        }
+        if !self.may_be_away {
+            self.may_be_away = true;
+            self.away_since = self.failed_at;
+        }
         self.failed_at = self.failed_at.max(failed_at);
     }
 
@@ -57,6 +79,9 @@
         heartbeat: Duration,
         recovery_deadline: Duration,
     ) -> Option<Timestamp> {
+        if !self.may_be_away {
+            return None;
+        }
         let expired_at = self.away_since + heartbeat * EXPIRY_HEARTBEATS;
         let stable_at = self.failed_at.max(expired_at) + recovery_deadline;
         let until = stable_at.saturating_sub(RECOVERY_RESERVE);
--- a/tests/store_outage.rs
+++ b/tests/store_outage.rs
@@ -27,7 +27,7 @@
 fn doubt_after_refusals(from: u64, answered: u64) -> Option<Duration> {
     let mut outage = StoreOutage::new(ms(from), ms(from), &refused());
     for at in (from..answered).step_by(500) {
-        outage.record_failure(ms(at));
+        outage.record_failure(ms(at), &refused());
     }
     outage.doubt_until(ms(answered), HEARTBEAT, RECOVERY_DEADLINE)
 }
@@ -47,7 +47,7 @@
         // The last call in the silent outage; the next one is answered, at most 1,250 ms later.
         for returned in (called_at..called_at + 1_200).step_by(50) {
             let mut outage = StoreOutage::new(ms(2_600), ms(500), &unanswered());
-            outage.record_failure(ms(called_at));
+            outage.record_failure(ms(called_at), &unanswered());
             let answered = ms(called_at + 1_250);
             let until = outage.doubt_until(answered, HEARTBEAT, RECOVERY_DEADLINE);
             let until = until.unwrap();
