--- a/src/gateway/control/decoding.rs
+++ b/src/gateway/control/decoding.rs
@@ -37,15 +37,15 @@
         watched: WatchedKind,
         objects: &UnreadableObjects,
     ) {
-        for (name, fault) in objects.named() {
-            self.report_object(state, watched, name, fault.as_str());
+        for object in objects.named() {
+            report_object(state, watched, &object.name, &object.to_string());
         }
         let count = objects.unnamed();
-        if state.unreadable.set_unnamed(watched, count > 0) {
+        if count > 0 && state.unreadable.add_unnamed(watched) {
             let kind = watched.as_str();
             log::warn!("event=objects_without_name kind={kind} count={count}");
         }
-        self.count_unreadable(watched, count);
+        self.count_unreadable(watched, objects.count());
     }
 
     /// Reports objects that cannot be decoded, and forgets those of the kind that can be by now.
@@ -56,24 +56,16 @@
         failures: &DecodeFailures,
     ) {
         for failure in &failures.0 {
-            if let Some(error) = &failure.error {
-                self.report_object(state, watched, &failure.name, error);
+            if let Some(error) = &failure.error
+                && report_object(state, watched, &failure.name, error)
+            {
+                self.count_unreadable(watched, 1);
             }
         }
         let names = failures.0.iter().map(|failure| failure.name.clone());
         state.unreadable.keep(watched, &names.collect());
     }
 
-    fn report_object(&self, state: &mut State, watched: WatchedKind, name: &Name, reason: &str) {
-        if !state.unreadable.add(watched, name) {
-            return;
-        }
-        let kind = watched.as_str();
-        let name: String = name.chars().take(MAX_LOGGED_NAME).collect();
-        log::warn!("event=object_unreadable kind={kind} name={name:?} reason={reason:?}");
-        self.count_unreadable(watched, 1);
-    }
-
     fn count_unreadable(&self, watched: WatchedKind, count: usize) {
         let counter = &self.shared.metrics.unreadable_objects;
         let count = u64::try_from(count).unwrap_or(u64::MAX);
@@ -81,6 +73,17 @@
     }
 }
 
+/// Reports an object, once; returns whether it did.
+fn report_object(state: &mut State, watched: WatchedKind, name: &Name, reason: &str) -> bool {
+    let is_new = state.unreadable.add(watched, name);
+    if is_new {
+        let kind = watched.as_str();
+        let name: String = name.chars().take(MAX_LOGGED_NAME).collect();
+        log::warn!("event=object_unreadable kind={kind} name={name:?} reason={reason:?}");
+    }
+    is_new
+}
+
 impl State {
     /// Decodes the registered targets; objects that cannot be decoded are skipped.
     pub(super) fn decode_targets(
--- a/src/gateway/unreadable_names.rs
+++ b/src/gateway/unreadable_names.rs
@@ -5,7 +5,7 @@
 use crate::gateway::WatchedKind;
 use crate::prelude::*;
 
-/// Most names that are kept of a kind; further ones are counted only.
+/// Most names that are kept of a kind; further ones are not reported.
 const MAX_NAMES: usize = 1_000;
 
 /// Names of objects that cannot be read, by kind.
@@ -23,13 +23,10 @@
         names.len() < MAX_NAMES && names.insert(name.clone())
     }
 
-    /// Records whether a listing or batch of changes has objects without a name; returns whether that
-    /// is to be reported.
-    pub fn set_unnamed(&mut self, watched: WatchedKind, has_unnamed: bool) -> bool {
-        let known = &mut self.has_unnamed[watched.index()];
-        let is_new = has_unnamed && !*known;
-        *known = has_unnamed;
-        is_new
+    /// Records objects without a name; returns whether they are to be reported, which is so for the
+    /// first ones of a kind.
+    pub fn add_unnamed(&mut self, watched: WatchedKind) -> bool {
+        !std::mem::replace(&mut self.has_unnamed[watched.index()], true)
     }
 
     /// Forgets the names of a kind that are not among `names`: they can be read, or are gone.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -21,7 +21,7 @@
 pub use paged_listing::{ListingPage, ListingStop, NextPage, PagedListing};
 pub use remote::RemotePlatform;
 pub use revision::StoreRevision;
-pub use unreadable::{ObjectFault, UnreadableObjects};
+pub use unreadable::{ObjectFault, UnreadableObject, UnreadableObjects};
 pub use vm::{Role, Vm, VmPhase};
 pub use watch_timing::{CALL_TIMEOUT, WATCH_CALL_PAUSE, WatchTiming};
 
--- a/src/platform/paged_listing.rs
+++ b/src/platform/paged_listing.rs
@@ -11,8 +11,8 @@
 const MAX_PAGES: u32 = 1_000;
 /// Most bytes of the objects of a listing, as the store sends them and without what is skipped.
 const MAX_BYTES: usize = 8 * 1024 * 1024;
-/// Longest time for a listing. A watch from its first page must still find its history.
-const MAX_TIME: Duration = Duration::from_secs(15);
+/// Longest time for a listing, in parts.
+const MAX_TIME: Duration = Duration::from_mins(1);
 
 /// One page of a listing.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -40,6 +40,10 @@
     TooLarge,
     /// It took too long.
     TooSlow,
+    /// It goes on with the next call.
+    Paused,
+    /// A page other than the first got no valid answer; it is asked for with the next call.
+    PageFailed,
     /// The store refused a page other than the first.
     PageRefused,
     /// A page other than the first cannot be read.
@@ -53,6 +57,8 @@
             Self::TooManyPages => "too many pages",
             Self::TooLarge => "objects take too much memory",
             Self::TooSlow => "pages take too long",
+            Self::Paused => "the rest follows",
+            Self::PageFailed => "a page is not answered",
             Self::PageRefused => "a page is refused",
             Self::PageUnreadable => "a page cannot be read",
         })
@@ -70,7 +76,7 @@
 
 /// A listing of which some pages were read. Each further page must follow a name that no page
 /// followed before, and there are bounds on pages, memory and time.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct PagedListing {
     objects: BTreeMap<Name, Object>,
     unreadable: UnreadableObjects,
@@ -103,6 +109,12 @@
         &self.version
     }
 
+    /// Whether it began too long ago to go on.
+    #[must_use]
+    pub fn is_too_old(&self, now: Timestamp) -> bool {
+        now.saturating_sub(self.began_at) >= MAX_TIME
+    }
+
     /// Adds a page and returns which one to ask for next.
     ///
     /// # Errors
@@ -123,7 +135,7 @@
         if self.bytes > MAX_BYTES {
             return Err(ListingStop::TooLarge);
         }
-        if now.saturating_sub(self.began_at) >= MAX_TIME {
+        if self.is_too_old(now) {
             return Err(ListingStop::TooSlow);
         }
         let name = page.last_name.ok_or(ListingStop::NoProgress)?;
--- a/src/platform/unreadable.rs
+++ b/src/platform/unreadable.rs
@@ -4,46 +4,70 @@
 
 use crate::prelude::*;
 
+/// Most characters of a decoder's error that are kept.
+const MAX_DETAIL: usize = 200;
+
 /// Why an object cannot be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ObjectFault {
     /// It has bytes outside UTF-8.
     NotUtf8,
     /// Its name or its fields are too long.
     TooLong,
-    /// It is no JSON that can be decoded.
+    /// It is no JSON that can be parsed.
     InvalidJson,
+    /// A field is missing or has another type.
+    Undecodable,
 }
 
-impl ObjectFault {
-    /// Name for logs.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NotUtf8 => "not_utf8",
-            Self::TooLong => "too_long",
-            Self::InvalidJson => "invalid_json",
-        }
+impl fmt::Display for ObjectFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotUtf8 => "not UTF-8",
+            Self::TooLong => "too long",
+            Self::InvalidJson => "invalid JSON",
+            Self::Undecodable => "undecodable",
+        })
     }
 }
 
-impl fmt::Display for ObjectFault {
+/// An object that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableObject {
+    /// Its name.
+    pub name: Name,
+    /// Why it cannot be read.
+    pub fault: ObjectFault,
+    /// Beginning of the decoder's error; empty if there is none.
+    pub detail: Name,
+}
+
+impl fmt::Display for UnreadableObject {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
+        self.fault.fmt(f)?;
+        if self.detail.is_empty() {
+            return Ok(());
+        }
+        write!(f, ": {}", self.detail)
     }
 }
 
 /// Objects of a response that cannot be read.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UnreadableObjects {
-    named: Vec<(Name, ObjectFault)>,
+    named: Vec<UnreadableObject>,
     unnamed: usize,
 }
 
 impl UnreadableObjects {
-    /// Adds an object.
-    pub fn add(&mut self, name: &Name, fault: ObjectFault) {
-        self.named.push((name.clone(), fault));
+    /// Adds an object, with the decoder's error if there is one.
+    pub fn add(&mut self, name: &Name, fault: ObjectFault, detail: &str) {
+        let detail: String = detail.chars().take(MAX_DETAIL).collect();
+        self.named.push(UnreadableObject {
+            name: name.clone(),
+            fault,
+            detail: detail.into(),
+        });
     }
 
     /// Adds an object whose name cannot be read.
@@ -57,9 +81,9 @@
         self.unnamed += other.unnamed;
     }
 
-    /// Names, with the reason for each.
-    pub fn named(&self) -> impl Iterator<Item = (&Name, ObjectFault)> {
-        self.named.iter().map(|(name, fault)| (name, *fault))
+    /// Those that have a name.
+    pub fn named(&self) -> impl Iterator<Item = &UnreadableObject> {
+        self.named.iter()
     }
 
     /// Number of objects whose name cannot be read.
--- a/src/platform/vm.rs
+++ b/src/platform/vm.rs
@@ -54,4 +54,9 @@
 impl Vm {
     /// Object kind of VMs in the platform.
     pub const KIND: &'static str = "vms";
+
+    /// Fields of its encoding.
+    pub const FIELDS: &'static [&'static str] = &[
+        "name", "role", "domain", "address", "serves", "phase", "power",
+    ];
 }
