A listing goes on where it stopped, and its pages are used meanwhile

A page answered 500 discarded all pages before it: nothing was served in 25 s. A listing that took longer than 15 s began again at its first page each time (211 pages in 70 s, the target behind 60 large objects never served), and a target on the first page was served after 15.25 s. A listing is now returned in parts of three seconds; what a part has is used, changes are applied beside it, and the next call goes on after the last name, for a minute at most.

--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::WatchedKind;
 use crate::gateway::control::Control;
-use crate::platform::{Platform, PlatformError, Version, WatchEvent, WatchTiming};
+use crate::platform::{ListingStop, Platform, PlatformError, Version, WatchEvent, WatchTiming};
 use crate::prelude::*;
 use crate::store_view::ChangeTimes;
 
@@ -34,13 +34,15 @@
     Watch(Version),
     /// Reads the changes after a version at once, since its watch may not work.
     CatchUp(Version),
+    /// Goes on with a listing of this version that takes long.
+    ListOn(Version),
 }
 
 impl Step {
     fn into_version(self) -> Option<Version> {
         match self {
             Self::List => None,
-            Self::Watch(version) | Self::CatchUp(version) => Some(version),
+            Self::Watch(version) | Self::CatchUp(version) | Self::ListOn(version) => Some(version),
         }
     }
 }
@@ -75,18 +77,27 @@
                     let caught_up = self.catch_up(version).await;
                     caught_up.map(Step::Watch).map_err(|err| (None, err))
                 }
+                Step::ListOn(version) => {
+                    incomplete.get_or_insert_with(|| version.clone());
+                    self.wait_to_list(Duration::ZERO, &mut incomplete).await;
+                    Ok(Step::List)
+                }
             };
             let (reached, err) = match result {
                 Ok(next) => {
                     failures.record_success(&step);
-                    incomplete = None;
+                    if let Step::Watch(_) = next {
+                        incomplete = None;
+                    }
                     step = next;
                     continue;
                 }
                 Err(failure) => failure,
             };
             if err == PlatformError::Expired {
-                log::info!("event=watch_expired kind={}", self.watched.as_str());
+                if !failures.expires_again() {
+                    log::info!("event=watch_expired kind={}", self.watched.as_str());
+                }
             } else {
                 self.record_failure(self.control.now(), &err);
             }
@@ -152,15 +163,23 @@
         let counter = &self.control.shared.metrics.listing_pages;
         counter.with_label_values(&[kind]).inc_by(pages.into());
         let Some(stop) = listing.stop else {
-            log::info!(
-                "event=listed kind={kind} objects={objects} pages={pages} unreadable={} \
-                 took_ms={took_ms}",
-                listing.unreadable.count()
-            );
+            if !failures.expires_again() {
+                let unreadable = listing.unreadable.count();
+                log::info!(
+                    "event=listed kind={kind} objects={objects} pages={pages} \
+                     unreadable={unreadable} took_ms={took_ms}"
+                );
+            }
             let version = listing.version.clone();
             self.control.apply_listing(self.watched, listing);
             return Ok(Step::Watch(version));
         };
+        let version = listing.version.clone();
+        if stop == ListingStop::Paused {
+            log::info!("event=listing_paused kind={kind} objects={objects} pages={pages}");
+            self.control.apply_incomplete_listing(self.watched, listing);
+            return Ok(Step::ListOn(version));
+        }
         let err = PlatformError::Unreadable(format!("listing broken off: {stop}"));
         if failures.is_new(&err) {
             let stop = stop.to_string();
@@ -169,7 +188,6 @@
                  took_ms={took_ms} reason={stop:?}"
             );
         }
-        let version = listing.version.clone();
         self.control.apply_incomplete_listing(self.watched, listing);
         Err((Some(version), err))
     }
--- a/src/gateway/kind_watcher/failures.rs
+++ b/src/gateway/kind_watcher/failures.rs
@@ -13,6 +13,8 @@
     /// Calls that would fail again in the same way, since changes were read. A listing that succeeds
     /// between them does not count, as the changes after it may be unreadable again.
     recurring: u32,
+    /// Versions that had expired, since changes were read.
+    expired: u32,
     /// The failure of the last listing.
     last: Option<PlatformError>,
 }
@@ -23,7 +25,8 @@
         self.calls = 0;
         match step {
             Step::List => self.last = None,
-            Step::Watch(_) | Step::CatchUp(_) => self.recurring = 0,
+            Step::ListOn(_) => {}
+            Step::Watch(_) | Step::CatchUp(_) => self.record_progress(),
         }
     }
 
@@ -31,6 +34,7 @@
     pub(super) fn record_progress(&mut self) {
         self.calls = 0;
         self.recurring = 0;
+        self.expired = 0;
     }
 
     /// Records a failed step and returns the longest wait before the next one.
@@ -39,10 +43,19 @@
             self.recurring += 1;
             return listing_back_off_time(self.recurring - 1);
         }
+        if *err == PlatformError::Expired {
+            self.expired += 1;
+            return back_off_time(self.expired - 1);
+        }
         self.calls += 1;
         back_off_time(self.calls - 1)
     }
 
+    /// Whether listings follow one another because each version has expired at once.
+    pub(super) fn expires_again(&self) -> bool {
+        self.expired > 1
+    }
+
     /// Whether a listing failed in another way than the last one, which is recorded.
     pub(super) fn is_new(&mut self, err: &PlatformError) -> bool {
         let is_new = self.last.as_ref() != Some(err);
