An entry whose object another writer overwrote writes it again

The peers of an entry find it by its object in the platform's store. When another writer had overwritten that object with something that cannot be read, the entry never wrote it again, since an object of its name was listed: entries that started later did not find it, until it was started anew. An object that is no VM of the entry's name counts as missing now, so that the entry writes it again after ten checks, as when it was removed.

--- a/src/gateway/control/members.rs
+++ b/src/gateway/control/members.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeSet;
 
+use serde::Deserialize;
+use serde_json::Value;
+
 use crate::gateway::WatchedKind;
 use crate::gateway::control::{Control, State};
 use crate::peer::PeerLinks;
-use crate::platform::PlatformError;
+use crate::platform::{PlatformError, Vm};
 use crate::prelude::*;
 
 /// Interval between two looks at who is out of touch; at most one entry is removed in each.
@@ -35,15 +38,19 @@
         self.unlisted_entries.confirm_list(confirmed_at);
     }
 
-    /// Whether the platform's store lists the entries, but not the one named.
+    /// Whether the platform's store lists the entries, but not the one named, or only an object under
+    /// its name that is no VM of that name.
     fn lacks_entry(&self, name: &Name) -> bool {
         let cache = self.cache(WatchedKind::Members);
-        cache.revision() > 0 && !cache.iter().any(|(listed, _)| listed == name)
+        let names_entry = |spec: &Value| Vm::deserialize(spec).is_ok_and(|vm| vm.name == *name);
+        let mut objects = cache.iter();
+        let is_listed = objects.any(|(listed, spec)| listed == name && names_entry(spec));
+        cache.revision() > 0 && !is_listed
     }
 }
 
 impl Control {
-    /// Whether this entry is missing from the platform's list.
+    /// Whether this entry is missing from the platform's list, or cannot be read there.
     pub(crate) fn is_unlisted(&self) -> bool {
         self.state().lacks_entry(&self.name)
     }
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -13,7 +13,8 @@
 const MISSING_CHECKS: u32 = 10;
 
 /// Writes the entry's own object to the platform store, and again after each restore of the store
-/// from an older copy, which may lack it, and when others have removed it. Never returns.
+/// from an older copy, which may lack it, and when others have removed or overwritten it. Never
+/// returns.
 pub(crate) async fn keep_registered(
     platform: Arc<dyn Platform>,
     kind: &'static str,
