A lease whose object cannot be read is acquired once its time has passed

Orders to targets (new weights, among others) are given by the holder of a lease. When another writer overwrote the object of the lease, each candidate took the read for a call without an answer and read it again for ever: the lease was lost until somebody deleted the object, and no line said so. A record that cannot be decoded now counts as one of an unknown holder: the holder gives the lease up, and it is acquired when the object has not changed for the lease's time and the margin, as after a holder that ended.

--- a/src/lease/client.rs
+++ b/src/lease/client.rs
@@ -1,6 +1,7 @@
 //! Acquires and renews a lease on the platform.
 
 use std::panic::AssertUnwindSafe;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_io::Timer;
@@ -24,6 +25,8 @@
     /// Boot time at construction. Boot time advances while the VM is suspended, so that a held
     /// lease expires during the suspension.
     origin: Duration,
+    /// Whether the record that was last read could not be decoded.
+    is_unreadable: AtomicBool,
 }
 
 impl LeaseClient {
@@ -35,6 +38,7 @@
             name,
             state_machine: Mutex::new(LeaseStateMachine::new(cfg)),
             origin: time_since_boot(),
+            is_unreadable: AtomicBool::new(false),
         }
     }
 
@@ -145,11 +149,25 @@
     async fn read(&self) -> Result<LeaseEvent, PlatformError> {
         let object = self.platform.get(LeaseRecord::KIND, &self.name).await?;
         let versioned = object.map(|object| {
-            let record = object.decode();
-            let record = record.map_err(|err| PlatformError::Rejected(err.to_string()));
-            record.map(|record| (object.version, record))
+            let record = self.decode(&object);
+            (object.version, record)
         });
-        Ok(LeaseEvent::ObjectRead(versioned.transpose()?))
+        Ok(LeaseEvent::ObjectRead(versioned))
+    }
+
+    /// Decodes the record of the lease. One that cannot be decoded names no holder, so that the lease
+    /// can be acquired once it has not changed for its time.
+    fn decode(&self, object: &Object) -> LeaseRecord {
+        let record = object.decode();
+        let is_unreadable = record.is_err();
+        let was_unreadable = self.is_unreadable.swap(is_unreadable, Ordering::Relaxed);
+        record.unwrap_or_else(|err| {
+            if !was_unreadable {
+                let (name, error) = (&self.name, err.to_string());
+                log::warn!("event=lease_unreadable lease={name:?} error={error:?}");
+            }
+            LeaseRecord::unreadable()
+        })
     }
 
     async fn write(
--- a/src/lease/record.rs
+++ b/src/lease/record.rs
@@ -31,4 +31,15 @@
 impl LeaseRecord {
     /// Kind of the platform objects that store leases.
     pub const KIND: &'static str = "leases";
+
+    /// A record in place of one that cannot be decoded. Its fencing token is unknown; in a store with
+    /// eras the next token is greater all the same, as it is at least the revision of its write.
+    pub(crate) fn unreadable() -> Self {
+        Self {
+            holder: Name::from(""),
+            fencing: 0,
+            renewal: 0,
+            release: None,
+        }
+    }
 }
