--- a/src/platform/paged_listing.rs
+++ b/src/platform/paged_listing.rs
@@ -21,7 +21,8 @@
     pub objects: Vec<Object>,
     /// What cannot be read.
     pub unreadable: UnreadableObjects,
-    /// Name of the last object that has one.
+    /// Name after which the next page begins: that of the last object that has one, or one that
+    /// follows it.
     pub last_name: Option<Name>,
     /// Whether the store has further objects.
     pub has_more: bool,
