--- a/src/gateway/control/decoding.rs
+++ b/src/gateway/control/decoding.rs
@@ -4,7 +4,7 @@
 
 use crate::gateway::control::{Control, State};
 use crate::gateway::{DeclaredWeights, Decoder, WatchedKind};
-use crate::platform::{UnreadableObjects, Vm};
+use crate::platform::{ObjectFault, UnreadableObject, UnreadableObjects, Vm};
 use crate::prelude::*;
 
 /// Most characters of an object's name in a log line.
@@ -38,7 +38,7 @@
         objects: &UnreadableObjects,
     ) {
         for object in objects.named() {
-            report_object(state, watched, &object.name, &object.to_string());
+            report_object(state, watched, object);
         }
         let count = objects.unnamed();
         if count > 0 && state.unreadable.add_unnamed(watched) {
@@ -57,8 +57,9 @@
     ) {
         for failure in &failures.0 {
             if let Some(error) = &failure.error
-                && report_object(state, watched, &failure.name, error)
+                && state.unreadable.add(watched, &failure.name)
             {
+                log_object(watched, &failure.name, error);
                 self.count_unreadable(watched, 1);
             }
         }
@@ -73,15 +74,21 @@
     }
 }
 
-/// Reports an object, once; returns whether it did.
-fn report_object(state: &mut State, watched: WatchedKind, name: &Name, reason: &str) -> bool {
-    let is_new = state.unreadable.add(watched, name);
+/// Reports an object that could not be read, once.
+fn report_object(state: &mut State, watched: WatchedKind, object: &UnreadableObject) {
+    let is_new = match object.fault {
+        ObjectFault::NameTooLong => state.unreadable.add_long(watched, &object.name),
+        _ => state.unreadable.add(watched, &object.name),
+    };
     if is_new {
-        let kind = watched.as_str();
-        let name: String = name.chars().take(MAX_LOGGED_NAME).collect();
-        log::warn!("event=object_unreadable kind={kind} name={name:?} reason={reason:?}");
+        log_object(watched, &object.name, &object.to_string());
     }
-    is_new
+}
+
+fn log_object(watched: WatchedKind, name: &Name, reason: &str) {
+    let kind = watched.as_str();
+    let name: String = name.chars().take(MAX_LOGGED_NAME).collect();
+    log::warn!("event=object_unreadable kind={kind} name={name:?} reason={reason:?}");
 }
 
 impl State {
--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -95,7 +95,7 @@
                 Err(failure) => failure,
             };
             if err == PlatformError::Expired {
-                if !failures.expires_again() {
+                if failures.reports_listing() {
                     log::info!("event=watch_expired kind={}", self.watched.as_str());
                 }
             } else {
@@ -163,7 +163,7 @@
         let counter = &self.control.shared.metrics.listing_pages;
         counter.with_label_values(&[kind]).inc_by(pages.into());
         let Some(stop) = listing.stop else {
-            if !failures.expires_again() {
+            if failures.reports_listing() {
                 let unreadable = listing.unreadable.count();
                 log::info!(
                     "event=listed kind={kind} objects={objects} pages={pages} \
--- a/src/gateway/kind_watcher/failures.rs
+++ b/src/gateway/kind_watcher/failures.rs
@@ -5,6 +5,9 @@
 use crate::prelude::*;
 use crate::store_view::{back_off_time, listing_back_off_time};
 
+/// Listings in a row that are all reported.
+const REPORTED_LISTINGS: u32 = 8;
+
 /// Calls that have failed in a row.
 #[derive(Debug, Default)]
 pub(super) struct Failures {
@@ -51,9 +54,10 @@
         back_off_time(self.calls - 1)
     }
 
-    /// Whether listings follow one another because each version has expired at once.
-    pub(super) fn expires_again(&self) -> bool {
-        self.expired > 1
+    /// Whether a listing is to be reported. If each version expires at once, that is so for the first
+    /// ones, and then each time that their number has doubled.
+    pub(super) fn reports_listing(&self) -> bool {
+        self.expired <= REPORTED_LISTINGS || self.expired.is_power_of_two()
     }
 
     /// Whether a listing failed in another way than the last one, which is recorded.
--- a/src/platform/unreadable.rs
+++ b/src/platform/unreadable.rs
@@ -12,7 +12,9 @@
 pub enum ObjectFault {
     /// It has bytes outside UTF-8.
     NotUtf8,
-    /// Its name or its fields are too long.
+    /// Its name is too long for the object to be kept.
+    NameTooLong,
+    /// Its fields are too long.
     TooLong,
     /// It is no JSON that can be parsed.
     InvalidJson,
@@ -24,6 +26,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::NotUtf8 => "not UTF-8",
+            Self::NameTooLong => "name too long",
             Self::TooLong => "too long",
             Self::InvalidJson => "invalid JSON",
             Self::Undecodable => "undecodable",
