A target that says that it is cold for ever costs no other

A registration with "cold-remaining-ms": 1.8e22, which is a number and so no reason to leave the entry out, and a response with such a Cold-Ms made the addition to the scheduler's clock overflow: a panic at each entry, in release builds as well, whenever the registration was read. The time is now bounded by an hour, where it is added, so that a peer's message is bounded too. target_that_says_that_it_is_cold_for_ever_costs_no_other panicked before ("overflow when adding durations", warm_up_for) and passes now.

--- a/src/scheduler/machine/warm_up.rs
+++ b/src/scheduler/machine/warm_up.rs
@@ -6,6 +6,9 @@
 use crate::scheduler::fleet::TargetIx;
 use crate::scheduler::{Scheduler, WarmUpPlan, WarmUpReason, WarmingTarget};
 
+/// Longest time for which a target may say that it is cold.
+const MAX_ANNOUNCED_TIME: Duration = Duration::from_hours(1);
+
 impl Scheduler {
     pub(super) fn apply_warm_up_plans(&mut self, plans: Arc<HashMap<Name, WarmUpPlan>>) {
         self.fleet.set_warm_up_plans(self.now, plans);
@@ -22,7 +25,7 @@
     }
 
     pub(super) fn warm_up_for(&mut self, ix: TargetIx, time: Duration) {
-        let until = self.now + time;
+        let until = self.now + time.min(MAX_ANNOUNCED_TIME);
         self.fleet.warm_up_until(self.now, ix, until);
         self.schedule_share_refresh(ix);
     }
--- a/tests/scheduler/warm_up.rs
+++ b/tests/scheduler/warm_up.rs
@@ -330,3 +330,13 @@
         "short ones go to the cold target once the other has more to do"
     );
 }
+
+/// Guards against a panic for one target that states a time that no clock can hold.
+#[test]
+fn target_that_says_that_it_is_cold_for_ever_costs_no_other() {
+    for time in [Duration::MAX, Duration::from_secs(u64::MAX / 2)] {
+        let mut entry = Entry::new(16.0, &["cold"]);
+        entry.signal(Signal::Cold(time));
+        assert_eq!(entry.reason(), Some(WarmUpReason::Announced));
+    }
+}
