Slots that a target states cost no other target its own

The slots of brittle targets are dealt in turn, by a sum of all of them in 32 bits. Two targets that state made it overflow: a panic in debug builds, and a wrong division of all other targets' slots in release builds. The division computes in 64 bits, and the sums of a failure domain's capacity saturate. slots_of_a_target_that_states_any_number_cost_no_other panicked before ("attempt to add with overflow") and passes now.

--- a/src/gateway/control/domain_scheduling.rs
+++ b/src/gateway/control/domain_scheduling.rs
@@ -204,8 +204,8 @@
             .iter_mut()
             .find(|c| c.domain == info.domain && c.serves == info.serves);
         if let Some(capacity) = known {
-            capacity.slots += slots;
-            capacity.requests += report.report.running;
+            capacity.slots = capacity.slots.saturating_add(slots);
+            capacity.requests = capacity.requests.saturating_add(report.report.running);
         } else {
             capacities.push(DomainCapacity {
                 domain: info.domain.clone(),
--- a/src/rate_limit/slot_share.rs
+++ b/src/rate_limit/slot_share.rs
@@ -7,16 +7,18 @@
 /// them and none has two more than another. `None` if there are fewer slots than entries.
 #[must_use]
 pub fn own_slots(slots: &[u32], position: SharePosition) -> Option<Vec<u32>> {
-    let total: u32 = slots.iter().sum();
-    if total < position.of {
+    let of = u64::from(position.of);
+    let total: u64 = slots.iter().map(|slots| u64::from(*slots)).sum();
+    if total < of {
         return None;
     }
     let mut first = 0;
     let own = slots.iter().map(|slots| {
-        let dealt = |to: u32| (to + position.of - 1 - position.index) / position.of;
-        let own = dealt(first + slots) - dealt(first);
-        first += slots;
-        own
+        let dealt = |to: u64| (to + of - 1 - u64::from(position.index)) / of;
+        let last = first + u64::from(*slots);
+        let own = dealt(last) - dealt(first);
+        first = last;
+        u32::try_from(own).unwrap_or(*slots)
     });
     Some(own.collect())
 }
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -212,3 +212,12 @@
     let many = SharePosition { of: 9, index: 0 };
     assert_eq!(own_slots(&[4, 4], many), None, "fewer slots than entries");
 }
+
+/// Guards against a sum that overflows, so that one target costs the others their slots.
+#[test]
+fn slots_of_a_target_that_states_any_number_cost_no_other() {
+    let first = SharePosition { of: 2, index: 0 };
+    let own = own_slots(&[u32::MAX, u32::MAX, 8], first).unwrap();
+    assert_eq!(own[2], 4);
+    assert!(own[0] >= u32::MAX / 2);
+}
