Fetch deadlines bear any reading of a store's clock

The largest reading was added to the time until a deadline without a bound: a panic in debug builds when a request with a fetch was sent, and in release builds a deadline that wraps around and lies in the past, so that no fetch ends in time. The sum saturates. fetch_clock_bears_a_reading_that_no_clock_reaches panicked before and passes now.

--- a/src/gateway/fetch_clock.rs
+++ b/src/gateway/fetch_clock.rs
@@ -44,7 +44,7 @@
     pub fn after(&self, now: Duration, time: Duration) -> Option<u64> {
         let offsets = self.lock();
         let known = offsets.current.max(offsets.previous);
-        known.map(|offset| offset + whole_millis(now + time))
+        known.map(|offset| offset.saturating_add(whole_millis(now + time)))
     }
 
     fn lock(&self) -> MutexGuard<'_, Offsets> {
--- a/tests/fetch_clock.rs
+++ b/tests/fetch_clock.rs
@@ -33,3 +33,11 @@
     }
     assert!((2_000..2_050).contains(&latest), "{latest} ms");
 }
+
+/// Guards against a panic, or a deadline in the past, after the reading of a store without a clock.
+#[test]
+fn fetch_clock_bears_a_reading_that_no_clock_reaches() {
+    let clock = FetchClock::default();
+    clock.observe(secs(10), Some(u64::MAX));
+    assert_eq!(clock.after(secs(20), secs(2)), Some(u64::MAX));
+}
