--- a/src/context_store.rs
+++ b/src/context_store.rs
@@ -7,11 +7,13 @@
 
 mod client;
 mod directory;
+mod poll_backoff;
 mod retirement;
 mod watcher;
 
-pub use client::{ContextStoreClient, FreeCall, PartKey, StoreChange, StoreUpdate};
+pub use client::{ContextStoreClient, FreeCall, PartKey, StoreCallError, StoreChange, StoreUpdate};
 pub use directory::{RelayOutcome, StoreDirectory, StoreInfo, TransferPlan};
+pub use poll_backoff::{PollBackoff, PollResult};
 pub use retirement::{
     FETCH_LEASE, FETCH_TIMEOUT, FREE_DELAY, FetchLease, RetiredVersions, RetirementTracker,
 };
--- a/src/context_store/client.rs
+++ b/src/context_store/client.rs
@@ -52,19 +52,27 @@
     pub parts: Vec<PartKey>,
 }
 
+/// Why a call to a context store brought nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreCallError {
+    /// The store did not answer, or refused the call.
+    NoAnswer,
+    /// Its answer cannot be read. The same call would get it again.
+    Unreadable,
+}
+
 /// Client of the context stores.
 pub trait ContextStoreClient: Send + Sync {
-    /// Changes from sequence number `from_seq` on, waiting up to `wait` for the first one; `None`
-    /// without a valid answer.
+    /// Changes from sequence number `from_seq` on, waiting up to `wait` for the first one.
     fn changes(
         &self,
         store: SocketAddr,
         from_seq: u64,
         wait: Duration,
-    ) -> Boxed<Option<StoreUpdate>>;
+    ) -> Boxed<Result<StoreUpdate, StoreCallError>>;
 
-    /// All complete parts at a store; `None` without a valid answer.
-    fn list(&self, store: SocketAddr) -> Boxed<Option<StoreUpdate>>;
+    /// All complete parts at a store.
+    fn list(&self, store: SocketAddr) -> Boxed<Result<StoreUpdate, StoreCallError>>;
 
     /// Frees parts; returns whether they were freed.
     fn free(&self, call: FreeCall) -> Boxed<bool>;
--- a/src/context_store/watcher.rs
+++ b/src/context_store/watcher.rs
@@ -7,7 +7,9 @@
 use futures_lite::FutureExt;
 
 use crate::clock::time_since_boot;
-use crate::context_store::{ContextStoreClient, StoreDirectory, StoreUpdate};
+use crate::context_store::{
+    ContextStoreClient, PollBackoff, PollResult, StoreCallError, StoreDirectory, StoreUpdate,
+};
 use crate::prelude::*;
 
 /// Longest time that a store delays its answer while it has no changes.
@@ -20,8 +22,10 @@
 const BATCH_PAUSE: Duration = Duration::from_millis(60);
 /// The same while changes are relayed through hubs.
 const BATCH_PAUSE_RELAYED: Duration = Duration::from_millis(150);
-/// Pause after a failed call, and between checks whether this entry is to watch the store.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time between checks whether this entry is to watch the store.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Time within which an answer came at once.
+const MIN_WAIT: Duration = Duration::from_millis(200);
 /// Timeout of a request for the full list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -59,15 +63,20 @@
     /// Watches until the store is no longer in use.
     pub(crate) async fn run(self) {
         let mut was_reached = true;
+        let mut backoff = PollBackoff::default();
         while let Some(from_seq) = self.next_seq() {
             if !self.relay.watches(self.store) {
-                Timer::after(RETRY_PAUSE).await;
+                Timer::after(CHECK_INTERVAL).await;
                 continue;
             }
-            let reached = self.poll(from_seq).await;
+            let result = self.poll(from_seq).await;
+            let reached = result.is_usable();
             if reached != was_reached {
                 let event = if reached { "regained" } else { "lost" };
-                log::info!("event=context_store_{event} store={}", self.store);
+                log::info!(
+                    "event=context_store_{event} store={} result={result:?}",
+                    self.store
+                );
             }
             was_reached = reached;
             if !reached {
@@ -79,7 +88,7 @@
             } else {
                 BATCH_PAUSE
             };
-            Timer::after(if reached { batch_pause } else { RETRY_PAUSE }).await;
+            Timer::after(backoff.pause_after(result, batch_pause)).await;
         }
     }
 
@@ -91,46 +100,54 @@
         self.directory().next_seq(self.store)
     }
 
-    /// Requests changes from `from_seq` on, and the full list if they do not suffice; returns
-    /// whether the store answered.
-    async fn poll(&self, from_seq: u64) -> bool {
-        let wait = if self.relay.shares_watches() {
-            POLL_WAIT_RELAYED
-        } else {
-            POLL_WAIT
-        };
-        let timeout = async {
-            Timer::after(wait + ANSWER_MARGIN).await;
-            None
-        };
-        let update = self
-            .stores
-            .changes(self.store, from_seq, wait)
-            .or(timeout)
-            .await;
-        let Some(update) = update else {
-            return false;
+    /// Requests changes from `from_seq` on, and the full list if they do not suffice.
+    async fn poll(&self, from_seq: u64) -> PollResult {
+        let asked_at = self.now();
+        let mut update = match self.changes(from_seq).await {
+            Ok(update) => update,
+            Err(StoreCallError::NoAnswer) => return PollResult::NoAnswer,
+            Err(StoreCallError::Unreadable) => return PollResult::Unreadable,
         };
         self.fetch_clock.observe(time_since_boot(), update.clock_ms);
+        // A store whose changes are numbered anew does not have those that were asked for.
+        update.gap |= update.next_seq < from_seq;
+        let was_at_once = self.now().saturating_sub(asked_at) < MIN_WAIT;
+        let is_repeated = update.next_seq == from_seq && was_at_once;
         if !update.gap && from_seq > 0 {
             self.relay.relay_update(self.store, from_seq, &update);
         }
-        if !self
+        let is_incomplete = self
             .directory()
-            .apply_changes(self.now(), self.store, update)
-        {
-            return true;
+            .apply_changes(self.now(), self.store, update);
+        if is_incomplete {
+            self.read_list().await
+        } else if is_repeated {
+            PollResult::Repeated
+        } else {
+            PollResult::Current
         }
-        let timeout = async {
-            Timer::after(LIST_TIMEOUT).await;
-            None
+    }
+
+    async fn changes(&self, from_seq: u64) -> Result<StoreUpdate, StoreCallError> {
+        let wait = if self.relay.shares_watches() {
+            POLL_WAIT_RELAYED
+        } else {
+            POLL_WAIT
         };
-        let Some(list) = self.stores.list(self.store).or(timeout).await else {
-            return false;
+        let changes = self.stores.changes(self.store, from_seq, wait);
+        changes.or(no_answer_after(wait + ANSWER_MARGIN)).await
+    }
+
+    /// Requests the full list. One that does not arrive in time is no less costly when it is requested
+    /// again.
+    async fn read_list(&self) -> PollResult {
+        let list = self.stores.list(self.store);
+        let Ok(list) = list.or(no_answer_after(LIST_TIMEOUT)).await else {
+            return PollResult::Unreadable;
         };
         self.relay.relay_update(self.store, 0, &list);
         self.directory().apply_list(self.now(), self.store, list);
-        true
+        PollResult::Listed
     }
 
     fn directory(&self) -> MutexGuard<'_, StoreDirectory> {
@@ -139,3 +156,8 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+async fn no_answer_after(timeout: Duration) -> Result<StoreUpdate, StoreCallError> {
+    Timer::after(timeout).await;
+    Err(StoreCallError::NoAnswer)
+}
