A status report is used without the fields that cannot be read

A report one of whose models or fields could not be read was dropped as a whole, so that its target got no order to load new weights. A report that lacks a model counted as up to date for that model until targets were listed again, and one without a number of orders as zero orders, which an order then expected. Each field is now read by itself. Unlike a registration, which names no target if a field is of another type, a report says nothing of whether the target may be used. What it lacks takes nothing back: known versions of other models stay, no order is given before the number of orders was reported, and a target whose field busy is unreadable may be carrying out an order, so that it is not repeated before the order's time limit.

--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -22,11 +22,11 @@
 /// Response of a target to a status query.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TargetStatus {
-    /// Weight versions that the target has loaded, by model.
+    /// Weight versions that the target has loaded, by model; those that could be read.
     pub weights: SmallVec<[(Name, u64); 1]>,
-    /// Number of orders that the target has accepted since its start.
-    pub orders: u64,
-    /// Whether the target is executing an order.
+    /// Number of orders that the target has accepted since its start, if it could be read.
+    pub orders: Option<u64>,
+    /// Whether the target may be executing an order.
     pub busy: bool,
 }
 
--- a/src/rollout/event.rs
+++ b/src/rollout/event.rs
@@ -81,11 +81,11 @@
     TargetStatus {
         /// Name of the target.
         target: Name,
-        /// Weight version that it has, by model.
+        /// Weight version that it has, by model; models may be missing.
         weights: SmallVec<[(Name, u64); 1]>,
-        /// Number of orders that it has accepted since its start.
-        orders: u64,
-        /// Whether it is carrying out an order.
+        /// Number of orders that it has accepted since its start, if it is known.
+        orders: Option<u64>,
+        /// Whether it may be carrying out an order.
         busy: bool,
     },
     /// Makes the planner check what is due.
--- a/src/rollout/planner.rs
+++ b/src/rollout/planner.rs
@@ -210,14 +210,14 @@
         now: Timestamp,
         name: &str,
         weights: SmallVec<[(Name, u64); 1]>,
-        orders: u64,
+        orders: Option<u64>,
         busy: bool,
     ) {
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
-        target.update_weights(weights);
-        target.accepted_orders = Some(orders);
+        target.update_weights(merged(&target.info.weights, weights));
+        target.accepted_orders = orders.or(target.accepted_orders);
         if let Stage::Ordered { at, .. } = target.stage
             && !busy
             && now >= at + self.cfg.status_query_delay
@@ -332,3 +332,14 @@
         }
     }
 }
+
+/// Known weight versions, replaced by reported ones. A report may lack models that the target has.
+fn merged(
+    known: &[(Name, u64)],
+    reported: SmallVec<[(Name, u64); 1]>,
+) -> SmallVec<[(Name, u64); 1]> {
+    let is_missing = |model: &Name| reported.iter().all(|(name, _)| name != model);
+    let missing = known.iter().filter(|(model, _)| is_missing(model));
+    let missing: SmallVec<[(Name, u64); 1]> = missing.cloned().collect();
+    reported.into_iter().chain(missing).collect()
+}
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -140,7 +140,7 @@
                     let state = &self.targets[&target];
                     RolloutEvent::TargetStatus {
                         weights: std::iter::once(("m".into(), state.version)).collect(),
-                        orders: state.accepted_orders,
+                        orders: Some(state.accepted_orders),
                         busy: state.loading.is_some(),
                         target,
                     }
@@ -373,9 +373,54 @@
     on(RolloutEvent::TargetStatus {
         target: "t".into(),
         weights: weights([("b", 5), ("a", 1)]),
-        orders: 0,
+        orders: Some(0),
         busy: false,
     });
     on(RolloutEvent::Targets(vec![listed]));
     assert_eq!(planner.outdated_count(), 1);
 }
+
+/// Guards against a target that counts as up to date for a model that its report lacks, and against an
+/// order that states a count that the target did not report.
+#[test]
+fn status_without_some_fields_takes_nothing_back() {
+    let mut planner = RolloutPlanner::new(RolloutSettings::default());
+    let listed = RolloutTarget {
+        name: "t".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        leaving: false,
+        weights: [("a".into(), 1), ("b".into(), 1)].into_iter().collect(),
+    };
+    let lease = HeldLease {
+        fencing: 1,
+        since: ms(0),
+        until: ms(60_000),
+    };
+    let mut effects = Vec::new();
+    for model in ["a", "b"] {
+        let declared = RolloutEvent::VersionDeclared {
+            model: model.into(),
+            version: 2,
+        };
+        planner.on(ms(0), declared, &mut effects);
+    }
+    planner.on(ms(0), RolloutEvent::Targets(vec![listed]), &mut effects);
+    planner.on(ms(0), RolloutEvent::Lease(Some(lease)), &mut effects);
+    let mut report = |at, weights: &[(&str, u64)], orders| {
+        let weights = weights.iter().map(|(model, v)| ((*model).into(), *v));
+        let status = RolloutEvent::TargetStatus {
+            target: "t".into(),
+            weights: weights.collect(),
+            orders,
+            busy: true,
+        };
+        effects.clear();
+        planner.on(ms(at), status, &mut effects);
+        let is_order = |effect: &RolloutEffect| matches!(effect, RolloutEffect::Order(_));
+        (planner.outdated_count(), effects.iter().any(is_order))
+    };
+    assert_eq!(report(1_000, &[], None), (1, false));
+    assert_eq!(report(1_100, &[("a", 2)], None), (1, false));
+    assert_eq!(report(1_200, &[("a", 2)], Some(4)), (1, true));
+    assert_eq!(report(1_300, &[("b", 2)], Some(5)), (0, false));
+}
