A lease whose object holds no record can be acquired again

Reading an object without a record was an error at each step, for ever, so that nobody held the lease and nobody gave orders to load new weights. Such an object is now treated as the record of an unknown holder. It is acquired once it was observed unchanged for the duration and the margin: a holder's last write came before the overwriting one, as all writes depend on the version. The fencing token is above the object's revision, and tokens are never above the revision of the write that acquired them, since each acquisition has one. Where the version is no revision the lease is not acquired. A record with a token or a count at the end of the range, from which the next would overflow, is no record either. lease_whose_object_is_no_record_is_acquired_after_its_time failed before (no holder in 5 s) and passes for 12 kinds of specs. lease_random_schedules_with_overwritten_objects_have_one_holder plays 400 schedules with releases, restores and overwritten objects; with a token that starts again from zero it fails ("two holders with the same fencing token").

--- a/src/lease/client.rs
+++ b/src/lease/client.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::time_since_boot;
 use crate::lease::{
-    HeldLease, LeaseEffect, LeaseEvent, LeaseRecord, LeaseSettings, LeaseStateMachine,
+    HeldLease, LeaseEffect, LeaseEvent, LeaseObject, LeaseRecord, LeaseSettings, LeaseStateMachine,
 };
 use crate::platform::{Object, Platform, PlatformError, Version};
 use crate::prelude::*;
@@ -144,12 +144,11 @@
 
     async fn read(&self) -> Result<LeaseEvent, PlatformError> {
         let object = self.platform.get(LeaseRecord::KIND, &self.name).await?;
-        let versioned = object.map(|object| {
-            let record = object.decode();
-            let record = record.map_err(|err| PlatformError::Rejected(err.to_string()));
-            record.map(|record| (object.version, record))
+        let object = object.map(|object| LeaseObject {
+            record: object.decode().ok().filter(LeaseRecord::is_valid),
+            version: object.version,
         });
-        Ok(LeaseEvent::ObjectRead(versioned.transpose()?))
+        Ok(LeaseEvent::ObjectRead(object))
     }
 
     async fn write(
--- a/src/lease/record.rs
+++ b/src/lease/record.rs
@@ -4,6 +4,9 @@
 
 use crate::prelude::*;
 
+/// Greatest fencing token that a readable record may have, so that there are greater ones.
+const MAX_FENCING: u64 = 1 << 62;
+
 /// The `spec` of a platform object of kind `leases`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRecord {
@@ -31,4 +34,10 @@
 impl LeaseRecord {
     /// Kind of the platform objects that store leases.
     pub const KIND: &'static str = "leases";
+
+    /// Whether this process could have written it.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.fencing <= MAX_FENCING && self.renewal < u64::MAX
+    }
 }
--- a/src/lease/state_machine.rs
+++ b/src/lease/state_machine.rs
@@ -3,13 +3,16 @@
 //! Clocks of different processes are never compared. A candidate takes over once it has observed
 //! the same record for longer than the lease lasts, by its own monotonic clock; a holder measures
 //! its lease from the time at which it issued the write, which is before the write took effect.
+//! An object that holds no record is treated as the record of an unknown holder, whose fencing tokens
+//! are not above the object's revision: each acquisition has a revision of its own.
 //! A released lease is acquired at once, but is not used sooner after its last use than one that has
 //! expired.
 
 use serde::{Deserialize, Serialize};
 
 use crate::clock::whole_millis;
-use crate::lease::{LeaseRecord, LeaseRelease};
+use crate::lease::object::ObservedLease;
+use crate::lease::{LeaseObject, LeaseRecord, LeaseRelease};
 use crate::platform::{StoreRevision, Version};
 use crate::prelude::*;
 
@@ -40,7 +43,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseEvent {
     /// The object was read; `None` if it does not exist.
-    ObjectRead(Option<(Version, LeaseRecord)>),
+    ObjectRead(Option<LeaseObject>),
     /// The write succeeded; the object now has this version.
     Written(Version),
     /// The write failed because the object's version did not match; nothing was stored.
@@ -65,14 +68,6 @@
     },
 }
 
-/// The lease object as last read or written.
-#[derive(Clone, Debug)]
-struct ObservedLease {
-    object: Option<(Version, LeaseRecord)>,
-    /// When this content was first observed.
-    since: Timestamp,
-}
-
 /// A write whose result is not known yet.
 #[derive(Clone, Debug)]
 struct PendingWrite {
@@ -211,13 +206,13 @@
 
     /// Records the object. If it contains the record of a write whose answer was lost, that write
     /// succeeded.
-    fn on_read(&mut self, now: Timestamp, object: Option<(Version, LeaseRecord)>) {
+    fn on_read(&mut self, now: Timestamp, object: Option<LeaseObject>) {
+        let record = object.as_ref().and_then(|object| object.record.as_ref());
         let pending = self.pending_write.take();
-        let stored = pending.filter(|w| object.as_ref().is_some_and(|(_, r)| *r == w.record));
-        if let (Some(write), Some((version, _))) = (stored, &object) {
-            self.acquire_or_renew(&write, version);
+        let stored = pending.filter(|write| record == Some(&write.record));
+        if let (Some(write), Some(object)) = (stored, &object) {
+            self.acquire_or_renew(&write, &object.version);
         }
-        let record = object.as_ref().map(|(_, record)| record);
         let is_holder = record.is_some_and(|r| r.holder == self.cfg.holder);
         if !is_holder {
             self.held = None;
@@ -238,8 +233,14 @@
             return;
         };
         self.acquire_or_renew(&write, &version);
-        let object = Some((version, write.record));
-        self.observed = Some(ObservedLease { object, since: now });
+        let object = LeaseObject {
+            version,
+            record: Some(write.record),
+        };
+        self.observed = Some(ObservedLease {
+            object: Some(object),
+            since: now,
+        });
         self.next_call = now;
         if !self.releasing {
             self.next_call += self.call_interval();
@@ -295,23 +296,26 @@
         };
         let (era, era_since) = self.era;
         let takeover_time = self.takeover_time();
-        let record = observed.object.as_ref().map(|(_, record)| record);
+        let record = observed.record();
         if record.is_some_and(|r| r.release.is_some_and(|release| release.era == era)) {
             return true;
         }
         if era > 0 && now < era_since + takeover_time {
             return false;
         }
+        let Some(object) = &observed.object else {
+            return true;
+        };
+        let is_own = record.is_some_and(|record| record.holder == self.cfg.holder);
         let expired = now >= observed.since + takeover_time;
-        expired || record.is_none_or(|record| record.holder == self.cfg.holder)
+        is_own || (expired && object.known_fencing().is_some())
     }
 
     /// For how long the observed lease had not been used when it was released, and since when its
     /// release is known; `None` for one that was not released.
     fn observed_release(&self) -> Option<(Duration, Timestamp)> {
         let observed = self.observed.as_ref()?;
-        let (_, record) = observed.object.as_ref()?;
-        let idle = Duration::from_millis(record.release?.idle_ms);
+        let idle = Duration::from_millis(observed.record()?.release?.idle_ms);
         Some((idle, observed.since))
     }
 
@@ -342,10 +346,10 @@
         if held.is_none() && !self.may_acquire(now) {
             return LeaseEffect::Read;
         }
-        let old = object.as_ref().map(|(_, record)| record);
+        let old = object.as_ref().and_then(|object| object.record.as_ref());
         let record = match held.and(old) {
             Some(old) => self.next_record(now, old),
-            None => self.first_record(old),
+            None => self.first_record(object.as_ref()),
         };
         self.pending_write = Some(PendingWrite {
             record: record.clone(),
@@ -354,14 +358,14 @@
             uses: held.map_or_else(|| self.uses_after_acquisition(now), |_| self.uses),
         });
         LeaseEffect::Write {
-            version: object.map(|(version, _)| version),
+            version: object.map(|object| object.version),
             record,
         }
     }
 
-    /// The record that acquires the lease after the one stored before.
-    fn first_record(&self, old: Option<&LeaseRecord>) -> LeaseRecord {
-        let known = old.map_or(0, |record| record.fencing);
+    /// The record that acquires the lease after what was stored before.
+    fn first_record(&self, old: Option<&LeaseObject>) -> LeaseRecord {
+        let known = old.and_then(LeaseObject::known_fencing).unwrap_or_default();
         LeaseRecord {
             holder: self.cfg.holder.clone(),
             fencing: known.max(self.fencing_floor) + 1,
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -7,6 +7,7 @@
 
 use futures_lite::future::block_on;
 use guavahold::lease::{LeaseClient, LeaseEvent, LeaseRecord, LeaseSettings};
+use guavahold::platform::{Object, Platform, StoreRevision};
 use guavahold::prelude::*;
 use simulation::{LEASE_DURATION, Simulation, settings};
 use support::{Fault, MemoryPlatform};
@@ -125,6 +126,111 @@
     );
 }
 
+/// Runs a random schedule in which another writer overwrites the object now and then, and the store is
+/// restored if it has eras. Returns the number of acquisitions.
+fn run_schedule_with_overwrites(seed: u64, steps: u32, era: u64) -> usize {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut sim = Simulation::new();
+    sim.era = era;
+    for _ in 0..steps {
+        match rng.u8(..16) {
+            9 if rng.u8(..20) == 0 => sim.now += LEASE_DURATION,
+            10..12 if rng.u8(..8) == 0 => sim.release(&mut rng),
+            12 if era > 0 => sim.copy_store(),
+            13 if era > 0 && rng.u8(..20) == 0 && !sim.copies.is_empty() => {
+                let copy = rng.usize(..sim.copies.len());
+                sim.restore(copy);
+            }
+            14 if rng.u8(..30) == 0 => sim.overwrite(),
+            choice => sim.step(&mut rng, choice),
+        }
+        sim.check();
+        let holder = sim.holder();
+        if let Some(n) = holder.filter(|_| rng.bool()) {
+            sim.use_lease(n);
+        }
+    }
+    sim.holders.len()
+}
+
+/// Guards against a lease that nobody acquires any more, two holders, and a fencing token that goes
+/// down once the record that had the last one is gone.
+#[test]
+fn lease_random_schedules_with_overwritten_objects_have_one_holder() {
+    for era in [0, 1] {
+        let acquired: usize = (0..200)
+            .map(|seed| run_schedule_with_overwrites(seed, 1_500, era))
+            .sum();
+        assert!(
+            acquired > 600,
+            "the lease was acquired too seldom: {acquired}"
+        );
+    }
+}
+
+#[test]
+#[ignore = "long random run"]
+fn lease_random_schedules_with_overwritten_objects_have_one_holder_long() {
+    let first = u64::from(fastrand::u32(..));
+    println!("seeds from {first}");
+    for seed in first..first + 20_000 {
+        run_schedule_with_overwrites(seed, 2_000, seed % 2);
+    }
+}
+
+/// What another writer may put in the place of a record.
+fn unreadable_records() -> Vec<serde_json::Value> {
+    use serde_json::json;
+    let record = |field: &str, value: serde_json::Value| {
+        let mut record = json!({"holder": "entry-9", "fencing": 3, "renewal": 1});
+        record[field] = value;
+        record
+    };
+    vec![
+        json!(null),
+        json!("entry-9"),
+        json!([]),
+        json!({}),
+        record("holder", json!(7)),
+        record("holder", json!(null)),
+        record("fencing", json!("3")),
+        record("fencing", json!(-3)),
+        record("fencing", json!(u64::MAX)),
+        record("renewal", json!(1.5)),
+        record("renewal", json!(u64::MAX)),
+        record("release", json!(7)),
+    ]
+}
+
+/// Guards against a lease that nobody acquires while its object holds no record, so that no target gets
+/// new weights.
+#[test]
+fn lease_whose_object_is_no_record_is_acquired_after_its_time() {
+    let cfg = LeaseSettings {
+        duration: Duration::from_millis(80),
+        takeover_margin: Duration::from_millis(20),
+        ..settings(0)
+    };
+    for spec in unreadable_records() {
+        let platform = MemoryPlatform::new();
+        let object = Object::new(LeaseRecord::KIND, "orders-a", spec.clone());
+        block_on(platform.create(object)).unwrap();
+        let revision = platform.objects(LeaseRecord::KIND)[0].version.clone();
+        let client = LeaseClient::new(Arc::new(platform), "orders-a".into(), cfg.clone());
+        let started = std::time::Instant::now();
+        block_on(async {
+            while client.held().is_none() {
+                assert!(started.elapsed() < Duration::from_secs(5), "{spec}");
+                client.step().await;
+                async_io::Timer::after(Duration::from_millis(2)).await;
+            }
+        });
+        assert!(started.elapsed() >= cfg.duration, "{spec}");
+        let fencing = client.held().unwrap().fencing;
+        assert!(fencing > StoreRevision::of(&revision).to_bits(), "{spec}");
+    }
+}
+
 /// The build before states no release, and reads none.
 #[test]
 fn lease_record_of_the_build_before_is_read_and_written() {
--- a/tests/lease/simulation.rs
+++ b/tests/lease/simulation.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use guavahold::lease::{LeaseEffect, LeaseEvent, LeaseRecord, LeaseSettings, LeaseStateMachine};
+use guavahold::lease::{LeaseEffect, LeaseEvent, LeaseObject, LeaseSettings, LeaseStateMachine};
 use guavahold::platform::{StoreRevision, Version};
 use guavahold::prelude::*;
 
@@ -25,7 +25,7 @@
 pub struct StoreCopy {
     at: Timestamp,
     version: u64,
-    object: Option<(Version, LeaseRecord)>,
+    object: Option<LeaseObject>,
 }
 
 /// Simulation of candidates that compete for one lease object.
@@ -34,7 +34,7 @@
     /// Era of the store; zero if it states none.
     pub era: u64,
     version: u64,
-    object: Option<(Version, LeaseRecord)>,
+    object: Option<LeaseObject>,
     /// Copies of the store from the last few seconds.
     pub copies: Vec<StoreCopy>,
     /// Candidates, those that have ended included.
@@ -101,18 +101,21 @@
             LeaseEffect::Write { version, record } => {
                 // The store compares revisions without their eras; its client knows better.
                 let number = |v: &Version| StoreRevision::of(v).number();
-                let stored = self.object.as_ref().map(|(version, _)| number(version));
+                let stored = self.object.as_ref().map(|o| number(&o.version));
                 let former = version.as_ref().map(|v| StoreRevision::of(v).era());
                 if stored == version.as_ref().map(number) {
                     let is_copy = self.copied_version == Some(self.version);
                     self.version += 1;
-                    if let Some((_, old)) = &self.object
+                    if let Some(old) = self.object.as_ref().and_then(|o| o.record.as_ref())
                         && old.fencing != record.fencing
                     {
                         self.acquired_released = old.release.is_some() && !is_copy;
                     }
                     let version = StoreRevision::new(self.era, self.version).to_version();
-                    self.object = Some((version.clone(), record));
+                    self.object = Some(LeaseObject {
+                        version: version.clone(),
+                        record: Some(record),
+                    });
                     if former.is_none_or(|era| era == self.era) {
                         LeaseEvent::Written(version)
                     } else {
@@ -155,13 +158,26 @@
         self.version = version;
         self.copied_version = Some(version);
         // The store states revisions without an era.
-        self.object = object.map(|(version, record)| {
-            let number = StoreRevision::of(&version).number();
-            (StoreRevision::new(self.era, number).to_version(), record)
+        self.object = object.map(|object| {
+            let number = StoreRevision::of(&object.version).number();
+            LeaseObject {
+                version: StoreRevision::new(self.era, number).to_version(),
+                ..object
+            }
         });
         self.copies.clear();
     }
 
+    /// Lets another writer overwrite the object with something that is no record.
+    pub fn overwrite(&mut self) {
+        self.version += 1;
+        self.acquired_released = false;
+        self.object = Some(LeaseObject {
+            version: StoreRevision::new(self.era, self.version).to_version(),
+            record: None,
+        });
+    }
+
     /// Executes the only call and delivers its answer.
     pub fn execute_and_deliver(&mut self) {
         self.execute(0, true);
