An object that guavahold-entry or an operator's command cannot read costs no other one

A body that is no JSON, or a listing without items, was an empty listing: all VMs were gone. One object without a name or version, or a spec that no parser reads, made a listing fail or empty; in a watch it ended the watch, each time again. A bookmark without a version had the next watch start from none. Responses and lines of a watch are now split by quotes and brackets (json_scan, which moves to the crate), and each object is decoded by itself: one whose spec cannot be read has null instead and is reported as such. A listing without items or version, and a line that does not say which object it is about, are errors of the kind Unreadable, after which objects are listed again. A listed object without a version gets that of the listing, so that no update of it is unconditional.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,10 +1,12 @@
 //! Client of the platform's object API, behind a trait.
 
 mod error;
+pub mod json_scan;
 mod object;
 mod object_path;
 mod paged_listing;
 mod remote;
+mod remote_response;
 mod revision;
 mod unreadable;
 mod vm;
--- a/platform/src/json_scan.rs
+++ b/src/platform/json_scan.rs
@@ -4,18 +4,21 @@
 //! only quotes and brackets count, so that each value can be decoded by itself.
 
 /// Values of a JSON array; `None` if the text is no array.
-pub(crate) fn items(array: &[u8]) -> Option<impl Iterator<Item = &[u8]>> {
+#[must_use]
+pub fn items(array: &[u8]) -> Option<impl Iterator<Item = &[u8]>> {
     Some(Values(enclosed(array, b'[', b']')?))
 }
 
 /// Value of a field of a JSON object, the last one if there are several.
-pub(crate) fn field<'a>(object: &'a [u8], key: &str) -> Option<&'a [u8]> {
+#[must_use]
+pub fn field<'a>(object: &'a [u8], key: &str) -> Option<&'a [u8]> {
     let fields = fields(object)?.filter(|(k, _)| *k == key.as_bytes());
     fields.last().map(|(_, value)| value)
 }
 
 /// Keys, as they are spelled, and values of a JSON object; `None` if the text is no object.
-pub(crate) fn fields(object: &[u8]) -> Option<impl Iterator<Item = (&[u8], &[u8])>> {
+#[must_use]
+pub fn fields(object: &[u8]) -> Option<impl Iterator<Item = (&[u8], &[u8])>> {
     let members = Values(enclosed(object, b'{', b'}')?);
     Some(members.filter_map(split_member))
 }
--- a/src/platform/remote.rs
+++ b/src/platform/remote.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 
 use crate::http::{ClientResponse, Connection, ExchangeError, Pool};
+use crate::platform::remote_response::{read_listing, read_object, read_watch_line};
 use crate::platform::{
     Listing, Object, ObjectPath, Platform, PlatformError, Version, WatchEvent, WatchStream,
     WatchTiming,
@@ -72,7 +73,7 @@
         method: Method,
         path: &ObjectPath,
         body: Option<&Value>,
-    ) -> Result<(StatusCode, Value), PlatformError> {
+    ) -> Result<Vec<u8>, PlatformError> {
         let addr = self.address();
         let req = request(addr, method, path, body)?;
         let exchange = async {
@@ -87,9 +88,8 @@
             self.pool.clear(addr);
             self.rotate();
         })?;
-        let json = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
-        check_status(status, &json)?;
-        Ok((status, json))
+        check_status(status, &bytes)?;
+        Ok(bytes)
     }
 
     async fn open_watch(&self, path: &ObjectPath) -> Result<ClientResponse, PlatformError> {
@@ -107,7 +107,7 @@
             self.rotate();
             platform_error(&err)
         })?;
-        check_status(response.res.status(), &Value::Null)?;
+        check_status(response.res.status(), b"")?;
         Ok(response)
     }
 }
@@ -134,13 +134,14 @@
     }
 }
 
-fn check_status(status: StatusCode, json: &Value) -> Result<(), PlatformError> {
+fn check_status(status: StatusCode, body: &[u8]) -> Result<(), PlatformError> {
     match u16::from(status) {
         200..=299 => Ok(()),
         404 => Err(PlatformError::NotFound),
         409 => Err(PlatformError::Conflict),
         410 => Err(PlatformError::Expired),
         code @ (400..=499) => {
+            let json: Value = serde_json::from_slice(body).unwrap_or_default();
             let message = json.get("message").and_then(Value::as_str);
             Err(PlatformError::Rejected(format!(
                 "{code} {}",
@@ -151,18 +152,13 @@
     }
 }
 
-fn decode(kind: &str, json: &Value) -> Result<Object, PlatformError> {
-    let object = Object::from_json(kind, json);
-    object.ok_or_else(|| PlatformError::Unanswered("response is not an object".into()))
-}
-
 impl Platform for RemotePlatform {
     fn get(&self, kind: &str, name: &str) -> Boxed<Result<Option<Object>, PlatformError>> {
         let (this, kind, name) = (self.0.clone(), Name::from(kind), Name::from(name));
         Box::pin(async move {
             let path = ObjectPath::of_object(&kind, &name)?;
             match this.call(Method::Get, &path, None).await {
-                Ok((_, json)) => decode(&kind, &json).map(Some),
+                Ok(body) => read_object(&kind, &body).map(Some),
                 Err(PlatformError::NotFound) => Ok(None),
                 Err(err) => Err(err),
             }
@@ -173,15 +169,8 @@
         let (this, kind) = (self.0.clone(), Name::from(kind));
         Box::pin(async move {
             let path = ObjectPath::of_kind(&kind)?;
-            let (_, json) = this.call(Method::Get, &path, None).await?;
-            let version = json["metadata"]["resourceVersion"].as_str();
-            let items = json["items"].as_array().map(Vec::as_slice);
-            let items = items.unwrap_or_default().iter();
-            Ok(Listing {
-                items: items.map(|i| decode(&kind, i)).collect::<Result<_, _>>()?,
-                version: Version(version.unwrap_or_default().to_owned()),
-                ..Listing::default()
-            })
+            let body = this.call(Method::Get, &path, None).await?;
+            read_listing(&kind, &body)
         })
     }
 
@@ -190,8 +179,8 @@
         Box::pin(async move {
             let json = object.to_json();
             let path = ObjectPath::of_kind(&object.kind)?;
-            let (_, json) = this.call(Method::Post, &path, Some(&json)).await?;
-            decode(&object.kind, &json)
+            let body = this.call(Method::Post, &path, Some(&json)).await?;
+            read_object(&object.kind, &body)
         })
     }
 
@@ -200,8 +189,8 @@
         Box::pin(async move {
             let path = ObjectPath::of_object(&object.kind, &object.name)?;
             let json = object.to_json();
-            let (_, json) = this.call(Method::Put, &path, Some(&json)).await?;
-            decode(&object.kind, &json)
+            let body = this.call(Method::Put, &path, Some(&json)).await?;
+            read_object(&object.kind, &body)
         })
     }
 
@@ -234,6 +223,7 @@
                 kind,
                 max_silence: timing.max_silence,
                 buf: Vec::new(),
+                pending: SmallVec::new(),
             };
             let events = stream::unfold(Some(reader), |reader| async move {
                 let mut reader = reader?;
@@ -252,18 +242,27 @@
     kind: Name,
     max_silence: Duration,
     buf: Vec<u8>,
+    /// Events of the last line that were not returned yet.
+    pending: SmallVec<[WatchEvent; 2]>,
 }
 
 impl WatchReader {
     /// Reads the next event; `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<WatchEvent, PlatformError>> {
         loop {
+            if !self.pending.is_empty() {
+                return Some(Ok(self.pending.remove(0)));
+            }
             if let Some(end) = self.buf.iter().position(|b| *b == b'\n') {
                 let line: Vec<u8> = self.buf.drain(..=end).collect();
-                return Some(self.parse(&line));
+                match read_watch_line(&self.kind, &line) {
+                    Ok(events) => self.pending = events,
+                    Err(err) => return Some(Err(err)),
+                }
+                continue;
             }
             if self.buf.len() > MAX_WATCH_LINE_BYTES {
-                return Some(Err(PlatformError::Rejected("watch line too long".into())));
+                return Some(Err(PlatformError::Unreadable("watch line too long".into())));
             }
             let mut buf = vec![0; 16 * 1024];
             let read = self.response.read(&mut buf);
@@ -278,22 +277,4 @@
             }
         }
     }
-
-    fn parse(&self, line: &[u8]) -> Result<WatchEvent, PlatformError> {
-        let json: Value = serde_json::from_slice(line)
-            .map_err(|err| PlatformError::Unreachable(format!("bad watch line: {err}")))?;
-        let object = &json["object"];
-        match json["type"].as_str().unwrap_or_default() {
-            "ADDED" | "MODIFIED" => decode(&self.kind, object).map(WatchEvent::Put),
-            "DELETED" => decode(&self.kind, object).map(WatchEvent::Deleted),
-            "BOOKMARK" => {
-                let version = object["metadata"]["resourceVersion"].as_str();
-                let version = Version(version.unwrap_or_default().to_owned());
-                Ok(WatchEvent::Bookmark(version))
-            }
-            // As in Kubernetes, an `ERROR` event ends the watch, for example when its version is
-            // too old.
-            _ => Err(PlatformError::Expired),
-        }
-    }
 }
