A VM whose object becomes unreadable is no longer used

Callers' requests went on to a target by what its object had said before it was overwritten, until VMs were listed again: a watch skipped what a listing leaves out. Both now leave it out, and log it once (event=vm_unreadable). target_whose_vm_object_cannot_be_read_gets_no_work failed before (20 further runs at the target in a second after three seconds) and passes now; the other target served all requests.

--- a/rig/tests/targets.rs
+++ b/rig/tests/targets.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use guavahold::platform::{Role, Vm, VmPhase};
+use guavahold::platform::{Object, Platform, Role, Vm, VmPhase};
 use guavahold_rig::client::Call;
 use guavahold_rig::fleet::{run_with_timeout, set_faults};
 use guavahold_rig::test_cluster::SALON;
@@ -80,6 +80,24 @@
     });
 }
 
+/// Guards against a VM that is used by what its object said before, and against one such object costing
+/// the other VMs.
+#[test]
+fn target_whose_vm_object_cannot_be_read_gets_no_work() {
+    run_with_timeout(async {
+        let cluster = TestCluster::builder().start().await;
+        send_chats(&cluster, Duration::from_millis(500)).await;
+        let platform = cluster.fleet.platform_api();
+        let vm = platform.get(Vm::KIND, "engine-1").await.unwrap();
+        let overwritten = Object {
+            spec: json!({"role": ["engine"]}),
+            ..vm.unwrap()
+        };
+        platform.update(overwritten).await.unwrap();
+        check_gets_no_work(&cluster, 0).await;
+    });
+}
+
 #[test]
 fn leaving_target_gets_no_work_while_platform_is_down() {
     run_with_timeout(async {
--- a/src/entry/vm_list_watcher.rs
+++ b/src/entry/vm_list_watcher.rs
@@ -1,6 +1,6 @@
 //! Watches the platform's list of VMs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -8,7 +8,7 @@
 use log::Level;
 
 use crate::platform::{
-    MAX_WATCH_SILENCE, Platform, PlatformError, Version, Vm, WatchEvent, WatchTiming,
+    MAX_WATCH_SILENCE, Object, Platform, PlatformError, Version, Vm, WatchEvent, WatchTiming,
 };
 use crate::prelude::*;
 use crate::telemetry::log_event;
@@ -21,10 +21,13 @@
 /// Called with the whole list after each change.
 type Publish = Box<dyn Fn(&BTreeMap<Name, Vm>) + Send + Sync>;
 
-/// A copy of the VM list, which is kept while the platform is unreachable.
+/// A copy of the VM list, which is kept while the platform is unreachable. An object that cannot be read
+/// names no VM.
 pub(crate) struct VmListWatcher {
     platform: Arc<dyn Platform>,
     vms: BTreeMap<Name, Vm>,
+    /// Names of objects that cannot be read, each of which is logged once.
+    unreadable: BTreeSet<Name>,
     publish: Publish,
     from_peers: Receiver<Vec<Vm>>,
 }
@@ -40,6 +43,7 @@
         Self {
             platform,
             vms: BTreeMap::new(),
+            unreadable: BTreeSet::new(),
             publish: Box::new(publish),
             from_peers,
         }
@@ -83,7 +87,9 @@
     /// Reads the list, then watches it for changes until the watch ends.
     async fn list_and_watch(&mut self) -> Result<(), PlatformError> {
         let listing = self.platform.list(Vm::KIND).await?;
-        let vms = listing.items.iter().filter_map(|o| o.decode::<Vm>().ok());
+        let listed: BTreeSet<&Name> = listing.items.iter().map(|o| &o.name).collect();
+        self.unreadable.retain(|name| listed.contains(name));
+        let vms = listing.items.iter().filter_map(|o| self.decode(o));
         let vms = vms.map(|vm| (vm.name.clone(), vm)).collect();
         // An empty list is published too, because readiness requires that the list is known.
         if self.vms != vms || vms.is_empty() {
@@ -100,11 +106,13 @@
         while let Some(event) = events.next().await {
             match event? {
                 WatchEvent::Put(object) => {
-                    if let Ok(vm) = object.decode::<Vm>() {
-                        self.vms.insert(vm.name.clone(), vm);
-                    }
+                    match self.decode(&object) {
+                        Some(vm) => self.vms.insert(vm.name.clone(), vm),
+                        None => self.vms.remove(&object.name),
+                    };
                 }
                 WatchEvent::Deleted(object) => {
+                    self.unreadable.remove(&object.name);
                     self.vms.remove(&object.name);
                 }
                 WatchEvent::Bookmark(_) | WatchEvent::Unreadable(_) => continue,
@@ -113,4 +121,22 @@
         }
         Ok(())
     }
+
+    /// Decodes an object, and logs it once if that fails.
+    fn decode(&mut self, object: &Object) -> Option<Vm> {
+        match object.decode() {
+            Ok(vm) => {
+                self.unreadable.remove(&object.name);
+                Some(vm)
+            }
+            Err(err) => {
+                if self.unreadable.insert(object.name.clone()) {
+                    let fields: [(&str, &dyn std::fmt::Display); 2] =
+                        [("name", &object.name), ("error", &err)];
+                    log_event(Level::Warn, "vm_unreadable", &fields);
+                }
+                None
+            }
+        }
+    }
 }
