Targets that never answer a status query do not stop a rollout

A cordoned target gets its order only once it has reported how many orders it has accepted, and stayed cordoned until then: with as many such targets as may be cordoned at a time (two in a small fleet), no other target got new weights, and they themselves got no work. A target that has not answered for the time limit of an order is uncordoned, and is cordoned again after all that answered. A readable answer puts it back to its place. No order is given without it, as before. targets_without_a_status_do_not_stop_the_rollout failed before (no order in 60 s to four targets, two of which answer) and passes now.

--- a/src/rollout/planner.rs
+++ b/src/rollout/planner.rs
@@ -75,6 +75,8 @@
     /// Number of orders that it has accepted since its start; `None` until it answered a status
     /// query while draining.
     accepted_orders: Option<u64>,
+    /// Number of times in a row that it was cordoned without such an answer.
+    unanswered: u32,
 }
 
 impl Target {
@@ -187,6 +189,7 @@
                 stage: Stage::Serving,
                 requests: 0,
                 accepted_orders: None,
+                unanswered: 0,
             });
             // Versions that the target itself reported are newer than those in the platform's list.
             let mut weights = info.weights.clone();
@@ -217,7 +220,10 @@
             return;
         };
         target.update_weights(merged(&target.info.weights, weights));
-        target.accepted_orders = orders.or(target.accepted_orders);
+        if orders.is_some() {
+            target.accepted_orders = orders;
+            target.unanswered = 0;
+        }
         if let Stage::Ordered { at, .. } = target.stage
             && !busy
             && now >= at + self.cfg.status_query_delay
@@ -305,8 +311,8 @@
         self.targets.values().filter(|t| stage(&t.stage)).count()
     }
 
-    /// Uncordons targets that are up to date or leaving, and gives up orders that have had no
-    /// effect for the order timeout.
+    /// Uncordons targets that are up to date or leaving, and those that have not answered a status
+    /// query for the order timeout; gives up orders that have had no effect for as long.
     fn update_finished(&mut self, now: Timestamp) {
         let finished: Vec<Name> = self
             .targets
@@ -321,13 +327,21 @@
             }
         }
         for target in self.targets.values_mut() {
-            if let Stage::Ordered { at, .. } = target.stage
-                && now >= at + self.cfg.order_timeout
-            {
-                target.stage = Stage::Draining {
-                    since: at,
-                    next_query: now,
-                };
+            match target.stage {
+                Stage::Ordered { at, .. } if now >= at + self.cfg.order_timeout => {
+                    target.stage = Stage::Draining {
+                        since: at,
+                        next_query: now,
+                    };
+                }
+                Stage::Draining { since, .. }
+                    if target.accepted_orders.is_none()
+                        && now >= since + self.cfg.order_timeout =>
+                {
+                    target.stage = Stage::Serving;
+                    target.unanswered = target.unanswered.saturating_add(1);
+                }
+                _ => {}
             }
         }
     }
--- a/src/rollout/planner/loading.rs
+++ b/src/rollout/planner/loading.rs
@@ -76,18 +76,21 @@
 
     /// Cordons further targets up to `limit`, those with the oldest weights first, since the bound
     /// on how long an outdated version may run is reached there first. Among equals, targets with
-    /// the fewest requests come first.
+    /// the fewest requests come first. Targets that did not answer when they were cordoned come last.
     pub(super) fn cordon_next(&mut self, now: Timestamp, limit: usize) {
         let cordoned = self.count(|s| *s != Stage::Serving);
-        let mut next: Vec<(u64, u32, Name)> = self
+        let mut next: Vec<(u32, u64, u32, Name)> = self
             .targets
             .iter()
             .filter(|(_, t)| t.stage == Stage::Serving && !t.info.leaving)
             .filter(|(_, t)| self.missing_version(&t.info).is_some())
-            .map(|(name, t)| (oldest_version(&t.info), t.requests, name.clone()))
+            .map(|(name, t)| {
+                let oldest = oldest_version(&t.info);
+                (t.unanswered, oldest, t.requests, name.clone())
+            })
             .collect();
         next.sort();
-        for (_, _, name) in next.into_iter().take(limit.saturating_sub(cordoned)) {
+        for (.., name) in next.into_iter().take(limit.saturating_sub(cordoned)) {
             if let Some(target) = self.targets.get_mut(&name) {
                 target.stage = Stage::Draining {
                     since: now,
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -424,3 +424,58 @@
     assert_eq!(report(1_200, &[("a", 2)], Some(4)), (1, true));
     assert_eq!(report(1_300, &[("b", 2)], Some(5)), (0, false));
 }
+
+/// Guards against targets that never report how many orders they accepted and keep the places of all others.
+#[test]
+fn targets_without_a_status_do_not_stop_the_rollout() {
+    let mut planner = RolloutPlanner::new(RolloutSettings::default());
+    let mut effects = Vec::new();
+    let targets = ["a", "b", "c", "d"].map(|name| RolloutTarget {
+        name: name.into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        leaving: false,
+        weights: std::iter::once(("m".into(), 1)).collect(),
+    });
+    let declared = RolloutEvent::VersionDeclared {
+        model: "m".into(),
+        version: 2,
+    };
+    let lease = HeldLease {
+        fencing: 1,
+        since: ms(0),
+        until: ms(600_000),
+    };
+    planner.on(ms(0), declared, &mut effects);
+    planner.on(ms(0), RolloutEvent::Targets(targets.into()), &mut effects);
+    planner.on(ms(0), RolloutEvent::Lease(Some(lease)), &mut effects);
+    let mut ordered = BTreeMap::new();
+    for tick in 0..600 {
+        let now = ms(tick * 100);
+        let mut events = Vec::new();
+        for effect in std::mem::take(&mut effects) {
+            match effect {
+                RolloutEffect::QueryStatus { target, .. } => {
+                    let is_readable = ["c", "d"].contains(&&*target);
+                    let version = ordered.get(&target).copied().unwrap_or(1);
+                    events.push(RolloutEvent::TargetStatus {
+                        weights: std::iter::once(("m".into(), version)).collect(),
+                        orders: is_readable.then_some(version - 1),
+                        busy: false,
+                        target,
+                    });
+                }
+                RolloutEffect::Order(order) => {
+                    ordered.insert(order.target, order.version);
+                }
+                RolloutEffect::Raise { .. } => {}
+            }
+        }
+        events.push(RolloutEvent::Tick);
+        for event in events {
+            planner.on(now, event, &mut effects);
+        }
+    }
+    let ordered: Vec<&str> = ordered.keys().map(|name| &**name).collect();
+    assert_eq!(ordered, ["c", "d"]);
+    assert_eq!(planner.outdated_count(), 2);
+}
