An operator's command ends after an unreadable response as after none

Since such a response is an error of its own kind, a command ended with status 1, which stands for input that cannot be read, instead of 5. operator_command_with_an_unreadable_response_ends_as_one_without failed before.

--- a/src/operator/report.rs
+++ b/src/operator/report.rs
@@ -29,9 +29,11 @@
     #[must_use]
     pub fn exit(&self) -> Exit {
         match self {
-            Self::Platform(PlatformError::Unreachable(_) | PlatformError::Unanswered(_)) => {
-                Exit::Unreachable
-            }
+            Self::Platform(
+                PlatformError::Unreachable(_)
+                | PlatformError::Unanswered(_)
+                | PlatformError::Unreadable(_),
+            ) => Exit::Unreachable,
             _ => Exit::Failure,
         }
     }
--- a/tests/remote_platform.rs
+++ b/tests/remote_platform.rs
@@ -5,6 +5,7 @@
 
 use futures_lite::StreamExt;
 use futures_lite::future::block_on;
+use guavahold::operator::{Exit, OperatorError};
 use guavahold::platform::{
     Listing, Object, Platform, PlatformError, RemotePlatform, Version, WatchEvent, WatchTiming,
 };
@@ -259,3 +260,14 @@
         assert!(matches!(read, Err(PlatformError::Unreadable(_))), "{body}");
     }
 }
+
+/// Guards against an exit status that blames the operator's input for a response that cannot be read.
+#[test]
+fn operator_command_with_an_unreadable_response_ends_as_one_without() {
+    for err in [
+        PlatformError::Unreadable("x".into()),
+        PlatformError::Unanswered("x".into()),
+    ] {
+        assert_eq!(OperatorError::Platform(err).exit(), Exit::Unreachable);
+    }
+}
