--- a/src/lease/client.rs
+++ b/src/lease/client.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::time_since_boot;
 use crate::lease::{
-    HeldLease, LeaseEffect, LeaseEvent, LeaseRecord, LeaseSettings, LeaseStateMachine,
+    HeldLease, LeaseEffect, LeaseEvent, LeaseObject, LeaseRecord, LeaseSettings, LeaseStateMachine,
 };
 use crate::platform::{Object, Platform, PlatformError, Version};
 use crate::prelude::*;
@@ -148,26 +148,22 @@
 
     async fn read(&self) -> Result<LeaseEvent, PlatformError> {
         let object = self.platform.get(LeaseRecord::KIND, &self.name).await?;
-        let versioned = object.map(|object| {
-            let record = self.decode(&object);
-            (object.version, record)
+        let object = object.map(|object| LeaseObject {
+            record: self.decode(&object),
+            version: object.version,
         });
-        Ok(LeaseEvent::ObjectRead(versioned))
+        Ok(LeaseEvent::ObjectRead(object))
     }
 
-    /// Decodes the record of the lease. One that cannot be decoded names no holder, so that the lease
-    /// can be acquired once it has not changed for its time.
-    fn decode(&self, object: &Object) -> LeaseRecord {
-        let record = object.decode();
-        let is_unreadable = record.is_err();
+    /// Decodes the record of the lease; `None` if it is none that this process could have written.
+    fn decode(&self, object: &Object) -> Option<LeaseRecord> {
+        let record = object.decode().ok().filter(LeaseRecord::is_valid);
+        let is_unreadable = record.is_none();
         let was_unreadable = self.is_unreadable.swap(is_unreadable, Ordering::Relaxed);
-        record.unwrap_or_else(|err| {
-            if !was_unreadable {
-                let (name, error) = (&self.name, err.to_string());
-                log::warn!("event=lease_unreadable lease={name:?} error={error:?}");
-            }
-            LeaseRecord::unreadable()
-        })
+        if is_unreadable && !was_unreadable {
+            log::warn!("event=lease_unreadable lease={:?}", self.name);
+        }
+        record
     }
 
     async fn write(
--- a/platform/src/json_scan.rs
+++ b/src/platform/json_scan.rs
@@ -6,19 +6,22 @@
 use std::borrow::Cow;
 
 /// Values of a JSON array; `None` if the text is no array.
-pub(crate) fn items(array: &[u8]) -> Option<impl Iterator<Item = &[u8]>> {
+#[must_use]
+pub fn items(array: &[u8]) -> Option<impl Iterator<Item = &[u8]>> {
     Some(Values(enclosed(array, b'[', b']')?))
 }
 
 /// Value of a field of a JSON object, the last one if there are several.
-pub(crate) fn field<'a>(object: &'a [u8], key: &str) -> Option<&'a [u8]> {
+#[must_use]
+pub fn field<'a>(object: &'a [u8], key: &str) -> Option<&'a [u8]> {
     let fields = fields(object)?.filter(|(k, _)| k == key);
     fields.last().map(|(_, value)| value)
 }
 
 /// Keys and values of a JSON object; `None` if the text is no object. Members whose key cannot be
 /// decoded are left out.
-pub(crate) fn fields(object: &[u8]) -> Option<impl Iterator<Item = (Cow<'_, str>, &[u8])>> {
+#[must_use]
+pub fn fields(object: &[u8]) -> Option<impl Iterator<Item = (Cow<'_, str>, &[u8])>> {
     let members = Values(enclosed(object, b'{', b'}')?);
     Some(members.filter_map(split_member))
 }
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -1,5 +1,8 @@
 //! Rollout of new weights: the planner against simulated targets, in virtual time.
 
+#[path = "rollout/statuses.rs"]
+mod statuses;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -140,7 +143,7 @@
                     let state = &self.targets[&target];
                     RolloutEvent::TargetStatus {
                         weights: std::iter::once(("m".into(), state.version)).collect(),
-                        orders: state.accepted_orders,
+                        orders: Some(state.accepted_orders),
                         busy: state.loading.is_some(),
                         target,
                     }
@@ -373,7 +376,7 @@
     on(RolloutEvent::TargetStatus {
         target: "t".into(),
         weights: weights([("b", 5), ("a", 1)]),
-        orders: 0,
+        orders: Some(0),
         busy: false,
     });
     on(RolloutEvent::Targets(vec![listed]));
