A customer's name cannot add lines to a request's head

Callers saw: with a customer named "x\r\nTenant: bozi" in the configuration, a request with that customer's key was answered 200, and its target received two Tenant headers, the second one of another customer. Any header can be added in this way.

Cause: names from the store and the configuration are written into the heads of requests as they are.

Dispatch takes HeaderText, which only a check makes: no control characters, no white space at the ends, at most 1 KiB. So no dialect can be handed a name that is more than a value. A name that reaches an attempt in another way, such as by a peer, withholds the attempt before a byte is sent. Letters outside ASCII pass unchanged, as before: they cannot end a line, and their customers are served today.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -198,8 +198,15 @@
             self.shared.connections.put(addr, connection, None);
             return Err(error);
         }
+        let head = match self.encode(response) {
+            Ok(head) => head,
+            Err(error) => {
+                let addr = self.assignment.address;
+                self.shared.connections.put(addr, connection, None);
+                return Err(error);
+            }
+        };
         self.progress.record_sent(history, stream.peer());
-        let head = self.encode(response);
         let sent_completely = AtomicBool::new(false);
         let send = async {
             let written = self.send(stream, &head).await;
--- a/src/gateway/attempt/encoding.rs
+++ b/src/gateway/attempt/encoding.rs
@@ -6,11 +6,17 @@
 use crate::context_store::{FETCH_TIMEOUT, TransferPlan};
 use crate::gateway::Dispatch;
 use crate::gateway::attempt::Attempt;
+use crate::gateway::attempt_error::AttemptError;
 use crate::gateway::caller_response::CallerResponse;
+use crate::http::HeaderText;
 use crate::prelude::*;
 
 impl Attempt<'_> {
-    pub(super) fn encode(&self, response: &CallerResponse<'_>) -> Vec<u8> {
+    /// Encodes the head of the request to the target.
+    ///
+    /// # Errors
+    /// When a name cannot be sent in a header field.
+    pub(super) fn encode(&self, response: &CallerResponse<'_>) -> Result<Vec<u8>, AttemptError> {
         let request = self.request;
         let holder = request.holder.as_deref();
         let scopes = self.shared.cache_scopes();
@@ -18,14 +24,15 @@
         // The deadline comes first: if the process stands still after it, fetches end no later.
         let fetch_until_ms = self.fetch_deadline();
         let transfers = scope.as_ref().map(|scope| self.plan_transfers(scope));
+        let customer = request.holder.as_ref().map(|h| h.customer.clone());
         let dispatch = Dispatch {
             transfers: transfers.unwrap_or_default(),
             fetch_until_ms,
-            target: self.assignment.target.clone(),
+            target: header_text(self.assignment.target.clone())?,
             time_left: request.time_left(),
-            customer: request.holder.as_ref().map(|h| h.customer.clone()),
+            customer: customer.map(header_text).transpose()?,
             weights: self.assignment.weights,
-            cache_scope: scope,
+            cache_scope: scope.map(header_text).transpose()?,
             urgency: self.urgency(),
             last_event: response.last_event,
             body_bytes: request.body.as_ref().map(Vec::len),
@@ -33,7 +40,7 @@
         let mut head = Vec::with_capacity(1024);
         let dialect = &self.shared.dialect;
         dialect.encode_request(&request.head, &dispatch, &mut head);
-        head
+        Ok(head)
     }
 
     /// Plans the transfers of the prompt's shared parts from and to context stores.
@@ -80,3 +87,7 @@
         Some(own.unwrap_or(self.request.route.urgency))
     }
 }
+
+fn header_text(name: Name) -> Result<HeaderText, AttemptError> {
+    HeaderText::new(name).map_err(AttemptError::Unnameable)
+}
--- a/src/gateway/attempt_error.rs
+++ b/src/gateway/attempt_error.rs
@@ -5,6 +5,7 @@
 use crate::gateway::response_head::ResponseHead;
 use crate::gateway::response_reader::ResponseError;
 use crate::gateway::{ResponseInfo, RunReport};
+use crate::http::InvalidHeaderText;
 use crate::scheduler::AttemptOutcome;
 
 /// Response of a target.
@@ -31,6 +32,8 @@
     OutsideRegions,
     /// No byte was sent, since the target's failure domain is evacuated.
     Evacuated,
+    /// No byte was sent, since no header field carries the name of the target or the customer.
+    Unnameable(InvalidHeaderText),
     /// The target stated that it did not run the request.
     Refused(ResponseInfo),
     /// A response arrived that may belong to another request, so that the target may run this one.
@@ -61,6 +64,7 @@
                 | Self::Withheld
                 | Self::OutsideRegions
                 | Self::Evacuated
+                | Self::Unnameable(_)
                 | Self::Refused(_)
         )
     }
@@ -69,7 +73,9 @@
     pub(crate) fn outcome(&self) -> AttemptOutcome {
         match self {
             Self::NotSent => AttemptOutcome::NotSent,
-            Self::Withheld | Self::OutsideRegions | Self::Evacuated => AttemptOutcome::Withheld,
+            Self::Withheld | Self::OutsideRegions | Self::Evacuated | Self::Unnameable(_) => {
+                AttemptOutcome::Withheld
+            }
             Self::Refused(info) | Self::Doubtful(info) => AttemptOutcome::Refused {
                 retry_after: info.retry_after,
             },
@@ -93,6 +99,7 @@
             Self::Evacuated => {
                 f.write_str("evacuated (nothing may be sent to the target's domain)")
             }
+            Self::Unnameable(reason) => write!(f, "unnameable (a name {reason})"),
             Self::Refused(info) if info.run == RunReport::Misdirected => {
                 let weights = info.weights.unwrap_or_default();
                 write!(f, "misdirected (another target or weights {weights})")
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -4,6 +4,7 @@
 
 use crate::context_store::TransferPlan;
 use crate::gateway::RequestHead;
+use crate::http::HeaderText;
 use crate::prelude::*;
 use crate::rate_limit::NamedLimit;
 
@@ -31,15 +32,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Dispatch {
     /// Name of the target; any other target must not run the request.
-    pub target: Name,
+    pub target: HeaderText,
     /// Time until the request times out.
     pub time_left: Duration,
     /// Customer, unless the route is public.
-    pub customer: Option<Name>,
+    pub customer: Option<HeaderText>,
     /// Weight version that must run the request; `None` for plain services.
     pub weights: Option<u64>,
     /// Scope within which cached context may be shared.
-    pub cache_scope: Option<Name>,
+    pub cache_scope: Option<HeaderText>,
     /// Urgency at the target, where zero is the most urgent.
     pub urgency: Option<u8>,
     /// ID of the event after which a stream is resumed.
