Texts from outside forge no line and no field of the log

Operators saw: with a route named "x\nts_ms=0 level=error vm=- event=forged", or a request with the ID "x level=error event=forged", the log held lines and fields that no entry wrote, and `explain` read them as such.

Cause: messages reach the log's formatter with names as they are, of any length.

Both loggers pass each message through LogMessage: control characters and line separators are escaped, and a message ends after 8 KiB. Names of customers, routes, services, models, regions, failure domains, targets and entries, requests' IDs and software versions are logged as LogValue, which quotes what is not plain, as log_event does already. Plain values stand as before.

--- a/src/gateway/control/decoding.rs
+++ b/src/gateway/control/decoding.rs
@@ -6,6 +6,7 @@
 use crate::gateway::{DeclaredWeights, Decoder, WatchedKind};
 use crate::platform::{UnreadableObjects, Vm};
 use crate::prelude::*;
+use crate::telemetry::LogValue;
 
 /// Most characters of an object's name in a log line.
 const MAX_LOGGED_NAME: usize = 100;
@@ -122,6 +123,7 @@
                         self.versions.declare_at_unknown_time(model, *version)
                     };
                     if is_new {
+                        let model = LogValue(model);
                         log::info!("event=weights_named model={model} version={version}");
                     }
                     read.push(declared);
--- a/src/gateway/control/evacuations.rs
+++ b/src/gateway/control/evacuations.rs
@@ -6,6 +6,7 @@
 use crate::gateway::{EvacuationChange, WatchedKind};
 use crate::prelude::*;
 use crate::scheduler::Event;
+use crate::telemetry::LogValue;
 
 /// Time in which the writer of an evacuation writes it again after the platform store was restored.
 pub(super) const EVACUATION_REWRITE_TIME: Duration = Duration::from_secs(6);
@@ -69,10 +70,12 @@
         for change in state.evacuations.changes(&targets) {
             match change {
                 EvacuationChange::Began(domain, targets) => log::warn!(
-                    "event=evacuation_in_force domain={domain} revision={revision} targets={targets}"
+                    "event=evacuation_in_force domain={} revision={revision} targets={targets}",
+                    LogValue(&domain)
                 ),
                 EvacuationChange::Ended(domain, targets) => log::info!(
-                    "event=evacuation_ended domain={domain} revision={revision} targets={targets}"
+                    "event=evacuation_ended domain={} revision={revision} targets={targets}",
+                    LogValue(&domain)
                 ),
                 EvacuationChange::UnknownDomain(domain) => {
                     log::warn!("event=evacuation_ignored domain={domain:?} revision={revision}");
--- a/src/gateway/control/load_spread.rs
+++ b/src/gateway/control/load_spread.rs
@@ -3,6 +3,7 @@
 use crate::gateway::control::{Control, State};
 use crate::prelude::*;
 use crate::scheduler::LoadSpread;
+use crate::telemetry::LogValue;
 
 /// Shortest time between two log lines, which name the most uneven service.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
@@ -26,7 +27,7 @@
             state.spread_logged_at = Some(now);
             log::info!(
                 "event=load_uneven service={} targets={} full={} least={:.2} mean={:.2} most={:.2} moved={:.2}",
-                worst.serves,
+                LogValue(&worst.serves),
                 worst.targets,
                 worst.full,
                 worst.least,
--- a/src/gateway/control/members.rs
+++ b/src/gateway/control/members.rs
@@ -7,6 +7,7 @@
 use crate::peer::PeerLinks;
 use crate::platform::PlatformError;
 use crate::prelude::*;
+use crate::telemetry::LogValue;
 
 /// Interval between two looks at who is out of touch; at most one entry is removed in each.
 const CHECK_INTERVAL: Duration = Duration::from_secs(10);
@@ -58,7 +59,7 @@
             };
             let result = self.remove_entry(&gone).await;
             let done = result.is_ok();
-            log::info!("event=entry_removed entry={gone} done={done}");
+            log::info!("event=entry_removed entry={} done={done}", LogValue(&gone));
         }
     }
 
--- a/src/gateway/control/peers.rs
+++ b/src/gateway/control/peers.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::scheduler::{Event, Signal};
 use crate::store_view::PeerObject;
+use crate::telemetry::LogValue;
 
 impl Control {
     /// Builds the status that this entry sends to its peers.
@@ -187,7 +188,7 @@
             let (now, lifetime) = (self.now(), self.registration_lifetime);
             state.targets.record_store_restore(now, lifetime);
         }
-        let kind = watched.as_str();
+        let (kind, peer) = (watched.as_str(), LogValue(peer));
         log::info!("event=objects_adopted kind={kind} peer={peer} revision={revision}");
         self.update_derived(&mut state, watched);
     }
@@ -200,13 +201,13 @@
         let lost = state.peers.iter().filter(|n| !names.contains(n));
         let lost: Vec<Name> = lost.cloned().collect();
         for lost in lost {
-            log::info!("event=peer_lost peer={lost}");
+            log::info!("event=peer_lost peer={}", LogValue(&lost));
             state.unlisted_entries.record_lost(self.now(), lost);
         }
         let found = names.iter().filter(|n| !state.peers.contains(n));
         let found: Vec<Name> = found.cloned().collect();
         for found in &found {
-            log::info!("event=peer_found peer={found}");
+            log::info!("event=peer_found peer={}", LogValue(found));
             self.exchange_quarantines(&mut state, found);
         }
         // Entries that only this one cannot reach use their part of the retry budget as well.
@@ -235,10 +236,11 @@
 /// Logs until when requests may start on weights older than a version, and which entry said so.
 fn log_cutoff(cutoff: &VersionCutoff, peer: &str) {
     log::info!(
-        "event=weights_cutoff model={} version={} time_left_ms={} by={peer}",
-        cutoff.model,
+        "event=weights_cutoff model={} version={} time_left_ms={} by={}",
+        LogValue(&cutoff.model),
         cutoff.version,
-        cutoff.time_left.as_millis()
+        cutoff.time_left.as_millis(),
+        LogValue(peer)
     );
 }
 
--- a/src/gateway/control/routes.rs
+++ b/src/gateway/control/routes.rs
@@ -9,6 +9,7 @@
 use crate::prelude::*;
 use crate::route::RouteTable;
 use crate::supervisor::SupervisedTask;
+use crate::telemetry::LogValue;
 
 impl Control {
     /// Applies the newest configuration; one that is not newer than the current one is ignored.
@@ -41,7 +42,7 @@
         let regions: BTreeSet<&Name> = routes.chain(customers).collect();
         for region in regions {
             if !self.shared.regions.has_region(region) {
-                log::warn!("event=allowed_region_unknown region={region}");
+                log::warn!("event=allowed_region_unknown region={}", LogValue(region));
             }
         }
     }
--- a/src/gateway/hub_selector.rs
+++ b/src/gateway/hub_selector.rs
@@ -5,6 +5,7 @@
 
 use crate::gateway::HUB_TIMEOUT;
 use crate::prelude::*;
+use crate::telemetry::LogValue;
 
 /// Time for which a hub that timed out is not selected again; peers that are gone leave the list of
 /// candidates sooner.
@@ -73,7 +74,7 @@
         if let Some((name, at)) = &self.current
             && now >= *at + HUB_TIMEOUT
         {
-            log::info!("event=hub_silent hub={name}");
+            log::info!("event=hub_silent hub={}", LogValue(name));
             self.excluded.insert(name.clone(), now + EXCLUSION_PERIOD);
             self.current = None;
         }
@@ -85,7 +86,7 @@
             return None;
         }
         if self.current() != Some(&best.name) {
-            log::info!("event=hub_chosen hub={}", best.name);
+            log::info!("event=hub_chosen hub={}", LogValue(&best.name));
             self.current = Some((best.name.clone(), now));
         }
         Some(best.name.clone())
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -17,6 +17,7 @@
 use crate::latch::Latch;
 use crate::prelude::*;
 use crate::supervisor::Supervisor;
+use crate::telemetry::LogValue;
 
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -91,7 +92,7 @@
                     .catch_unwind()
                     .await
                     .unwrap_or_else(|panic| {
-                        log::error!("event=request_panicked request={id}");
+                        log::error!("event=request_panicked request={}", LogValue(&id));
                         resume_unwind(panic)
                     })
             }
--- a/src/gateway/relay_server.rs
+++ b/src/gateway/relay_server.rs
@@ -10,6 +10,7 @@
 use crate::peer::{RelayFailure, RelayServer, RelayedTarget};
 use crate::prelude::*;
 use crate::reachability::{DialResult, Path};
+use crate::telemetry::LogValue;
 
 impl RelayServer for Control {
     fn connect(&self, target: Name) -> Boxed<Result<RelayedTarget, RelayFailure>> {
@@ -22,6 +23,7 @@
                 return Err(RelayFailure::Unavailable);
             };
             if shared.scheduler.is_evacuated(&target) {
+                let target = LogValue(&target);
                 log::info!("event=relay_refused target={target} reason=evacuated");
                 return Err(RelayFailure::Unavailable);
             }
--- a/src/gateway/relays.rs
+++ b/src/gateway/relays.rs
@@ -13,6 +13,7 @@
 use crate::peer::{Mesh, RelayError, RelayFailure};
 use crate::prelude::*;
 use crate::residency::AllowedDomains;
+use crate::telemetry::LogValue;
 
 pub use candidate::RelayCandidate;
 pub use candidates::RelayCandidates;
@@ -108,8 +109,9 @@
                 Err(err) => err,
             };
             log::debug!(
-                "event=relay_failed target={target} peer={} error={err:?}",
-                peer.name
+                "event=relay_failed target={} peer={} error={err:?}",
+                LogValue(target),
+                LogValue(&peer.name)
             );
             let now = time_since_boot();
             match err {
--- a/src/gateway/request_driver.rs
+++ b/src/gateway/request_driver.rs
@@ -23,6 +23,7 @@
 use crate::part_quarantine::Permission;
 use crate::prelude::*;
 use crate::scheduler::{AttemptOutcome, Effect, Event, Refusal, Signal};
+use crate::telemetry::LogValue;
 
 /// Label for the log of an attempt whose target refuses without stating that the request has not run.
 const UNPROVEN_REFUSAL: &str = "unproven (a refusal that does not state that it has not run)";
@@ -159,9 +160,9 @@
         self.shared.metrics.invariants.inc();
         log::error!(
             "event=repeated_run_withheld request={} number={} target={}",
-            self.request.head.id,
+            LogValue(&self.request.head.id),
             assignment.number,
-            assignment.target
+            LogValue(&assignment.target)
         );
         let refusal = Refusal::Failed {
             run: RunState::Unknown,
@@ -326,9 +327,9 @@
         let parts: Vec<String> = parts.collect();
         log::info!(
             "event=prompt_broken_off request={} target={} answer_began={answer_began} parts={}",
-            self.request.head.id,
-            assignment.target,
-            parts.join(",")
+            LogValue(&self.request.head.id),
+            LogValue(&assignment.target),
+            LogValue(&parts.join(","))
         );
     }
 
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -10,6 +10,7 @@
 use crate::name_hash::name_hash;
 use crate::prelude::*;
 use crate::scheduler::LoadEstimate;
+use crate::telemetry::LogValue;
 
 /// Default of the setting that one in this many successful requests is logged.
 pub const DEFAULT_LOG_SAMPLE: u32 = 64;
@@ -108,7 +109,7 @@
         }
         log::info!(
             "event=request_rejected request={} status={} reason={}",
-            head.id,
+            LogValue(&head.id),
             local_response.status,
             local_response.code
         );
@@ -154,7 +155,7 @@
         first: Option<Duration>,
         scheduler: &str,
     ) {
-        let id = &request.head.id;
+        let id = LogValue(&request.head.id);
         for (n, record) in self.0.iter().enumerate() {
             log::info!(
                 "event=attempt request={id} number={} target={} weights={} software={} work={} \
@@ -162,9 +163,9 @@
                  age_ms={} home_work={} after_ms={} took_ms={} fetched={} saved={} relay={} \
                  connection={} result={:?}",
                 n + 1,
-                record.target,
+                LogValue(&record.target),
                 record.weights.unwrap_or_default(),
-                record.software,
+                LogValue(&record.software),
                 record.estimate.work,
                 record.estimate.requests,
                 record.estimate.age.map_or(-1, millis),
@@ -173,7 +174,7 @@
                 record.duration.as_millis(),
                 record.transfers.0,
                 record.transfers.1,
-                record.relay.as_deref().unwrap_or("-"),
+                LogValue(record.relay.as_deref().unwrap_or("-")),
                 record.connection.map_or("-", ConnectionHistory::label),
                 record.error.as_deref().unwrap_or("answered")
             );
@@ -185,9 +186,9 @@
             "event=request_ended request={id} route={} service={} customer={} tokens={tokens} \
              waited_ms={} first_ms={first_ms} took_ms={} deadline_ms={} scheduler={scheduler} \
              resumes={:?} attempts={} {end}",
-            request.route.name,
-            request.service,
-            request.holder.as_ref().map_or("-", |h| &*h.customer),
+            LogValue(&request.route.name),
+            LogValue(&request.service),
+            LogValue(request.holder.as_ref().map_or("-", |h| &*h.customer)),
             self.0
                 .first()
                 .map_or(request.age(), |s| s.started_after)
--- a/src/gateway/response_reader.rs
+++ b/src/gateway/response_reader.rs
@@ -13,6 +13,7 @@
 use crate::gateway::{BodyReader, ConnectionHistory, Dialect, ExpectedResponse, ResponseMeaning};
 use crate::http::MessageError;
 use crate::prelude::*;
+use crate::telemetry::LogValue;
 
 /// Size of a read from a socket, in bytes.
 const READ_SIZE: usize = 8 * 1024;
@@ -128,10 +129,10 @@
             }
             log::info!(
                 "event=response_skipped request={} connection={} status={} of={} not_run={}",
-                expected.request,
+                LogValue(expected.request),
                 expected.connection.label(),
                 head.status,
-                head.info.request.as_deref().unwrap_or("-"),
+                LogValue(head.info.request.as_deref().unwrap_or("-")),
                 head.info.run.is_not_run()
             );
             self.skip_response(&head).await?;
--- a/src/part_quarantine/table.rs
+++ b/src/part_quarantine/table.rs
@@ -6,6 +6,7 @@
 use crate::name_hash::hash_label;
 use crate::part_quarantine::{LostPrompt, LostPrompts, PartNotice, RecentParts, Suspect, Victim};
 use crate::prelude::*;
+use crate::telemetry::LogValue;
 
 /// Most suspected parts.
 const MAX_SUSPECTS: usize = 4_096;
@@ -106,7 +107,7 @@
             log::warn!(
                 "event=part_quarantined part={} victims={} once_sound={once_sound} time_ms={}",
                 hash_label(part),
-                victims.join(","),
+                LogValue(&victims.join(",")),
                 suspect.time_left(now).as_millis()
             );
         }
@@ -151,7 +152,11 @@
             return false;
         };
         if suspect.is_quarantined() {
-            log::info!("event=part_cleared part={} by={by}", hash_label(part));
+            log::info!(
+                "event=part_cleared part={} by={}",
+                hash_label(part),
+                LogValue(by)
+            );
         }
         true
     }
--- a/src/peer/relay/server.rs
+++ b/src/peer/relay/server.rs
@@ -16,6 +16,7 @@
 use crate::peer::relay::RELAY_CHUNK_BYTES;
 use crate::peer::{PeerMessage, RelayFailure, encode};
 use crate::prelude::*;
+use crate::telemetry::LogValue;
 
 /// Longest time for which the peer's bytes are read after the end of the target's stream: closing a
 /// socket with unread bytes resets the connection, and the peer may lose what was sent before.
@@ -94,6 +95,8 @@
                 has_failed = stream.write_all(&bytes).await.is_err();
             }
             Message::Text(request) => {
+                let (request, target) = (LogValue(&request), LogValue(target));
+                let peer = LogValue(peer);
                 log::info!("event=request_relayed request={request} target={target} peer={peer}");
             }
             Message::Close(_) => return,
--- a/src/shared_scheduler/quarantine_exchange.rs
+++ b/src/shared_scheduler/quarantine_exchange.rs
@@ -3,6 +3,7 @@
 use crate::prelude::*;
 use crate::scheduler::{Event, SuspectRequest};
 use crate::shared_scheduler::SharedScheduler;
+use crate::telemetry::LogValue;
 
 /// Most suspected and quarantined requests of which a peer that asks is told.
 const MAX_SUSPECTS_TOLD: usize = 256;
@@ -41,6 +42,7 @@
         }
         suspects.truncate(MAX_SUSPECTS_TOLD);
         let count = suspects.len();
+        let peer = LogValue(peer);
         log::info!("event=suspect_requests_told peer={peer} count={count}");
         suspects
     }
@@ -50,7 +52,8 @@
         let count = suspects.len();
         let quarantined = suspects.iter().filter(|s| s.is_quarantined()).count();
         log::info!(
-            "event=suspect_requests_heard peer={peer} count={count} quarantined={quarantined}"
+            "event=suspect_requests_heard peer={} count={count} quarantined={quarantined}",
+            LogValue(peer)
         );
         for suspect in suspects {
             self.submit(suspect);
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -3,6 +3,7 @@
 mod gateway_metrics;
 mod line_budget;
 mod log_queue;
+mod log_text;
 mod logger;
 mod metrics;
 mod panic_log;
@@ -12,6 +13,7 @@
 pub use gateway_metrics::GatewayMetrics;
 pub use line_budget::LineBudget;
 pub use log_queue::{DEFAULT_LOG_LINES_PER_SECOND, LogQueue};
+pub use log_text::{LogMessage, LogValue, MAX_MESSAGE_BYTES};
 pub use logger::{PROCESS_LOG, ProcessLog, init_log, log_event};
 pub use metrics::EntryMetrics;
 pub use panic_log::log_panics;
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -8,7 +8,7 @@
 use log::{Level, LevelFilter, Log, Metadata, Record};
 
 use crate::prelude::*;
-use crate::telemetry::LogQueue;
+use crate::telemetry::{LogMessage, LogQueue, LogValue};
 
 /// Sends log lines of at least `level` to standard error.
 ///
@@ -23,6 +23,7 @@
                 .unwrap_or_default();
             let level = record.level().as_str().to_ascii_lowercase();
             let ts_ms = since_epoch.as_millis();
+            let message = LogMessage(message);
             out.finish(format_args!("ts_ms={ts_ms} level={level} {message}"));
         })
         .level(level)
@@ -64,7 +65,8 @@
             .format(move |out, message, record| {
                 let ts_ms = crate::clock::unix_ms();
                 let level = record.level().as_str().to_ascii_lowercase();
-                let vm = vm.get().map_or(UNKNOWN_VM, |name| &**name);
+                let vm = LogValue(vm.get().map_or(UNKNOWN_VM, |name| &**name));
+                let message = LogMessage(message);
                 out.finish(format_args!(
                     "ts_ms={ts_ms} level={level} vm={vm} {message}"
                 ));
@@ -134,7 +136,7 @@
 }
 
 /// Quotes a value unless it is plain; line breaks are escaped, so that an event stays on one line.
-fn quoted(value: &str) -> Cow<'_, str> {
+pub(super) fn quoted(value: &str) -> Cow<'_, str> {
     let plain = |c: char| c.is_ascii_graphic() && !matches!(c, '"' | '=' | '\\');
     if !value.is_empty() && value.chars().all(plain) {
         return Cow::Borrowed(value);
