A message too large for a peer is not sent and costs no link

Entries saw: a message above 64 MiB, such as the objects of a kind that a peer asks for, ended the link at the receiver. What was queued behind it was lost, and the link was closed again each time the peer asked.

Cause: the receiver refuses such a message by its header, which ends a WebSocket connection; the sender has no limit.

All ways of sending pass one function, which leaves out a message that no peer takes, counts it (LinkCounters::too_large) and logs the first one as peer_message_too_large. `send` returns false for it.

The test failed before: the message behind the large one did not arrive within 20 s. Now it arrives, and the link stays.

--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -23,7 +23,7 @@
 use crate::shared_intake::IntakePermit;
 
 /// Largest message, in bytes; a full catalog has to fit.
-const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+pub(super) const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
 /// Largest hello message, in bytes; it is read before the peer is authenticated.
 const MAX_HELLO_BYTES: usize = 4 * 1024;
 /// Read buffer of a connection, in bytes.
--- a/src/peer/link_counters.rs
+++ b/src/peer/link_counters.rs
@@ -11,6 +11,7 @@
     received_bytes: AtomicU64,
     unreadable: AtomicU64,
     not_understood: AtomicU64,
+    too_large: AtomicU64,
 }
 
 impl LinkCounters {
@@ -37,6 +38,11 @@
         self.not_understood.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a message that was not sent because it is too large; returns whether it is the first.
+    pub(crate) fn count_too_large(&self) -> bool {
+        self.too_large.fetch_add(1, Ordering::Relaxed) == 0
+    }
+
     /// Frames and payload bytes sent.
     #[must_use]
     pub fn sent(&self) -> (u64, u64) {
@@ -62,4 +68,10 @@
     pub fn unreadable(&self) -> u64 {
         self.unreadable.load(Ordering::Relaxed)
     }
+
+    /// Messages that were not sent because no peer would receive them: they are too large.
+    #[must_use]
+    pub fn too_large(&self) -> u64 {
+        self.too_large.load(Ordering::Relaxed)
+    }
 }
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -13,7 +13,6 @@
 use std::time::Instant;
 
 use async_io::{Async, Timer};
-use async_tungstenite::tungstenite::Bytes;
 use futures_lite::FutureExt;
 use log::Level;
 use queue::Queue;
@@ -24,7 +23,6 @@
 use crate::peer::{
     ClaimServer, ConnId, LinkCounters, MemberEffect, MemberEvent, Membership, MembershipSettings,
     MeshBuilder, PROTOCOL_VERSION, PeerEvents, PeerLinks, PeerMessage, RelayServer, connection,
-    encode,
 };
 use crate::platform::Vm;
 use crate::prelude::*;
@@ -154,7 +152,9 @@
     /// Queues one message for several peers; those without a link or with a full queue do not get
     /// it.
     pub fn multicast(&self, to: &[Name], message: &PeerMessage) {
-        let frame = Bytes::from(encode(message));
+        let Some(frame) = self.encode_bounded(message) else {
+            return;
+        };
         let state = lock(&self.state);
         let conns = to.iter().filter_map(|name| state.by_name.get(name));
         for queue in conns.filter_map(|conn| state.queues.get(conn)) {
@@ -305,8 +305,7 @@
         let (this, pending) = (self.clone(), server.claim_for_peer(claimant, req));
         self.spawn(async move {
             let result = pending.await;
-            let reply = encode(&PeerMessage::ClaimReply { seq, result });
-            this.enqueue(conn, reply.into());
+            this.enqueue(conn, &PeerMessage::ClaimReply { seq, result });
         });
     }
 
--- a/src/peer/mesh/connections.rs
+++ b/src/peer/mesh/connections.rs
@@ -6,9 +6,10 @@
 use async_tungstenite::tungstenite::Bytes;
 use log::Level;
 
+use crate::peer::connection::MAX_MESSAGE_BYTES;
 use crate::peer::mesh::queue::{Outgoing, Queue};
 use crate::peer::mesh::{Mesh, State, lock};
-use crate::peer::{CloseReason, ConnId, MemberEvent, PeerConnection};
+use crate::peer::{CloseReason, ConnId, MemberEvent, PeerConnection, PeerMessage, encode};
 use crate::prelude::*;
 use crate::telemetry::log_event;
 
@@ -68,8 +69,26 @@
         self.handle_event(MemberEvent::Closed(conn));
     }
 
-    /// Queues a frame on a connection; `false` when the connection is gone or its queue is full.
-    pub(super) fn enqueue(&self, conn: ConnId, frame: Bytes) -> bool {
+    /// Encodes a message; `None` if it is too large for a peer, which would close the link each time
+    /// that it is sent.
+    pub(super) fn encode_bounded(&self, message: &PeerMessage) -> Option<Bytes> {
+        let frame = Bytes::from(encode(message));
+        if frame.len() <= MAX_MESSAGE_BYTES {
+            return Some(frame);
+        }
+        if self.counters.count_too_large() {
+            let detail = format!("{} bytes", frame.len());
+            self.record_fault("peer_message_too_large", "-", &detail);
+        }
+        None
+    }
+
+    /// Queues a message on a connection; `false` when the connection is gone, its queue is full or the
+    /// message is too large.
+    pub(super) fn enqueue(&self, conn: ConnId, message: &PeerMessage) -> bool {
+        let Some(frame) = self.encode_bounded(message) else {
+            return false;
+        };
         let state = lock(&self.state);
         let queue = state.queues.get(&conn);
         queue.is_some_and(|queue| queue.push(frame))
--- a/src/peer/mesh/links.rs
+++ b/src/peer/mesh/links.rs
@@ -3,13 +3,12 @@
 use std::time::Instant;
 
 use async_io::Timer;
-use async_tungstenite::tungstenite::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
 
 use crate::claim::{ClaimError, ClaimRequest, ClaimVerdict};
 use crate::peer::mesh::{CatalogStatus, Mesh, lock};
-use crate::peer::{PeerInfo, PeerLinks, PeerMessage, encode};
+use crate::peer::{PeerInfo, PeerLinks, PeerMessage};
 use crate::prelude::*;
 
 impl PeerLinks for Mesh {
@@ -19,11 +18,13 @@
 
     fn send(&self, to: &str, message: PeerMessage) -> bool {
         let conn = self.conn_of(to);
-        conn.is_some_and(|conn| self.enqueue(conn, encode(&message).into()))
+        conn.is_some_and(|conn| self.enqueue(conn, &message))
     }
 
     fn broadcast(&self, message: &PeerMessage) {
-        let frame = Bytes::from(encode(message));
+        let Some(frame) = self.encode_bounded(message) else {
+            return;
+        };
         for queue in lock(&self.state).queues.values() {
             let _ = queue.push(frame.clone());
         }
@@ -53,7 +54,7 @@
         };
         let (seq, reply) = self.calls.start(conn);
         let message = PeerMessage::Claim { seq, claimant, req };
-        if !self.enqueue(conn, encode(&message).into()) {
+        if !self.enqueue(conn, &message) {
             self.calls.cancel(seq);
             return Box::pin(async { None });
         }
--- a/tests/peer_unreadable.rs
+++ b/tests/peer_unreadable.rs
@@ -18,7 +18,9 @@
     CodecError, Mesh, PROTOCOL_VERSION, PeerEvents, PeerInfo, PeerLinks, PeerMessage, decode,
     encode,
 };
+use guavahold::prelude::Name;
 use guavahold::secret::Secret;
+use guavahold::store_view::PeerObject;
 
 const SECRET: &[u8] = b"a secret of at least thirty-two bytes";
 const HEARTBEAT: Duration = Duration::from_millis(50);
@@ -32,6 +34,9 @@
 /// Unreadable messages before each one whose receipt is awaited.
 const BATCH: usize = 32;
 
+/// Larger than any message that a link carries.
+const TOO_LARGE_BYTES: usize = 65 * 1024 * 1024;
+
 #[derive(Default)]
 struct Inbox(Mutex<Vec<PeerMessage>>);
 
@@ -228,3 +233,32 @@
         assert_eq!(node.mesh.live().len(), 1);
     });
 }
+
+/// Guards against a link that is closed, dialled and closed again by a message that no receiver takes.
+#[test]
+fn mesh_message_that_is_too_large_is_not_sent_and_the_link_stays() {
+    with_executor(async |ex| {
+        let first = start(&ex, "a1", Vec::new());
+        let second = start(&ex, "a2", vec![first.addr]);
+        let linked = || first.mesh.live().len() == 1 && second.mesh.live().len() == 1;
+        wait_until("linked", linked).await;
+        let object = |name: &str, bytes| PeerObject {
+            name: Name::from(name),
+            spec: "x".repeat(bytes),
+        };
+        let objects = |object| PeerMessage::Objects {
+            kind: 1,
+            revision: 7,
+            objects: vec![object],
+        };
+        let too_large = objects(object("large", TOO_LARGE_BYTES));
+        first.mesh.broadcast(&too_large);
+        let next = objects(object("small", 1));
+        assert!(first.mesh.send("a2", next.clone()));
+        wait_until("next message", || second.inbox.has(&next)).await;
+        first.mesh.multicast(&["a2".into()], &too_large);
+        assert!(!first.mesh.send("a2", too_large));
+        assert_eq!(first.mesh.link_counters().too_large(), 3);
+        assert_eq!(first.mesh.live().len(), 1);
+    });
+}
