A request whose path a URL would cut or replace is refused

Callers saw: a request for "/a#b" ran as "/a", "/a\b" as "/a/b", and one with a Host of "x#", "x?" or "x/b" as "/", or as another path. All of them were answered 200.

Cause: the head is validated by httparse, which lets these characters pass, and then parsed as a URL, in which they separate parts. RFC 9112 has neither in a request target or a host. In the same way a path that forms no URL was replaced by "/" before a request was sent to a target.

Heads with these characters are refused with 400 before anything runs. A request to a target is made only of the path as it is: with one that forms no URL the attempt is withheld. No request is known to reach that case, since incoming paths are parsed as URLs before.

--- a/src/caller/attempt_start.rs
+++ b/src/caller/attempt_start.rs
@@ -39,6 +39,7 @@
     let span = shared.spans.start(&request.trace, "dispatch");
     let blocks = prompt_blocks(shared, request, attempt);
     let req = build_request(request, attempt, blocks, &span.context.to_string());
+    let req = req.ok_or(AttemptOutcome::Withheld)?;
     shared.metrics.attempts.inc();
     let mut guard = CancelGuard::new(shared, request, attempt);
     let started = match &request.kind {
@@ -85,12 +86,13 @@
     received.or(lost_connection).or(deadline).await
 }
 
+/// Makes the request to the attempt's target; `None` if the path is not valid in a URL.
 fn build_request(
     request: &CallerRequest,
     attempt: &Attempt,
     blocks: Option<PromptBlocks>,
     traceparent: &str,
-) -> Request {
+) -> Option<Request> {
     let mut req = match &request.kind {
         RequestKind::Chat(chat) => {
             let mut fields = chat.fields.clone();
@@ -102,7 +104,7 @@
             if let Some(blocks) = blocks.and_then(|b| serde_json::to_value(b).ok()) {
                 fields.insert("kv".into(), blocks);
             }
-            let mut req = target_request(Method::Post, attempt.address, "/v1/chat/completions");
+            let mut req = target_request(Method::Post, attempt.address, "/v1/chat/completions")?;
             req.set_body(Value::Object(fields).to_string());
             req.insert_header("content-type", "application/json");
             req.insert_header(WEIGHTS_HEADER, &*attempt.weights);
@@ -115,7 +117,7 @@
             key,
             body,
         } => {
-            let mut req = target_request(*method, attempt.address, path);
+            let mut req = target_request(*method, attempt.address, path)?;
             req.set_body(body.as_slice());
             req.remove_header("content-type");
             if let Some(content_type) = content_type {
@@ -130,7 +132,7 @@
     req.insert_header(REQUEST_ID_HEADER, attempt.run.as_str());
     req.insert_header("guavahold-customer", &*request.customer);
     req.insert_header("traceparent", traceparent);
-    req
+    Some(req)
 }
 
 /// Cancels the run at the target if dropped before [`Self::disarm`], as when the attempt is
@@ -165,8 +167,9 @@
         let (shared, address) = (self.shared.clone(), self.address);
         let path = format!("/v1/runs/{}", self.run.as_str());
         let cancel = async move {
-            let req = target_request(Method::Delete, address, &path);
-            let _ = shared.pool.fetch(address, req, MAX_RESPONSE_BYTES).await;
+            if let Some(req) = target_request(Method::Delete, address, &path) {
+                let _ = shared.pool.fetch(address, req, MAX_RESPONSE_BYTES).await;
+            }
         };
         self.shared.executor.spawn(cancel).detach();
     }
--- a/src/caller/engine_stream.rs
+++ b/src/caller/engine_stream.rs
@@ -219,7 +219,7 @@
 
     async fn try_resume(&self) -> Option<Result<ClientResponse, StreamError>> {
         let path = format!("/v1/runs/{}?from={}", self.run.as_str(), self.next_number);
-        let mut req = target_request(Method::Get, self.address, &path);
+        let mut req = target_request(Method::Get, self.address, &path)?;
         req.insert_header(REQUEST_ID_HEADER, self.run.as_str());
         let conn = Connection::open(self.address, SILENCE_TIMEOUT).await.ok()?;
         let response = conn.send(req).await.ok()?;
--- a/src/caller/target_request.rs
+++ b/src/caller/target_request.rs
@@ -86,12 +86,8 @@
     Ok(())
 }
 
-/// Makes a request to a target; an invalid path is replaced by the root path.
-pub(crate) fn target_request(method: Method, address: SocketAddr, path: &str) -> Request {
-    let url = Url::parse(&format!("http://{address}{path}"));
-    let url = url.or_else(|_| Url::parse(&format!("http://{address}/")));
-    Request::new(
-        method,
-        url.unwrap_or_else(|_| unreachable!("a socket address always forms a valid URL")),
-    )
+/// Makes a request to a target; `None` if the path is not valid in a URL.
+pub(crate) fn target_request(method: Method, address: SocketAddr, path: &str) -> Option<Request> {
+    let url = Url::parse(&format!("http://{address}{path}")).ok()?;
+    Some(Request::new(method, url))
 }
--- a/src/caller/watchdog.rs
+++ b/src/caller/watchdog.rs
@@ -77,6 +77,8 @@
 
 async fn query_load(attempt: &Attempt) -> Result<(), ExchangeError> {
     let conn = Connection::open(attempt.address, SILENCE_TIMEOUT / 2).await?;
-    let req = target_request(Method::Get, attempt.address, "/load");
-    conn.send(req).await.map(drop)
+    match target_request(Method::Get, attempt.address, "/load") {
+        Some(req) => conn.send(req).await.map(drop),
+        None => Ok(()),
+    }
 }
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -1,10 +1,17 @@
 //! Parsing and validation of request heads.
 
 use crate::http::{Framing, Limits, MessageError};
+use crate::prelude::*;
 
 /// Maximum number of headers in one message.
 pub(crate) const MAX_HEADERS: usize = 64;
 
+/// Characters that are not part of a request target (RFC 9112, section 3.2): a URL would be cut at
+/// the first or read with the second as a separator, and the request would be for another path.
+const NOT_IN_TARGET: [char; 2] = ['#', '\\'];
+/// Bytes that end the host in a URL, or move its start.
+const NOT_IN_HOST: &[u8] = b"/?#@\\";
+
 /// Validated request head, rewritten so that `async-h1` decodes it as a request without a body.
 #[derive(Debug)]
 pub struct RequestHead {
@@ -41,12 +48,14 @@
     }
 
     fn validate(req: &httparse::Request<'_, '_>, consumed: usize) -> Result<Self, MessageError> {
-        let hosts = req
-            .headers
-            .iter()
-            .filter(|h| h.name.eq_ignore_ascii_case("host"));
-        if hosts.count() != 1 {
+        let is_host = |h: &&httparse::Header<'_>| h.name.eq_ignore_ascii_case("host");
+        let hosts: SmallVec<[_; 1]> = req.headers.iter().filter(is_host).collect();
+        let [host] = hosts[..] else {
             return Err(MessageError::NoHost);
+        };
+        let target = req.path.unwrap_or_default();
+        if target.contains(NOT_IN_TARGET) || host.value.iter().any(|b| NOT_IN_HOST.contains(b)) {
+            return Err(MessageError::Malformed);
         }
         let mut head = Self {
             bytes: Vec::with_capacity(consumed),
