A response that is no listing does not count as an empty one

Entries saw: a listing of the object API answered 200 with an empty body, a body that is no JSON, or JSON without `items` or a version, counted as a listing without objects, so that everything known of the kind was gone.

Cause: an unreadable body is read as null, and missing items as none. The body may be missing after a write, but not after a listing.

A listing without an array of items and a version is an error, Unreadable, like those of the platform's store. The test failed before (Ok with no items for an empty body); each of ten such bodies is an error now, and an empty listing is read as before.

--- a/src/platform/remote.rs
+++ b/src/platform/remote.rs
@@ -175,11 +175,15 @@
             let path = ObjectPath::of_kind(&kind)?;
             let (_, json) = this.call(Method::Get, &path, None).await?;
             let version = json["metadata"]["resourceVersion"].as_str();
-            let items = json["items"].as_array().map(Vec::as_slice);
-            let items = items.unwrap_or_default().iter();
+            let (Some(items), Some(version)) = (json["items"].as_array(), version) else {
+                // What a listing lacks counts as deleted.
+                let reason = "response is not a listing";
+                return Err(PlatformError::Unreadable(reason.into()));
+            };
+            let items = items.iter();
             Ok(Listing {
                 items: items.map(|i| decode(&kind, i)).collect::<Result<_, _>>()?,
-                version: Version(version.unwrap_or_default().to_owned()),
+                version: Version(version.to_owned()),
                 ..Listing::default()
             })
         })
