A full list of a context store replaces its parts in place

Cause: each time a store had lost changes that an entry asked for, the entry forgot all parts and built names and tables of 98,000 parts anew, between the buffers of the answer. The new copy stays where it is allocated, so the freed space before it cannot be given back, and the next large buffers go behind it.

The list is now applied to what is there: names and tables of parts that stay are kept, everything else that reading allocates is freed together. Parts of before a gap are not used until the list replaces them, as the store counts as not having answered; if all changes since the store's boot come instead, they are forgotten first.

list_after_a_gap_keeps_names_that_are_known failed before; parts_before_a_gap_are_not_fetched_until_a_list_holds_them passes on both and guards the parts that are now kept.

--- a/src/context_store/directory.rs
+++ b/src/context_store/directory.rs
@@ -197,8 +197,6 @@
         if update.epoch != store.epoch || update.gap {
             // The first request asks for all changes since the store's boot, so no list is needed.
             let is_first = store.epoch == 0 && !update.gap;
-            store.parts.clear();
-            store.used_tokens = 0;
             store.record_epoch(now, &update);
             store.next_seq = 0;
             if !is_first {
@@ -206,6 +204,11 @@
                 return true;
             }
         }
+        if store.next_seq == 0 {
+            // The changes are all since the store's boot.
+            store.parts.clear();
+            store.used_tokens = 0;
+        }
         store.answered_at = Some(now);
         store.next_seq = update.next_seq;
         for change in update.changes {
@@ -222,12 +225,9 @@
         };
         store.record_epoch(now, &update);
         store.next_seq = update.next_seq;
-        store.parts.clear();
-        store.used_tokens = 0;
         store.answered_at = Some(now);
-        for change in update.changes {
-            store.apply(change);
-        }
+        store.parts.replace(update.changes);
+        store.used_tokens = store.parts.tokens();
     }
 
     /// Applies an update that a peer relays: changes from sequence number `from` on, or the full
--- a/tests/context_store.rs
+++ b/tests/context_store.rs
@@ -1,6 +1,7 @@
 //! Context stores: which parts are fetched, saved and freed.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use guavahold::context_store::{
@@ -305,3 +306,56 @@
     assert_eq!(plan(&mut peer, 40, "p").0, None);
     assert_eq!(watcher.snapshot(ms(9_000), store(1)), None);
 }
+
+fn held_names(directory: &StoreDirectory) -> Vec<(Name, u32)> {
+    let held = directory.snapshot(ms(30), store(1)).unwrap().changes;
+    let mut names: Vec<_> = held.into_iter().map(|c| (c.part.id, c.tokens)).collect();
+    names.sort();
+    names
+}
+
+/// Guards against a heap that a second copy of what a full store holds leaves in pieces each time its list
+/// is read.
+#[test]
+fn list_after_a_gap_keeps_names_that_are_known() {
+    let mut directory = directory();
+    let held = [("1", "p", 1_000), ("1", "q", 700), ("0", "o", 700)];
+    directory.apply_changes(ms(10), store(1), update(7, 4, &held));
+    let before = held_names(&directory);
+    let gap = StoreUpdate {
+        gap: true,
+        ..update(7, 9, &[])
+    };
+    assert!(directory.apply_changes(ms(20), store(1), gap));
+    let list = [("1", "p", 1_200), ("1", "r", 400)];
+    directory.apply_list(ms(30), store(1), update(7, 9, &list));
+    let after = held_names(&directory);
+    assert_eq!(after, [("p".into(), 1_200), ("r".into(), 400)]);
+    let name_of = |names: &[(Name, u32)]| names.iter().find(|(id, _)| &**id == "p").cloned();
+    let (old, new) = (name_of(&before).unwrap().0, name_of(&after).unwrap().0);
+    assert!(Arc::ptr_eq(&old, &new));
+    assert_eq!(directory.usage(ms(30)).0, 1_600);
+}
+
+/// Guards against parts from before a gap that are fetched while no list has replaced them.
+#[test]
+fn parts_before_a_gap_are_not_fetched_until_a_list_holds_them() {
+    for epoch in [7, 9] {
+        let mut directory = directory();
+        let held = [("1", "p", 1_000), ("1", "q", 1_000)];
+        directory.apply_changes(ms(10), store(1), update(7, 3, &held));
+        let gap = StoreUpdate {
+            gap: true,
+            ..update(epoch, 9, &[])
+        };
+        assert!(directory.apply_changes(ms(20), store(1), gap));
+        assert_eq!(plan(&mut directory, 30, "p").0, None);
+        assert_eq!(directory.next_seq(store(1)), Some(0));
+        assert_eq!(directory.snapshot(ms(30), store(1)), None);
+        // The list fails, and the store answers with all of its changes.
+        let all = update(epoch, 9, &[("1", "q", 1_000)]);
+        assert!(!directory.apply_changes(ms(40), store(1), all));
+        assert_eq!(plan(&mut directory, 50, "p").0, None);
+        assert_eq!(plan(&mut directory, 50, "q").0, Some(store(1)));
+    }
+}
