A hub queues the full contents of a store once

Cause: two entries watch each store, and both send its full contents after a gap. The hub queued both, and all changes that they hold anyway, for the next digest; 512 updates could be full lists.

A full list now takes the place of queued updates of the same store and boot epoch that tell nothing beyond it, so that at most one is queued for each boot epoch. Updates of another epoch, later ones and the notice that the store does not answer stay in their order. Receivers end with the same contents, since a full list replaces everything they knew.

hub_aggregator_queues_full_contents_of_a_store_once failed before: all nine updates were queued.

--- a/src/gateway/hub_aggregator.rs
+++ b/src/gateway/hub_aggregator.rs
@@ -132,7 +132,11 @@
     }
 }
 
+/// Queues an update, in place of those that hold nothing beyond it.
 fn push_bounded(queue: &mut Vec<RelayedStoreUpdate>, update: RelayedStoreUpdate) {
+    if update.is_full_list() {
+        queue.retain(|queued| !update.supersedes(queued));
+    }
     if queue.len() < MAX_QUEUED_UPDATES {
         queue.push(update);
     }
--- a/src/peer/relayed_store_update.rs
+++ b/src/peer/relayed_store_update.rs
@@ -34,3 +34,22 @@
     #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
     pub store_unreachable: bool,
 }
+
+impl RelayedStoreUpdate {
+    /// Whether this is the full contents of a store.
+    #[must_use]
+    pub fn is_full_list(&self) -> bool {
+        self.from == 0 && !self.full_requested && !self.store_unreachable
+    }
+
+    /// Whether this full list of a store holds everything that another update tells.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        self.is_full_list()
+            && !other.full_requested
+            && !other.store_unreachable
+            && other.store == self.store
+            && other.epoch == self.epoch
+            && other.next <= self.next
+    }
+}
--- a/tests/hubs.rs
+++ b/tests/hubs.rs
@@ -7,7 +7,7 @@
 use guavahold::domain_scheduler::DomainHub;
 use guavahold::gateway::{HubAggregator, HubCandidate, HubSelector, LoadTable, TargetLoad};
 use guavahold::name_hash::name_hash;
-use guavahold::peer::{GatewayDigest, GatewayStatus};
+use guavahold::peer::{GatewayDigest, GatewayStatus, RelayedStoreUpdate};
 use guavahold::prelude::Name;
 
 const DOMAINS: usize = 3;
@@ -409,3 +409,62 @@
     hubs.sort_unstable();
     assert_eq!(hubs, [draining(2).name, peer(1 + DOMAINS).name]);
 }
+
+/// What a store told up to the change `next`: changes, or its full contents.
+fn store_update(from: u64, next: u64) -> RelayedStoreUpdate {
+    RelayedStoreUpdate {
+        store: ([172, 20, 0, 1], 8_080).into(),
+        epoch: 7,
+        from,
+        next,
+        changes: vec![("1".into(), format!("p-{next}").into(), 700)],
+        clock_ms: None,
+        full_requested: false,
+        store_unreachable: false,
+    }
+}
+
+/// Guards against a digest that holds the full contents of a store several times.
+#[test]
+fn hub_aggregator_queues_full_contents_of_a_store_once() {
+    let mut aggregator = HubAggregator::default();
+    let restarted = RelayedStoreUpdate {
+        epoch: 9,
+        ..store_update(0, 3)
+    };
+    let of_another_store = RelayedStoreUpdate {
+        store: ([172, 20, 0, 2], 8_080).into(),
+        ..store_update(0, 4)
+    };
+    let unreachable = RelayedStoreUpdate {
+        store_unreachable: true,
+        ..store_update(0, 0)
+    };
+    let queued = [
+        store_update(2, 5),
+        restarted.clone(),
+        of_another_store.clone(),
+        unreachable.clone(),
+        store_update(0, 5),
+        store_update(5, 9),
+        store_update(0, 8),
+        store_update(0, 8),
+        store_update(9, 10),
+    ];
+    for update in queued {
+        aggregator.queue_for_all(update.clone());
+    }
+    let expected = [
+        restarted,
+        of_another_store,
+        unreachable,
+        store_update(5, 9),
+        store_update(0, 8),
+        store_update(9, 10),
+    ];
+    let own = GatewayStatus::default();
+    let (domain, all) = aggregator.digests(Duration::ZERO, &domain_hub("a"), own);
+    for digest in [domain, all] {
+        assert_eq!(digest.store_updates, expected);
+    }
+}
