A hub encodes its digest for other hubs once

The digest of a failure domain was copied and encoded for each other hub. One encoded message is now shared by all links, as is that for the entries of the own domain already. What is sent does not change; no test of its own. Tests of hubs, peers and freed context pass.

--- a/src/gateway/control/hub.rs
+++ b/src/gateway/control/hub.rs
@@ -110,9 +110,7 @@
         domain.merged.round_trip = Some(state.round_trips.round_trip(now, &hubs));
         all.merged.round_trip = Some(state.round_trips.round_trip(now, &near));
         drop(state);
-        for hub in hubs {
-            mesh.send(&hub, PeerMessage::Digest(Box::new(domain.clone())));
-        }
+        mesh.multicast(&hubs, &PeerMessage::Digest(Box::new(domain)));
         mesh.multicast(&near, &PeerMessage::Digest(Box::new(all)));
     }
 
