Relayed contents of a store are copied only to be forwarded

Other entries now use up the received message. What is applied, forwarded and requested does not change; no test of its own. Tests of hubs, peers and freed context pass.

--- a/src/gateway/control/store_relay.rs
+++ b/src/gateway/control/store_relay.rs
@@ -87,31 +87,44 @@
             self.forward_store_update(from, relayed);
             return;
         }
-        let update = store_update_of(&relayed);
-        let outcome =
-            self.shared
-                .store_directory()
-                .apply_relayed(now, relayed.store, relayed.from, update);
+        let (store, first) = (relayed.store, relayed.from);
+        // The full contents of a store are copied only for those that they are forwarded to.
+        let forwarded = self.forwards_store_updates().then(|| relayed.clone());
+        let update = store_update_of(relayed);
+        let outcome = self
+            .shared
+            .store_directory()
+            .apply_relayed(now, store, first, update);
         match outcome {
-            RelayOutcome::Applied => self.forward_store_update(from, relayed),
+            RelayOutcome::Applied => {
+                if let Some(relayed) = forwarded {
+                    self.forward_store_update(from, relayed);
+                }
+            }
             RelayOutcome::AlreadyKnown => {}
             RelayOutcome::Gap => {
                 let request = RelayedStoreUpdate {
                     full_requested: true,
-                    ..relayed_update(relayed.store, 0, &StoreUpdate::default())
+                    ..relayed_update(store, 0, &StoreUpdate::default())
                 };
                 self.send(&from.name, PeerMessage::StoreUpdate(request));
             }
         }
     }
 
+    /// Whether this entry is a hub, which forwards store updates.
+    fn forwards_store_updates(&self) -> bool {
+        let state = self.state();
+        state.uses_hubs() && state.hub_selector.current().is_none()
+    }
+
     /// If this entry is a hub, forwards a store update: from its own failure domain to the other
     /// hubs and its entries, from another hub to its entries only.
     fn forward_store_update(&self, from: &PeerInfo, relayed: RelayedStoreUpdate) {
-        let mut state = self.state();
-        if !state.uses_hubs() || state.hub_selector.current().is_some() {
+        if !self.forwards_store_updates() {
             return;
         }
+        let mut state = self.state();
         if from.domain == self.domain {
             state.aggregator.queue_for_all(relayed);
         } else {
@@ -120,21 +133,17 @@
     }
 }
 
-fn store_update_of(relayed: &RelayedStoreUpdate) -> StoreUpdate {
-    let changes = relayed.changes.iter();
+fn store_update_of(relayed: RelayedStoreUpdate) -> StoreUpdate {
+    let changes = relayed.changes.into_iter();
+    let changes = changes.map(|(scope, id, tokens)| StoreChange {
+        part: PartKey { scope, id },
+        tokens,
+    });
     StoreUpdate {
         epoch: relayed.epoch,
         next_seq: relayed.next,
         gap: false,
-        changes: changes
-            .map(|(scope, id, tokens)| StoreChange {
-                part: PartKey {
-                    scope: scope.clone(),
-                    id: id.clone(),
-                },
-                tokens: *tokens,
-            })
-            .collect(),
+        changes: changes.collect(),
         clock_ms: None,
     }
 }
