Relayed contents of a store keep a scope once

Parts in a row with the same scope now share it, as those read from a store itself do already.

decode_of_a_store_update_keeps_a_scope_once failed before: no two parts shared their scope. The message on the wire does not change.

--- a/src/peer/relayed_store_update.rs
+++ b/src/peer/relayed_store_update.rs
@@ -1,8 +1,10 @@
 //! Changes of context stores, relayed by the entries that watch the stores.
 
+use std::fmt;
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use serde::de::{SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::prelude::*;
 
@@ -22,7 +24,7 @@
     #[serde(rename = "n")]
     pub next: u64,
     /// Scope, part and tokens of each change; zero tokens remove the part.
-    #[serde(rename = "c")]
+    #[serde(rename = "c", deserialize_with = "deserialize_changes")]
     pub changes: Vec<(Name, Name, u32)>,
     /// Reading of the targets' clock, by which fetch deadlines are measured, in milliseconds.
     #[serde(rename = "t")]
@@ -53,3 +55,33 @@
             && other.next <= self.next
     }
 }
+
+/// Decodes changes. Those in a row mostly have the same scope, which is kept once.
+fn deserialize_changes<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<(Name, Name, u32)>, D::Error> {
+    deserializer.deserialize_seq(ChangesVisitor)
+}
+
+struct ChangesVisitor;
+
+impl<'de> Visitor<'de> for ChangesVisitor {
+    type Value = Vec<(Name, Name, u32)>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a sequence of changes")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut items: A) -> Result<Self::Value, A::Error> {
+        let mut changes = Self::Value::new();
+        while let Some((mut scope, id, tokens)) = items.next_element::<(Name, Name, u32)>()? {
+            if let Some((last, ..)) = changes.last()
+                && *last == scope
+            {
+                scope = last.clone();
+            }
+            changes.push((scope, id, tokens));
+        }
+        Ok(changes)
+    }
+}
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -460,6 +460,30 @@
     })
 }
 
+/// Guards against a copy of the scope for each of the 100,000 parts of a full store.
+#[test]
+fn decode_of_a_store_update_keeps_a_scope_once() {
+    let scopes = ["1", "1", "2", "2", "1"];
+    let parts = scopes.iter().map(|s| ((*s).into(), "p".into(), 700));
+    let PeerMessage::StoreUpdate(update) = large_message() else {
+        unreachable!();
+    };
+    let update = RelayedStoreUpdate {
+        changes: parts.collect(),
+        ..update
+    };
+    let frame = encode(&PeerMessage::StoreUpdate(update.clone()));
+    let Ok(PeerMessage::StoreUpdate(read)) = decode(&frame) else {
+        panic!("another message");
+    };
+    assert_eq!(read, update);
+    let kept_once = read
+        .changes
+        .windows(2)
+        .map(|pair| Arc::ptr_eq(&pair[0].0, &pair[1].0));
+    assert_eq!(kept_once.collect::<Vec<_>>(), [true, false, true, false]);
+}
+
 /// Guards against buffers of the size of the largest message that each link ever carried: they are
 /// kept as long as the link.
 #[test]
