Entries of one test do not link with those of another

Cause: all fleets of the rig had the same secret, and their entries the same names. Tests run side by side and take any free port, so that the entries of one test may dial a port that an entry of another took over. The handshake then succeeded, and an entry that got a link from a second entry-1 closed that to its own one as restarted, again and again; claims went to either.

Each fleet now has a secret of its own, so that such a handshake is refused.

--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -13,12 +13,11 @@
 use http_types::Method;
 use serde_json::{Value, json};
 use tempfile::TempDir;
+use uuid::Uuid;
 
 use crate::Process;
 use crate::client::Call;
 
-/// Secret shared by the entries of a fleet.
-const SECRET: &str = "a secret of the rig, of more than 32 bytes";
 /// Maximum wait for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval at which a condition is checked.
@@ -41,7 +40,9 @@
     /// When the process cannot be started or a file cannot be written.
     pub fn start() -> Result<Self> {
         let directory = tempfile::tempdir()?;
-        std::fs::write(directory.path().join("secret"), SECRET)?;
+        // Tests run side by side, and an entry may take over a port that those of another fleet dial.
+        let secret = format!("a secret of one fleet, {}", Uuid::new_v4());
+        std::fs::write(directory.path().join("secret"), secret)?;
         let platform = Process::start("guavahold-rig", &["platform"])?;
         let address = platform.address("address");
         Ok(Self {
--- a/rig/tests/configuration.rs
+++ b/rig/tests/configuration.rs
@@ -4,8 +4,9 @@
 //! is reported as failed although it was written, and an entry that needs the platform to start.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use async_io::Timer;
 use guavahold::catalog::EntryRevision;
 use guavahold::platform::Role;
 use guavahold_rig::client::Call;
@@ -15,6 +16,9 @@
 use http_types::Method;
 use serde_json::json;
 
+/// Time in which entries dial what is listed several times.
+const DIAL_TIME: Duration = Duration::from_secs(1);
+
 fn release_note(base_revision: u64) -> String {
     let policies = json!({format!("p{base_revision}"): {"class": "patient"}});
     json!({"revision": base_revision, "by": "shift", "added": {"policies": policies}}).to_string()
@@ -51,6 +55,39 @@
     fleet.run_operator(&args).unwrap()
 }
 
+/// Names of the entries whose revision an entry knows.
+async fn known_entries(entry: &Process) -> Vec<String> {
+    let call = Call::new(Method::Get, "/in-force");
+    let response = call.send(entry.address("admin")).await.unwrap();
+    let all: Vec<EntryRevision> = serde_json::from_slice(&response.body).unwrap();
+    all.iter().map(|f| f.entry.to_string()).collect()
+}
+
+/// Guards against a test whose entries link with those of another test, which took over a port of theirs.
+#[test]
+fn entries_of_another_fleet_are_not_linked() {
+    run_with_timeout(async {
+        let (fleet, other) = (Fleet::start().unwrap(), Fleet::start().unwrap());
+        let stranger = start_entry(&other, "stranger", "a", other.platform_address()).await;
+        let first = start_entry(&fleet, "entry-1", "a", fleet.platform_address()).await;
+        let taken_over = stranger.address("peers");
+        fleet
+            .list_vm("stranger", Role::Entry, "a", taken_over, "")
+            .await;
+        let second = start_entry(&fleet, "entry-2", "a", fleet.platform_address()).await;
+        wait_until("the own entry is linked", async || {
+            known_entries(&first).await.contains(&"entry-2".to_owned())
+        })
+        .await;
+        Timer::after(DIAL_TIME).await;
+        for entry in [&first, &second] {
+            let known = known_entries(entry).await;
+            assert!(!known.contains(&"stranger".to_owned()), "{known:?}");
+        }
+        assert_eq!(known_entries(&stranger).await, ["stranger"]);
+    });
+}
+
 #[test]
 fn configuration_reaches_entries_when_platform_connections_go_silent() {
     run_with_timeout(async {
