--- a/src/gateway/kind_watcher.rs
+++ b/src/gateway/kind_watcher.rs
@@ -83,39 +83,40 @@
                     Ok(Step::List)
                 }
             };
-            let (reached, err) = match result {
+            step = match result {
                 Ok(next) => {
                     failures.record_success(&step);
                     if let Step::Watch(_) = next {
                         incomplete = None;
                     }
-                    step = next;
-                    continue;
+                    next
                 }
-                Err(failure) => failure,
-            };
-            if err == PlatformError::Expired {
-                if failures.reports_listing() {
-                    log::info!("event=watch_expired kind={}", self.watched.as_str());
+                Err((reached, err)) => {
+                    self.report_failure(&failures, &err);
+                    if let Step::List = step {
+                        incomplete = incomplete.or(reached);
+                        let wait = failures.record_failure(&err);
+                        self.wait_to_list(wait, &mut incomplete).await;
+                        continue;
+                    }
+                    if reached.is_some() {
+                        failures.record_progress();
+                    }
+                    back_off(failures.record_failure(&err)).await;
+                    match reached.or(step.into_version()) {
+                        Some(version) if !needs_listing(&err) => Step::CatchUp(version),
+                        _ => Step::List,
+                    }
                 }
-            } else {
-                self.record_failure(self.control.now(), &err);
-            }
-            if let Step::List = step {
-                incomplete = incomplete.or(reached);
-                let wait = failures.record_failure(&err);
-                self.wait_to_list(wait, &mut incomplete).await;
-                continue;
-            }
-            if reached.is_some() {
-                failures.record_progress();
-            }
-            let version = reached.or(step.into_version());
-            step = match version {
-                Some(version) if !needs_listing(&err) => Step::CatchUp(version),
-                _ => Step::List,
             };
-            back_off(failures.record_failure(&err)).await;
+        }
+    }
+
+    fn report_failure(&self, failures: &Failures, err: &PlatformError) {
+        if *err != PlatformError::Expired {
+            self.record_failure(self.control.now(), err);
+        } else if failures.reports_listing() {
+            log::info!("event=watch_expired kind={}", self.watched.as_str());
         }
     }
 
--- a/src/platform/object.rs
+++ b/src/platform/object.rs
@@ -74,7 +74,7 @@
     pub version: Version,
     /// What cannot be read.
     pub unreadable: UnreadableObjects,
-    /// Number of pages that were read; zero if the platform has none.
+    /// Number of pages that were read for it; zero if the platform has none.
     pub pages: u32,
     /// Why the listing ended before the last object; `None` if it is complete.
     pub stop: Option<ListingStop>,
--- a/src/platform/paged_listing.rs
+++ b/src/platform/paged_listing.rs
@@ -84,6 +84,8 @@
     version: Version,
     began_at: Timestamp,
     pages: u32,
+    /// Pages of the present part.
+    part_pages: u32,
     bytes: usize,
     /// Names after which pages were asked for.
     followed: BTreeSet<Name>,
@@ -99,6 +101,7 @@
             version,
             began_at,
             pages: 0,
+            part_pages: 0,
             bytes: 0,
             followed: BTreeSet::new(),
         }
@@ -122,6 +125,7 @@
     /// Why no further page is to be asked for although the store has further objects.
     pub fn add(&mut self, now: Timestamp, page: ListingPage) -> Result<NextPage, ListingStop> {
         self.pages += 1;
+        self.part_pages += 1;
         self.bytes += page.bytes;
         self.unreadable.extend(page.unreadable);
         for object in page.objects {
@@ -153,8 +157,16 @@
             items: self.objects.into_values().collect(),
             version: self.version,
             unreadable: self.unreadable,
-            pages: self.pages,
+            pages: self.part_pages,
             stop,
         }
     }
+
+    /// What was listed so far; the next part begins.
+    #[must_use]
+    pub fn take_part(&mut self, stop: ListingStop) -> Listing {
+        let part = self.clone().finish(Some(stop));
+        self.part_pages = 0;
+        part
+    }
 }
