--- a/src/context_store/poll_backoff.rs
+++ b/src/context_store/poll_backoff.rs
@@ -1,4 +1,4 @@
-//! How soon a context store is asked again, by what its last answers were worth.
+//! How soon a context store is asked again, by the results of its last calls.
 
 use crate::prelude::*;
 
--- a/tests/remote_platform.rs
+++ b/tests/remote_platform.rs
@@ -80,6 +80,7 @@
 fn listing_that_cannot_be_read_is_not_empty() {
     for body in [
         "",
+        "{",
         "null",
         "[]",
         "{}",
