Entries of a test have an address of their own

The path is one of every caller's port; an entry's port for administration answers so. All entries of the rig took any port of 127.0.0.1, so that an entry of another test may listen at the port of one that was killed. Each process of tests now uses a loopback address of its own for entries, as the tests of the platform do.

--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Starts entries and stand-ins as separate processes on loopback.
 
 use std::io::Result;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -89,7 +89,7 @@
     /// # Errors
     /// When it cannot be started.
     pub fn start_entry(&self, name: &str, domain: &str, overrides: &Value) -> Result<Process> {
-        let any_port = "127.0.0.1:0";
+        let any_port = any_port().to_string();
         let mut cfg = json!({
             "name": name,
             "domain": domain,
@@ -263,6 +263,13 @@
     );
 }
 
+/// Any port of a loopback address that no other process uses for its entries, so that none of them takes
+/// over the address of one that has ended.
+fn any_port() -> SocketAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    (Ipv4Addr::new(127, 78, high, low), 0).into()
+}
+
 /// Runs a test and fails it if it has not ended after 100 s.
 ///
 /// # Panics
