--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -5,6 +5,7 @@
 
 mod case_crashes;
 mod case_models;
+mod case_second_model;
 mod http;
 mod json;
 mod kv_store;
@@ -70,6 +71,7 @@
     end_in_time(setup.record.clone());
     let verdict = match case.as_str() {
         "models" => case_models::play(&setup),
+        "second-model" => case_second_model::play(&setup),
         "crashes" => case_crashes::play(&setup),
         _ => Verdict::NotRun,
     };
--- a/review/stand-ins-3/src/runner.rs
+++ b/review/stand-ins-3/src/runner.rs
@@ -56,6 +56,8 @@
     state: Arc<Mutex<State>>,
     stores: Arc<Vec<KvStore>>,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Requests that were answered 421, by the model and the version that they expected.
+    pub misdirected: Arc<Mutex<BTreeMap<(String, String), u64>>>,
     /// Orders that were accepted: holder, model and version.
     pub orders: Arc<Mutex<Vec<String>>>,
 }
@@ -74,6 +76,7 @@
             state: Arc::new(Mutex::new(state)),
             stores: Arc::new(kv.to_vec()),
             runs: Arc::default(),
+            misdirected: Arc::default(),
             orders: Arc::default(),
         };
         let served = runner.clone();
@@ -200,6 +203,8 @@
         };
         let expected = req.header("expect-version");
         if expected.is_some_and(|n| n != version.to_string()) {
+            let key = (model, expected.unwrap_or_default().to_owned());
+            *self.misdirected.lock().unwrap().entry(key).or_default() += 1;
             let headers = [
                 ("Request-Id", id),
                 ("Instance-Id", self.name.clone()),
