Review case 14: a prompt that waits at its runner while a tenant becomes isolated

Claims: a request uses KV cache that a request of a tenant made which is isolated (WALL), later than config-apply-ms after the change: what waits in a runner's queue keeps the salt that it was sent with. Disruption: one change of the configuration. The cases 12 and 13 change places, the graver first.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -8,4 +8,4 @@
     echo "build first: the command of deploy/system.toml, then review/build-3.sh" >&2
     exit 2
 fi
-exec "$program" crashes "$here"
+exec "$program" second-model "$here"
--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -6,6 +6,7 @@
 mod case_crashes;
 mod case_models;
 mod case_second_model;
+mod case_wall;
 mod http;
 mod json;
 mod kv_store;
@@ -72,6 +73,7 @@
     let verdict = match case.as_str() {
         "models" => case_models::play(&setup),
         "second-model" => case_second_model::play(&setup),
+        "wall" => case_wall::play(&setup),
         "crashes" => case_crashes::play(&setup),
         _ => Verdict::NotRun,
     };
