--- a/review/stand-ins-3/src/case_crashes.rs
+++ b/review/stand-ins-3/src/case_crashes.rs
@@ -10,12 +10,11 @@
 use std::io::Write;
 
 use crate::http::{Conn, Request, call, respond};
-use crate::node::{Layout, Node};
+use crate::node::{Layout, Node, stand_in_ip};
 use crate::record::Record;
 use crate::store::Store;
 use crate::{Setup, Verdict, clock_ms, unix_ms};
 
-const IP: &str = "127.0.0.1";
 const RUNNERS: usize = 9;
 /// `stable-window-ms` of the settings.
 const STABLE_WINDOW_MS: u64 = 3_000;
@@ -57,7 +56,7 @@
 
 /// Runs a runner that starts again under a new id each time that it has crashed.
 fn run_runner(n: usize, store: Store, arrivals: Arc<Arrivals>, record: Record) {
-    let listener = TcpListener::bind((IP, 0)).expect("no free port");
+    let listener = TcpListener::bind((stand_in_ip().as_str(), 0)).expect("no free port");
     let address = listener.local_addr().expect("no address");
     thread::spawn(move || {
         let mut first = Some(listener);
@@ -236,7 +235,7 @@
 
 pub fn play(setup: &Setup) -> Verdict {
     let record = &setup.record;
-    let store = Store::start(IP);
+    let store = Store::start(&stand_in_ip());
     store.put(
         "versions",
         "model-a",
--- a/review/stand-ins-3/src/case_models.rs
+++ b/review/stand-ins-3/src/case_models.rs
@@ -5,13 +5,11 @@
 
 use crate::http::{Response, call};
 use crate::kv_store::{CAPACITY, KvStore};
-use crate::node::{Layout, Node};
+use crate::node::{Layout, Node, stand_in_ip};
 use crate::runner::{Runner, Spec};
 use crate::store::Store;
 use crate::{Setup, Verdict};
 
-const IP: &str = "127.0.0.1";
-
 /// Shared parts of prompts, such as price lists.
 const PARTS: [&str; 4] = ["5c1e07a2", "5c1e07a3", "5c1e07a4", "5c1e07a5"];
 
@@ -70,8 +68,8 @@
 
 pub fn play(setup: &Setup) -> Verdict {
     let record = &setup.record;
-    let store = Store::start(IP);
-    let kv = KvStore::start(IP);
+    let store = Store::start(&stand_in_ip());
+    let kv = KvStore::start(&stand_in_ip());
     let runner = |name: &str, service: &str, model: &str, version: u64| {
         let models = [(model, version)];
         let spec = Spec {
@@ -80,7 +78,7 @@
             zone: "za",
             models: &models,
         };
-        Runner::start(IP, &spec, &store, std::slice::from_ref(&kv))
+        Runner::start(&stand_in_ip(), &spec, &store, std::slice::from_ref(&kv))
     };
     // Model B has been brought to its second version before; model A has its first.
     store.put(
--- a/review/stand-ins-3/src/case_second_model.rs
+++ b/review/stand-ins-3/src/case_second_model.rs
@@ -8,12 +8,11 @@
 use std::time::Duration;
 
 use crate::http::call;
-use crate::node::{Layout, Node};
+use crate::node::{Layout, Node, stand_in_ip};
 use crate::runner::{Runner, Spec};
 use crate::store::Store;
 use crate::{Setup, Verdict, clock_ms};
 
-const IP: &str = "127.0.0.1";
 const RUNNERS: usize = 9;
 /// `recover-s` of the settings.
 const RECOVER_MS: u64 = 12_000;
@@ -83,7 +82,7 @@
 
 pub fn play(setup: &Setup) -> Verdict {
     let record = &setup.record;
-    let store = Store::start(IP);
+    let store = Store::start(&stand_in_ip());
     for model in ["model-a", "model-b"] {
         let version = format!("{{\"model\":\"{model}\",\"version\":1}}");
         store.put("versions", model, &version);
@@ -97,7 +96,7 @@
             zone: if n % 2 == 0 { "za" } else { "zb" },
             models: &[("model-a", 1), ("model-b", 1)],
         };
-        Runner::start(IP, &spec, &store, &[])
+        Runner::start(&stand_in_ip(), &spec, &store, &[])
     };
     let runners: Vec<Runner> = (1..=RUNNERS).map(runner).collect();
     let layout = Layout {
--- a/review/stand-ins-3/src/case_wall.rs
+++ b/review/stand-ins-3/src/case_wall.rs
@@ -8,12 +8,11 @@
 use std::time::Duration;
 
 use crate::http::{Conn, Request, call, respond, serve};
-use crate::node::{Layout, Node};
+use crate::node::{Layout, Node, stand_in_ip};
 use crate::record::Record;
 use crate::store::Store;
 use crate::{Setup, Verdict, clock_ms, unix_ms};
 
-const IP: &str = "127.0.0.1";
 /// `config-apply-ms` of the settings.
 const APPLY_MS: u64 = 2_000;
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -71,7 +70,7 @@
             record: record.clone(),
         };
         let served = engine.clone();
-        let address = serve(IP, move |req, conn| served.handle(&req, conn));
+        let address = serve(&stand_in_ip(), move |req, conn| served.handle(&req, conn));
         let (beating, store) = (engine.clone(), store.clone());
         spawn(move || {
             for sequence in 1_u64.. {
@@ -185,7 +184,7 @@
 
 pub fn play(setup: &Setup) -> Verdict {
     let record = &setup.record;
-    let store = Store::start(IP);
+    let store = Store::start(&stand_in_ip());
     store.put(
         "versions",
         "model-a",
--- a/review/stand-ins-3/src/node.rs
+++ b/review/stand-ins-3/src/node.rs
@@ -30,24 +30,29 @@
     pub store: SocketAddr,
 }
 
-/// A loopback address of a machine: other cases that run beside this one have others.
-fn machine_ip(n: usize) -> String {
+/// A loopback address that other cases and tests which run at the same time do not have.
+fn own_ip(last: usize) -> String {
     let id = std::process::id();
-    format!("127.{}.{}.{}", 1 + (id >> 8) % 120, id % 256, 10 + n)
+    format!("127.{}.{}.{last}", 130 + (id >> 8) % 100, id % 256)
 }
 
-/// A port that is free now.
-fn free(ip: &str) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("no free port");
-    listener.local_addr().expect("no address")
+/// Address of the stand-ins.
+pub fn stand_in_ip() -> String {
+    own_ip(9)
+}
+
+/// Ports that are free now, all of them different.
+fn free_ports(ip: &str) -> [SocketAddr; 4] {
+    let listeners = [(); 4].map(|()| TcpListener::bind((ip, 0)).expect("no free port"));
+    listeners.map(|listener| listener.local_addr().expect("no address"))
 }
 
 impl Node {
     /// Writes the settings of machine `n` in a zone and starts its process; the first one is the seed.
     pub fn start(layout: &Layout, n: u8, zone: &str, seed: Option<&Node>) -> Self {
-        let ip = &machine_ip(MACHINES.fetch_add(1, Ordering::Relaxed));
-        let (front, ready, control) = (free(ip), free(ip), free(ip));
-        let internal = free(ip).port();
+        let ip = &own_ip(10 + MACHINES.fetch_add(1, Ordering::Relaxed));
+        let [front, ready, control, internal] = free_ports(ip);
+        let internal = internal.port();
         let name = format!("front-{zone}-{n}");
         let seeds = seed.map_or(control.to_string(), |seed| {
             let text = fs::read_to_string(&seed.settings).unwrap_or_default();
